--- /dev/null
+++ b/src/bergamottide/net/http.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace bergamottide {
+
+/*! @brief Header lines, in order; names are compared without case. */
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/*! @brief One HTTP request. */
+struct HttpRequest
+{
+    std::string method;
+    /*! @brief Path without the query. */
+    std::string path;
+    /*! @brief Query without the question mark. */
+    std::string query;
+    HttpHeaders headers;
+    std::string body;
+};
+
+/*! @brief One whole HTTP answer. */
+struct HttpAnswer
+{
+    int status{200};
+    HttpHeaders headers;
+    std::string body;
+};
+
+/**
+ * @brief Finds a header.
+ * @param headers Header lines.
+ * @param name Name, in lower case.
+ * @return Its value, or an empty text.
+ */
+[[nodiscard]] std::string_view headerValue(const HttpHeaders &headers, std::string_view name);
+
+/**
+ * @brief Finds a parameter of a query.
+ * @param query Query without the question mark.
+ * @param name Name of the parameter.
+ * @return Its value as it stands, or an empty text.
+ */
+[[nodiscard]] std::string_view queryValue(std::string_view query, std::string_view name);
+
+} // namespace bergamottide
--- /dev/null
+++ b/src/bergamottide/net/httpclient.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "bergamottide/net/http.h"
+#include "bergamottide/net/loop.h"
+
+#include <absl/status/status.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace bergamottide {
+
+/*! @brief Identity of a call in progress; zero is none. */
+enum class HttpCallId : std::uint64_t
+{
+};
+
+/*! @brief Settings of a client. */
+struct HttpClientOptions
+{
+    /*! @brief Silence after which a call is given up. */
+    Duration ioTimeout{std::chrono::seconds{30}};
+    /*! @brief Largest body of an answer read, in bytes. */
+    std::size_t maxBodyBytes{8u << 20};
+    /*! @brief Largest sum of header bytes read. */
+    std::size_t maxHeadBytes{32u << 10};
+    /*! @brief Idle connections kept for each address. */
+    std::size_t idleConnections{64};
+    /*! @brief Verify the server by these certificates; empty for plain text. */
+    std::string authority;
+};
+
+/*! @brief Why a call failed before its answer was whole. */
+enum class HttpFailure : std::uint8_t
+{
+    /*! @brief No connection: nothing was sent. */
+    Connect,
+    /*! @brief The connection broke or fell silent after the request may have been sent. */
+    Broken,
+    /*! @brief The answer exceeds a limit. */
+    TooLarge,
+    /*! @brief The answer is not HTTP. */
+    Malformed
+};
+
+template <>
+struct EnumNames<HttpFailure>
+{
+    static constexpr std::array<std::string_view, 4> names{"connect", "broken", "too_large", "malformed"};
+};
+
+/*! @brief Hooks of one call; exactly one of `done` and `failed` is called, last, unless the call is cancelled. */
+struct HttpCallHooks
+{
+    /*! @brief Optional: status and headers have come. */
+    std::function<void(int status, const HttpHeaders &headers)> head;
+    /*! @brief Optional: a piece of the body has come; without it the body is collected. */
+    std::function<void(std::string_view piece)> piece;
+    /*! @brief The answer is whole; its body is empty if `piece` is set. */
+    std::function<void(HttpAnswer answer)> done;
+    std::function<void(HttpFailure failure)> failed;
+};
+
+/*! @brief HTTP/1.1 client on h2o with kept connections. */
+class HttpClient
+{
+public:
+    /**
+     * @brief Creates a client.
+     * @param loop Loop it runs on; outlives the client.
+     * @param options Settings.
+     */
+    HttpClient(Loop &loop, HttpClientOptions options);
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+    ~HttpClient();
+
+    /**
+     * @brief Starts a call.
+     * @param address IP number and port, `ip:port`.
+     * @param request Request to send; `query` is appended to `path`.
+     * @param hooks Called on the loop's thread, never from within `call`.
+     * @return Identity for `cancel`.
+     */
+    HttpCallId call(const std::string &address, HttpRequest request, HttpCallHooks hooks);
+
+    /**
+     * @brief Closes the connection of a call; none of its hooks is called afterwards.
+     * @param call Identity from `call`; one that has ended is ignored.
+     */
+    void cancel(HttpCallId call);
+
+    /*! @brief Returns the number of calls in progress. */
+    [[nodiscard]] std::size_t inProgress() const noexcept;
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace bergamottide
--- /dev/null
+++ b/src/bergamottide/net/httpserver.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "bergamottide/net/http.h"
+#include "bergamottide/net/loop.h"
+
+#include <absl/status/status.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace bergamottide {
+
+/**
+ * @brief Answers one request; may be kept and used later, on the loop's thread.
+ *
+ * Every call does nothing once the connection has closed or the answer is whole.
+ */
+class HttpResponder
+{
+public:
+    virtual ~HttpResponder() = default;
+
+    /**
+     * @brief Sends a whole answer.
+     * @param answer Status, headers and body.
+     */
+    virtual void answer(HttpAnswer answer) = 0;
+
+    /**
+     * @brief Sends the head of an answer whose body follows piece by piece.
+     * @param status HTTP status.
+     * @param headers Header lines.
+     */
+    virtual void begin(int status, const HttpHeaders &headers) = 0;
+
+    /**
+     * @brief Sends a piece of the body; pieces wait in memory while the caller reads slowly.
+     * @param piece Bytes to send.
+     */
+    virtual void send(std::string_view piece) = 0;
+
+    /*! @brief Ends a body sent piece by piece. */
+    virtual void finish() = 0;
+
+    /**
+     * @brief Sets the hook called once if the connection closes before the answer is whole.
+     * @param hook Hook to call.
+     */
+    virtual void onClosed(std::function<void()> hook) = 0;
+
+    /*! @brief Returns the number of bytes handed to `send` that the connection has not yet taken. */
+    [[nodiscard]] virtual std::size_t unsent() const = 0;
+};
+
+/*! @brief Files of a server's certificate, PEM. */
+struct TlsFiles
+{
+    std::string certificate;
+    std::string key;
+    /*! @brief Certificates that sign peers; empty where peers show none. */
+    std::string authority;
+
+    [[nodiscard]] bool empty() const noexcept
+    {
+        return certificate.empty();
+    }
+};
+
+/*! @brief Settings of a server. */
+struct HttpServerOptions
+{
+    /*! @brief IP number and port, `ip:port`; port 0 lets the kernel choose. */
+    std::string listen;
+    /*! @brief Empty for plain text. */
+    TlsFiles tls;
+    /*! @brief Largest body in bytes; a larger one is answered 413 without a call of the handler. */
+    std::size_t maxBodyBytes{8u << 20};
+};
+
+/*! @brief HTTP/1.1 and HTTP/2 server on h2o. */
+class HttpServer
+{
+public:
+    using Handler = std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
+
+    /**
+     * @brief Creates a server that does not listen yet.
+     * @param loop Loop it runs on; outlives the server.
+     * @param options Settings.
+     * @param handler Called for each request.
+     */
+    HttpServer(Loop &loop, HttpServerOptions options, Handler handler);
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+    ~HttpServer();
+
+    /*! @brief Starts to listen. */
+    [[nodiscard]] absl::Status listen();
+
+    /*! @brief Returns the address listened on, with the port that the kernel chose. */
+    [[nodiscard]] std::string address() const;
+
+    /*! @brief Accepts no further connection and closes the present ones as they become idle. */
+    void shutdown();
+
+    /*! @brief Reads the certificate files again; keeps the present ones on an error. */
+    [[nodiscard]] absl::Status reloadTls();
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace bergamottide
