--- a/src/bergamottide/core/ids.h
+++ b/src/bergamottide/core/ids.h
@@ -42,7 +42,13 @@
         return m_value.empty();
     }
 
-    [[nodiscard]] auto operator<=>(const Name &other) const = default;
+    [[nodiscard]] bool operator==(const Name &other) const = default;
+
+    // Written out: the linter takes the comparisons with zero in a defaulted one for null pointers.
+    [[nodiscard]] std::strong_ordering operator<=>(const Name &other) const
+    {
+        return m_value <=> other.m_value;
+    }
 
     friend std::ostream &operator<<(std::ostream &stream, const Name &name)
     {
