Entry drives requests through their stages

Cause: nothing carried a request from a caller to the sides and back. Change: EntryReducer checks a submission against the document with typed refusals, places each stage run by a few random candidates over an incremental table of endpoints, puts results together by offset, verifies their digest, relays the last stage piece by piece and answers once.

--- /dev/null
+++ b/src/bergamottide/entry/stagedriver.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "bergamottide/entry/answers.h"
+#include "bergamottide/entry/entrycontext.h"
+
+#include <optional>
+
+namespace bergamottide {
+
+/**
+ * @brief Takes requests through their stages: places, sends, repeats and ends stage runs.
+ */
+class StageDriver
+{
+public:
+    /*! @brief Creates the part over the shared state. */
+    StageDriver(EntryContext &context, Answers &answers);
+
+    /**
+     * @brief Starts the present stage of a request; ends the request if nothing can run it.
+     * @param request Request without runs; may be removed.
+     */
+    void start(Request &request);
+
+    /**
+     * @brief Goes on after the result of a run has arrived whole and verified.
+     * @param request Request; may be removed.
+     * @param run Run of the request.
+     */
+    void advance(Request &request, Run &run);
+
+    /**
+     * @brief Goes on after a run has ended without a result.
+     *
+     * A repeatable stage is tried elsewhere while attempts and budget last.
+     *
+     * @param request Request; may be removed.
+     * @param run Run of the request.
+     * @param reason Why the run ended.
+     * @param retryAfter Time after which another try makes sense; zero for none.
+     */
+    void runLost(Request &request, Run &run, Reason reason, Duration retryAfter);
+
+    /**
+     * @brief Sends the run of a stage bound to its home once more, unchanged.
+     *
+     * The serial starts at most one run, so that a repeated message is harmless.
+     */
+    void resend(const Request &request, const Run &run);
+
+    /*! @brief Sends the caller what has newly arrived of the last stage's result. */
+    void relay(Request &request, const Run &run);
+
+    /*! @brief Estimates the service times of all stages of a request. */
+    void estimateCosts(Request &request) const;
+
+private:
+    [[nodiscard]] std::optional<Placed> place(const Request &request);
+    bool dispatch(Request &request);
+    [[nodiscard]] StartRun messageFor(const Request &request, const Run &run) const;
+    [[nodiscard]] ServiceKey serviceKey(const Request &request) const;
+    void forget(Request &request, const Run &run);
+
+    EntryContext &m_context;
+    Answers &m_answers;
+};
+
+} // namespace bergamottide
--- /dev/null
+++ b/src/bergamottide/placement/endpointset.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "bergamottide/placement/endpoint.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <vector>
+
+namespace bergamottide {
+
+/**
+ * @brief Set of endpoints that is drawn from at random and keeps the sum of its loads.
+ *
+ * Adding, removing, drawing and changing a load take constant time.
+ */
+class EndpointSet
+{
+public:
+    /*! @brief Adds an endpoint that is not in the set. */
+    void add(const Endpoint &endpoint, EndpointNumber number)
+    {
+        m_positions.emplace(number, m_members.size());
+        m_members.push_back(number);
+        m_load += endpoint.load;
+    }
+
+    /*! @brief Removes an endpoint; one that is not in the set changes nothing. */
+    void remove(const Endpoint &endpoint, EndpointNumber number)
+    {
+        const auto found = m_positions.find(number);
+        if (found == m_positions.end()) {
+            return;
+        }
+        const std::size_t position = found->second;
+        m_positions.erase(found);
+        m_load -= endpoint.load;
+        const EndpointNumber last = m_members.back();
+        m_members.pop_back();
+        if (last != number) {
+            m_members[position] = last;
+            m_positions[last] = position;
+        }
+    }
+
+    /*! @brief Notes that the load of a member has grown by a difference. */
+    void changeLoad(std::int64_t difference) noexcept
+    {
+        m_load += difference;
+    }
+
+    /*! @brief Returns the average load of the members, in thousandths of their concurrency. */
+    [[nodiscard]] std::int64_t averageLoad() const noexcept
+    {
+        return m_members.empty() ? 0 : m_load / static_cast<std::int64_t>(m_members.size());
+    }
+
+    /*! @brief Returns the member at a position below `size`. */
+    [[nodiscard]] EndpointNumber operator[](std::size_t position) const noexcept
+    {
+        return m_members[position];
+    }
+
+    /*! @brief Returns the number of members. */
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        return m_members.size();
+    }
+
+private:
+    std::vector<EndpointNumber> m_members;
+    absl::flat_hash_map<EndpointNumber, std::size_t> m_positions;
+    std::int64_t m_load{};
+};
+
+} // namespace bergamottide
--- /dev/null
+++ b/test/bergamottide/entry/entryreducer.cpp
@@ -0,0 +1,179 @@
+#include "bergamottide/entry/entryreducer.h"
+
+#include "entryfixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace bergamottide;
+using bergamottide::test::EntryFixture;
+
+class EntryReducerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EntryReducerTest);
+    CPPUNIT_TEST(driveStagesInOrderAndAnswerOnce);
+    CPPUNIT_TEST(putLateRepeatedAndReorderedPiecesTogether);
+    CPPUNIT_TEST(dropResultOfAnotherRun);
+    CPPUNIT_TEST(relayLastStagePieceByPiece);
+    CPPUNIT_TEST(refuseBadInputNamingItsField);
+    CPPUNIT_TEST(refuseBeforeDocumentAndView);
+    CPPUNIT_TEST(tryElsewhereAfterRefusedRun);
+    CPPUNIT_TEST(sayNotRunOnlyWhenEveryRunWasConfirmedNotStarted);
+    CPPUNIT_TEST(cancelRepeatableWorkOfGoneCaller);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void driveStagesInOrderAndAnswerOnce()
+    {
+        EntryFixture fixture;
+        fixture.apply(EntryFixture::submission(1));
+        const auto first = fixture.sent<StartRun>().at(0);
+        CPPUNIT_ASSERT_EQUAL(StageName{"encode"}, first.second.stage);
+        CPPUNIT_ASSERT_EQUAL(std::string{"body"}, first.second.body);
+        fixture.complete(first.first, first.second.run, "vector");
+        const auto second = fixture.sent<StartRun>().at(0);
+        CPPUNIT_ASSERT_EQUAL(StageName{"generate"}, second.second.stage);
+        CPPUNIT_ASSERT_EQUAL(std::string{"body"}, second.second.body);
+        CPPUNIT_ASSERT_EQUAL(std::string{"vector"}, second.second.previous);
+        fixture.complete(second.first, second.second.run, "text");
+        const auto answer = fixture.effect<CallerAnswer>();
+        CPPUNIT_ASSERT(answer && answer->outcome == Outcome::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::string{"text"}, answer->body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.entry.inProgress());
+        fixture.hear(second.first, EntryFixture::completed(second.second.run, "text"));
+        CPPUNIT_ASSERT(!fixture.effect<CallerAnswer>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.sent<RunAcknowledged>().size());
+    }
+
+    void putLateRepeatedAndReorderedPiecesTogether()
+    {
+        EntryFixture fixture;
+        fixture.apply(EntryFixture::submission(1));
+        const auto [side, start] = fixture.sent<StartRun>().at(0);
+        fixture.hear(side, EntryFixture::completed(start.run, "abcdef"));
+        fixture.hear(side, RunProgress{start.run, RunState::Running, 4, "ef", 1});
+        fixture.hear(side, RunProgress{start.run, RunState::Running, 0, "abc", 1});
+        fixture.hear(side, RunProgress{start.run, RunState::Running, 0, "abc", 1});
+        CPPUNIT_ASSERT(fixture.sent<StartRun>().empty());
+        fixture.hear(side, RunProgress{start.run, RunState::Running, 2, "cd", 1});
+        CPPUNIT_ASSERT_EQUAL(std::string{"abcdef"}, fixture.sent<StartRun>().at(0).second.previous);
+    }
+
+    void dropResultOfAnotherRun()
+    {
+        EntryFixture fixture;
+        fixture.apply(EntryFixture::submission(1));
+        const auto [side, start] = fixture.sent<StartRun>().at(0);
+        RunId other = start.run;
+        ++other.attempt;
+        fixture.complete(side, other, "wrong");
+        CPPUNIT_ASSERT(fixture.sent<StartRun>().empty());
+        fixture.complete(InstanceName{side.text() == "enc-1" ? "enc-2" : "enc-1"}, start.run, "wrong");
+        CPPUNIT_ASSERT(fixture.sent<StartRun>().empty());
+        CPPUNIT_ASSERT_EQUAL(1.0, fixture.counted(Metric::DroppedMessagesTotal));
+    }
+
+    void relayLastStagePieceByPiece()
+    {
+        EntryFixture fixture;
+        CallerSubmitted submitted = EntryFixture::submission(1);
+        submitted.streaming = true;
+        fixture.apply(submitted);
+        const auto first = fixture.sent<StartRun>().at(0);
+        CPPUNIT_ASSERT(!first.second.streaming);
+        fixture.complete(first.first, first.second.run, "vector");
+        const auto [side, start] = fixture.sent<StartRun>().at(0);
+        CPPUNIT_ASSERT(start.streaming);
+        fixture.hear(side, RunProgress{start.run, RunState::Running, 3, "def", 1});
+        CPPUNIT_ASSERT(!fixture.effect<CallerPiece>());
+        fixture.hear(side, RunProgress{start.run, RunState::Running, 0, "abc", 1});
+        CPPUNIT_ASSERT_EQUAL(std::string{"abcdef"}, fixture.effect<CallerPiece>()->piece);
+        fixture.hear(side, EntryFixture::completed(start.run, "abcdef"));
+        CPPUNIT_ASSERT_EQUAL(std::string{}, fixture.effect<CallerAnswer>()->body);
+    }
+
+    void refuseBadInputNamingItsField()
+    {
+        EntryFixture fixture;
+        const auto refuse = [&fixture](const CallerSubmitted &submitted, Reason reason, const std::string &field) {
+            fixture.apply(submitted);
+            const auto answer = fixture.effect<CallerAnswer>();
+            CPPUNIT_ASSERT(answer && answer->reason == reason && answer->outcome == Outcome::NotRun);
+            CPPUNIT_ASSERT_EQUAL(field, answer->field);
+            CPPUNIT_ASSERT(fixture.sent<StartRun>().empty());
+        };
+        CallerSubmitted submitted = EntryFixture::submission(1);
+        submitted.keyDigest.clear();
+        refuse(submitted, Reason::MissingKey, "authorization");
+        submitted.keyDigest = "key-nobody";
+        refuse(submitted, Reason::WrongKey, "authorization");
+        submitted.keyDigest = "key-south";
+        refuse(submitted, Reason::UnknownPipeline, "pipeline");
+        refuse(EntryFixture::submission(1, "nothing"), Reason::UnknownPipeline, "pipeline");
+        submitted = EntryFixture::submission(1);
+        submitted.kind = KindName{"nothing"};
+        refuse(submitted, Reason::UnknownKind, "kind");
+        submitted = EntryFixture::submission(1);
+        submitted.deadline = Duration::zero();
+        refuse(submitted, Reason::InvalidDeadline, "deadline");
+        submitted.deadline = std::chrono::hours{1};
+        refuse(submitted, Reason::InvalidDeadline, "deadline");
+        submitted = EntryFixture::submission(1);
+        submitted.body.resize(Policy{}.maxBodyBytes + 1);
+        refuse(submitted, Reason::BodyTooLarge, "body");
+    }
+
+    void refuseBeforeDocumentAndView()
+    {
+        EntryReducer entry{{InstanceName{"entry-1"}, RegionName{"west"}, ZoneName{"a"}, Incarnation{7}, 1}};
+        const EntryEffects effects = entry.apply(EntryFixture::submission(1), TimePoint{std::chrono::seconds{1}});
+        bool refused = false;
+        for (const EntryEffect &effect : effects) {
+            const auto *answer = std::get_if<CallerAnswer>(&effect);
+            refused = refused || (answer && answer->reason == Reason::StaleView && answer->outcome == Outcome::NotRun);
+        }
+        CPPUNIT_ASSERT(refused);
+    }
+
+    void tryElsewhereAfterRefusedRun()
+    {
+        EntryFixture fixture;
+        fixture.apply(EntryFixture::submission(1));
+        const auto first = fixture.sent<StartRun>().at(0);
+        fixture.hear(first.first, EntryFixture::refused(first.second.run, Reason::Draining));
+        const auto second = fixture.sent<StartRun>().at(0);
+        CPPUNIT_ASSERT(first.first != second.first);
+        CPPUNIT_ASSERT_EQUAL(first.second.run.attempt + 1, second.second.run.attempt);
+        fixture.apply(EntryFixture::submission(2));
+        CPPUNIT_ASSERT_EQUAL(second.first, fixture.sent<StartRun>().at(0).first);
+    }
+
+    void sayNotRunOnlyWhenEveryRunWasConfirmedNotStarted()
+    {
+        EntryFixture fixture;
+        fixture.apply(EntryFixture::submission(1));
+        const auto first = fixture.sent<StartRun>().at(0);
+        fixture.hear(first.first, EntryFixture::refused(first.second.run, Reason::Draining));
+        const auto second = fixture.sent<StartRun>().at(0);
+        fixture.hear(second.first, EntryFixture::refused(second.second.run, Reason::Draining));
+        CPPUNIT_ASSERT(fixture.effect<CallerAnswer>()->outcome == Outcome::NotRun);
+
+        EntryFixture other;
+        other.apply(EntryFixture::submission(1));
+        other.pass(std::chrono::seconds{9});
+        const auto answer = other.effect<CallerAnswer>();
+        CPPUNIT_ASSERT(answer && answer->outcome == Outcome::Incomplete);
+    }
+
+    void cancelRepeatableWorkOfGoneCaller()
+    {
+        EntryFixture fixture;
+        fixture.apply(EntryFixture::submission(1));
+        const auto [side, start] = fixture.sent<StartRun>().at(0);
+        fixture.apply(CallerGone{CallId{1}});
+        CPPUNIT_ASSERT(fixture.sent<CancelRun>().at(0).second.run == start.run);
+        CPPUNIT_ASSERT(!fixture.effect<CallerAnswer>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.entry.inProgress());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryReducerTest);
