--- a/src/bergamottide/entry/requesttable.cpp
+++ b/src/bergamottide/entry/requesttable.cpp
@@ -11,7 +11,10 @@
     for (const auto &[id, request] : m_requests) {
         ids.push_back(id);
     }
-    std::sort(ids.begin(), ids.end());
+    const auto before = [](const RequestId &left, const RequestId &right) {
+        return std::pair{left.high, left.low} < std::pair{right.high, right.low};
+    };
+    std::sort(ids.begin(), ids.end(), before);
     return ids;
 }
 
