HTTP server and client on h2o, event loop

Cause: the interfaces had no implementation. Change: loop around h2o's event loop with timers and posted tasks; server with whole and streamed answers and notice of callers that close; client with kept or fresh connections, limits and deferred hooks. Conclusion: contexts of h2o cannot be taken down while connections point to them; test/lsan.supp names them.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -33,6 +33,8 @@
     fi
 }
 run "$build/bergamottide_test" --known-red "$root/KNOWN-RED.txt"
+# Contexts of h2o stay until the process ends; the file names them.
+export LSAN_OPTIONS=suppressions=$root/test/lsan.supp:print_suppressions=0
 run "$build-asan/bergamottide_test" --known-red "$root/KNOWN-RED.txt"
 if [ -x "$build/bergamottide_processtest" ]; then
     run "$build/bergamottide_processtest" --known-red "$root/KNOWN-RED.txt"
--- /dev/null
+++ b/src/bergamottide/net/httpclient.cpp
@@ -0,0 +1,340 @@
+#include "bergamottide/net/httpclient.h"
+
+#include "bergamottide/net/socketaddress.h"
+#include "bergamottide/net/tlscontext.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <utility>
+
+namespace bergamottide {
+
+namespace {
+
+/*! @brief Time an idle connection is kept, in milliseconds; below the servers' own limit. */
+constexpr std::uint64_t idleMs = 10'000;
+
+std::string writeHead(const std::string &address, const HttpRequest &request)
+{
+    std::string head = absl::StrCat(request.method, " ", request.path, request.query.empty() ? "" : "?", request.query,
+                                    " HTTP/1.1\r\nhost: ", address, "\r\n");
+    for (const auto &[name, value] : request.headers) {
+        absl::StrAppend(&head, name, ": ", value, "\r\n");
+    }
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+        absl::StrAppend(&head, "content-length: ", request.body.size(), "\r\n");
+    }
+    head += "\r\n";
+    return head;
+}
+
+} // namespace
+
+struct HttpClient::State
+{
+    /*! @brief Connections to one address. */
+    struct Target
+    {
+        h2o_socketpool_t pool{};
+        SocketAddress address;
+    };
+
+    /*! @brief One call in progress. */
+    struct Call
+    {
+        State *state{};
+        HttpCallId id{};
+        HttpCallHooks hooks;
+        /*! @brief Null once h2o has closed it, or closes it on the way out of the present callback. */
+        h2o_http1client_t *client{};
+        std::string head;
+        std::string body;
+        std::array<h2o_iovec_t, 2> buffers{};
+        bool isHead{};
+        bool cancelled{};
+        int status{};
+        HttpHeaders headers;
+        std::string received;
+        std::size_t receivedBytes{};
+    };
+
+    State(Loop &eventLoop, HttpClientOptions clientOptions)
+        : loop{eventLoop}
+        , options{std::move(clientOptions)}
+    {
+        const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(options.ioTimeout).count();
+        h2o_timeout_init(loop.native(), &ioTimeout, static_cast<std::uint64_t>(timeout));
+        h2o_multithread_register_receiver(loop.queue(), &getaddrReceiver, h2o_hostinfo_getaddr_receiver);
+        context.loop = loop.native();
+        context.getaddr_receiver = &getaddrReceiver;
+        context.io_timeout = &ioTimeout;
+        if (!options.authority.empty()) {
+            auto made = makeClientContext(options.authority);
+            tls = made.ok() ? *made : nullptr;
+            context.ssl_ctx = tls.get();
+        }
+    }
+
+    Target *target(const std::string &address)
+    {
+        const auto found = targets.find(address);
+        if (found != targets.end()) {
+            return found->second.get();
+        }
+        auto parsed = parseSocketAddress(address);
+        if (!parsed.ok()) {
+            return nullptr;
+        }
+        auto made = std::make_unique<Target>();
+        made->address = *parsed;
+        h2o_socketpool_init_by_address(&made->pool, made->address.native(), made->address.length,
+                                       options.authority.empty() ? 0 : 1, options.idleConnections);
+        h2o_socketpool_set_timeout(&made->pool, loop.native(), idleMs);
+        return targets.emplace(address, std::move(made)).first->second.get();
+    }
+
+    void start(Call &call, const std::string &address, Connection connection)
+    {
+        Target *to = target(address);
+        if (to == nullptr) {
+            fail(call, HttpFailure::Connect);
+            return;
+        }
+        if (connection == Connection::Kept) {
+            h2o_http1client_connect_with_pool(&call.client, &call, &context, &to->pool, &State::onConnect);
+            return;
+        }
+        const h2o_iovec_t host = h2o_iovec_init(to->address.host.data(), to->address.host.size());
+        h2o_http1client_connect(&call.client, &call, &context, host, to->address.port,
+                                options.authority.empty() ? 0 : 1, &State::onConnect);
+    }
+
+    /*! @brief Ends a call; its hook runs in the next round, so that it may start and cancel calls freely. */
+    void end(Call &call, std::function<void(const HttpCallHooks &)> report)
+    {
+        call.client = nullptr;
+        auto node = calls.extract(call.id);
+        if (call.cancelled) {
+            graveyard(std::move(node.mapped()));
+            return;
+        }
+        ended.emplace(call.id, std::move(node.mapped()));
+        const HttpCallId id = call.id;
+        loop.post([this, id, report = std::move(report), alive = std::weak_ptr<int>{life}] {
+            if (alive.expired()) {
+                return;
+            }
+            const auto found = ended.extract(id);
+            if (!found.empty()) {
+                report(found.mapped()->hooks);
+            }
+        });
+    }
+
+    /*! @brief Destroys a call after the present callback of h2o has returned. */
+    void graveyard(std::unique_ptr<Call> call)
+    {
+        loop.post([kept = std::shared_ptr<Call>{std::move(call)}] {});
+    }
+
+    void fail(Call &call, HttpFailure failure)
+    {
+        end(call, [failure](const HttpCallHooks &hooks) {
+            if (hooks.failed) {
+                hooks.failed(failure);
+            }
+        });
+    }
+
+    void complete(Call &call)
+    {
+        auto answer =
+            std::make_shared<HttpAnswer>(HttpAnswer{call.status, std::move(call.headers), std::move(call.received)});
+        end(call, [answer](const HttpCallHooks &hooks) {
+            if (hooks.done) {
+                hooks.done(std::move(*answer));
+            }
+        });
+    }
+
+    void cancel(HttpCallId id)
+    {
+        ended.erase(id);
+        const auto found = calls.find(id);
+        if (found == calls.end()) {
+            return;
+        }
+        found->second->cancelled = true;
+        found->second->hooks = {};
+        loop.post([this, id, alive = std::weak_ptr<int>{life}] {
+            if (!alive.expired()) {
+                closeCancelled(id);
+            }
+        });
+    }
+
+    void closeCancelled(HttpCallId id)
+    {
+        const auto node = calls.extract(id);
+        if (!node.empty() && node.mapped()->client != nullptr) {
+            h2o_http1client_cancel(node.mapped()->client);
+        }
+    }
+
+    static h2o_http1client_head_cb onConnect(h2o_http1client_t *client, const char *error, h2o_iovec_t **buffers,
+                                             size_t *count, int *isHead)
+    {
+        auto &call = *static_cast<Call *>(client->data);
+        if (error != nullptr || call.cancelled) {
+            call.state->fail(call, HttpFailure::Connect);
+            return nullptr;
+        }
+        call.buffers = {h2o_iovec_init(call.head.data(), call.head.size()),
+                        h2o_iovec_init(call.body.data(), call.body.size())};
+        *buffers = call.buffers.data();
+        *count = call.body.empty() ? 1 : 2;
+        *isHead = call.isHead ? 1 : 0;
+        return &State::onHead;
+    }
+
+    static h2o_http1client_body_cb onHead(h2o_http1client_t *client, const char *error, int, int status, h2o_iovec_t,
+                                          h2o_header_t *headers, size_t count, int)
+    {
+        auto &call = *static_cast<Call *>(client->data);
+        const bool whole = error == h2o_http1client_error_is_eos;
+        if ((error != nullptr && !whole) || call.cancelled) {
+            call.state->fail(call, HttpFailure::Broken);
+            return nullptr;
+        }
+        call.status = status;
+        if (!call.state->readHeaders(call, headers, count)) {
+            call.state->fail(call, HttpFailure::TooLarge);
+            return nullptr;
+        }
+        const auto hook = call.hooks.head;
+        if (hook) {
+            hook(call.status, call.headers);
+        }
+        if (whole) {
+            call.state->complete(call);
+            return nullptr;
+        }
+        return &State::onBody;
+    }
+
+    bool readHeaders(Call &call, const h2o_header_t *headers, size_t count) const
+    {
+        std::size_t bytes = 0;
+        for (std::size_t index = 0; index < count; ++index) {
+            const h2o_header_t &header = headers[index];
+            bytes += header.name->len + header.value.len;
+            if (bytes > options.maxHeadBytes) {
+                return false;
+            }
+            call.headers.emplace_back(std::string{header.name->base, header.name->len},
+                                      std::string{header.value.base, header.value.len});
+        }
+        return true;
+    }
+
+    static int onBody(h2o_http1client_t *client, const char *error)
+    {
+        auto &call = *static_cast<Call *>(client->data);
+        if (call.cancelled || (error != nullptr && error != h2o_http1client_error_is_eos)) {
+            call.state->fail(call, HttpFailure::Broken);
+            return -1;
+        }
+        if (!call.state->takeBody(call)) {
+            call.state->fail(call, HttpFailure::TooLarge);
+            return -1;
+        }
+        if (error != nullptr) {
+            call.state->complete(call);
+        }
+        return 0;
+    }
+
+    bool takeBody(Call &call) const
+    {
+        h2o_buffer_t **input = &call.client->sock->input;
+        const std::string piece{(*input)->bytes, (*input)->size};
+        h2o_buffer_consume(input, (*input)->size);
+        call.receivedBytes += piece.size();
+        if (call.receivedBytes > options.maxBodyBytes) {
+            return false;
+        }
+        // The hook may cancel the call, which clears its hooks; the copy survives that.
+        const auto hook = call.hooks.piece;
+        if (!hook) {
+            call.received += piece;
+            return true;
+        }
+        if (!piece.empty()) {
+            hook(piece);
+        }
+        return true;
+    }
+
+    Loop &loop;
+    HttpClientOptions options;
+    h2o_timeout_t ioTimeout{};
+    h2o_multithread_receiver_t getaddrReceiver{};
+    h2o_http1client_ctx_t context{};
+    TlsContext tls;
+    std::map<std::string, std::unique_ptr<Target>> targets;
+    std::map<HttpCallId, std::unique_ptr<Call>> calls;
+    /*! @brief Calls whose last hook waits for the next round. */
+    std::map<HttpCallId, std::unique_ptr<Call>> ended;
+    std::uint64_t nextCall{1};
+    /*! @brief Expires with the client, for tasks that come later. */
+    std::shared_ptr<int> life{std::make_shared<int>()};
+};
+
+HttpClient::HttpClient(Loop &loop, HttpClientOptions options)
+    : m_state{std::make_unique<State>(loop, std::move(options))}
+{
+}
+
+HttpClient::~HttpClient()
+{
+    for (const auto &[id, call] : m_state->calls) {
+        if (call->client != nullptr) {
+            h2o_http1client_cancel(call->client);
+        }
+    }
+    for (const auto &[address, target] : m_state->targets) {
+        h2o_socketpool_dispose(&target->pool);
+    }
+    h2o_multithread_unregister_receiver(m_state->loop.queue(), &m_state->getaddrReceiver);
+    h2o_timeout_dispose(m_state->loop.native(), &m_state->ioTimeout);
+}
+
+HttpCallId HttpClient::call(const std::string &address, HttpRequest request, HttpCallHooks hooks, Connection connection)
+{
+    const HttpCallId id{m_state->nextCall++};
+    auto call = std::make_unique<State::Call>();
+    call->state = m_state.get();
+    call->id = id;
+    call->hooks = std::move(hooks);
+    call->head = writeHead(address, request);
+    call->body = std::move(request.body);
+    call->isHead = request.method == "HEAD";
+    State::Call &kept = *m_state->calls.emplace(id, std::move(call)).first->second;
+    m_state->start(kept, address, connection);
+    return id;
+}
+
+void HttpClient::cancel(HttpCallId call)
+{
+    m_state->cancel(call);
+}
+
+std::size_t HttpClient::inProgress() const noexcept
+{
+    return m_state->calls.size() + m_state->ended.size();
+}
+
+} // namespace bergamottide
--- a/src/bergamottide/net/httpclient.h
+++ b/src/bergamottide/net/httpclient.h
@@ -1,15 +1,16 @@
 #pragma once
 
+#include "bergamottide/core/enumnames.h"
 #include "bergamottide/net/http.h"
 #include "bergamottide/net/loop.h"
 
-#include <absl/status/status.h>
-
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace bergamottide {
 
@@ -33,6 +34,21 @@
     std::string authority;
 };
 
+/*! @brief Which connection a call uses. */
+enum class Connection : std::uint8_t
+{
+    /*! @brief A kept one if there is one; it may turn out to be dead. */
+    Kept,
+    /*! @brief A new one, for a call that must not be sent in vain. */
+    Fresh
+};
+
+template <>
+struct EnumNames<Connection>
+{
+    static constexpr std::array<std::string_view, 2> names{"kept", "fresh"};
+};
+
 /*! @brief Why a call failed before its answer was whole. */
 enum class HttpFailure : std::uint8_t
 {
@@ -83,9 +99,11 @@
      * @param address IP number and port, `ip:port`.
      * @param request Request to send; `query` is appended to `path`.
      * @param hooks Called on the loop's thread, never from within `call`.
+     * @param connection Which connection to use.
      * @return Identity for `cancel`.
      */
-    HttpCallId call(const std::string &address, HttpRequest request, HttpCallHooks hooks);
+    HttpCallId call(const std::string &address, HttpRequest request, HttpCallHooks hooks,
+                    Connection connection = Connection::Kept);
 
     /**
      * @brief Closes the connection of a call; none of its hooks is called afterwards.
--- /dev/null
+++ b/src/bergamottide/net/httpserver.cpp
@@ -0,0 +1,387 @@
+#include "bergamottide/net/httpserver.h"
+
+#include "bergamottide/core/error.h"
+#include "bergamottide/net/socketaddress.h"
+#include "bergamottide/net/tlscontext.h"
+
+#include <algorithm>
+#include <cstring>
+#include <list>
+#include <string>
+#include <utility>
+
+#include <sys/socket.h>
+
+namespace bergamottide {
+
+namespace {
+
+constexpr std::uint64_t requestTimeoutMs = 30'000;
+constexpr std::uint64_t idleTimeoutMs = 60'000;
+/*! @brief Period in which connections with an answer under way are looked at for a close by the caller. */
+constexpr Duration closePollPeriod = std::chrono::milliseconds{500};
+
+std::string textOf(const h2o_iovec_t &vector)
+{
+    return std::string{vector.base, vector.len};
+}
+
+class Responder;
+using Responders = std::list<std::weak_ptr<Responder>>;
+
+/*! @brief Responder of one request of h2o. */
+class Responder final : public HttpResponder, public std::enable_shared_from_this<Responder>
+{
+public:
+    explicit Responder(h2o_req_t *request)
+        : m_request{request}
+    {
+    }
+
+    void answer(HttpAnswer answer) override
+    {
+        if (m_request == nullptr || m_begun) {
+            return;
+        }
+        writeHead(answer.status, answer.headers);
+        m_request->res.content_length = answer.body.size();
+        sendWhole(answer.body);
+    }
+
+    void begin(int status, const HttpHeaders &headers) override
+    {
+        if (m_request == nullptr || m_begun) {
+            return;
+        }
+        writeHead(status, headers);
+        start();
+        // An empty first piece sends the head at once.
+        sendNow(H2O_SEND_STATE_IN_PROGRESS);
+    }
+
+    void send(std::string_view piece) override
+    {
+        if (m_request == nullptr || m_finishing) {
+            return;
+        }
+        m_waiting.append(piece);
+        pump();
+    }
+
+    void finish() override
+    {
+        if (m_request == nullptr || m_finishing) {
+            return;
+        }
+        m_finishing = true;
+        pump();
+    }
+
+    void onClosed(std::function<void()> hook) override
+    {
+        m_closed = std::move(hook);
+    }
+
+    [[nodiscard]] std::size_t unsent() const override
+    {
+        return m_waiting.size() + m_sending.size();
+    }
+
+    /*! @brief The request's memory is going; whatever is not sent by now never will be. */
+    void detach()
+    {
+        m_request = nullptr;
+        auto hook = std::exchange(m_closed, nullptr);
+        if (!m_whole && hook) {
+            hook();
+        }
+    }
+
+    /*! @brief Tells if the caller has closed its end although the answer is not whole. */
+    [[nodiscard]] bool hungUp() const
+    {
+        if (m_request == nullptr || m_whole || m_request->version >= 0x200) {
+            return false;
+        }
+        h2o_socket_t *socket = m_request->conn->callbacks->get_socket(m_request->conn);
+        char byte = 0;
+        return recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    }
+
+    /*! @brief Calls the hook for a caller that has hung up. */
+    void reportHungUp()
+    {
+        auto hook = std::exchange(m_closed, nullptr);
+        if (hook) {
+            hook();
+        }
+    }
+
+private:
+    /*! @brief Generator of h2o with the way back to the responder. */
+    struct Generator
+    {
+        h2o_generator_t base;
+        Responder *owner;
+    };
+
+    void writeHead(int status, const HttpHeaders &headers)
+    {
+        m_begun = true;
+        m_request->res.status = status;
+        m_request->res.reason = "Status";
+        for (const auto &[name, value] : headers) {
+            const h2o_iovec_t keptName = h2o_strdup(&m_request->pool, name.data(), name.size());
+            h2o_strtolower(keptName.base, keptName.len);
+            const h2o_iovec_t kept = h2o_strdup(&m_request->pool, value.data(), value.size());
+            h2o_add_header_by_str(&m_request->pool, &m_request->res.headers, keptName.base, keptName.len, 1, nullptr,
+                                  kept.base, kept.len);
+        }
+    }
+
+    void start()
+    {
+        m_generator.base.proceed = [](h2o_generator_t *self, h2o_req_t *) {
+            reinterpret_cast<Generator *>(self)->owner->proceed();
+        };
+        m_generator.base.stop = [](h2o_generator_t *, h2o_req_t *) {
+        };
+        m_generator.owner = this;
+        h2o_start_response(m_request, &m_generator.base);
+    }
+
+    void sendWhole(const std::string &body)
+    {
+        m_whole = true;
+        start();
+        h2o_iovec_t kept = h2o_strdup(&m_request->pool, body.data(), body.size());
+        h2o_send(m_request, &kept, 1, H2O_SEND_STATE_FINAL);
+    }
+
+    void proceed()
+    {
+        m_busy = false;
+        m_sending.clear();
+        pump();
+    }
+
+    void pump()
+    {
+        if (!m_begun || m_busy || m_whole || (m_waiting.empty() && !m_finishing)) {
+            return;
+        }
+        sendNow(m_finishing ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+    }
+
+    void sendNow(h2o_send_state_t state)
+    {
+        m_busy = true;
+        m_whole = state == H2O_SEND_STATE_FINAL;
+        m_sending.swap(m_waiting);
+        h2o_iovec_t vector = h2o_iovec_init(m_sending.data(), m_sending.size());
+        h2o_send(m_request, &vector, m_sending.empty() ? 0 : 1, state);
+    }
+
+    h2o_req_t *m_request;
+    Generator m_generator{};
+    std::function<void()> m_closed;
+    std::string m_waiting;
+    std::string m_sending;
+    bool m_begun{};
+    bool m_busy{};
+    bool m_finishing{};
+    bool m_whole{};
+};
+
+/*! @brief Cell in the request's memory that keeps the responder alive and hears of the request's end. */
+struct Anchor
+{
+    std::shared_ptr<Responder> responder;
+
+    static void dispose(void *memory)
+    {
+        auto *anchor = static_cast<Anchor *>(memory);
+        const auto responder = std::move(anchor->responder);
+        anchor->~Anchor();
+        responder->detach();
+    }
+};
+
+} // namespace
+
+struct HttpServer::State
+{
+    /*! @brief Handler of h2o with the way back to the server. */
+    struct Dispatcher
+    {
+        h2o_handler_t base;
+        State *state;
+    };
+
+    State(Loop &eventLoop, HttpServerOptions serverOptions, Handler requestHandler)
+        : loop{eventLoop}
+        , options{std::move(serverOptions)}
+        , handler{std::move(requestHandler)}
+    {
+        h2o_config_init(&config);
+        config.http1.req_timeout = requestTimeoutMs;
+        config.http2.idle_timeout = idleTimeoutMs;
+        config.max_request_entity_size = options.maxBodyBytes;
+        config.server_name = h2o_iovec_init(H2O_STRLIT("bergamottide"));
+        h2o_hostconf_t *host = h2o_config_register_host(&config, h2o_iovec_init(H2O_STRLIT("default")), UINT16_MAX);
+        h2o_pathconf_t *path = h2o_config_register_path(host, "/", 0);
+        auto *dispatcher = reinterpret_cast<Dispatcher *>(h2o_create_handler(path, sizeof(Dispatcher)));
+        dispatcher->base.on_req = &State::onRequest;
+        dispatcher->state = this;
+        h2o_context_init(&context, loop.native(), &config);
+        accept.ctx = &context;
+        accept.hosts = config.hosts;
+    }
+
+    static int onRequest(h2o_handler_t *self, h2o_req_t *request)
+    {
+        reinterpret_cast<Dispatcher *>(self)->state->handle(request);
+        return 0;
+    }
+
+    void handle(h2o_req_t *request)
+    {
+        auto responder = std::make_shared<Responder>(request);
+        void *memory = h2o_mem_alloc_shared(&request->pool, sizeof(Anchor), &Anchor::dispose);
+        new (memory) Anchor{responder};
+        responders.push_back(responder);
+        handler(read(request), responder);
+    }
+
+    static HttpRequest read(h2o_req_t *request)
+    {
+        HttpRequest out;
+        out.method = textOf(request->method);
+        const std::string path = textOf(request->path);
+        const auto mark = request->query_at;
+        out.path = path.substr(0, mark);
+        out.query = mark < path.size() ? path.substr(mark + 1) : std::string{};
+        for (std::size_t index = 0; index < request->headers.size; ++index) {
+            const h2o_header_t &header = request->headers.entries[index];
+            out.headers.emplace_back(textOf(*header.name), textOf(header.value));
+        }
+        if (request->entity.base != nullptr) {
+            out.body = textOf(request->entity);
+        }
+        return out;
+    }
+
+    static void onAccept(h2o_socket_t *listener, const char *error)
+    {
+        if (error != nullptr) {
+            return;
+        }
+        auto *state = static_cast<State *>(listener->data);
+        h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
+        if (socket != nullptr) {
+            h2o_accept(&state->accept, socket);
+        }
+    }
+
+    /*! @brief Looks for callers that closed while their answer is under way; HTTP/1.1 tells of it in no other way. */
+    void pollClosed()
+    {
+        for (auto next = responders.begin(); next != responders.end();) {
+            const auto responder = next->lock();
+            if (!responder) {
+                next = responders.erase(next);
+                continue;
+            }
+            if (responder->hungUp()) {
+                responder->reportHungUp();
+            }
+            ++next;
+        }
+        timer = loop.at(loop.now() + closePollPeriod, [this] { pollClosed(); });
+    }
+
+    Loop &loop;
+    HttpServerOptions options;
+    Handler handler;
+    h2o_globalconf_t config{};
+    h2o_context_t context{};
+    h2o_accept_ctx_t accept{};
+    TlsContext tls;
+    h2o_socket_t *listener{};
+    std::string address;
+    Responders responders;
+    TimerId timer{};
+};
+
+HttpServer::HttpServer(Loop &loop, HttpServerOptions options, Handler handler)
+    : m_state{std::make_unique<State>(loop, std::move(options), std::move(handler))}
+{
+}
+
+HttpServer::~HttpServer()
+{
+    // Connections may outlive the server inside h2o, so its context has to stay; what the handler holds need not.
+    m_state->loop.cancel(m_state->timer);
+    if (m_state->listener != nullptr) {
+        h2o_socket_close(m_state->listener);
+        m_state->listener = nullptr;
+    }
+    m_state->handler = [](HttpRequest, const std::shared_ptr<HttpResponder> &responder) {
+        responder->answer({503, {}, {}});
+    };
+    static_cast<void>(m_state.release());
+}
+
+absl::Status HttpServer::listen()
+{
+    if (!m_state->options.tls.empty()) {
+        if (const absl::Status status = reloadTls(); !status.ok()) {
+            return status;
+        }
+    }
+    const auto address = parseSocketAddress(m_state->options.listen);
+    if (!address.ok()) {
+        return address.status();
+    }
+    const auto descriptor = listenOn(*address);
+    if (!descriptor.ok()) {
+        return descriptor.status();
+    }
+    m_state->address = boundAddress(*descriptor);
+    m_state->listener = h2o_evloop_socket_create(m_state->loop.native(), *descriptor, H2O_SOCKET_FLAG_DONT_READ);
+    m_state->listener->data = m_state.get();
+    h2o_socket_read_start(m_state->listener, &State::onAccept);
+    m_state->pollClosed();
+    return absl::OkStatus();
+}
+
+std::string HttpServer::address() const
+{
+    return m_state->address;
+}
+
+void HttpServer::shutdown()
+{
+    if (m_state->listener != nullptr) {
+        h2o_socket_close(m_state->listener);
+        m_state->listener = nullptr;
+    }
+    h2o_context_request_shutdown(&m_state->context);
+}
+
+absl::Status HttpServer::reloadTls()
+{
+    if (m_state->options.tls.empty()) {
+        return absl::OkStatus();
+    }
+    auto context = makeServerContext(m_state->options.tls);
+    if (!context.ok()) {
+        return context.status();
+    }
+    // Connections made with the former context hold references of their own.
+    m_state->tls = *std::move(context);
+    m_state->accept.ssl_ctx = m_state->tls.get();
+    return absl::OkStatus();
+}
+
+} // namespace bergamottide
--- /dev/null
+++ b/src/bergamottide/net/loop.cpp
@@ -0,0 +1,164 @@
+#include "bergamottide/net/loop.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace bergamottide {
+
+namespace {
+
+/*! @brief Longest wait of one round of `run`, so that a stop is seen even if its wakeup was lost. */
+constexpr Duration longestRound = std::chrono::seconds{1};
+
+std::int32_t roundedUpMilliseconds(Duration wait)
+{
+    const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
+    return static_cast<std::int32_t>(std::max<std::int64_t>(milliseconds, 0));
+}
+
+} // namespace
+
+/*! @brief Receiver whose only use is to end the wait of the loop. */
+struct Loop::Wakeup
+{
+    h2o_multithread_receiver_t receiver{};
+
+    static void received(h2o_multithread_receiver_t *, h2o_linklist_t *messages)
+    {
+        while (h2o_linklist_is_empty(messages) == 0) {
+            h2o_linklist_t *first = messages->next;
+            h2o_linklist_unlink(first);
+            delete reinterpret_cast<h2o_multithread_message_t *>(first);
+        }
+    }
+};
+
+Loop::Loop(const Clock &clock)
+    : m_clock{clock}
+    , m_loop{h2o_evloop_create()}
+    , m_queue{h2o_multithread_create_queue(m_loop)}
+    , m_wakeup{std::make_unique<Wakeup>()}
+{
+    h2o_multithread_register_receiver(m_queue, &m_wakeup->receiver, &Wakeup::received);
+}
+
+Loop::~Loop()
+{
+    // The receiver must hold no message when it goes. The native loop stays: sockets that h2o closes later still
+    // point to it, and it goes with the process.
+    h2o_evloop_run(m_loop, 0);
+    h2o_multithread_unregister_receiver(m_queue, &m_wakeup->receiver);
+}
+
+void Loop::run()
+{
+    for (;;) {
+        {
+            const std::lock_guard lock{m_mutex};
+            if (m_stopped) {
+                return;
+            }
+        }
+        runOnce(longestRound);
+    }
+}
+
+void Loop::runOnce(Duration longest)
+{
+    bool pending = false;
+    {
+        const std::lock_guard lock{m_mutex};
+        pending = !m_posted.empty();
+    }
+    const Duration wait = pending ? Duration::zero() : std::min(longest, untilNextTimer());
+    h2o_evloop_run(m_loop, roundedUpMilliseconds(wait));
+    runPosted();
+    runDueTimers();
+}
+
+void Loop::stop()
+{
+    {
+        const std::lock_guard lock{m_mutex};
+        m_stopped = true;
+    }
+    post([] {});
+}
+
+void Loop::post(Task task)
+{
+    bool first = false;
+    {
+        const std::lock_guard lock{m_mutex};
+        first = m_posted.empty();
+        m_posted.push_back(std::move(task));
+    }
+    if (first) {
+        h2o_multithread_send_message(&m_wakeup->receiver, new h2o_multithread_message_t{});
+    }
+}
+
+TimerId Loop::at(TimePoint due, Task task)
+{
+    const std::uint64_t number = m_nextTimer++;
+    m_timers.emplace(std::pair{due, number}, std::move(task));
+    m_due.emplace(number, due);
+    return TimerId{number};
+}
+
+void Loop::cancel(TimerId timer)
+{
+    const auto found = m_due.find(static_cast<std::uint64_t>(timer));
+    if (found == m_due.end()) {
+        return;
+    }
+    m_timers.erase(std::pair{found->second, found->first});
+    m_due.erase(found);
+}
+
+TimePoint Loop::now() const
+{
+    return m_clock.now();
+}
+
+h2o_loop_t *Loop::native() const noexcept
+{
+    return m_loop;
+}
+
+h2o_multithread_queue_t *Loop::queue() const noexcept
+{
+    return m_queue;
+}
+
+Duration Loop::untilNextTimer() const
+{
+    if (m_timers.empty()) {
+        return longestRound;
+    }
+    return std::max(Duration::zero(), m_timers.begin()->first.first - m_clock.now());
+}
+
+void Loop::runDueTimers()
+{
+    const TimePoint now = m_clock.now();
+    while (!m_timers.empty() && m_timers.begin()->first.first <= now) {
+        auto node = m_timers.extract(m_timers.begin());
+        m_due.erase(node.key().second);
+        node.mapped()();
+    }
+}
+
+void Loop::runPosted()
+{
+    std::vector<Task> tasks;
+    {
+        const std::lock_guard lock{m_mutex};
+        tasks.swap(m_posted);
+    }
+    for (Task &task : tasks) {
+        task();
+    }
+}
+
+} // namespace bergamottide
--- /dev/null
+++ b/src/bergamottide/net/socketaddress.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <sys/socket.h>
+
+#include <cstdint>
+#include <string>
+
+namespace bergamottide {
+
+/*! @brief Address of a socket, IPv4 or IPv6. */
+struct SocketAddress
+{
+    sockaddr_storage storage{};
+    socklen_t length{};
+    /*! @brief IP number without brackets. */
+    std::string host;
+    std::uint16_t port{};
+
+    /*! @brief Returns the address for the calls of the operating system. */
+    [[nodiscard]] sockaddr *native() noexcept
+    {
+        return reinterpret_cast<sockaddr *>(&storage);
+    }
+};
+
+/**
+ * @brief Reads an address written as `ip:port` or `[ip]:port`.
+ * @param text Text to read; a host name is refused.
+ * @return The address, or `Reason::MalformedHeader` with the field `address`.
+ */
+[[nodiscard]] absl::StatusOr<SocketAddress> parseSocketAddress(const std::string &text);
+
+/**
+ * @brief Opens a socket that listens.
+ * @param address Address to listen on; port 0 lets the kernel choose.
+ * @return Its descriptor, or `Reason::ConnectionLost` with the field `listen`.
+ */
+[[nodiscard]] absl::StatusOr<int> listenOn(SocketAddress address);
+
+/**
+ * @brief Writes the address a socket is bound to.
+ * @param descriptor Descriptor of a bound socket.
+ * @return Its address as `ip:port`.
+ */
+[[nodiscard]] std::string boundAddress(int descriptor);
+
+} // namespace bergamottide
--- /dev/null
+++ b/test/bergamottide/net/http.cpp
@@ -0,0 +1,195 @@
+#include "bergamottide/net/httpclient.h"
+#include "bergamottide/net/httpserver.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <string>
+
+using namespace bergamottide;
+
+namespace {
+
+/*! @brief Rounds after which a test gives up; each waits a tenth of a second at most. */
+constexpr int maxRounds = 200;
+constexpr Duration roundWait = std::chrono::milliseconds{100};
+
+} // namespace
+
+class HttpTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HttpTest);
+    CPPUNIT_TEST(answersWholeBodies);
+    CPPUNIT_TEST(streamsPiecesInOrder);
+    CPPUNIT_TEST(reportsARefusedConnection);
+    CPPUNIT_TEST(refusesABodyAboveTheLimit);
+    CPPUNIT_TEST(tellsTheServerOfACancelledCall);
+    CPPUNIT_TEST(callsNoHookAfterCancel);
+    CPPUNIT_TEST(reusesAConnection);
+    CPPUNIT_TEST(findsHeadersAndQueryValues);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void answersWholeBodies()
+    {
+        HttpServer server{m_loop, {"127.0.0.1:0", {}, 1 << 20}, [](HttpRequest request, auto responder) {
+                              responder->answer({201, {{"X-Path", request.path}}, request.query + request.body});
+                          }};
+        CPPUNIT_ASSERT(server.listen().ok());
+        const auto answer = callOnce(server.address(), {"POST", "/a", "q=1", {}, "body"});
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(201, answer->status);
+        CPPUNIT_ASSERT_EQUAL(std::string{"q=1body"}, answer->body);
+        CPPUNIT_ASSERT_EQUAL(std::string{"/a"}, std::string{headerValue(answer->headers, "x-path")});
+    }
+
+    void streamsPiecesInOrder()
+    {
+        HttpServer server{m_loop, {"127.0.0.1:0", {}, 1 << 20}, [this](HttpRequest, auto responder) {
+                              responder->begin(200, {{"content-type", "text/event-stream"}});
+                              for (int piece = 0; piece < 100; ++piece) {
+                                  m_loop.post([responder, piece] { responder->send(std::to_string(piece) + ","); });
+                              }
+                              m_loop.post([responder] { responder->finish(); });
+                          }};
+        CPPUNIT_ASSERT(server.listen().ok());
+        std::string expected;
+        for (int piece = 0; piece < 100; ++piece) {
+            expected += std::to_string(piece) + ",";
+        }
+        const auto answer = callOnce(server.address(), {"GET", "/", "", {}, ""});
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(expected, answer->body);
+    }
+
+    void reportsARefusedConnection()
+    {
+        std::optional<HttpFailure> failure;
+        HttpCallHooks hooks;
+        hooks.failed = [&failure](HttpFailure reason) {
+            failure = reason;
+        };
+        m_client.call("127.0.0.1:1", {"GET", "/", "", {}, ""}, hooks);
+        runUntil([&failure] { return failure.has_value(); });
+        CPPUNIT_ASSERT(failure == HttpFailure::Connect);
+    }
+
+    void refusesABodyAboveTheLimit()
+    {
+        HttpServer server{m_loop, {"127.0.0.1:0", {}, 1 << 20}, [](HttpRequest, auto responder) {
+                              responder->answer({200, {}, std::string(2048, 'x')});
+                          }};
+        CPPUNIT_ASSERT(server.listen().ok());
+        HttpClientOptions options;
+        options.maxBodyBytes = 1024;
+        HttpClient small{m_loop, options};
+        std::optional<HttpFailure> failure;
+        HttpCallHooks hooks;
+        hooks.failed = [&failure](HttpFailure reason) {
+            failure = reason;
+        };
+        small.call(server.address(), {"GET", "/", "", {}, ""}, hooks);
+        runUntil([&failure] { return failure.has_value(); });
+        CPPUNIT_ASSERT(failure == HttpFailure::TooLarge);
+    }
+
+    void tellsTheServerOfACancelledCall()
+    {
+        bool closed = false;
+        bool received = false;
+        std::shared_ptr<HttpResponder> kept;
+        HttpServer server{m_loop, {"127.0.0.1:0", {}, 1 << 20}, [&](HttpRequest, auto responder) {
+                              kept = responder;
+                              received = true;
+                              responder->onClosed([&closed] { closed = true; });
+                          }};
+        CPPUNIT_ASSERT(server.listen().ok());
+        const HttpCallId call = m_client.call(server.address(), {"GET", "/", "", {}, ""}, {});
+        runUntil([&received] { return received; });
+        m_client.cancel(call);
+        runUntil([&closed] { return closed; });
+        CPPUNIT_ASSERT(closed);
+    }
+
+    void callsNoHookAfterCancel()
+    {
+        int answered = 0;
+        HttpServer server{m_loop, {"127.0.0.1:0", {}, 1 << 20}, [&answered](HttpRequest, auto responder) {
+                              ++answered;
+                              responder->answer({200, {}, "x"});
+                          }};
+        CPPUNIT_ASSERT(server.listen().ok());
+        bool called = false;
+        HttpCallHooks hooks;
+        HttpCallId call{};
+        hooks.head = [&](int, const HttpHeaders &) {
+            m_client.cancel(call);
+        };
+        hooks.piece = [&called](std::string_view) {
+            called = true;
+        };
+        hooks.done = [&called](HttpAnswer) {
+            called = true;
+        };
+        hooks.failed = [&called](HttpFailure) {
+            called = true;
+        };
+        call = m_client.call(server.address(), {"GET", "/", "", {}, ""}, hooks);
+        CPPUNIT_ASSERT(callOnce(server.address(), {"GET", "/", "", {}, ""}));
+        CPPUNIT_ASSERT_EQUAL(2, answered);
+        CPPUNIT_ASSERT(!called);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_client.inProgress());
+    }
+
+    void reusesAConnection()
+    {
+        HttpServer server{m_loop, {"127.0.0.1:0", {}, 1 << 20}, [](HttpRequest request, auto responder) {
+                              responder->answer({200, {}, request.path});
+                          }};
+        CPPUNIT_ASSERT(server.listen().ok());
+        for (int round = 0; round < 20; ++round) {
+            const std::string path = "/" + std::to_string(round);
+            const auto answer = callOnce(server.address(), {"GET", path, "", {}, ""});
+            CPPUNIT_ASSERT(answer);
+            CPPUNIT_ASSERT_EQUAL(path, answer->body);
+        }
+    }
+
+    void findsHeadersAndQueryValues()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string{"2"}, std::string{queryValue("a=1&b=2&c", "b")});
+        CPPUNIT_ASSERT(queryValue("a=1&b=2&c", "c").empty());
+        CPPUNIT_ASSERT_EQUAL(std::string{"v"}, std::string{headerValue({{"Name", "v"}}, "name")});
+    }
+
+private:
+    template <typename Condition>
+    void runUntil(Condition condition)
+    {
+        for (int round = 0; round < maxRounds && !condition(); ++round) {
+            m_loop.runOnce(roundWait);
+        }
+    }
+
+    std::optional<HttpAnswer> callOnce(const std::string &address, HttpRequest request)
+    {
+        std::optional<HttpAnswer> result;
+        bool failed = false;
+        HttpCallHooks hooks;
+        hooks.done = [&result](HttpAnswer answer) {
+            result = std::move(answer);
+        };
+        hooks.failed = [&failed](HttpFailure) {
+            failed = true;
+        };
+        m_client.call(address, std::move(request), hooks);
+        runUntil([&] { return result || failed; });
+        return result;
+    }
+
+    SystemClock m_clock;
+    Loop m_loop{m_clock};
+    HttpClient m_client{m_loop, {}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
