--- a/src/bergamottide/net/codec.cpp
+++ b/src/bergamottide/net/codec.cpp
@@ -444,6 +444,7 @@
         return read(frame.ping(), known);
     case wire::Frame::kPong:
         return read(frame.pong(), known);
+    case wire::Frame::kBatch:
     case wire::Frame::BODY_NOT_SET:
         break;
     }
