--- a/src/bergamottide/core/ids.h
+++ b/src/bergamottide/core/ids.h
@@ -7,6 +7,7 @@
 #include <ostream>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace bergamottide {
@@ -86,7 +87,13 @@
     std::uint64_t high{};
     std::uint64_t low{};
 
-    [[nodiscard]] auto operator<=>(const RequestId &) const = default;
+    [[nodiscard]] bool operator==(const RequestId &) const = default;
+
+    // Written out for the linter's sake, as above.
+    [[nodiscard]] std::strong_ordering operator<=>(const RequestId &other) const
+    {
+        return std::tie(high, low) <=> std::tie(other.high, other.low);
+    }
 
     /*! @brief Returns the identity as 32 lower case hexadecimal digits. */
     [[nodiscard]] std::string text() const;
@@ -108,7 +115,12 @@
     /*! @brief Number of the attempt, from one; a higher attempt fences the lower ones. */
     std::uint32_t attempt{};
 
-    [[nodiscard]] auto operator<=>(const RunId &) const = default;
+    [[nodiscard]] bool operator==(const RunId &) const = default;
+
+    [[nodiscard]] std::strong_ordering operator<=>(const RunId &other) const
+    {
+        return std::tie(request, stage, attempt) <=> std::tie(other.request, other.stage, other.attempt);
+    }
 };
 
 /*! @brief Random number drawn at each start of a process; tells a restarted process from its predecessor. */
--- /dev/null
+++ b/src/bergamottide/ledger/keyownership.cpp
@@ -0,0 +1,89 @@
+#include "bergamottide/ledger/keyownership.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace bergamottide {
+
+namespace {
+
+std::uint64_t score(const RequestId &request, const InstanceName &instance)
+{
+    const std::uint64_t seed = request.high ^ (request.low * 0x9e3779b97f4a7c15ULL);
+    return XXH3_64bits_withSeed(instance.text().data(), instance.text().size(), seed);
+}
+
+/*! @brief Tells if one instance comes before another as home of a request. */
+bool before(const RequestId &request, const InstanceName &left, const InstanceName &right)
+{
+    return std::pair{score(request, left), left} > std::pair{score(request, right), right};
+}
+
+bool stays(const Instance &instance, const PoolName &pool)
+{
+    return instance.role == Role::Side && instance.pool == pool && !instance.leaving;
+}
+
+} // namespace
+
+InstanceName keyHome(const RequestId &request, const InstanceView &view, const PoolName &pool)
+{
+    InstanceName home;
+    for (const auto &[name, instance] : view.instances) {
+        if (!stays(instance, pool)) {
+            continue;
+        }
+        if (home.empty() || before(request, name, home)) {
+            home = name;
+        }
+    }
+    return home;
+}
+
+void KeyOwnership::update(const InstanceView &view, const PoolName &pool, TimePoint now, Duration window)
+{
+    for (auto &[name, member] : m_members) {
+        const auto found = view.instances.find(name);
+        const bool present = found != view.instances.end() && stays(found->second, pool);
+        if (!present && !member.left) {
+            member.left = now;
+        }
+    }
+    for (const auto &[name, instance] : view.instances) {
+        if (!stays(instance, pool)) {
+            continue;
+        }
+        const auto [member, added] = m_members.try_emplace(name, Member{now, std::nullopt});
+        if (member->second.left) {
+            member->second = Member{now, std::nullopt};
+        }
+    }
+    std::erase_if(m_members,
+                  [now, window](const auto &entry) { return entry.second.left && *entry.second.left + window < now; });
+}
+
+KeyVerdict KeyOwnership::judge(const RequestId &request, const InstanceName &self, TimePoint now, Duration window) const
+{
+    const auto own = m_members.find(self);
+    if (own == m_members.end() || own->second.left) {
+        return {Reason::StaleView, Duration{}};
+    }
+    TimePoint clear = own->second.joined + window;
+    for (const auto &[name, member] : m_members) {
+        if (name == self || !before(request, name, self)) {
+            continue;
+        }
+        if (!member.left) {
+            return {Reason::StaleView, Duration{}};
+        }
+        clear = std::max(clear, *member.left + window);
+    }
+    if (now < clear) {
+        return {Reason::Warming, clear - now};
+    }
+    return {};
+}
+
+} // namespace bergamottide
--- /dev/null
+++ b/src/bergamottide/scheduling/fairqueue.cpp
@@ -0,0 +1,238 @@
+#include "bergamottide/scheduling/fairqueue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace bergamottide {
+
+namespace {
+
+/*! @brief Units of weight in a weight of one; whole numbers keep sums exact over any number of changes. */
+constexpr double weightUnits = 1000.0;
+
+/*! @brief Cost below which runs count alike: a free run must not have boundless worth, nor escape its share. */
+constexpr Duration leastCost{1};
+
+double worthOf(const QueueItem &item)
+{
+    return item.value / static_cast<double>(std::max(item.cost, leastCost).count());
+}
+
+} // namespace
+
+bool FairQueue::DeadlineKey::operator<(const DeadlineKey &other) const
+{
+    return std::tie(deadline, other.value, sequence) < std::tie(other.deadline, value, other.sequence);
+}
+
+bool FairQueue::WorthKey::operator<(const WorthKey &other) const
+{
+    return std::tie(other.worth, deadline, sequence) < std::tie(worth, other.deadline, other.sequence);
+}
+
+FairQueue::FairQueue(std::size_t limit, std::size_t parallel)
+    : m_limit{std::max<std::size_t>(limit, 1)}
+    , m_parallel{std::max<std::size_t>(parallel, 1)}
+{
+}
+
+void FairQueue::setLimit(std::size_t limit)
+{
+    m_limit = std::max<std::size_t>(limit, 1);
+}
+
+void FairQueue::setParallel(std::size_t parallel)
+{
+    m_parallel = std::max<std::size_t>(parallel, 1);
+}
+
+void FairQueue::setWeight(const WorkspaceName &workspace, double weight)
+{
+    const std::size_t index = shareOf(workspace);
+    Share &share = m_shares[index];
+    const auto units = std::max<std::int64_t>(std::llround(weight * weightUnits), 1);
+    if (!share.byDeadline.empty()) {
+        m_activeWeight += units - share.weight;
+    }
+    share.weight = units;
+    rank(index);
+}
+
+QueueOutcome FairQueue::push(QueueItem item)
+{
+    item.cost = std::max(item.cost, leastCost);
+    const std::size_t share = shareOf(item.workspace);
+    const RunId offered = item.run;
+    insert(std::move(item), share);
+    if (m_entries.size() <= m_limit) {
+        return {true, std::nullopt};
+    }
+    QueueItem victim = remove(leastWorth());
+    if (victim.run == offered) {
+        return {false, std::nullopt};
+    }
+    return {true, std::move(victim)};
+}
+
+std::optional<QueueItem> FairQueue::pop(TimePoint now)
+{
+    if (m_starts.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t index = m_starts.top();
+    Share &share = m_shares[index];
+    m_virtualTime = std::max(m_virtualTime, share.nextStart);
+    const std::uint64_t sequence = choose(share, now);
+    const auto cost = static_cast<double>(m_entries.at(sequence).item.cost.count());
+    share.nextStart += cost / static_cast<double>(share.weight);
+    return remove(sequence);
+}
+
+bool FairQueue::erase(const RunId &run)
+{
+    const auto found = m_sequenceOf.find(run);
+    if (found == m_sequenceOf.end()) {
+        return false;
+    }
+    remove(found->second);
+    return true;
+}
+
+std::vector<QueueItem> FairQueue::takeDoomed(TimePoint now)
+{
+    std::vector<QueueItem> doomed;
+    while (!m_byLatestStart.empty() && m_byLatestStart.begin()->first < now) {
+        doomed.push_back(remove(m_byLatestStart.begin()->second));
+    }
+    return doomed;
+}
+
+std::optional<TimePoint> FairQueue::nextDoomed() const
+{
+    if (m_byLatestStart.empty()) {
+        return std::nullopt;
+    }
+    return m_byLatestStart.begin()->first;
+}
+
+std::size_t FairQueue::size() const noexcept
+{
+    return m_entries.size();
+}
+
+Duration FairQueue::backlog() const noexcept
+{
+    return m_backlog;
+}
+
+Duration FairQueue::wait(const WorkspaceName &workspace) const
+{
+    const auto found = m_shareOf.find(workspace.text());
+    return found == m_shareOf.end() ? Duration{} : wait(m_shares[found->second]);
+}
+
+std::vector<std::pair<WorkspaceName, Duration>> FairQueue::waits() const
+{
+    std::vector<std::pair<WorkspaceName, Duration>> all;
+    all.reserve(m_starts.size());
+    for (const Share &share : m_shares) {
+        if (share.byDeadline.empty()) {
+            continue;
+        }
+        all.emplace_back(share.name, wait(share));
+    }
+    return all;
+}
+
+std::size_t FairQueue::active() const noexcept
+{
+    return m_starts.size();
+}
+
+std::size_t FairQueue::shareOf(const WorkspaceName &workspace)
+{
+    const auto [found, added] = m_shareOf.try_emplace(workspace.text(), m_shares.size());
+    if (added) {
+        m_shares.push_back(Share{workspace, static_cast<std::int64_t>(weightUnits)});
+    }
+    return found->second;
+}
+
+void FairQueue::insert(QueueItem item, std::size_t index)
+{
+    Share &share = m_shares[index];
+    const std::uint64_t sequence = m_nextSequence++;
+    if (share.byDeadline.empty()) {
+        share.nextStart = std::max(share.nextStart, m_virtualTime);
+        m_activeWeight += share.weight;
+    }
+    share.byDeadline.insert({item.deadline, item.value, sequence});
+    share.byWorth.insert({worthOf(item), item.deadline, sequence});
+    share.backlog += item.cost;
+    m_backlog += item.cost;
+    m_byLatestStart.emplace(item.latestStart(), sequence);
+    m_sequenceOf.emplace(item.run, sequence);
+    m_entries.emplace(sequence, Entry{std::move(item), index});
+    rank(index);
+}
+
+QueueItem FairQueue::remove(std::uint64_t sequence)
+{
+    const auto found = m_entries.find(sequence);
+    QueueItem item = std::move(found->second.item);
+    const std::size_t index = found->second.share;
+    m_entries.erase(found);
+    Share &share = m_shares[index];
+    share.byDeadline.erase({item.deadline, item.value, sequence});
+    share.byWorth.erase({worthOf(item), item.deadline, sequence});
+    share.backlog -= item.cost;
+    m_backlog -= item.cost;
+    m_byLatestStart.erase({item.latestStart(), sequence});
+    m_sequenceOf.erase(item.run);
+    if (share.byDeadline.empty()) {
+        m_activeWeight -= share.weight;
+    }
+    rank(index);
+    return item;
+}
+
+void FairQueue::rank(std::size_t index)
+{
+    const Share &share = m_shares[index];
+    if (share.byDeadline.empty()) {
+        m_starts.erase(index);
+        m_largest.erase(index);
+        return;
+    }
+    m_starts.set(index, {share.nextStart, index});
+    const double over = static_cast<double>(share.backlog.count()) / static_cast<double>(share.weight);
+    m_largest.set(index, {-over, index});
+}
+
+std::uint64_t FairQueue::leastWorth() const
+{
+    return m_shares[m_largest.top()].byWorth.rbegin()->sequence;
+}
+
+std::uint64_t FairQueue::choose(const Share &share, TimePoint now) const
+{
+    return saturated(share, now) ? share.byWorth.begin()->sequence : share.byDeadline.begin()->sequence;
+}
+
+bool FairQueue::saturated(const Share &share, TimePoint now) const
+{
+    const Entry &last = m_entries.at(share.byDeadline.rbegin()->sequence);
+    return now + wait(share) > last.item.deadline - last.item.following;
+}
+
+Duration FairQueue::wait(const Share &share) const
+{
+    // Work conserving: a workspace waits for its own backlog at its share, but never for more than all there is.
+    const auto atShare = static_cast<double>(share.backlog.count()) * static_cast<double>(m_activeWeight)
+        / static_cast<double>(share.weight);
+    const auto all = static_cast<double>(m_backlog.count());
+    return Duration{static_cast<Duration::rep>(std::min(atShare, all) / static_cast<double>(m_parallel))};
+}
+
+} // namespace bergamottide
--- /dev/null
+++ b/src/bergamottide/scheduling/indexedheap.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <cstddef>
+#include <utility>
+#include <vector>
+
+namespace bergamottide {
+
+/**
+ * @brief Binary heap over small integers whose keys may change; the smallest key is on top.
+ *
+ * Every change costs at most a logarithm of the number of members.
+ *
+ * @tparam Key Type of the keys, compared by `<`; a total order makes the heap deterministic.
+ */
+template <typename Key>
+class IndexedHeap
+{
+public:
+    /*! @brief Type of the members. */
+    using Index = std::size_t;
+
+    /*! @brief Tells if the heap has no member. */
+    [[nodiscard]] bool empty() const noexcept
+    {
+        return m_nodes.empty();
+    }
+
+    /*! @brief Returns the number of members. */
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        return m_nodes.size();
+    }
+
+    /*! @brief Tells if an index is a member. */
+    [[nodiscard]] bool contains(Index index) const noexcept
+    {
+        return index < m_positions.size() && m_positions[index] != absent;
+    }
+
+    /*! @brief Returns the member with the smallest key; the heap is not empty. */
+    [[nodiscard]] Index top() const
+    {
+        return m_nodes.front().second;
+    }
+
+    /*! @brief Returns the smallest key; the heap is not empty. */
+    [[nodiscard]] const Key &topKey() const
+    {
+        return m_nodes.front().first;
+    }
+
+    /**
+     * @brief Adds a member, or changes its key.
+     * @param index Member.
+     * @param key Its key from now on.
+     */
+    void set(Index index, Key key)
+    {
+        if (!contains(index)) {
+            append(index, std::move(key));
+            return;
+        }
+        const std::size_t position = m_positions[index];
+        m_nodes[position].first = std::move(key);
+        sink(rise(position));
+    }
+
+    /**
+     * @brief Removes a member; nothing happens if the index is not one.
+     * @param index Member.
+     */
+    void erase(Index index)
+    {
+        if (!contains(index)) {
+            return;
+        }
+        const std::size_t position = m_positions[index];
+        exchange(position, m_nodes.size() - 1);
+        m_nodes.pop_back();
+        m_positions[index] = absent;
+        if (position < m_nodes.size()) {
+            sink(rise(position));
+        }
+    }
+
+private:
+    static constexpr std::size_t absent = static_cast<std::size_t>(-1);
+
+    void append(Index index, Key key)
+    {
+        if (index >= m_positions.size()) {
+            m_positions.resize(index + 1, absent);
+        }
+        m_positions[index] = m_nodes.size();
+        m_nodes.emplace_back(std::move(key), index);
+        rise(m_nodes.size() - 1);
+    }
+
+    void exchange(std::size_t left, std::size_t right)
+    {
+        std::swap(m_nodes[left], m_nodes[right]);
+        m_positions[m_nodes[left].second] = left;
+        m_positions[m_nodes[right].second] = right;
+    }
+
+    std::size_t rise(std::size_t position)
+    {
+        while (position > 0) {
+            const std::size_t parent = (position - 1) / 2;
+            if (!(m_nodes[position].first < m_nodes[parent].first)) {
+                break;
+            }
+            exchange(position, parent);
+            position = parent;
+        }
+        return position;
+    }
+
+    void sink(std::size_t position)
+    {
+        for (;;) {
+            std::size_t smallest = position;
+            for (std::size_t child = 2 * position + 1; child <= 2 * position + 2; ++child) {
+                if (child < m_nodes.size() && m_nodes[child].first < m_nodes[smallest].first) {
+                    smallest = child;
+                }
+            }
+            if (smallest == position) {
+                return;
+            }
+            exchange(position, smallest);
+            position = smallest;
+        }
+    }
+
+    std::vector<std::pair<Key, Index>> m_nodes;
+    std::vector<std::size_t> m_positions;
+};
+
+} // namespace bergamottide
