Streams are destroyed on the loop's thread; TLS tested on both ports

The last reference to a channel went on a thread of gRPC, which then joins that very thread. Ruled out: the certificate provider (plain streams aborted too). Change: an ended stream is handed to the loop's thread, and the destructor waits for the last hook. reopen() tells 'down' before 'up', as a reducer expects of a replaced stream. Tests for TLS, renewed and foreign certificates. Conclusion: no reference to a channel may be dropped in a hook of gRPC.

--- a/src/bergamottide/net/peerstream.cpp
+++ b/src/bergamottide/net/peerstream.cpp
@@ -50,8 +50,9 @@
 
     void OnDone(const grpc::Status &) override
     {
-        m_hooks.ended();
-        m_self.reset();
+        // The object may go while the hook runs, so the hook must not live in it.
+        const auto ended = std::move(m_hooks.ended);
+        ended(std::move(m_self));
     }
 
 private:
@@ -119,8 +120,9 @@
             const std::lock_guard lock{m_contextMutex};
             m_context = nullptr;
         }
-        m_hooks.ended();
-        m_self.reset();
+        // The object may go while the hook runs, so the hook must not live in it.
+        const auto ended = std::move(m_hooks.ended);
+        ended(std::move(m_self));
     }
 
 private:
--- a/src/bergamottide/net/peerstream.h
+++ b/src/bergamottide/net/peerstream.h
@@ -11,12 +11,19 @@
 
 namespace bergamottide::internal {
 
+class PeerStream;
+
 /*! @brief What a stream tells its owner; called on threads of gRPC. */
 struct StreamHooks
 {
     std::function<void(wire::Frame frame)> received;
-    /*! @brief The stream has ended; the last call. */
-    std::function<void()> ended;
+    /**
+     * @brief The stream has ended; the last call.
+     *
+     * It gets the stream itself, to be destroyed on another thread: with the last stream goes the last
+     * channel, and gRPC then joins the very threads that call these hooks.
+     */
+    std::function<void(std::shared_ptr<PeerStream> stream)> ended;
 };
 
 /**
--- a/src/bergamottide/net/peertransport.cpp
+++ b/src/bergamottide/net/peertransport.cpp
@@ -9,7 +9,9 @@
 
 #include <algorithm>
 #include <atomic>
+#include <condition_variable>
 #include <map>
+#include <mutex>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -77,44 +79,67 @@
     {
     }
 
-    /*! @brief Makes hooks that hand everything to the loop's thread. */
+    /*! @brief Makes hooks that hand everything to the loop's thread; the destructor waits for their last call. */
     StreamHooks forward(StreamId id)
     {
+        const std::lock_guard lock{mutex};
+        ++liveStreams;
         StreamHooks forwarded;
-        const std::weak_ptr<State> weak = weak_from_this();
-        forwarded.received = [this, weak, id](wire::Frame frame) {
-            const auto alive = weak.lock();
-            if (!alive) {
-                return;
-            }
-            receivedBytes += frame.ByteSizeLong();
-            auto kept = std::make_shared<wire::Frame>(std::move(frame));
-            loop.post([weak, id, kept] {
-                if (const auto state = weak.lock()) {
-                    state->received(id, *kept);
-                }
-            });
+        forwarded.received = [this, id](wire::Frame frame) {
+            forwardFrame(id, std::move(frame));
         };
-        forwarded.ended = [this, weak, id] {
-            const auto alive = weak.lock();
-            if (!alive) {
-                return;
-            }
-            loop.post([weak, id] {
-                if (const auto state = weak.lock()) {
-                    state->ended(id);
-                }
-            });
+        forwarded.ended = [this, id](std::shared_ptr<PeerStream> stream) {
+            forwardEnd(id, std::move(stream));
         };
         return forwarded;
     }
 
+    /*! @brief On a thread of gRPC. */
+    void forwardFrame(StreamId id, wire::Frame frame)
+    {
+        receivedBytes += frame.ByteSizeLong();
+        auto kept = std::make_shared<wire::Frame>(std::move(frame));
+        loop.post([weak = weak_from_this(), id, kept] {
+            if (const auto state = weak.lock()) {
+                state->received(id, *kept);
+            }
+        });
+    }
+
+    /*! @brief On a thread of gRPC; the stream is kept for the loop's thread to destroy. */
+    void forwardEnd(StreamId id, std::shared_ptr<PeerStream> stream)
+    {
+        loop.post([weak = weak_from_this(), id] {
+            if (const auto state = weak.lock()) {
+                state->ended(id);
+                state->destroyEnded();
+            }
+        });
+        const std::lock_guard lock{mutex};
+        endedStreams.push_back(std::move(stream));
+        --liveStreams;
+        allEnded.notify_all();
+    }
+
+    void destroyEnded()
+    {
+        std::vector<std::shared_ptr<PeerStream>> gone;
+        const std::lock_guard lock{mutex};
+        gone.swap(endedStreams);
+    }
+
+    /*! @brief Waits until gRPC calls no hook any more. */
+    void waitForEnd()
+    {
+        std::unique_lock lock{mutex};
+        allEnded.wait(lock, [this] { return liveStreams == 0; });
+    }
+
     /*! @brief A peer has opened a stream; on a thread of gRPC. */
     StreamHooks accepted(const std::shared_ptr<PeerStream> &stream)
     {
         const StreamId id = nextStream++;
-        const std::weak_ptr<State> weak = weak_from_this();
-        loop.post([weak, id, stream] {
+        loop.post([weak = weak_from_this(), id, stream] {
             if (const auto state = weak.lock()) {
                 state->streams.emplace(id, Stream{stream, {}, false});
                 state->greet(*stream);
@@ -258,6 +283,10 @@
     std::atomic<StreamId> nextStream{1};
     std::atomic<std::uint64_t> sentBytes{};
     std::atomic<std::uint64_t> receivedBytes{};
+    std::mutex mutex;
+    std::condition_variable allEnded;
+    std::size_t liveStreams{};
+    std::vector<std::shared_ptr<PeerStream>> endedStreams;
 };
 
 PeerTransport::PeerTransport(Loop &loop, PeerTransportOptions options, PeerHooks hooks)
@@ -277,6 +306,9 @@
         m_state->server->Shutdown(std::chrono::system_clock::now());
         m_state->server->Wait();
     }
+    m_state->waitForEnd();
+    m_state->streams.clear();
+    m_state->destroyEnded();
 }
 
 absl::Status PeerTransport::listen()
@@ -284,15 +316,9 @@
     if (m_state->options.listen.empty()) {
         return absl::OkStatus();
     }
-    const std::weak_ptr<State> weak = m_state;
+    State *state = m_state.get();
     m_state->service = std::make_unique<internal::PeerService>(
-        [weak](const std::shared_ptr<PeerStream> &stream) {
-            const auto state = weak.lock();
-            return state ? state->accepted(stream)
-                         : StreamHooks{[](wire::Frame) {},
-                                       [] {
-                                       }};
-        },
+        [state](const std::shared_ptr<PeerStream> &stream) { return state->accepted(stream); },
         m_state->options.maxUnsentBytes);
     int port = 0;
     grpc::ServerBuilder builder;
@@ -345,9 +371,17 @@
 void PeerTransport::reopen(const InstanceName &peer)
 {
     const auto found = m_state->links.find(peer);
-    if (found != m_state->links.end() && !found->second.address.empty()) {
-        m_state->open(peer, found->second);
+    if (found == m_state->links.end() || found->second.address.empty()) {
+        return;
     }
+    m_state->open(peer, found->second);
+    found->second.up = false;
+    // In the next round: the caller may be in the midst of carrying out effects.
+    m_state->loop.post([weak = m_state->weak_from_this(), peer] {
+        if (const auto state = weak.lock()) {
+            state->hooks.down(peer);
+        }
+    });
 }
 
 void PeerTransport::send(const InstanceName &peer, const Message &message)
--- a/src/bergamottide/net/peertransport.h
+++ b/src/bergamottide/net/peertransport.h
@@ -78,7 +78,7 @@
     void disconnect(const InstanceName &peer);
 
     /**
-     * @brief Replaces the stream to a peer by one on a new connection, at once.
+     * @brief Replaces the stream to a peer by one on a new connection, at once; `down` and then `up` follow.
      * @param peer Name of a peer given to `connect`.
      */
     void reopen(const InstanceName &peer);
--- a/test/bergamottide/net/http.cpp
+++ b/test/bergamottide/net/http.cpp
@@ -1,5 +1,7 @@
+#include "bergamottide/core/error.h"
 #include "bergamottide/net/httpclient.h"
 #include "bergamottide/net/httpserver.h"
+#include "support/certificates.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -27,6 +29,9 @@
     CPPUNIT_TEST(callsNoHookAfterCancel);
     CPPUNIT_TEST(reusesAConnection);
     CPPUNIT_TEST(findsHeadersAndQueryValues);
+    CPPUNIT_TEST(speaksTlsAndTakesARenewedCertificate);
+    CPPUNIT_TEST(clientRefusesAnUnknownAuthority);
+    CPPUNIT_TEST(refusesACertificateThatCannotBeRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -162,7 +167,53 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"v"}, std::string{headerValue({{"Name", "v"}}, "name")});
     }
 
+    void speaksTlsAndTakesARenewedCertificate()
+    {
+        test::Certificates certificates;
+        HttpServer server{m_loop, {"127.0.0.1:0", certificates.files(), 1 << 20}, answerOk()};
+        CPPUNIT_ASSERT(server.listen().ok());
+        HttpClient first{m_loop, trusting(certificates)};
+        CPPUNIT_ASSERT(callOnce(first, server.address(), {"GET", "/", "", {}, ""}));
+        certificates.renew();
+        CPPUNIT_ASSERT(server.reloadTls().ok());
+        HttpClient second{m_loop, trusting(certificates)};
+        CPPUNIT_ASSERT(callOnce(second, server.address(), {"GET", "/", "", {}, ""}));
+        CPPUNIT_ASSERT(!callOnce(server.address(), {"GET", "/", "", {}, ""}));
+    }
+
+    void clientRefusesAnUnknownAuthority()
+    {
+        test::Certificates certificates;
+        test::Certificates others;
+        HttpServer server{m_loop, {"127.0.0.1:0", certificates.files(), 1 << 20}, answerOk()};
+        CPPUNIT_ASSERT(server.listen().ok());
+        HttpClient client{m_loop, trusting(others)};
+        CPPUNIT_ASSERT(!callOnce(client, server.address(), {"GET", "/", "", {}, ""}));
+    }
+
+    void refusesACertificateThatCannotBeRead()
+    {
+        HttpServer server{m_loop, {"127.0.0.1:0", {"/nowhere", "/nowhere", ""}, 1 << 20}, answerOk()};
+        const absl::Status status = server.listen();
+        CPPUNIT_ASSERT(!status.ok());
+        CPPUNIT_ASSERT_EQUAL(std::string{"tls.certificate"}, errorField(status));
+    }
+
 private:
+    static HttpServer::Handler answerOk()
+    {
+        return [](HttpRequest, const std::shared_ptr<HttpResponder> &responder) {
+            responder->answer({200, {}, "ok"});
+        };
+    }
+
+    static HttpClientOptions trusting(const test::Certificates &certificates)
+    {
+        HttpClientOptions options;
+        options.authority = certificates.files().authority;
+        return options;
+    }
+
     template <typename Condition>
     void runUntil(Condition condition)
     {
@@ -172,6 +223,11 @@
     }
 
     std::optional<HttpAnswer> callOnce(const std::string &address, HttpRequest request)
+    {
+        return callOnce(m_client, address, std::move(request));
+    }
+
+    std::optional<HttpAnswer> callOnce(HttpClient &client, const std::string &address, HttpRequest request)
     {
         std::optional<HttpAnswer> result;
         bool failed = false;
@@ -182,7 +238,7 @@
         hooks.failed = [&failed](HttpFailure) {
             failed = true;
         };
-        m_client.call(address, std::move(request), hooks);
+        client.call(address, std::move(request), hooks);
         runUntil([&] { return result || failed; });
         return result;
     }
--- a/test/bergamottide/net/peertransport.cpp
+++ b/test/bergamottide/net/peertransport.cpp
@@ -1,5 +1,6 @@
 #include "bergamottide/net/peertransport.h"
 #include "bergamottide/net/codec.h"
+#include "support/certificates.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -13,6 +14,8 @@
 
 constexpr int maxRounds = 200;
 constexpr Duration roundWait = std::chrono::milliseconds{100};
+/*! @brief Rounds in which a refused peer would have got through several times. */
+constexpr int refusalRounds = 15;
 constexpr std::uint64_t messageCount = 2000;
 
 /*! @brief What one end has heard. */
@@ -61,6 +64,8 @@
     CPPUNIT_TEST(connectsAgainAfterThePeerHasRestarted);
     CPPUNIT_TEST(refusesAnotherInstanceThanMeant);
     CPPUNIT_TEST(codecKeepsEveryField);
+    CPPUNIT_TEST(speaksMutualTls);
+    CPPUNIT_TEST(refusesAPeerWithoutACertificateOfTheAuthority);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -92,6 +97,7 @@
         entry.send(InstanceName{"side"}, Ping{7});
         runUntil([&] { return m_entryHeard.up.size() == 2 && !m_sideHeard.pings().empty(); });
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_entryHeard.up.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_entryHeard.down.size());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, m_sideHeard.pings().at(0));
     }
 
@@ -144,6 +150,40 @@
         CPPUNIT_ASSERT(!fromFrame(unknown));
     }
 
+    void speaksMutualTls()
+    {
+        test::Certificates certificates;
+        PeerTransportOptions sideOptions = optionsFor("side", "127.0.0.1:0");
+        PeerTransportOptions entryOptions = optionsFor("entry", "");
+        sideOptions.tls = certificates.files();
+        entryOptions.tls = certificates.files();
+        PeerTransport side{m_loop, sideOptions, m_sideHeard.hooks()};
+        PeerTransport entry{m_loop, entryOptions, m_entryHeard.hooks()};
+        connect(side, entry);
+    }
+
+    void refusesAPeerWithoutACertificateOfTheAuthority()
+    {
+        test::Certificates certificates;
+        test::Certificates others;
+        PeerTransportOptions sideOptions = optionsFor("side", "127.0.0.1:0");
+        sideOptions.tls = certificates.files();
+        PeerTransportOptions entryOptions = optionsFor("entry", "");
+        entryOptions.tls = others.files();
+        entryOptions.tls.authority = certificates.files().authority;
+        PeerTransport side{m_loop, sideOptions, m_sideHeard.hooks()};
+        PeerTransport entry{m_loop, entryOptions, m_entryHeard.hooks()};
+        PeerTransport plain{m_loop, optionsFor("plain", ""), m_entryHeard.hooks()};
+        CPPUNIT_ASSERT(side.listen().ok());
+        entry.connect(InstanceName{"side"}, side.address());
+        plain.connect(InstanceName{"side"}, side.address());
+        for (int round = 0; round < refusalRounds; ++round) {
+            m_loop.runOnce(roundWait);
+        }
+        CPPUNIT_ASSERT(m_entryHeard.up.empty());
+        CPPUNIT_ASSERT(m_sideHeard.up.empty());
+    }
+
 private:
     void connect(PeerTransport &side, PeerTransport &entry)
     {
