Truthful outcomes, homes, recovery, admission and ejection at the entry

Cause: the entry knew only repeatable work on streams that never fail. Change: requests with an effect are opened at a home before anything starts, run their last stage only there under its serial, and are sealed before their end is told; callers fetch, cancel and submit again by ticket. Silent runs are asked for (explicit reconciliation), moved within a retry budget or resumed from their offset; after a pause nothing starts until a side has answered. Admission against the bottleneck's wait, ejection by comparison with peers, hedging under a budget.

--- /dev/null
+++ b/src/bergamottide/admission/admission.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "bergamottide/admission/tokenbucket.h"
+#include "bergamottide/admission/valuedemand.h"
+#include "bergamottide/config/document.h"
+#include "bergamottide/placement/placement.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/types/span.h>
+
+#include <string>
+#include <utility>
+
+namespace bergamottide {
+
+/*! @brief A request that asks to be admitted. */
+struct AdmissionQuery
+{
+    const Workspace &workspace;
+    const Pipeline &pipeline;
+    const ModelName &model;
+    const Kind &kind;
+    std::uint64_t prefix{};
+    /*! @brief Estimated service time of each stage. */
+    absl::Span<const Duration> costs;
+    /*! @brief Time left until the deadline. */
+    Duration remaining{};
+};
+
+/*! @brief Whether a request is admitted, and when another try makes sense if not. */
+struct AdmissionDecision
+{
+    /*! @brief `None` when admitted. */
+    Reason reason{};
+    Duration retryAfter{};
+};
+
+/**
+ * @brief Admits requests that can be completed in time, and refuses the others at once.
+ *
+ * Load: bursts of a partner that are many times its share, and saturation that lasts.
+ * Harm prevented: requests that burn the early stages and then miss their deadline in the
+ * queue of the bottleneck, and callers who learn that only when it is too late to turn to
+ * anybody else. A request is refused when the service times of all its stages and the
+ * wait in front of the bottleneck exceed its deadline. The wait is that of its own
+ * workspace, as the fair queues of the sides report it; so a burst is refused its excess
+ * while others notice nothing.
+ *
+ * Under saturation work of little value is refused first: it may use only a part of the
+ * slack, the smaller the more of the recent demand is worth more. A workspace below its
+ * share does not wait, and so loses nothing, whatever its value.
+ */
+class Admission
+{
+public:
+    /**
+     * @brief Creates an admission over a placement and its table, which must outlive it.
+     */
+    Admission(Placement &placement, const EndpointTable &table);
+
+    /**
+     * @brief Decides about a request.
+     * @param query Request.
+     * @param policy Limits in force.
+     * @param entries Entries in the view, which are taken to admit alike.
+     * @param now Present time.
+     */
+    [[nodiscard]] AdmissionDecision judge(const AdmissionQuery &query, const Policy &policy, std::size_t entries,
+                                          TimePoint now);
+
+    /*! @brief Notes that a request was admitted. */
+    void admitted(const AdmissionQuery &query);
+    /*! @brief Notes that an admitted request has ended. */
+    void ended(const WorkspaceName &workspace);
+    /*! @brief Notes that a stage of an admitted request was dispatched, or never will be. */
+    void stageLeft(const WorkspaceName &workspace, const PoolName &pool, Duration cost);
+
+private:
+    using PoolKey = std::pair<std::string, std::string>;
+    using KindKey = std::pair<std::string, std::string>;
+
+    [[nodiscard]] AdmissionDecision judgeLimits(const Workspace &workspace, TimePoint now);
+    [[nodiscard]] AdmissionDecision judgeService(const AdmissionQuery &query, Duration service, TimePoint now);
+    [[nodiscard]] Duration bottleneckWait(const AdmissionQuery &query, const Policy &policy, std::size_t entries,
+                                          TimePoint now);
+    [[nodiscard]] Duration pendingWait(const AdmissionQuery &query, const PoolName &pool, std::size_t entries) const;
+
+    Placement &m_placement;
+    const EndpointTable &m_table;
+    ValueDemand m_demand;
+    absl::flat_hash_map<std::string, TokenBucket> m_rates;
+    absl::flat_hash_map<std::string, std::uint32_t> m_inProgress;
+    /*! @brief Cost admitted and not yet dispatched, by workspace and pool. */
+    absl::flat_hash_map<PoolKey, Duration> m_pending;
+    /*! @brief Time of the next request let through although its service seems too long, by pipeline and kind. */
+    absl::flat_hash_map<KindKey, TimePoint> m_nextProbe;
+};
+
+} // namespace bergamottide
--- a/src/bergamottide/entry/answers.cpp
+++ b/src/bergamottide/entry/answers.cpp
@@ -85,7 +85,8 @@
     request.givenUp = reason;
     request.retryAfter = retryAfter;
     m_context.send(home.side, SealRequest{request.id, home.incarnation, home.serial});
-    m_context.timers.set({m_context.now + m_context.policy().progressTimeout, TimerKind::Home, request.id, 0, 0});
+    m_context.timers.set(
+        {m_context.now + m_context.policy().progressTimeout, TimerKind::Home, request.id, 0, ++home.timer});
 }
 
 void Answers::finish(Request &request, Reason reason, Duration retryAfter)
@@ -106,6 +107,11 @@
 void Answers::end(Request &request, CallerAnswer answer)
 {
     cancelRuns(request);
+    for (std::size_t stage = request.pendingFrom; stage < request.costs.size(); ++stage) {
+        m_context.admission.stageLeft(request.workspace->name, request.pipeline->stages[stage].pool,
+                                      request.costs[stage]);
+    }
+    m_context.admission.ended(request.workspace->name);
     m_context.observe(Metric::RequestsTotal,
                       {request.workspace->name.text(), kindLabel(request), std::string{enumName(answer.outcome)}});
     if (request.callerWaits) {
@@ -117,18 +123,33 @@
     m_context.requests.remove(request);
 }
 
-// A run with a serial is left alone: its result stays at the home for whoever shows the ticket.
 void Answers::cancelRuns(Request &request)
 {
     for (const Run &run : request.runs) {
-        m_context.table.runEnded(run.number, run.cost);
-        if (run.serial == noSerial && !run.finished) {
-            m_context.send(run.side, CancelRun{run.id, noSerial});
-        }
+        cancelRun(request, run);
     }
     request.runs.clear();
 }
 
+void Answers::cancelRun(const Request &request, const Run &run)
+{
+    m_context.table.runEnded(run.number, run.cost);
+    if (run.started) {
+        m_context.ejector.abandoned(run.number, run.cost, m_context.now - *run.started);
+    } else {
+        m_context.ejector.trialUndecided(run.number);
+    }
+    if (run.serial != noSerial || run.finished) {
+        return;
+    }
+    m_context.send(run.side, CancelRun{run.id, noSerial});
+    if (run.started) {
+        m_context.observe(Metric::StageWastedSecondsTotal,
+                          {request.pipeline->stages[run.id.stage].name.text(), request.workspace->name.text()},
+                          seconds(m_context.now - *run.started));
+    }
+}
+
 void Answers::countSpent(const Request &request, bool useful)
 {
     const Metric metric = useful ? Metric::StageUsefulSecondsTotal : Metric::StageWastedSecondsTotal;
--- a/src/bergamottide/entry/answers.h
+++ b/src/bergamottide/entry/answers.h
@@ -54,6 +54,13 @@
      */
     void finish(Request &request, Reason reason, Duration retryAfter);
 
+    /**
+     * @brief Stops a run whose result is no longer wanted; the caller removes it from its request.
+     *
+     * A run with a serial is left alone: its result stays at the home for whoever shows the ticket.
+     */
+    void cancelRun(const Request &request, const Run &run);
+
     /*! @brief Returns the ticket of a request opened at a home, if its serial is known. */
     [[nodiscard]] static std::optional<Ticket> ticketOf(const Request &request);
 
--- a/src/bergamottide/entry/entrycontext.h
+++ b/src/bergamottide/entry/entrycontext.h
@@ -1,12 +1,16 @@
 #pragma once
 
+#include "bergamottide/admission/admission.h"
 #include "bergamottide/entry/entryreducer.h"
+#include "bergamottide/entry/hedging.h"
 #include "bergamottide/entry/peertable.h"
 #include "bergamottide/entry/requesttable.h"
 #include "bergamottide/entry/timerqueue.h"
+#include "bergamottide/placement/ejector.h"
 #include "bergamottide/placement/endpointtable.h"
 #include "bergamottide/placement/placement.h"
 #include "bergamottide/placement/serviceestimator.h"
+#include "bergamottide/placement/sharebudget.h"
 
 #include <memory>
 #include <string>
@@ -26,6 +30,8 @@
         : identity{std::move(who)}
         , table{identity.region, identity.zone}
         , placement{table, identity.seed}
+        , admission{placement, table}
+        , ejector{table}
     {
     }
 
@@ -58,14 +64,25 @@
     TimePoint now{};
     EntryEffects effects;
     std::shared_ptr<const DocumentIndex> index;
+    std::shared_ptr<const InstanceView> view;
+    /*! @brief Entries in the view, this one included. */
+    std::size_t entries{1};
     EndpointTable table;
     Placement placement;
+    Admission admission;
+    Ejector ejector;
     ServiceEstimator estimator;
+    ShareBudget retries;
+    ShareBudget hedges;
+    Hedging hedging;
     TimerQueue timers;
     RequestTable requests;
     PeerTable peers;
     bool draining{};
-    bool viewKnown{};
+    /*! @brief The process has woken from a pause, and nobody has answered it since. */
+    bool paused{};
+    /*! @brief Requests whose next stage waits for the end of the pause. */
+    std::vector<RequestId> held;
 };
 
 } // namespace bergamottide
--- a/src/bergamottide/entry/entryreducer.cpp
+++ b/src/bergamottide/entry/entryreducer.cpp
@@ -1,13 +1,15 @@
 #include "bergamottide/entry/entryreducer.h"
 
-#include "bergamottide/core/error.h"
 #include "bergamottide/entry/answers.h"
 #include "bergamottide/entry/entrycontext.h"
-#include "bergamottide/entry/outcomerule.h"
-#include "bergamottide/entry/requestcheck.h"
+#include "bergamottide/entry/fetches.h"
+#include "bergamottide/entry/homes.h"
+#include "bergamottide/entry/intake.h"
+#include "bergamottide/entry/recovery.h"
 #include "bergamottide/entry/runtracker.h"
 #include "bergamottide/entry/stagedriver.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bergamottide {
@@ -19,7 +21,11 @@
         : context{std::move(identity)}
         , answers{context}
         , driver{context, answers}
-        , runs{context, driver}
+        , runs{context, answers, driver}
+        , homes{context, answers, driver}
+        , fetches{context}
+        , recovery{context, runs, driver, homes, fetches}
+        , intake{context, answers, driver, homes, fetches}
     {
     }
 
@@ -35,13 +41,42 @@
     void handle(const DrainRequested &event);
     void handle(const Tick &event);
 
-    void submit(const CallerSubmitted &event, const CheckedRequest &checked);
+    void handleMessage(const InstanceName &from, const RunProgress &message);
+    void handleMessage(const InstanceName &from, const RunFinished &message);
+    void handleMessage(const InstanceName &from, const RunStates &message);
+    void handleMessage(const InstanceName &from, const RequestOpened &message);
+    void handleMessage(const InstanceName &from, const OpenRefused &message);
+    void handleMessage(const InstanceName &from, const RequestState &message);
+    void handleMessage(const InstanceName &from, const LoadReport &message);
+    void handleMessage(const InstanceName &from, const Ping &message);
+    void handleMessage(const InstanceName &from, const Pong &message);
+
+    /*! @brief Messages that an entry has no part in. */
+    template <typename Other>
+    void handleMessage(const InstanceName &, const Other &)
+    {
+    }
+
+    [[nodiscard]] std::optional<TimePoint> wakeup() const;
+    void detectPause();
     void expireTimers();
+    void expire(const Timer &timer);
+    void review();
+    void checkDrained();
 
     EntryContext context;
     Answers answers;
     StageDriver driver;
     RunTracker runs;
+    Homes homes;
+    Fetches fetches;
+    Recovery recovery;
+    Intake intake;
+    /*! @brief Next comparison of the endpoints with their peers; none before there is a view. */
+    std::optional<TimePoint> nextReview;
+    /*! @brief Time at which a tick was asked for after the last event. */
+    std::optional<TimePoint> asked;
+    bool drained{};
 };
 
 EntryReducer::EntryReducer(EntryIdentity identity)
@@ -53,155 +88,240 @@
 
 EntryEffects EntryReducer::apply(const EntryEvent &event, TimePoint now)
 {
-    m_state->context.now = now;
-    std::visit([this](const auto &specific) { m_state->handle(specific); }, event);
-    m_state->context.requests.sweep();
-    return std::exchange(m_state->context.effects, {});
+    State &state = *m_state;
+    state.context.now = now;
+    state.detectPause();
+    std::visit([&state](const auto &specific) { state.handle(specific); }, event);
+    state.checkDrained();
+    state.context.requests.sweep();
+    state.asked = state.wakeup();
+    return std::exchange(state.context.effects, {});
 }
 
 std::optional<TimePoint> EntryReducer::nextWakeup() const
 {
-    return m_state->context.timers.next();
+    return m_state->asked;
 }
 
 std::size_t EntryReducer::inProgress() const noexcept
 {
-    return m_state->context.requests.size();
+    return m_state->context.requests.size() + m_state->fetches.size();
 }
 
-void EntryReducer::State::handle(const CallerSubmitted &event)
+std::optional<TimePoint> EntryReducer::State::wakeup() const
 {
-    if (!context.index || !context.viewKnown) {
-        answers.refuse(event.call, event.request, outcomeOfRefusal(event, true), Reason::StaleView, {},
-                       context.policy().ejectionTime);
-        return;
+    const auto timer = context.timers.next();
+    if (!timer || !nextReview) {
+        const auto due = timer ? timer : nextReview;
+        return due ? std::optional{std::max(context.now, *due)} : due;
     }
-    const auto checked = checkRequest(*context.index, event);
-    if (!checked.ok()) {
-        answers.refuse(event.call, event.request, Outcome::NotRun, errorReason(checked.status()),
-                       errorField(checked.status()), Duration::zero());
-        return;
-    }
-    submit(event, *checked);
+    // What is overdue is due now, so that one pause is noticed once.
+    return std::max(context.now, std::min(*timer, *nextReview));
 }
 
-void EntryReducer::State::submit(const CallerSubmitted &event, const CheckedRequest &checked)
+// Load: a process stopped past deadlines and leases, then woken. Harm prevented: runs started on a view that is long
+// out of date. Timers come first, so that what has expired is answered before anything else is done.
+void EntryReducer::State::detectPause()
 {
-    if (context.draining) {
-        answers.refuse(event.call, event.request, outcomeOfRefusal(event, checked.atMostOnce), Reason::Draining, {},
-                       context.policy().ejectionTime);
-        return;
-    }
-    if (context.requests.find(event.request)) {
-        answers.refuse(event.call, event.request, Outcome::Unknown, Reason::DuplicateRequest, "request",
-                       Duration::zero());
+    if (!asked || context.now <= *asked + context.policy().pauseGap) {
         return;
     }
-    auto request = std::make_unique<Request>();
-    request->call = event.call;
-    request->id = event.request;
-    request->keyed = event.keyed;
-    request->streaming = event.streaming;
-    request->atMostOnce = checked.atMostOnce;
-    request->index = context.index;
-    request->workspace = checked.workspace;
-    request->pipeline = checked.pipeline;
-    request->binding = checked.binding;
-    request->kind = checked.kind;
-    request->arrived = context.now;
-    request->deadline = context.now + checked.deadline;
-    request->maxTokens = event.maxTokens;
-    request->prefix = event.prefix;
-    request->body = event.body;
-    driver.estimateCosts(*request);
-    Request &added = context.requests.add(std::move(request));
-    context.timers.set({added.deadline, TimerKind::Deadline, added.id, 0, 0});
-    driver.start(added);
+    recovery.wokenUp();
+    expireTimers();
+}
+
+void EntryReducer::State::handle(const CallerSubmitted &event)
+{
+    intake.submitted(event);
 }
 
 void EntryReducer::State::handle(const CallerFetched &event)
 {
-    answers.refuse(event.call, event.ticket.request, Outcome::Unknown, Reason::UnknownTicket, "ticket",
-                   Duration::zero());
+    intake.fetched(event);
 }
 
 void EntryReducer::State::handle(const CallerCanceled &event)
 {
-    answers.refuse(event.call, event.ticket.request, Outcome::Unknown, Reason::UnknownTicket, "ticket",
-                   Duration::zero());
+    intake.canceled(event);
 }
 
 void EntryReducer::State::handle(const CallerGone &event)
 {
-    Request *request = context.requests.findCall(event.call);
-    if (!request) {
-        return;
-    }
-    request->callerWaits = false;
-    answers.finish(*request, Reason::CallerGone, Duration::zero());
+    intake.gone(event);
 }
 
 void EntryReducer::State::handle(const PeerMessage &event)
 {
-    context.peers.at(event.from).heard = context.now;
-    if (const auto *report = std::get_if<LoadReport>(&event.message)) {
-        context.table.applyReport(event.from, *report, context.now);
-        return;
-    }
-    if (const auto *progress = std::get_if<RunProgress>(&event.message)) {
-        runs.progress(event.from, *progress);
-        return;
+    recovery.heard(event.from);
+    std::visit([this, &event](const auto &message) { handleMessage(event.from, message); }, event.message);
+}
+
+void EntryReducer::State::handleMessage(const InstanceName &from, const RunProgress &message)
+{
+    const bool fetched = fetches.progress(from, message);
+    if (!runs.progress(from, message) && !fetched) {
+        context.observe(Metric::DroppedMessagesTotal, {"run_progress"});
     }
-    if (const auto *finished = std::get_if<RunFinished>(&event.message)) {
-        runs.finished(event.from, *finished);
+}
+
+void EntryReducer::State::handleMessage(const InstanceName &from, const RunFinished &message)
+{
+    const bool fetched = fetches.finished(from, message);
+    if (!runs.finished(from, message) && !fetched) {
+        // The side repeats the end until it is acknowledged, also to an entry that has given the run up.
+        context.send(from, RunAcknowledged{message.run});
+        context.observe(Metric::DroppedMessagesTotal, {"run_finished"});
     }
 }
 
+void EntryReducer::State::handleMessage(const InstanceName &from, const RunStates &message)
+{
+    recovery.states(from, message);
+}
+
+void EntryReducer::State::handleMessage(const InstanceName &from, const RequestOpened &message)
+{
+    homes.opened(from, message);
+}
+
+void EntryReducer::State::handleMessage(const InstanceName &from, const OpenRefused &message)
+{
+    homes.refused(from, message);
+}
+
+void EntryReducer::State::handleMessage(const InstanceName &from, const RequestState &message)
+{
+    fetches.state(from, message);
+    homes.state(from, message);
+}
+
+void EntryReducer::State::handleMessage(const InstanceName &from, const LoadReport &message)
+{
+    context.table.applyReport(from, message, context.now);
+}
+
+void EntryReducer::State::handleMessage(const InstanceName &from, const Ping &message)
+{
+    context.send(from, Pong{message.sequence});
+}
+
+void EntryReducer::State::handleMessage(const InstanceName &from, const Pong &message)
+{
+    recovery.pong(from, message);
+}
+
 void EntryReducer::State::handle(const PeerUp &event)
 {
-    context.peers.at(event.peer).connected = true;
-    context.table.setConnected(event.peer, true);
+    recovery.peerUp(event.peer);
 }
 
 void EntryReducer::State::handle(const PeerDown &event)
 {
-    context.peers.at(event.peer).connected = false;
-    context.table.setConnected(event.peer, false);
+    recovery.peerDown(event.peer);
 }
 
 void EntryReducer::State::handle(const ConfigChanged &event)
 {
+    const bool older = context.index && event.document && event.document->version < context.index->document().version;
+    if (!event.document || older) {
+        return;
+    }
     context.index = std::make_shared<const DocumentIndex>(event.document);
 }
 
 void EntryReducer::State::handle(const ViewChanged &event)
 {
-    context.viewKnown = true;
+    if (!event.view) {
+        return;
+    }
+    context.view = event.view;
     context.table.applyView(*event.view);
+    const auto isEntry = [](const auto &named) {
+        return named.second.role == Role::Entry;
+    };
+    const auto entries = std::count_if(event.view->instances.begin(), event.view->instances.end(), isEntry);
+    context.entries = std::max<std::size_t>(1, static_cast<std::size_t>(entries));
+    if (!nextReview) {
+        nextReview = context.now + context.policy().reportPeriod;
+    }
 }
 
-void EntryReducer::State::handle(const DrainRequested &)
+void EntryReducer::State::handle(const DrainRequested &event)
 {
-    context.draining = true;
-    if (context.requests.size() == 0) {
-        context.effects.emplace_back(DrainComplete{});
+    if (context.draining) {
+        return;
     }
+    context.draining = true;
+    context.effects.emplace_back(
+        AuditRecord{AuditKind::DrainStarted, context.identity.instance.text(), event.cause, {}});
 }
 
 void EntryReducer::State::handle(const Tick &)
 {
     expireTimers();
+    review();
 }
 
 void EntryReducer::State::expireTimers()
 {
     while (const auto timer = context.timers.takeDue(context.now)) {
-        Request *request = context.requests.find(timer->request);
-        if (!request || timer->kind != TimerKind::Deadline) {
-            continue;
-        }
+        expire(*timer);
+    }
+}
+
+void EntryReducer::State::expire(const Timer &timer)
+{
+    if (timer.kind == TimerKind::Fetch) {
+        fetches.timedOut(timer.number);
+        return;
+    }
+    if (timer.kind == TimerKind::Progress) {
+        recovery.checkProgress(timer);
+        return;
+    }
+    Request *request = context.requests.find(timer.request);
+    if (!request) {
+        return;
+    }
+    if (timer.kind == TimerKind::Deadline && context.now >= request->deadline) {
         answers.giveUp(*request, Reason::DeadlineExceeded, Duration::zero());
+        return;
+    }
+    if (timer.kind == TimerKind::Home) {
+        homes.timedOut(*request, timer.number);
+        return;
+    }
+    const bool present = !request->runs.empty() && request->runs.front().id.attempt == timer.number;
+    if (timer.kind == TimerKind::Hedge && request->stage == timer.stage && present) {
+        driver.hedge(*request);
+    }
+}
+
+void EntryReducer::State::review()
+{
+    if (!nextReview || context.now < *nextReview) {
+        return;
+    }
+    nextReview = context.now + context.policy().reportPeriod;
+    recovery.review();
+    for (const EjectionChange &change : context.ejector.review(context.policy(), context.now)) {
+        const AuditKind kind = change.ejected ? AuditKind::Ejection : AuditKind::Return;
+        context.effects.emplace_back(AuditRecord{kind, change.endpoint.text(), change.cause, change.pool.text()});
+        if (change.ejected) {
+            context.observe(Metric::EjectionsTotal, {change.pool.text()});
+        }
+    }
+}
+
+void EntryReducer::State::checkDrained()
+{
+    if (!context.draining || drained || context.requests.size() + fetches.size() > 0) {
+        return;
     }
+    drained = true;
+    context.effects.emplace_back(
+        AuditRecord{AuditKind::DrainFinished, context.identity.instance.text(), "nothing left in progress", {}});
+    context.effects.emplace_back(DrainComplete{});
 }
 
 } // namespace bergamottide
--- a/src/bergamottide/entry/peertable.h
+++ b/src/bergamottide/entry/peertable.h
@@ -2,8 +2,8 @@
 
 #include "bergamottide/core/fwd.h"
 
+#include <cstdint>
 #include <map>
-#include <optional>
 
 namespace bergamottide {
 
@@ -11,14 +11,18 @@
 struct Peer
 {
     bool connected{};
+    /*! @brief Grows whenever the stream opens or closes; what was sent before may have reached another incarnation. */
+    std::uint32_t epoch{};
     /*! @brief Last message of any kind. */
     TimePoint heard{};
-    /*! @brief Questions about silent runs since the last answer; the waiting time doubles with each. */
+    /*! @brief Questions since the last message; the waiting time doubles with each. */
     std::uint32_t asked{};
-    /*! @brief A reconciliation is in progress until then. */
-    std::optional<TimePoint> reconcilingUntil;
-    /*! @brief Answered since the process last woke from a pause. */
-    bool renewed{true};
+    /*! @brief No further question before that time: one reconciliation at a time. */
+    TimePoint nextQuestion{};
+    /*! @brief The stream was replaced on purpose, and its closing says nothing about the side. */
+    bool reopening{};
+    /*! @brief Last wake-up from a pause after which the side has answered. */
+    std::uint64_t confirmedWake{};
 };
 
 /*! @brief The streams of an entry, by the name of the other end. */
--- a/src/bergamottide/entry/request.h
+++ b/src/bergamottide/entry/request.h
@@ -37,7 +37,8 @@
     TimePoint heard{};
     /*! @brief Questions about this run since it was last heard of. */
     std::uint32_t asked{};
-    bool hedge{};
+    /*! @brief State of the stream to the side at dispatch, see `Peer::epoch`. */
+    std::uint32_t epoch{};
     /*! @brief The run is the one trial of a half-open endpoint. */
     bool trial{};
     ResultBuffer result;
@@ -55,8 +56,8 @@
     LedgerState state{};
     /*! @brief Questions to this home that were not answered. */
     std::uint32_t asked{};
-    /*! @brief Homes tried so far. */
-    std::uint32_t tried{};
+    /*! @brief Number of the timer in force; older ones are ignored. */
+    std::uint32_t timer{};
     /*! @brief The request may have been driven before, by another entry: stages may have run that this one did not. */
     bool resumed{};
     /*! @brief A seal was asked for; its answer ends the request. */
@@ -90,8 +91,10 @@
     /*! @brief Estimated service time of each stage. */
     std::vector<Duration> costs;
     std::vector<Run> runs;
-    /*! @brief Attempts at the present stage so far. */
-    std::uint32_t attempts{};
+    /*! @brief Number of the last attempt at the present stage. */
+    std::uint32_t attempt{};
+    /*! @brief Attempts at the present stage that count against `maxAttempts`. */
+    std::uint32_t tries{};
     /*! @brief Sides that failed or refused this stage; not asked again. */
     std::vector<InstanceName> avoided;
     /*! @brief Dispatched runs that were not confirmed as never started. */
@@ -102,6 +105,10 @@
     /*! @brief Bytes of the last stage's result that went to the caller. */
     std::uint64_t relayed{};
     std::uint32_t tokens{};
+    /*! @brief Homes tried so far. */
+    std::uint32_t homesTried{};
+    /*! @brief First stage that was not yet dispatched, for the admission's count of pending work. */
+    std::uint32_t pendingFrom{};
     /*! @brief Why the request was given up, while a seal is awaited. */
     Reason givenUp{};
     /*! @brief Time after which another try makes sense, while a seal is awaited. */
--- a/src/bergamottide/entry/runtracker.cpp
+++ b/src/bergamottide/entry/runtracker.cpp
@@ -4,8 +4,26 @@
 
 namespace bergamottide {
 
-RunTracker::RunTracker(EntryContext &context, StageDriver &driver)
+namespace {
+
+/*! @brief Tells if the end of a run says that its endpoint is at fault. */
+bool blamesEndpoint(Reason reason)
+{
+    return reason == Reason::EndpointFailed || reason == Reason::EndpointSilent || reason == Reason::ConnectionLost
+        || reason == Reason::Internal;
+}
+
+/*! @brief Tells if a refusal comes from another incarnation than the one that gave the serial. */
+bool serialForgotten(Reason reason)
+{
+    return reason == Reason::WrongIncarnation || reason == Reason::UnknownTicket;
+}
+
+} // namespace
+
+RunTracker::RunTracker(EntryContext &context, Answers &answers, StageDriver &driver)
     : m_context{context}
+    , m_answers{answers}
     , m_driver{driver}
 {
 }
@@ -23,12 +41,11 @@
     return found == request->runs.end() ? nullptr : &*found;
 }
 
-void RunTracker::progress(const InstanceName &from, const RunProgress &message)
+bool RunTracker::progress(const InstanceName &from, const RunProgress &message)
 {
     Run *run = findRun(from, message.run);
     if (!run) {
-        m_context.observe(Metric::DroppedMessagesTotal, {"run_progress"});
-        return;
+        return false;
     }
     Request &request = *m_context.requests.find(message.run.request);
     run->heard = m_context.now;
@@ -37,25 +54,23 @@
         run->started = m_context.now;
     }
     if (message.piece.empty()) {
-        return;
+        return true;
     }
     if (run->result.add(message.offset, message.piece) == PieceResult::TooLarge) {
         m_context.send(run->side, CancelRun{run->id, run->serial});
-        failed(request, *run, Reason::AnswerTooLarge, Duration::zero());
-        return;
+        m_driver.runLost(request, *run, Reason::AnswerTooLarge, Duration::zero());
+        return true;
     }
     m_driver.relay(request, *run);
     checkWhole(request, *run);
+    return true;
 }
 
-void RunTracker::finished(const InstanceName &from, const RunFinished &message)
+bool RunTracker::finished(const InstanceName &from, const RunFinished &message)
 {
     Run *run = findRun(from, message.run);
     if (!run) {
-        // The side repeats the end until it is acknowledged, also to an entry that has given the run up.
-        m_context.send(from, RunAcknowledged{message.run});
-        m_context.observe(Metric::DroppedMessagesTotal, {"run_finished"});
-        return;
+        return false;
     }
     Request &request = *m_context.requests.find(message.run.request);
     run->heard = m_context.now;
@@ -64,15 +79,16 @@
         run->finished = message;
         run->result.finish(message.length, message.digest);
         checkWhole(request, *run);
-        return;
+        return true;
     }
     m_context.send(from, RunAcknowledged{message.run});
     request.spent[request.stage] += message.service;
     if (message.state == RunState::NotStarted) {
         notStarted(request, *run, message);
-        return;
+        return true;
     }
     failed(request, *run, message.reason, message.retryAfter);
+    return true;
 }
 
 void RunTracker::checkWhole(Request &request, Run &run)
@@ -92,15 +108,42 @@
 
 void RunTracker::notStarted(Request &request, Run &run, const RunFinished &message)
 {
-    --request.unconfirmed;
+    if (run.serial != noSerial && serialForgotten(message.reason)) {
+        // Another incarnation refuses it; the one that gave the serial may have started it before it died.
+        m_answers.finish(request, message.reason, message.retryAfter);
+        return;
+    }
+    // After a new stream the refusal may be that of a restarted side to a repeated message.
+    if (run.epoch == m_context.peers.at(run.side).epoch) {
+        --request.unconfirmed;
+    }
     if (message.reason == Reason::Draining) {
         m_context.table.setDraining(run.side, true);
     }
+    if (message.reason == Reason::EndpointFailed) {
+        m_context.ejector.failed(run.number);
+    } else {
+        m_context.ejector.trialUndecided(run.number);
+    }
+    if (message.reason == Reason::DeadlineExceeded) {
+        m_answers.giveUp(request, message.reason, message.retryAfter);
+        return;
+    }
     m_driver.runLost(request, run, message.reason, message.retryAfter);
 }
 
 void RunTracker::failed(Request &request, Run &run, Reason reason, Duration retryAfter)
 {
+    if (blamesEndpoint(reason)) {
+        m_context.ejector.failed(run.number);
+    } else {
+        m_context.ejector.trialUndecided(run.number);
+    }
+    if (run.serial != noSerial) {
+        // It ran, or may have: nothing is left to seal.
+        m_answers.finish(request, reason, retryAfter);
+        return;
+    }
     m_driver.runLost(request, run, reason, retryAfter);
 }
 
--- a/src/bergamottide/entry/stagedriver.h
+++ b/src/bergamottide/entry/stagedriver.h
@@ -18,6 +18,10 @@
 
     /**
      * @brief Starts the present stage of a request; ends the request if nothing can run it.
+     *
+     * During a pause the request is held; a stage bound to a home that is not connected
+     * waits for its stream, until the deadline.
+     *
      * @param request Request without runs; may be removed.
      */
     void start(Request &request);
@@ -41,6 +45,15 @@
      */
     void runLost(Request &request, Run &run, Reason reason, Duration retryAfter);
 
+    /**
+     * @brief Replaces a run whose side is out of reach by one elsewhere, if that is possible.
+     * @return False if the run stays: it must not be repeated, or nothing is left to repeat it with.
+     */
+    bool moveElsewhere(Request &request, Run &run);
+
+    /*! @brief Starts a second run beside a repeatable one that takes too long, if the budget allows. */
+    void hedge(Request &request);
+
     /**
      * @brief Sends the run of a stage bound to its home once more, unchanged.
      *
@@ -48,18 +61,29 @@
      */
     void resend(const Request &request, const Run &run);
 
+    /*! @brief Adds a run that was started by another entry, to wait for its result. */
+    void follow(Request &request, const RunId &id);
+
     /*! @brief Sends the caller what has newly arrived of the last stage's result. */
     void relay(Request &request, const Run &run);
 
     /*! @brief Estimates the service times of all stages of a request. */
     void estimateCosts(Request &request) const;
 
+    /*! @brief Starts what was held during a pause. */
+    void releaseHeld();
+
 private:
-    [[nodiscard]] std::optional<Placed> place(const Request &request);
-    bool dispatch(Request &request);
+    [[nodiscard]] std::optional<Placed> place(const Request &request, bool mayTry);
+    [[nodiscard]] bool dispatch(Request &request, bool mayTry);
+    [[nodiscard]] bool mayRepeat(const Request &request, const Run &run) const;
     [[nodiscard]] StartRun messageFor(const Request &request, const Run &run) const;
     [[nodiscard]] ServiceKey serviceKey(const Request &request) const;
-    void forget(Request &request, const Run &run);
+    void setTimers(const Request &request, const Run &run);
+    void addRun(Request &request, const Placed &placed);
+    void leaveStagePending(Request &request);
+    void remove(Request &request, const Run &run);
+    void cancelOthers(Request &request, const RunId &winner);
 
     EntryContext &m_context;
     Answers &m_answers;
--- a/src/bergamottide/placement/affinitymap.cpp
+++ b/src/bergamottide/placement/affinitymap.cpp
@@ -68,19 +68,4 @@
     return m_buckets[bucketOf(key)].number;
 }
 
-std::optional<EndpointNumber> AffinityMap::findRank(std::uint64_t key, std::size_t rank) const
-{
-    if (rank >= m_members.size()) {
-        return std::nullopt;
-    }
-    const std::size_t bucket = bucketOf(key);
-    std::vector<Member> ordered = m_members;
-    const auto higher = [bucket](const Member &left, const Member &right) {
-        return score(bucket, left.hash) > score(bucket, right.hash);
-    };
-    const auto wanted = ordered.begin() + static_cast<std::ptrdiff_t>(rank);
-    std::nth_element(ordered.begin(), wanted, ordered.end(), higher);
-    return wanted->number;
-}
-
 } // namespace bergamottide
--- a/src/bergamottide/placement/affinitymap.h
+++ b/src/bergamottide/placement/affinitymap.h
@@ -28,19 +28,11 @@
 
     /**
      * @brief Finds the member of a key.
-     * @param key Hash of a prompt's prefix, or of a request's identity.
+     * @param key Hash of a prompt's prefix.
      * @return The member, or nothing if the set is empty.
      */
     [[nodiscard]] std::optional<EndpointNumber> find(std::uint64_t key) const;
 
-    /**
-     * @brief Finds the member of a key that comes after some others; looks at every member.
-     * @param key Key as for `find`.
-     * @param rank Members to pass over; zero gives the same as `find`.
-     * @return The member, or nothing if there are not enough.
-     */
-    [[nodiscard]] std::optional<EndpointNumber> findRank(std::uint64_t key, std::size_t rank) const;
-
     /*! @brief Returns the number of members. */
     [[nodiscard]] std::size_t size() const noexcept
     {
--- a/src/bergamottide/placement/endpoint.h
+++ b/src/bergamottide/placement/endpoint.h
@@ -109,6 +109,8 @@
     OwnObservations observed;
     /*! @brief Load in thousandths of its concurrency, as the sums of its groups count it. */
     std::int64_t load{};
+    /*! @brief Concurrency, as the sums of its groups count it. */
+    std::int64_t slots{1};
 
     /*! @brief Tells if new work may go to it. */
     [[nodiscard]] bool available() const noexcept
--- a/src/bergamottide/placement/endpointgroup.h
+++ b/src/bergamottide/placement/endpointgroup.h
@@ -14,8 +14,6 @@
     std::array<EndpointSet, tierCount> available;
     /*! @brief Rendezvous over the available endpoints of the own zone, for cache affinity. */
     AffinityMap affine;
-    /*! @brief Rendezvous over all endpoints of the view, available or not, for homes of keyed requests. */
-    AffinityMap homes;
 
     /*! @brief Returns the set of a tier. */
     [[nodiscard]] const EndpointSet &at(Tier tier) const noexcept
--- a/src/bergamottide/placement/endpointset.h
+++ b/src/bergamottide/placement/endpointset.h
@@ -22,6 +22,7 @@
         m_positions.emplace(number, m_members.size());
         m_members.push_back(number);
         m_load += endpoint.load;
+        m_slots += endpoint.slots;
     }
 
     /*! @brief Removes an endpoint; one that is not in the set changes nothing. */
@@ -34,6 +35,7 @@
         const std::size_t position = found->second;
         m_positions.erase(found);
         m_load -= endpoint.load;
+        m_slots -= endpoint.slots;
         const EndpointNumber last = m_members.back();
         m_members.pop_back();
         if (last != number) {
@@ -42,10 +44,17 @@
         }
     }
 
-    /*! @brief Notes that the load of a member has grown by a difference. */
-    void changeLoad(std::int64_t difference) noexcept
+    /*! @brief Notes by how much the load and the concurrency of a member have grown. */
+    void changeLoad(std::int64_t load, std::int64_t slots) noexcept
     {
-        m_load += difference;
+        m_load += load;
+        m_slots += slots;
+    }
+
+    /*! @brief Returns the runs that the members work on at once. */
+    [[nodiscard]] std::int64_t slots() const noexcept
+    {
+        return m_slots;
     }
 
     /*! @brief Returns the average load of the members, in thousandths of their concurrency. */
@@ -70,6 +79,7 @@
     std::vector<EndpointNumber> m_members;
     absl::flat_hash_map<EndpointNumber, std::size_t> m_positions;
     std::int64_t m_load{};
+    std::int64_t m_slots{};
 };
 
 } // namespace bergamottide
--- a/src/bergamottide/placement/endpointtable.cpp
+++ b/src/bergamottide/placement/endpointtable.cpp
@@ -79,14 +79,12 @@
 void EndpointTable::list(EndpointNumber number)
 {
     m_pools[m_endpoints[number].pool].listed.push_back(number);
-    forGroups(m_endpoints[number], [&](EndpointGroup &group) { group.homes.add(number, m_endpoints[number].hash); });
 }
 
 void EndpointTable::unlist(EndpointNumber number)
 {
     std::vector<EndpointNumber> &listed = m_pools[m_endpoints[number].pool].listed;
     listed.erase(std::remove(listed.begin(), listed.end(), number), listed.end());
-    forGroups(m_endpoints[number], [&](EndpointGroup &group) { group.homes.remove(number); });
 }
 
 void EndpointTable::applyInstance(const Instance &instance)
@@ -164,14 +162,7 @@
     const EndpointNumber number = numberOf(side);
     setDraining(side, report.draining);
     if (m_endpoints[number].models != report.models) {
-        const bool listed = m_endpoints[number].listed;
-        if (listed) {
-            unlist(number);
-        }
         change(number, [&report](Endpoint &endpoint) { endpoint.models = report.models; });
-        if (listed) {
-            list(number);
-        }
     }
     ReportedLoad &load = m_endpoints[number].reported;
     load.at = now;
@@ -212,13 +203,15 @@
 void EndpointTable::refreshLoad(EndpointNumber number)
 {
     Endpoint &endpoint = m_endpoints[number];
-    const std::int64_t difference = loadOf(endpoint) - endpoint.load;
-    endpoint.load += difference;
-    if (difference == 0 || !endpoint.available()) {
+    const std::int64_t load = loadOf(endpoint) - endpoint.load;
+    const std::int64_t slots = endpoint.reported.concurrency - endpoint.slots;
+    endpoint.load += load;
+    endpoint.slots += slots;
+    if ((load == 0 && slots == 0) || !endpoint.available()) {
         return;
     }
     const auto tier = static_cast<std::size_t>(endpoint.tier);
-    forGroups(endpoint, [&](EndpointGroup &group) { group.available[tier].changeLoad(difference); });
+    forGroups(endpoint, [&](EndpointGroup &group) { group.available[tier].changeLoad(load, slots); });
 }
 
 void EndpointTable::setEjection(EndpointNumber number, EjectionState state, TimePoint until)
@@ -229,6 +222,11 @@
     });
 }
 
+void EndpointTable::setEjectionCount(EndpointNumber number, std::uint32_t ejections)
+{
+    m_endpoints[number].ejections = ejections;
+}
+
 const Endpoint &EndpointTable::endpoint(EndpointNumber number) const
 {
     return m_endpoints[number];
--- a/src/bergamottide/placement/endpointtable.h
+++ b/src/bergamottide/placement/endpointtable.h
@@ -58,6 +58,8 @@
     void runEnded(EndpointNumber number, Duration cost);
     /*! @brief Changes the state of ejection. */
     void setEjection(EndpointNumber number, EjectionState state, TimePoint until);
+    /*! @brief Sets the number of ejections without a good trial in between. */
+    void setEjectionCount(EndpointNumber number, std::uint32_t ejections);
 
     /*! @brief Returns an endpoint; the number must come from this table. */
     [[nodiscard]] const Endpoint &endpoint(EndpointNumber number) const;
--- a/src/bergamottide/placement/placement.cpp
+++ b/src/bergamottide/placement/placement.cpp
@@ -200,20 +200,6 @@
         + scaled(scaled(cost, failureWeight) + failurePenalty, failing);
 }
 
-std::optional<EndpointNumber> Placement::keyedHome(const PoolName &pool, const ModelName &model,
-                                                   const RequestId &request, std::size_t rank) const
-{
-    const PoolEndpoints *endpoints = m_table.pool(pool);
-    if (!endpoints) {
-        return std::nullopt;
-    }
-    const auto byModel = endpoints->byModel.find(model);
-    const bool known = byModel != endpoints->byModel.end() && byModel->second.homes.size() > 0;
-    const AffinityMap &homes = known ? byModel->second.homes : endpoints->all.homes;
-    const std::uint64_t key = request.high ^ Random::mix(request.low);
-    return rank == 0 ? homes.find(key) : homes.findRank(key, rank);
-}
-
 std::uint64_t Placement::looked() const noexcept
 {
     return m_looked;
--- a/src/bergamottide/placement/placement.h
+++ b/src/bergamottide/placement/placement.h
@@ -77,16 +77,6 @@
     [[nodiscard]] std::optional<Duration> estimateWait(const PlacementQuery &query, const Policy &policy,
                                                        TimePoint now);
 
-    /**
-     * @brief Finds the home of a keyed request: the same at every entry with the same view.
-     * @param pool Pool of the last stage.
-     * @param model Model of the binding; may be empty.
-     * @param request Identity of the request.
-     * @param rank Homes to pass over, because they confirmed that they hold no record and take none.
-     */
-    [[nodiscard]] std::optional<EndpointNumber> keyedHome(const PoolName &pool, const ModelName &model,
-                                                          const RequestId &request, std::size_t rank) const;
-
     /*! @brief Returns the number of endpoints looked at so far; lets a test count instead of time. */
     [[nodiscard]] std::uint64_t looked() const noexcept;
 
