--- /dev/null
+++ b/src/bergamottide/app/calleranswer.cpp
@@ -0,0 +1,142 @@
+#include "bergamottide/app/calleranswer.h"
+
+#include "bergamottide/core/error.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace bergamottide {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+
+int failureStatus(Reason reason)
+{
+    switch (reason) {
+    case Reason::MalformedBody:
+    case Reason::MalformedHeader:
+    case Reason::InvalidDeadline:
+    case Reason::UnknownKind:
+        return 400;
+    case Reason::MissingKey:
+    case Reason::WrongKey:
+        return 401;
+    case Reason::UnknownPipeline:
+    case Reason::UnknownTicket:
+        return 404;
+    case Reason::DuplicateRequest:
+    case Reason::Canceled:
+    case Reason::Sealed:
+    case Reason::Fenced:
+        return 409;
+    case Reason::BodyTooLarge:
+        return 413;
+    case Reason::RateLimited:
+    case Reason::Overloaded:
+    case Reason::QueueFull:
+    case Reason::LedgerFull:
+    case Reason::DeadlineUnreachable:
+        return 429;
+    case Reason::DeadlineExceeded:
+        return 504;
+    default:
+        return statusUnavailable;
+    }
+}
+
+/*! @brief Puts a value as JSON, text or base64, whichever is the first to hold it whole. */
+std::string resultField(const std::string &result)
+{
+    if (Json::accept(result)) {
+        return absl::StrCat("\"result\":", result);
+    }
+    try {
+        return absl::StrCat("\"result\":", Json(result).dump());
+    } catch (const Json::exception &) {
+        return absl::StrCat("\"result_base64\":\"", absl::Base64Escape(result), "\"");
+    }
+}
+
+std::int64_t millisecondsUp(Duration duration)
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(duration).count();
+}
+
+std::int64_t secondsUp(Duration duration)
+{
+    return std::chrono::ceil<std::chrono::seconds>(duration).count();
+}
+
+} // namespace
+
+int answerStatus(Outcome outcome, Reason reason)
+{
+    return outcome == Outcome::Completed ? statusOk : failureStatus(reason);
+}
+
+std::string answerBody(const CallerAnswer &answer, const std::string &ticket, bool withResult)
+{
+    const Json head{{"request_id", answer.request.text()},
+                    {"outcome", std::string{enumName(answer.outcome)}},
+                    {"reason", std::string{enumName(answer.reason)}},
+                    {"field", answer.field},
+                    {"ticket", ticket},
+                    {"retry_after_ms", millisecondsUp(answer.retryAfter)},
+                    {"tokens", answer.tokens}};
+    std::string text = head.dump(-1, ' ', false, Json::error_handler_t::replace);
+    if (withResult && answer.outcome == Outcome::Completed) {
+        text.pop_back();
+        absl::StrAppend(&text, ",", resultField(answer.body), "}");
+    }
+    return text;
+}
+
+HttpAnswer wholeAnswer(const CallerAnswer &answer, const std::string &ticket)
+{
+    HttpAnswer http;
+    http.status = answerStatus(answer.outcome, answer.reason);
+    http.headers = {{"content-type", "application/json"},
+                    {"x-outcome", std::string{enumName(answer.outcome)}},
+                    {"x-request-id", answer.request.text()}};
+    if (!ticket.empty()) {
+        http.headers.emplace_back("x-ticket", ticket);
+    }
+    if (answer.retryAfter.count() > 0) {
+        http.headers.emplace_back("retry-after", absl::StrCat(secondsUp(answer.retryAfter)));
+    }
+    http.body = answerBody(answer, ticket, true);
+    return http;
+}
+
+CallerAnswer refusal(CallId call, const absl::Status &error)
+{
+    CallerAnswer answer;
+    answer.call = call;
+    answer.outcome = Outcome::NotRun;
+    answer.reason = errorReason(error);
+    answer.field = errorField(error);
+    return answer;
+}
+
+std::string serverSentEvent(std::string_view type, std::string_view data)
+{
+    return absl::StrCat("event: ", std::string{type}, "\ndata: ", std::string{data}, "\n\n");
+}
+
+std::string pieceData(std::uint64_t offset, const std::string &piece)
+{
+    try {
+        return absl::StrCat("{\"offset\":", offset, ",\"text\":", Json(piece).dump(), "}");
+    } catch (const Json::exception &) {
+        return absl::StrCat("{\"offset\":", offset, ",\"base64\":\"", absl::Base64Escape(piece), "\"}");
+    }
+}
+
+} // namespace bergamottide
--- /dev/null
+++ b/src/bergamottide/app/entryapp.cpp
@@ -0,0 +1,262 @@
+#include "bergamottide/app/entryapp.h"
+
+#include "bergamottide/app/feedstatus.h"
+#include "bergamottide/app/startup.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace bergamottide {
+
+namespace {
+
+/*!
+ * @brief Time after the last answer before the process ends.
+ *
+ * The answers are with the kernel by then; sockets closed at once could cut off a slow reader.
+ */
+constexpr Duration flushTime = std::chrono::milliseconds{300};
+/*! @brief Largest body of a caller read at all; the document sets the limit below it. */
+constexpr std::size_t maxBodyBytes = 16u << 20;
+/*! @brief Time for which the stream to a side that vanished from the list is kept: the longest deadline allowed. */
+constexpr Duration vanishedKeepTime = std::chrono::seconds{60};
+constexpr Duration expiryPeriod = std::chrono::seconds{1};
+
+EntryIdentity identityOf(const Settings &settings, Incarnation incarnation)
+{
+    return EntryIdentity{settings.instance, settings.region, settings.zone, incarnation,
+                         static_cast<std::uint64_t>(incarnation)};
+}
+
+HttpServerOptions callerOptions(const Settings &settings)
+{
+    return HttpServerOptions{settings.callersAddress, callersTls(settings), maxBodyBytes};
+}
+
+PeerTransportOptions transportOptions(const Settings &settings, Incarnation incarnation)
+{
+    PeerTransportOptions options;
+    options.listen = settings.peersAddress;
+    options.tls = peersTls(settings);
+    options.hello = Hello{settings.instance, incarnation, 0};
+    return options;
+}
+
+} // namespace
+
+EntryApp::EntryApp(Loop &loop, const Settings &settings, std::vector<TicketKey> ticketKeys, Incarnation incarnation)
+    : m_loop{loop}
+    , m_settings{settings}
+    , m_telemetry{settings}
+    , m_tickets{std::move(ticketKeys)}
+    , m_reducer{identityOf(settings, incarnation)}
+    , m_reactor{loop, m_reducer,
+                [this](EntryEffect effect) {
+                    carryOut(std::move(effect));
+                }}
+    , m_callers{m_tickets, static_cast<std::uint64_t>(incarnation),
+                [this](EntryEvent event) {
+                    m_reactor.submit(std::move(event));
+                }}
+    , m_admin{settings.adminKeyDigest, adminHooks()}
+    , m_callerServer{loop, callerOptions(settings),
+                     [this](const HttpRequest &request, std::shared_ptr<HttpResponder> responder) {
+                         m_callers.handle(request, std::move(responder));
+                     }}
+    , m_adminServer{loop, HttpServerOptions{settings.adminAddress, {}, maxBodyBytes},
+                    [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+                        m_admin.handle(request, *responder);
+                    }}
+    , m_transport{loop, transportOptions(settings, incarnation), peerHooks()}
+    , m_peers{m_transport,
+              [this](const Instance &instance) {
+                  return instance.role == Role::Side && instance.region == m_settings.region;
+              },
+              vanishedKeepTime}
+    , m_feed{
+          loop,
+          PlatformFeedOptions{settings.configService, settings.instanceList, static_cast<std::uint64_t>(incarnation)},
+          feedHooks()}
+{
+}
+
+absl::Status EntryApp::start()
+{
+    absl::Status status = m_callerServer.listen();
+    status.Update(m_adminServer.listen());
+    status.Update(m_transport.listen());
+    if (status.ok()) {
+        m_feed.start();
+        m_reactor.submit(Tick{});
+        expirePeers();
+    }
+    return status;
+}
+
+void EntryApp::drain(const std::string &cause)
+{
+    m_draining = true;
+    m_reactor.submit(DrainRequested{cause});
+}
+
+void EntryApp::reload()
+{
+    const absl::Status status = m_callerServer.reloadTls();
+    carryOut(LogLine{status.ok() ? Severity::Info : Severity::Error,
+                     Part::Net,
+                     status.ok() ? "The certificates were read again." : "The certificates could not be read.",
+                     {{"detail", std::string{status.message()}}}});
+}
+
+std::string EntryApp::callersAddress() const
+{
+    return m_callerServer.address();
+}
+
+std::string EntryApp::adminAddress() const
+{
+    return m_adminServer.address();
+}
+
+std::string EntryApp::peersAddress() const
+{
+    return m_transport.address();
+}
+
+void EntryApp::expirePeers()
+{
+    m_peers.expire(m_loop.now());
+    m_loop.at(m_loop.now() + expiryPeriod, [this] { expirePeers(); });
+}
+
+void EntryApp::carryOut(EntryEffect effect)
+{
+    std::visit([this](const auto &one) { carryOut(one); }, effect);
+}
+
+void EntryApp::carryOut(const SendMessage &effect)
+{
+    m_transport.send(effect.to, effect.message);
+}
+
+void EntryApp::carryOut(const ReopenStream &effect)
+{
+    m_transport.reopen(effect.peer);
+}
+
+void EntryApp::carryOut(const CallerTicket &effect)
+{
+    m_callers.carryOut(effect);
+}
+
+void EntryApp::carryOut(const CallerPiece &effect)
+{
+    m_callers.carryOut(effect);
+}
+
+void EntryApp::carryOut(const CallerAnswer &effect)
+{
+    m_callers.carryOut(effect);
+}
+
+void EntryApp::carryOut(const DrainComplete &)
+{
+    m_callerServer.shutdown();
+    m_loop.at(m_loop.now() + flushTime, [this] { m_loop.stop(); });
+}
+
+void EntryApp::carryOut(const LogLine &line)
+{
+    m_telemetry.log(line);
+}
+
+void EntryApp::carryOut(const AuditRecord &record)
+{
+    m_telemetry.audit(record);
+}
+
+void EntryApp::carryOut(const Observe &observation)
+{
+    m_telemetry.observe(observation);
+}
+
+PlatformFeedHooks EntryApp::feedHooks()
+{
+    PlatformFeedHooks hooks;
+    hooks.document = [this](std::shared_ptr<const Document> document, std::uint64_t digest) {
+        m_callers.setDocument(document);
+        m_reactor.submit(ConfigChanged{std::move(document), digest});
+    };
+    hooks.view = [this](std::shared_ptr<const InstanceView> view) {
+        m_peers.update(*view, m_loop.now());
+        m_reactor.submit(ViewChanged{std::move(view)});
+    };
+    hooks.audit = [this](const AuditRecord &record) {
+        carryOut(record);
+    };
+    hooks.log = [this](const LogLine &line) {
+        carryOut(line);
+    };
+    return hooks;
+}
+
+PeerHooks EntryApp::peerHooks()
+{
+    PeerHooks hooks;
+    hooks.up = [this](const InstanceName &peer) {
+        m_peers.opened(peer);
+        m_reactor.submit(PeerUp{peer});
+    };
+    hooks.down = [this](const InstanceName &peer) {
+        m_peers.closed(peer);
+        m_reactor.submit(PeerDown{peer});
+    };
+    hooks.received = [this](const InstanceName &peer, Message message) {
+        m_reactor.submit(PeerMessage{peer, std::move(message)});
+    };
+    return hooks;
+}
+
+AdminHooks EntryApp::adminHooks()
+{
+    AdminHooks hooks;
+    hooks.ready = [this] {
+        return ready();
+    };
+    hooks.status = [this] {
+        return status();
+    };
+    hooks.metrics = [this] {
+        return m_telemetry.metrics();
+    };
+    hooks.audit = [this] {
+        return m_telemetry.auditTrail();
+    };
+    hooks.drain = [this](const std::string &cause) {
+        drain(cause);
+    };
+    return hooks;
+}
+
+bool EntryApp::ready() const
+{
+    return !m_draining && m_feed.version() != 0 && m_feed.revision() != 0 && m_peers.open() != 0;
+}
+
+std::string EntryApp::status() const
+{
+    nlohmann::json status = feedStatus(m_feed);
+    status["instance"] = m_settings.instance.text();
+    status["role"] = "entry";
+    status["zone"] = m_settings.zone.text();
+    status["draining"] = m_draining;
+    status["in_progress"] = m_reducer.inProgress();
+    status["callers"] = m_callers.waiting();
+    status["peers_open"] = m_peers.open();
+    status["peers_wanted"] = m_peers.wanted();
+    status["control_bytes"] = m_transport.bytes();
+    return status.dump();
+}
+
+} // namespace bergamottide
--- /dev/null
+++ b/src/bergamottide/app/entryapp.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "bergamottide/app/adminport.h"
+#include "bergamottide/app/callerport.h"
+#include "bergamottide/app/peerset.h"
+#include "bergamottide/app/platformfeed.h"
+#include "bergamottide/app/reactor.h"
+#include "bergamottide/app/telemetry.h"
+#include "bergamottide/config/settings.h"
+#include "bergamottide/entry/entryreducer.h"
+#include "bergamottide/net/httpserver.h"
+#include "bergamottide/net/loop.h"
+#include "bergamottide/net/peertransport.h"
+
+#include <absl/status/status.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bergamottide {
+
+/**
+ * @brief An entry as a process: its reducer with the callers' port, the streams to the sides, the
+ * platform's clients and the admin port around it.
+ */
+class EntryApp
+{
+public:
+    /**
+     * @brief Creates an entry that does not listen yet.
+     * @param loop Loop it runs on; outlives the entry.
+     * @param settings Settings of the process.
+     * @param ticketKeys Keys that authenticate tickets, at least one.
+     * @param incarnation Number of this start of the process.
+     */
+    EntryApp(Loop &loop, const Settings &settings, std::vector<TicketKey> ticketKeys, Incarnation incarnation);
+
+    /*! @brief Listens on its ports and starts to read the platform. */
+    [[nodiscard]] absl::Status start();
+
+    /**
+     * @brief Starts a graceful shutdown; the loop is stopped at its end.
+     * @param cause Why, for the audit trail.
+     */
+    void drain(const std::string &cause);
+
+    /*! @brief Reads the certificate files again. */
+    void reload();
+
+    /*! @brief Returns the address of the callers' port. */
+    [[nodiscard]] std::string callersAddress() const;
+
+    /*! @brief Returns the address of the admin port. */
+    [[nodiscard]] std::string adminAddress() const;
+
+    /*! @brief Returns the address for other processes of the system. */
+    [[nodiscard]] std::string peersAddress() const;
+
+private:
+    void carryOut(EntryEffect effect);
+    void carryOut(const SendMessage &effect);
+    void carryOut(const ReopenStream &effect);
+    void carryOut(const CallerTicket &effect);
+    void carryOut(const CallerPiece &effect);
+    void carryOut(const CallerAnswer &effect);
+    void carryOut(const DrainComplete &effect);
+    void carryOut(const LogLine &line);
+    void carryOut(const AuditRecord &record);
+    void carryOut(const Observe &observation);
+
+    [[nodiscard]] PlatformFeedHooks feedHooks();
+    [[nodiscard]] PeerHooks peerHooks();
+    [[nodiscard]] AdminHooks adminHooks();
+    /*! @brief Closes the streams to sides that vanished long ago, and comes back. */
+    void expirePeers();
+    [[nodiscard]] bool ready() const;
+    [[nodiscard]] std::string status() const;
+
+    Loop &m_loop;
+    Settings m_settings;
+    Telemetry m_telemetry;
+    TicketCodec m_tickets;
+    EntryReducer m_reducer;
+    Reactor<EntryReducer, EntryEvent, EntryEffect, Tick> m_reactor;
+    CallerPort m_callers;
+    AdminPort m_admin;
+    HttpServer m_callerServer;
+    HttpServer m_adminServer;
+    PeerTransport m_transport;
+    PeerSet m_peers;
+    PlatformFeed m_feed;
+    bool m_draining{};
+};
+
+} // namespace bergamottide
--- /dev/null
+++ b/src/bergamottide/app/sideapp.cpp
@@ -0,0 +1,257 @@
+#include "bergamottide/app/sideapp.h"
+
+#include "bergamottide/app/feedstatus.h"
+#include "bergamottide/app/startup.h"
+
+#include <utility>
+
+namespace bergamottide {
+
+namespace {
+
+/*! @brief Time after the last message before the process ends, so that the streams have sent it. */
+constexpr Duration flushTime = std::chrono::milliseconds{300};
+/*! @brief Largest body read on the admin port: a document of a megabyte with room. */
+constexpr std::size_t maxAdminBytes = 2u << 20;
+
+SideIdentity identityOf(const Settings &settings, Incarnation incarnation)
+{
+    return SideIdentity{settings.instance, settings.region, settings.zone,
+                        settings.pool,     incarnation,     static_cast<std::uint64_t>(incarnation)};
+}
+
+PeerTransportOptions transportOptions(const Settings &settings, Incarnation incarnation)
+{
+    PeerTransportOptions options;
+    options.listen = settings.peersAddress;
+    options.tls = peersTls(settings);
+    options.hello = Hello{settings.instance, incarnation, 0};
+    return options;
+}
+
+} // namespace
+
+SideApp::SideApp(Loop &loop, const Settings &settings, Incarnation incarnation)
+    : m_loop{loop}
+    , m_settings{settings}
+    , m_telemetry{settings}
+    , m_reducer{identityOf(settings, incarnation)}
+    , m_reactor{loop, m_reducer,
+                [this](SideEffect effect) {
+                    carryOut(std::move(effect));
+                }}
+    , m_admin{settings.adminKeyDigest, adminHooks()}
+    , m_adminServer{loop, HttpServerOptions{settings.adminAddress, {}, maxAdminBytes},
+                    [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+                        m_admin.handle(request, *responder);
+                    }}
+    , m_transport{loop, transportOptions(settings, incarnation), peerHooks()}
+    , m_feed{
+          loop,
+          PlatformFeedOptions{settings.configService, settings.instanceList, static_cast<std::uint64_t>(incarnation)},
+          feedHooks()}
+{
+}
+
+absl::Status SideApp::start()
+{
+    absl::Status status = m_adminServer.listen();
+    status.Update(m_transport.listen());
+    if (status.ok()) {
+        m_feed.start();
+        m_reactor.submit(Tick{});
+        pollEndpoint();
+    }
+    return status;
+}
+
+void SideApp::drain(const std::string &cause)
+{
+    m_draining = true;
+    m_reactor.submit(DrainRequested{cause});
+}
+
+std::string SideApp::adminAddress() const
+{
+    return m_adminServer.address();
+}
+
+std::string SideApp::peersAddress() const
+{
+    return m_transport.address();
+}
+
+void SideApp::carryOut(SideEffect effect)
+{
+    std::visit([this](const auto &one) { carryOut(one); }, effect);
+}
+
+void SideApp::carryOut(const SendMessage &effect)
+{
+    m_transport.send(effect.to, effect.message);
+}
+
+void SideApp::carryOut(const EndpointStart &effect)
+{
+    if (m_endpoint) {
+        m_endpoint->start(effect);
+        return;
+    }
+    m_reactor.submit(EndpointFinished{effect.run.run, EndpointResult::Refused, Reason::NoEndpoint});
+}
+
+void SideApp::carryOut(const EndpointCancel &effect)
+{
+    if (m_endpoint) {
+        m_endpoint->cancel(effect.run);
+    }
+}
+
+void SideApp::carryOut(const GiveOrder &effect)
+{
+    if (m_endpoint) {
+        m_endpoint->order(effect);
+        return;
+    }
+    m_reactor.submit(OrderAnswered{effect.fence, false});
+}
+
+void SideApp::carryOut(const DrainComplete &)
+{
+    m_loop.at(m_loop.now() + flushTime, [this] { m_loop.stop(); });
+}
+
+void SideApp::carryOut(const LogLine &line)
+{
+    m_telemetry.log(line);
+}
+
+void SideApp::carryOut(const AuditRecord &record)
+{
+    m_telemetry.audit(record);
+}
+
+void SideApp::carryOut(const Observe &observation)
+{
+    m_telemetry.observe(observation);
+}
+
+PlatformFeedHooks SideApp::feedHooks()
+{
+    PlatformFeedHooks hooks;
+    hooks.document = [this](std::shared_ptr<const Document> document, std::uint64_t digest) {
+        takeDocument(document);
+        m_reactor.submit(ConfigChanged{std::move(document), digest});
+    };
+    hooks.view = [this](std::shared_ptr<const InstanceView> view) {
+        m_reactor.submit(ViewChanged{std::move(view)});
+    };
+    hooks.audit = [this](const AuditRecord &record) {
+        carryOut(record);
+    };
+    hooks.log = [this](const LogLine &line) {
+        carryOut(line);
+    };
+    return hooks;
+}
+
+PeerHooks SideApp::peerHooks()
+{
+    PeerHooks hooks;
+    hooks.up = [this](const InstanceName &peer) {
+        m_reactor.submit(PeerUp{peer});
+    };
+    hooks.down = [this](const InstanceName &peer) {
+        m_reactor.submit(PeerDown{peer});
+    };
+    hooks.received = [this](const InstanceName &peer, Message message) {
+        m_reactor.submit(PeerMessage{peer, std::move(message)});
+    };
+    return hooks;
+}
+
+AdminHooks SideApp::adminHooks()
+{
+    AdminHooks hooks;
+    hooks.ready = [this] {
+        return ready();
+    };
+    hooks.status = [this] {
+        return status();
+    };
+    hooks.metrics = [this] {
+        return m_telemetry.metrics();
+    };
+    hooks.audit = [this] {
+        return m_telemetry.auditTrail();
+    };
+    hooks.drain = [this](const std::string &cause) {
+        drain(cause);
+    };
+    return hooks;
+}
+
+EndpointHooks SideApp::endpointHooks()
+{
+    EndpointHooks hooks;
+    hooks.piece = [this](EndpointPiece piece) {
+        m_reactor.submit(std::move(piece));
+    };
+    hooks.finished = [this](EndpointFinished finished) {
+        m_reactor.submit(finished);
+    };
+    hooks.reported = [this](EndpointReport report) {
+        m_reactor.submit(std::move(report));
+    };
+    hooks.ordered = [this](OrderAnswered answered) {
+        m_reactor.submit(answered);
+    };
+    return hooks;
+}
+
+void SideApp::takeDocument(const std::shared_ptr<const Document> &document)
+{
+    m_reportPeriod = document->policy.reportPeriod;
+    const auto pool = document->pools.find(m_settings.pool);
+    if (pool == document->pools.end()) {
+        return;
+    }
+    if (m_endpoint && pool->second.kind == m_kind) {
+        return;
+    }
+    m_kind = pool->second.kind;
+    EndpointSettings settings;
+    settings.address = m_settings.endpointAddress;
+    settings.kind = m_kind;
+    settings.maxResultBytes = document->policy.maxResultBytes;
+    settings.silence = document->policy.maxDeadline;
+    m_endpoint = makeEndpointAdapter(m_loop, settings, endpointHooks());
+}
+
+void SideApp::pollEndpoint()
+{
+    if (m_endpoint) {
+        m_endpoint->poll();
+    }
+    m_loop.at(m_loop.now() + m_reportPeriod, [this] { pollEndpoint(); });
+}
+
+bool SideApp::ready() const
+{
+    return !m_draining && m_endpoint != nullptr;
+}
+
+std::string SideApp::status() const
+{
+    nlohmann::json status = feedStatus(m_feed);
+    status["instance"] = m_settings.instance.text();
+    status["role"] = "side";
+    status["zone"] = m_settings.zone.text();
+    status["pool"] = m_settings.pool.text();
+    status["draining"] = m_draining;
+    status["in_progress"] = m_reducer.inProgress();
+    status["control_bytes"] = m_transport.bytes();
+    return status.dump();
+}
+
+} // namespace bergamottide
--- /dev/null
+++ b/src/daemons/bergamottide-side.cpp
@@ -0,0 +1,51 @@
+/*!
+ * @file
+ * @brief Daemon of a side, which runs beside one endpoint.
+ */
+#include "bergamottide/app/sideapp.h"
+#include "bergamottide/app/signalwatch.h"
+#include "bergamottide/app/startup.h"
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+DEFINE_string(settings, "", "YAML file with the settings of the process");
+DEFINE_string(set, "", "Settings that replace those of the file: name=value,...");
+DEFINE_bool(check, false, "Check the settings and exit");
+
+using namespace bergamottide;
+
+namespace {
+
+int run(const Settings &settings)
+{
+    const SystemClock clock;
+    Loop loop{clock};
+    SideApp app{loop, settings, drawIncarnation()};
+    const SignalWatch signals{loop, [&app] { app.drain("SIGTERM"); },
+                              [] {
+                              }};
+    const absl::Status status = app.start();
+    if (!status.ok()) {
+        std::cerr << status.message() << "\n";
+        return 1;
+    }
+    announce(settings, {{"admin", app.adminAddress()}, {"address", app.peersAddress()}});
+    loop.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    blockSignals();
+    gflags::SetUsageMessage("guards one endpoint: queues its runs fairly and keeps their results");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto settings = loadSettings(FLAGS_settings, FLAGS_set, Role::Side);
+    if (!settings) {
+        return 1;
+    }
+    return FLAGS_check ? 0 : run(*settings);
+}
--- /dev/null
+++ b/test/standin/standin.cpp
@@ -0,0 +1,12 @@
+#include "standin/standin.h"
+
+#include <utility>
+
+namespace bergamottide::standin {
+
+void answerJson(HttpResponder &responder, int status, std::string body)
+{
+    responder.answer(HttpAnswer{status, {{"content-type", "application/json"}}, std::move(body)});
+}
+
+} // namespace bergamottide::standin
