--- a/test/support/exploration.cpp
+++ b/test/support/exploration.cpp
@@ -249,7 +249,8 @@
         caller.entry = plan.entry;
         caller.truth.request = RequestId{7, plan.request};
         caller.truth.body = "body of " + std::to_string(plan.request);
-        for (const Stage &stage : smallDocument()->pipelines.at(plan.pipeline).stages) {
+        const auto document = smallDocument();
+        for (const Stage &stage : document->pipelines.at(plan.pipeline).stages) {
             caller.truth.stages.push_back(stage.name);
             caller.truth.onceOnly = plan.nonIdempotent || stage.repeatable == Repeatable::No;
         }
