--- a/test/support/exploration.cpp
+++ b/test/support/exploration.cpp
@@ -84,9 +84,9 @@
             prepare(plan);
         }
         planLeaving();
-        m_harness.at(faultsUntil, [this] { m_calm = true; });
-        m_harness.at(lastFetchAt, [this] { fetchLeftOver(); });
-        m_harness.run(end);
+        m_harness.at(m_case.start + faultsFor, [this] { m_calm = true; });
+        m_harness.at(m_case.start + lastFetchAfter, [this] { fetchLeftOver(); });
+        m_harness.run(m_case.start + length);
         m_checker.finish();
         m_result.violations.insert(m_result.violations.end(), m_checker.violations().begin(),
                                    m_checker.violations().end());
@@ -95,10 +95,11 @@
     }
 
 private:
-    /*! @brief No fault begins after this; by `lastFetchAt` all have ended. */
-    static constexpr Duration faultsUntil = seconds{6};
-    static constexpr Duration lastFetchAt = seconds{16};
-    static constexpr Duration end = seconds{40};
+    /*! @brief Faults begin only this long after the start; by `lastFetchAfter` all have ended. */
+    static constexpr Duration faultsFor = milliseconds{4500};
+    static constexpr Duration lastFetchAfter = milliseconds{14'500};
+    static constexpr Duration length = seconds{38};
+    static constexpr Duration faultLead = seconds{1};
     static constexpr Duration restartAfter = milliseconds{300};
     static constexpr Duration pauseLength = milliseconds{2500};
     static constexpr Duration deadline = seconds{4};
@@ -154,7 +155,7 @@
 
     std::size_t choose(std::size_t alternatives)
     {
-        if (m_calm || m_harness.now() < milliseconds{500}) {
+        if (m_calm || m_harness.now() < m_case.start - faultLead) {
             return 0;
         }
         ++m_result.points;
@@ -257,15 +258,15 @@
         m_checker.expect(caller.truth);
         m_callers.push_back(caller);
         const auto index = m_callers.size() - 1;
-        m_harness.at(plan.at, [this, index] { submit(m_callers[index]); });
+        m_harness.at(m_case.start + plan.at, [this, index] { submit(m_callers[index]); });
         if (plan.cancelAfter > Duration{}) {
-            m_harness.at(plan.at + plan.cancelAfter, [this, index] { cancel(m_callers[index]); });
+            m_harness.at(m_case.start + plan.at + plan.cancelAfter, [this, index] { cancel(m_callers[index]); });
         }
         if (plan.goneAfter > Duration{}) {
-            m_harness.at(plan.at + plan.goneAfter, [this, index] { hangUp(m_callers[index]); });
+            m_harness.at(m_case.start + plan.at + plan.goneAfter, [this, index] { hangUp(m_callers[index]); });
         }
         if (plan.repeatAfter > Duration{}) {
-            m_harness.at(plan.at + plan.repeatAfter, [this, index] { repeat(m_callers[index]); });
+            m_harness.at(m_case.start + plan.at + plan.repeatAfter, [this, index] { repeat(m_callers[index]); });
         }
     }
 
@@ -419,7 +420,7 @@
             caller.entry = 1;
             fetch(caller);
         }
-        m_harness.at(lastFetchAt + seconds{5}, [this] { checkLeftOver(); });
+        m_harness.at(m_harness.now() + seconds{5}, [this] { checkLeftOver(); });
     }
 
     void checkLeftOver()
@@ -432,18 +433,24 @@
         }
     }
 
+    /*! @brief The platform stops an instance: a signal to the process if it is up, and a line of the list. */
     void planLeaving()
     {
         if (m_case.leaving == Case::Leaving::None) {
             return;
         }
-        m_harness.at(milliseconds{2200}, [this] {
+        const Duration at = m_case.start + milliseconds{700};
+        const Duration listed = m_case.leaving == Case::Leaving::Listed ? at : at + seconds{1};
+        m_harness.at(listed, [this] {
             m_checker.leaving(sideName(0), m_harness.now());
-            if (m_case.leaving == Case::Leaving::Listed) {
-                m_harness.announceLeaving(sideName(0));
+            m_harness.announceLeaving(sideName(0));
+        });
+        m_harness.at(at, [this] {
+            if (m_case.leaving == Case::Leaving::Listed || !m_harness.isUp(sideName(0))) {
                 return;
             }
             note("side-0 is told to leave");
+            m_checker.leaving(sideName(0), m_harness.now());
             m_harness.toSide(sideName(0), DrainRequested{"signal"});
         });
     }
@@ -480,10 +487,12 @@
     one.seed = seed;
     one.everyFault = true;
     one.viewLag = milliseconds{draw(4) == 0 ? 1500 : draw(50)};
+    // Sides that have been up for long enough serve keyed requests; those just started refuse them.
+    one.start = draw(2) == 0 ? milliseconds{1500} : seconds{40};
     one.leaving = static_cast<Case::Leaving>(std::max<std::uint64_t>(draw(6), 3) - 3);
     const auto count = 1 + draw(5);
     for (std::uint64_t index = 1; index <= count; ++index) {
-        CallerPlan plan{index, draw(2), milliseconds{1500 + draw(2000)}, PipelineName{pipelines.at(draw(3))}};
+        CallerPlan plan{index, draw(2), milliseconds{draw(2000)}, PipelineName{pipelines.at(draw(3))}};
         plan.nonIdempotent = draw(2) == 0;
         plan.keyed = draw(3) == 0;
         plan.wantsTicket = draw(2) == 0;
@@ -511,7 +520,7 @@
 Case smallestCase(AfterLoss afterLoss)
 {
     Case one;
-    CallerPlan plan{1, 0, milliseconds{1500}, PipelineName{"order"}};
+    CallerPlan plan{1, 0, Duration{}, PipelineName{"order"}};
     plan.nonIdempotent = true;
     plan.wantsTicket = true;
     plan.afterLoss = afterLoss;
--- a/test/support/exploration.h
+++ b/test/support/exploration.h
@@ -24,6 +24,7 @@
 {
     std::uint64_t request{};
     std::size_t entry{};
+    /*! @brief Time after the start of the case. */
     Duration at{};
     PipelineName pipeline;
     bool nonIdempotent{};
@@ -43,16 +44,20 @@
 struct Case
 {
     std::uint64_t seed{1};
+    /*! @brief Time at which callers begin; the processes are up from the beginning. */
+    Duration start{std::chrono::milliseconds{1500}};
     std::vector<CallerPlan> callers;
     /*! @brief Also loss and delay of load reports, cuts, silent streams and endpoint crashes. */
     bool everyFault{};
     /*! @brief Lag of the views of the first entry; the others hear within 50 ms. */
     Duration viewLag{};
-    /*! @brief Side that leaves, as named by the list alone, by a signal alone, or not at all. */
+    /*! @brief How the first side's instance leaves, if it does. */
     enum class Leaving : std::uint8_t
     {
         None,
+        /*! @brief The list alone says so. */
         Listed,
+        /*! @brief Its process is told, and the list says so a second later. */
         Signaled
     } leaving{};
 };
--- a/test/support/policyfigures.cpp
+++ b/test/support/policyfigures.cpp
@@ -188,6 +188,15 @@
         for (const auto &[name, value] : pair.real.counts) {
             m_measured.counts[name] += value;
         }
+        for (const auto &[pool, time] : pair.real.time) {
+            m_measured.counts[pool.text() + " useful seconds"] += time.useful;
+            m_measured.counts[pool.text() + " wasted seconds"] += time.wasted;
+        }
+        for (const RequestRecord &record : pair.real.requests) {
+            const bool late = record.outcome == Outcome::Completed && !record.onTime;
+            const auto outcome = std::string{late ? "late" : enumName(record.outcome)};
+            m_measured.counts["answers " + outcome + " " + std::string{enumName(record.reason)}] += 1;
+        }
         pair.naive = m_options.withBaseline ? play(scenario, naiveLogic(), false) : ScenarioResult{};
         if (!m_options.withBaseline) {
             pair.naive.requests.resize(scenario.arrivals.size());
