--- a/test/support/scenario.cpp
+++ b/test/support/scenario.cpp
@@ -308,20 +308,20 @@
 class FluidMachine
 {
 public:
-    FluidMachine(double unitsPerBin, std::size_t bins)
-        : m_unitsPerBin{unitsPerBin}
+    FluidMachine(double secondsPerBin, std::size_t bins)
+        : m_secondsPerBin{secondsPerBin}
         , m_bins{bins}
-        , m_held((bins + 1) * (bins + 1))
+        , m_held(bins * bins)
     {
     }
 
     /*! @brief Takes as much as fits of some work that arrives in one bin and is due in another; returns it. */
-    double take(std::size_t from, std::size_t to, double units)
+    double take(std::size_t from, std::size_t to, double time)
     {
-        double room = units;
+        double room = time;
         for (std::size_t first = 0; first <= from; ++first) {
             for (std::size_t last = to; last < m_bins; ++last) {
-                const double whole = m_unitsPerBin * static_cast<double>(last - first + 1);
+                const double whole = m_secondsPerBin * static_cast<double>(last - first + 1);
                 room = std::min(room, whole - held(first, last));
             }
         }
@@ -340,59 +340,87 @@
         return m_held[first * m_bins + last];
     }
 
-    double m_unitsPerBin;
+    double m_secondsPerBin;
     std::size_t m_bins;
     /*! @brief Work taken so far whose window lies within the bins from the first to the last. */
     std::vector<double> m_held;
 };
 
-/*! @brief Work of one request at one pool. */
-double unitsAt(const Scenario &scenario, const Arrival &arrival, const PoolName &pool)
+/*! @brief Share of each pool in a mixed constraint; the shares add up to one. */
+using Mixture = std::map<PoolName, double>;
+
+/*! @brief Seconds of whole pools that a request takes, mixed by shares. */
+double secondsOf(const Scenario &scenario, const Arrival &arrival, const std::map<PoolName, double> &capacity,
+                 const Mixture &mixture)
 {
     const auto &stages = scenario.fleet.document->pipelines.at(arrival.pipeline).stages;
-    double units = 0;
+    double time = 0;
     for (std::size_t index = 0; index < stages.size(); ++index) {
-        if (stages[index].pool == pool) {
-            units += arrival.units[index] * (pool == PoolName{"engines"} && arrival.prefix != 0 ? 1 - prefixSaving : 1);
+        const auto share = mixture.find(stages[index].pool);
+        if (share == mixture.end()) {
+            continue;
         }
+        const bool cached = stages[index].pool == PoolName{"engines"} && arrival.prefix != 0;
+        const double units = arrival.units[index] * (cached ? 1 - prefixSaving : 1);
+        time += share->second * units / capacity.at(stages[index].pool);
     }
-    return units;
+    return time;
 }
 
-double boundAt(const Scenario &scenario, const Worth &worth, const PoolName &pool, double capacity)
+/*! @brief Work of one request between the bins in which it arrives and is due. */
+struct Job
 {
-    struct Job
-    {
-        double units{};
-        double worth{};
-        std::size_t from{};
-        std::size_t to{};
-    };
+    double time{};
+    double worth{};
+    std::size_t from{};
+    std::size_t to{};
+};
+
+/*! @brief Bound by one mixture: what holds for each pool in every window holds for their mixture too. */
+double boundBy(const Scenario &scenario, const Worth &worth, const Mixture &mixture)
+{
+    const auto capacity = poolCapacity(scenario.fleet);
     std::vector<Job> jobs;
     double total = 0;
     std::size_t bins = 0;
     for (const Arrival &arrival : scenario.arrivals) {
-        const double units = unitsAt(scenario, arrival, pool);
+        const double time = secondsOf(scenario, arrival, capacity, mixture);
         const double value = worth(arrival);
-        if (units <= 0) {
+        if (time <= 0) {
             total += value;
             continue;
         }
         const auto from = static_cast<std::size_t>(arrival.at / binWidth);
         const auto to = static_cast<std::size_t>((arrival.at + requestDeadline) / binWidth);
         bins = std::max(bins, to + 1);
-        jobs.push_back({units, value, from, to});
+        jobs.push_back({time, value, from, to});
     }
     std::stable_sort(jobs.begin(), jobs.end(), [](const Job &left, const Job &right) {
-        return left.worth * right.units > right.worth * left.units;
+        return left.worth * right.time > right.worth * left.time;
     });
-    FluidMachine machine{capacity * std::chrono::duration<double>(binWidth).count(), bins};
+    FluidMachine machine{std::chrono::duration<double>(binWidth).count(), bins};
     for (const Job &job : jobs) {
-        total += job.worth * machine.take(job.from, job.to, job.units) / job.units;
+        total += job.worth * machine.take(job.from, job.to, job.time) / job.time;
     }
     return total;
 }
 
+/*! @brief Each pool alone, and each pair of pools in three mixtures. */
+std::vector<Mixture> mixturesOf(const Fleet &fleet)
+{
+    std::vector<Mixture> mixtures;
+    const auto capacity = poolCapacity(fleet);
+    for (auto left = capacity.begin(); left != capacity.end(); ++left) {
+        mixtures.push_back({{left->first, 1.0}});
+        for (auto right = std::next(left); right != capacity.end(); ++right) {
+            for (const double share : {0.25, 0.5, 0.75}) {
+                mixtures.push_back({{left->first, share}, {right->first, 1.0 - share}});
+            }
+        }
+    }
+    return mixtures;
+}
+
 } // namespace
 
 Fleet makeFleet(const Size &size, std::uint64_t seed)
@@ -441,8 +469,8 @@
 double boundOf(const Scenario &scenario, const Worth &worth)
 {
     double least = std::numeric_limits<double>::infinity();
-    for (const auto &[pool, capacity] : poolCapacity(scenario.fleet)) {
-        least = std::min(least, boundAt(scenario, worth, pool, capacity));
+    for (const Mixture &mixture : mixturesOf(scenario.fleet)) {
+        least = std::min(least, boundBy(scenario, worth, mixture));
     }
     return least;
 }
--- a/test/support/scenario.h
+++ b/test/support/scenario.h
@@ -95,8 +95,9 @@
 /**
  * @brief Returns the most worth that any policy could complete on time.
  *
- * For each pool alone: work is fluid, may be split and interrupted at will, and every
- * request may use its whole deadline at that pool. The least over the pools bounds them all.
+ * For each pool alone, and for mixtures of two: work is fluid, may be split and interrupted
+ * at will, and every request may use its whole deadline at that pool. No policy does better
+ * than any of these, so the least of them is a bound; the true best may lie below it.
  *
  * @param scenario The load; faults are not seen.
  * @param worth What each request counts.
