--- a/test/support/exploration.cpp
+++ b/test/support/exploration.cpp
@@ -281,7 +281,7 @@
         return call;
     }
 
-    CallerSubmitted submission(const Caller &caller, CallId call) const
+    [[nodiscard]] CallerSubmitted submission(const Caller &caller, CallId call) const
     {
         CallerSubmitted submitted{call, caller.truth.request, caller.plan.keyed, keyDigest, caller.plan.pipeline};
         submitted.deadline = deadline;
--- a/test/support/policyfigures.cpp
+++ b/test/support/policyfigures.cpp
@@ -99,7 +99,7 @@
     }
 
     /*! @brief Returns the arrivals in order of time. */
-    std::vector<Arrival> arrivals() const
+    [[nodiscard]] std::vector<Arrival> arrivals() const
     {
         auto sorted = m_arrivals;
         std::stable_sort(sorted.begin(), sorted.end(),
