--- a/src/bergamottide/net/codec.cpp
+++ b/src/bergamottide/net/codec.cpp
@@ -228,6 +228,7 @@
     out->set_digest(message.digest);
     out->set_base(message.base);
     out->set_base_digest(message.baseDigest);
+    out->set_source_age(message.sourceAge.count());
     for (const auto &section : message.sections) {
         auto *next = out->add_sections();
         next->set_name(section.name);
@@ -386,7 +387,7 @@
 
 Message read(const wire::ConfigDelta &in, bool &)
 {
-    ConfigDelta out{in.version(), in.digest(), in.base(), in.base_digest(), {}};
+    ConfigDelta out{in.version(), in.digest(), in.base(), in.base_digest(), {}, duration(in.source_age())};
     for (const auto &section : in.sections()) {
         out.sections.push_back({section.name(), section.text()});
     }
--- a/src/bergamottide/protocol/messages.h
+++ b/src/bergamottide/protocol/messages.h
@@ -281,6 +281,8 @@
     std::uint64_t base{};
     std::uint64_t baseDigest{};
     std::vector<Section> sections;
+    /*! @brief Time since the configuration service confirmed that version, as far as the sender knows. */
+    Duration sourceAge{};
 };
 
 /*! @brief Either way: a question whether the other end still answers. */
--- /dev/null
+++ b/test/bergamottide/membership/configdistribution.cpp
@@ -0,0 +1,344 @@
+#include "bergamottide/membership/configdistribution.h"
+
+#include "bergamottide/config/section.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace bergamottide;
+
+namespace {
+
+constexpr Duration second = std::chrono::seconds{1};
+
+Document documentOf(std::uint64_t version)
+{
+    Document document;
+    document.version = version;
+    const PoolName pool{"services"};
+    document.pools[pool] = {.name = pool, .kind = PoolKind::Service};
+    const PipelineName pipeline{"p"};
+    document.pipelines[pipeline] = {pipeline, {{.name = StageName{"s"}, .pool = pool}}};
+    for (int number = 0; number < 5; ++number) {
+        const WorkspaceName name{"w" + std::to_string(number)};
+        document.workspaces[name] = {.name = name, .maxInProgress = static_cast<std::uint32_t>(version)};
+    }
+    return document;
+}
+
+/*! @brief Zone of processes whose messages are lost, late and out of order, with a service that may be stale. */
+class Zone
+{
+public:
+    Zone(std::size_t count, std::uint64_t seed, double loss)
+        : m_random{seed}
+        , m_loss{loss}
+    {
+        auto view = std::make_shared<InstanceView>();
+        for (std::size_t index = 0; index < count; ++index) {
+            const InstanceName name{"i" + std::to_string(index)};
+            view->instances[name] = {.name = name, .role = index < 3 ? Role::Entry : Role::Side};
+        }
+        m_view = view;
+        for (const auto &[name, instance] : m_view->instances) {
+            start(name);
+        }
+    }
+
+    void start(const InstanceName &name)
+    {
+        m_processes[name] = std::make_unique<ConfigDistribution>(ConfigIdentity{.instance = name, .seed = m_random()},
+                                                                 DistributionPolicy{}, m_now);
+        m_inForce[name] = 0;
+        feed(name, ViewChanged{m_view});
+    }
+
+    void stop(const InstanceName &name)
+    {
+        m_processes.erase(name);
+    }
+
+    void publish(std::uint64_t version)
+    {
+        m_published = version;
+    }
+
+    void serviceDown(bool down)
+    {
+        m_down = down;
+    }
+
+    void run(Duration time)
+    {
+        const TimePoint end = m_now + time;
+        while (m_now < end) {
+            m_now += std::chrono::milliseconds{50};
+            deliver();
+            for (const auto &[name, instance] : m_view->instances) {
+                const auto process = m_processes.find(name);
+                if (process != m_processes.end() && process->second->nextWakeup() <= m_now) {
+                    feed(name, Tick{});
+                }
+            }
+        }
+    }
+
+    [[nodiscard]] std::size_t withVersion(std::uint64_t version) const
+    {
+        std::size_t count = 0;
+        for (const auto &[name, process] : m_processes) {
+            count += process->current() && process->current()->version() == version ? 1 : 0;
+        }
+        return count;
+    }
+
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_processes.size();
+    }
+
+    [[nodiscard]] ConfigDistribution &at(const std::string &name)
+    {
+        return *m_processes.at(InstanceName{name});
+    }
+
+    std::uint64_t reads{};
+    bool reverted{};
+    std::size_t conflicts{};
+
+private:
+    struct Delivery
+    {
+        InstanceName to;
+        ConfigEvent event;
+    };
+
+    void feed(const InstanceName &to, const ConfigEvent &event)
+    {
+        const auto process = m_processes.find(to);
+        if (process == m_processes.end()) {
+            return;
+        }
+        for (const ConfigEffect &effect : process->second->apply(event, m_now)) {
+            carryOut(to, effect);
+        }
+    }
+
+    void carryOut(const InstanceName &from, const ConfigEffect &effect)
+    {
+        if (const auto *sent = std::get_if<SendMessage>(&effect)) {
+            send(sent->to, PeerMessage{from, sent->message});
+        } else if (std::holds_alternative<ReadService>(effect)) {
+            ++reads;
+            answer(from, std::get<ReadService>(effect).after);
+        } else if (const auto *changed = std::get_if<ConfigChanged>(&effect)) {
+            reverted = reverted || changed->document->version <= m_inForce[from];
+            m_inForce[from] = changed->document->version;
+        } else if (const auto *record = std::get_if<AuditRecord>(&effect)) {
+            conflicts += record->kind == AuditKind::ConfigRefused ? 1 : 0;
+        }
+    }
+
+    void send(const InstanceName &to, ConfigEvent event)
+    {
+        if (std::uniform_real_distribution{}(m_random) < m_loss) {
+            return;
+        }
+        const auto delay = std::chrono::milliseconds{m_random() % 120};
+        m_inFlight.emplace(m_now + delay, Delivery{to, std::move(event)});
+    }
+
+    void answer(const InstanceName &to, std::uint64_t after)
+    {
+        const auto due = m_now + std::chrono::milliseconds{5};
+        if (m_down) {
+            m_inFlight.emplace(due, Delivery{to, ServiceFailed{}});
+            return;
+        }
+        // One read in four is stale by up to three versions.
+        const std::uint64_t lag = m_random() % 4 == 0 ? m_random() % 4 : 0;
+        const std::uint64_t version = m_published > lag ? m_published - lag : 0;
+        if (version == 0 || version == after) {
+            m_inFlight.emplace(due, Delivery{to, ServiceUnchanged{}});
+            return;
+        }
+        m_inFlight.emplace(due, Delivery{to, ServiceDocument{writeDocument(documentOf(version))}});
+    }
+
+    void deliver()
+    {
+        while (!m_inFlight.empty() && m_inFlight.begin()->first <= m_now) {
+            const Delivery delivery = m_inFlight.begin()->second;
+            m_inFlight.erase(m_inFlight.begin());
+            feed(delivery.to, delivery.event);
+        }
+    }
+
+    std::mt19937_64 m_random;
+    double m_loss;
+    TimePoint m_now{second};
+    std::shared_ptr<const InstanceView> m_view;
+    std::map<InstanceName, std::unique_ptr<ConfigDistribution>> m_processes;
+    std::map<InstanceName, std::uint64_t> m_inForce;
+    std::multimap<TimePoint, Delivery> m_inFlight;
+    std::uint64_t m_published{};
+    bool m_down{};
+};
+
+} // namespace
+
+class ConfigDistributionTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ConfigDistributionTest);
+    CPPUNIT_TEST(orderOfTwoDependsOnThemAlone);
+    CPPUNIT_TEST(changeIsInForceEverywhereWithinSeconds);
+    CPPUNIT_TEST(changeReachesAllPastADeadParent);
+    CPPUNIT_TEST(startingProcessTrustsPeersBeforeAStaleService);
+    CPPUNIT_TEST(processWithoutPeersIsUnconfirmed);
+    CPPUNIT_TEST(cutOffProcessReadsRarely);
+    CPPUNIT_TEST(conflictIsRefusedAndAlarmedOnce);
+    CPPUNIT_TEST(propertyNothingRevertsAndAllConverge);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void orderOfTwoDependsOnThemAlone()
+    {
+        InstanceView whole;
+        for (int index = 0; index < 30; ++index) {
+            const InstanceName name{"i" + std::to_string(index)};
+            whole.instances[name] = {.name = name, .role = index % 3 == 0 ? Role::Entry : Role::Side};
+        }
+        const ZoneOrder all{whole, {}, {}};
+        for (int skipped = 0; skipped < 30; ++skipped) {
+            InstanceView part = whole;
+            part.instances.erase(InstanceName{"i" + std::to_string(skipped)});
+            std::vector<InstanceName> expected = all.names();
+            std::erase(expected, InstanceName{"i" + std::to_string(skipped)});
+            CPPUNIT_ASSERT((ZoneOrder{part, {}, {}}.names()) == expected);
+        }
+        for (std::size_t position = 1; position < 30; ++position) {
+            for (const InstanceName &parent : all.parents(position, 2)) {
+                CPPUNIT_ASSERT(all.position(parent) < position);
+            }
+        }
+    }
+
+    void changeIsInForceEverywhereWithinSeconds()
+    {
+        Zone zone{140, 1, 0.0};
+        zone.publish(1);
+        zone.run(20 * second);
+        CPPUNIT_ASSERT_EQUAL(zone.size(), zone.withVersion(1));
+        zone.publish(2);
+        zone.run(11 * second);
+        CPPUNIT_ASSERT_EQUAL(zone.size(), zone.withVersion(2));
+    }
+
+    void changeReachesAllPastADeadParent()
+    {
+        Zone zone{40, 2, 0.0};
+        zone.publish(1);
+        zone.run(20 * second);
+        // The entries are the first three of the order, with everyone else below them.
+        zone.stop(InstanceName{"i0"});
+        zone.stop(InstanceName{"i1"});
+        zone.publish(2);
+        zone.run(11 * second);
+        CPPUNIT_ASSERT_EQUAL(zone.size(), zone.withVersion(2));
+    }
+
+    void startingProcessTrustsPeersBeforeAStaleService()
+    {
+        Zone zone{6, 3, 0.0};
+        zone.publish(9);
+        zone.run(20 * second);
+        zone.publish(5);
+        zone.stop(InstanceName{"i4"});
+        zone.start(InstanceName{"i4"});
+        zone.run(5 * second);
+        CPPUNIT_ASSERT_EQUAL(zone.size(), zone.withVersion(9));
+        CPPUNIT_ASSERT(!zone.at("i4").status().unconfirmed);
+        CPPUNIT_ASSERT(!zone.reverted);
+    }
+
+    void processWithoutPeersIsUnconfirmed()
+    {
+        Zone zone{1, 4, 0.0};
+        zone.publish(3);
+        zone.run(5 * second);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, zone.withVersion(3));
+        CPPUNIT_ASSERT(zone.at("i0").status().unconfirmed);
+    }
+
+    void cutOffProcessReadsRarely()
+    {
+        ConfigDistribution process{{.instance = InstanceName{"z"}, .seed = 1}, {.readers = 1}, TimePoint{}};
+        auto view = std::make_shared<InstanceView>();
+        for (const std::string name : {"a", "b", "z"}) {
+            view->instances[InstanceName{name}] = {.name = InstanceName{name},
+                                                   .role = name == "z" ? Role::Side : Role::Entry};
+        }
+        std::size_t reads = 0;
+        TimePoint now{};
+        ConfigEffects effects = process.apply(ViewChanged{view}, now);
+        while (now < TimePoint{600 * second}) {
+            for (const ConfigEffect &effect : effects) {
+                if (std::holds_alternative<ReadService>(effect)) {
+                    ++reads;
+                    (void)process.apply(ServiceDocument{writeDocument(documentOf(1))}, now);
+                }
+            }
+            now = std::max(process.nextWakeup(), now + std::chrono::milliseconds{1});
+            effects = process.apply(Tick{}, now);
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(reads), reads >= 15 && reads <= 30);
+        CPPUNIT_ASSERT(process.current());
+    }
+
+    void conflictIsRefusedAndAlarmedOnce()
+    {
+        ConfigDistribution process{{.instance = InstanceName{"a"}}, {}, TimePoint{}};
+        (void)process.apply(ServiceDocument{writeDocument(documentOf(4))}, TimePoint{});
+        Document other = documentOf(4);
+        other.policy.queueLimit = 7;
+        std::size_t alarms = 0;
+        for (int count = 0; count < 3; ++count) {
+            for (const ConfigEffect &effect : process.apply(ServiceDocument{writeDocument(other)}, TimePoint{second})) {
+                const auto *record = std::get_if<AuditRecord>(&effect);
+                alarms += record != nullptr && record->kind == AuditKind::ConfigRefused ? 1 : 0;
+                CPPUNIT_ASSERT(!std::holds_alternative<ConfigChanged>(effect));
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, alarms);
+        CPPUNIT_ASSERT_EQUAL(documentDigest(documentOf(4)), process.status().digest);
+    }
+
+    void propertyNothingRevertsAndAllConverge()
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            Zone zone{20, seed, 0.2};
+            std::mt19937_64 random{seed};
+            for (std::uint64_t version = 1; version <= 20; ++version) {
+                zone.publish(version);
+                zone.serviceDown(random() % 4 == 0);
+                const InstanceName victim{"i" + std::to_string(random() % 20)};
+                zone.stop(victim);
+                zone.run(std::chrono::milliseconds{random() % 3000});
+                zone.start(victim);
+            }
+            zone.serviceDown(false);
+            zone.run(60 * second);
+            const std::string message = "seed " + std::to_string(seed);
+            CPPUNIT_ASSERT_MESSAGE(message, !zone.reverted);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::size_t{0}, zone.conflicts);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, zone.size(), zone.withVersion(20));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigDistributionTest);
