Say not_run or incomplete only where no earlier run can have been

Change: keyed requests never get not_run; the home remembers that the run of its serial was sent until it is confirmed as never started. Conclusion: what is no longer in the list of runs still counts.

--- a/src/bergamottide/entry/homes.cpp
+++ b/src/bergamottide/entry/homes.cpp
@@ -196,8 +196,7 @@
 {
     Home &home = *request.home;
     const bool restarted = incarnation != home.incarnation;
-    const bool sent = request.atLastStage() && !request.runs.empty();
-    if (restarted && !sent && !home.resumed && request.callerWaits) {
+    if (restarted && !home.dispatched && !home.resumed && request.callerWaits) {
         home.state = LedgerState::Sealed;
     }
     const Reason reason = restarted ? Reason::WrongIncarnation : Reason::UnknownTicket;
--- a/src/bergamottide/entry/outcomerule.cpp
+++ b/src/bergamottide/entry/outcomerule.cpp
@@ -4,7 +4,9 @@
 
 Outcome outcomeWithoutResult(const Request &request)
 {
-    const Outcome withoutEffect = request.unconfirmed == 0 ? Outcome::NotRun : Outcome::Incomplete;
+    // An identity derived from a key may have been submitted through another entry as well.
+    const bool nothingRan = request.unconfirmed == 0 && !request.keyed;
+    const Outcome withoutEffect = nothingRan ? Outcome::NotRun : Outcome::Incomplete;
     if (!request.home) {
         return withoutEffect;
     }
--- a/src/bergamottide/entry/request.h
+++ b/src/bergamottide/entry/request.h
@@ -60,6 +60,8 @@
     std::uint32_t timer{};
     /*! @brief The request may have been driven before, by another entry: stages may have run that this one did not. */
     bool resumed{};
+    /*! @brief The run of the serial was sent and not confirmed as never started. */
+    bool dispatched{};
     /*! @brief A seal was asked for; its answer ends the request. */
     bool sealing{};
 };
--- a/src/bergamottide/entry/runtracker.cpp
+++ b/src/bergamottide/entry/runtracker.cpp
@@ -116,6 +116,9 @@
     // After a new stream the refusal may be that of a restarted side to a repeated message.
     if (run.epoch == m_context.peers.at(run.side).epoch) {
         --request.unconfirmed;
+        if (run.serial != noSerial) {
+            request.home->dispatched = false;
+        }
     }
     if (message.reason == Reason::Draining) {
         m_context.table.setDraining(run.side, true);
--- a/src/bergamottide/entry/stagedriver.cpp
+++ b/src/bergamottide/entry/stagedriver.cpp
@@ -151,6 +151,7 @@
     run.epoch = m_context.peers.at(side).epoch;
     if (request.boundToHome()) {
         run.serial = request.home->serial;
+        request.home->dispatched = true;
     }
     ++request.unconfirmed;
     m_context.table.runSent(placed.number, cost);
