Say unknown of a keyed order whose home was never reached

Change: without a serial, a keyed request with an effect ends unknown. Conclusion: only the home can vouch for a key.

--- a/src/bergamottide/entry/outcomerule.cpp
+++ b/src/bergamottide/entry/outcomerule.cpp
@@ -7,18 +7,16 @@
     // An identity derived from a key may have been submitted through another entry as well.
     const bool nothingRan = request.unconfirmed == 0 && !request.keyed;
     const Outcome withoutEffect = nothingRan ? Outcome::NotRun : Outcome::Incomplete;
-    if (!request.home) {
-        return withoutEffect;
+    const Outcome maybeWithEffect = request.atMostOnce ? Outcome::Unknown : Outcome::Incomplete;
+    const bool serialKnown = request.home && request.home->serial != noSerial;
+    if (!serialKnown) {
+        // Without a serial nobody can have started the last stage, unless another submission has one.
+        return request.keyed ? maybeWithEffect : withoutEffect;
     }
-    const Home &home = *request.home;
-    if (home.state == LedgerState::Sealed) {
-        return home.resumed ? Outcome::Incomplete : withoutEffect;
+    if (request.home->state != LedgerState::Sealed) {
+        return maybeWithEffect;
     }
-    // Without a serial nobody can have started the last stage, unless the identity is one that others derive too.
-    if (home.serial == noSerial && !request.keyed) {
-        return withoutEffect;
-    }
-    return request.atMostOnce ? Outcome::Unknown : Outcome::Incomplete;
+    return request.home->resumed ? Outcome::Incomplete : withoutEffect;
 }
 
 Outcome outcomeOfRefusal(const CallerSubmitted &submitted, bool atMostOnce)
