Rank requests by value per second of their bottleneck

Hedges ran under saturation as well. Change: demand is ranked per pool, at the pool where the request waits longest; the wait at a pool is limited to what all but the tightest fifth of its recent requests can afford, divided by their congested stages; no hedge is sent where it would queue.

--- a/src/bergamottide/admission/admission.cpp
+++ b/src/bergamottide/admission/admission.cpp
@@ -7,8 +7,18 @@
 
 namespace {
 
-/*! @brief Part of the slack that work of the least value may not use: half leaves it room while there is enough. */
-constexpr double valueSpread = 0.5;
+/*! @brief Share of requests that may find the queue of a pool too long for them: the tightest fifth. */
+constexpr double tightShare = 0.2;
+/*! @brief Step of the estimate of the affordable wait, relative to it: settles within about a hundred requests. */
+constexpr double affordableStep = 0.03;
+/*! @brief Wait, as a share of the deadline, from which on a stage counts as congested. */
+constexpr double congestedShare = 0.03;
+/*! @brief Factor on estimated waits: they are a report old, and a request refused by the last stage wasted the others.
+ */
+constexpr double waitReserve = 1.2;
+/*! @brief Part of the affordable wait that work of the least value may not use: it still gets what others leave free.
+ */
+constexpr double valueSpread = 0.8;
 /*! @brief Time between two requests let through although their service seems too long; else nobody would ever learn
  * that the stage has become fast again. One a second costs next to nothing. */
 constexpr Duration probePeriod = std::chrono::seconds{1};
@@ -22,6 +32,13 @@
     return Duration{static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor)};
 }
 
+/*! @brief Value per second of the endpoint time that a stage takes. */
+double densityOf(const AdmissionQuery &query, std::size_t stage)
+{
+    const double seconds = std::chrono::duration<double>(query.costs[stage]).count();
+    return query.kind.value / std::max(1e-6, seconds);
+}
+
 } // namespace
 
 Admission::Admission(Placement &placement, const EndpointTable &table)
@@ -37,20 +54,52 @@
     if (limits.reason != Reason::None) {
         return limits;
     }
+    countDemand(query, now);
     const Duration service = std::accumulate(query.costs.begin(), query.costs.end(), Duration::zero());
-    const double density = query.kind.value / std::max(1e-6, std::chrono::duration<double>(service).count());
-    m_demand.add(density, service, now);
-    const Duration slack = scaled(query.remaining, 1.0 / std::max(1e-6, policy.admissionMargin)) - service;
-    if (slack <= Duration::zero()) {
+    const Duration usable = scaled(query.remaining, 1.0 / std::max(1e-6, policy.admissionMargin));
+    if (service >= usable) {
         return judgeService(query, service, now);
     }
-    const Duration wait = bottleneckWait(query, policy, entries, now);
-    const Duration allowed = scaled(slack, 1.0 - valueSpread * m_demand.shareAbove(density));
-    if (wait <= allowed) {
-        return {};
+    const Waits waits = estimateWaits(query, policy, entries, now);
+    learnAffordable(query, scaled(usable - service, 1.0 / (waitReserve * std::max(1U, waits.congested))));
+    const Duration needed = service + scaled(waits.total, waitReserve);
+    if (needed > usable) {
+        return {Reason::DeadlineUnreachable, std::clamp(needed - usable, leastRetryAfter, longestRetryAfter)};
+    }
+    const Duration allowed = allowedWait(query, waits.bottleneck);
+    if (waits.longest > allowed) {
+        return {Reason::Overloaded, std::clamp(waits.longest - allowed, leastRetryAfter, longestRetryAfter)};
+    }
+    return {};
+}
+
+void Admission::countDemand(const AdmissionQuery &query, TimePoint now)
+{
+    for (std::size_t stage = 0; stage < query.costs.size(); ++stage) {
+        ValueDemand &demand = m_demand[query.pipeline.stages[stage].pool.text()].values;
+        demand.add(densityOf(query, stage), query.costs[stage], now);
+    }
+}
+
+// A running quantile: it moves up a little with each request that could wait longer, down more with one that could not.
+void Admission::learnAffordable(const AdmissionQuery &query, Duration slack)
+{
+    const auto value = static_cast<double>(slack.count());
+    for (const Stage &stage : query.pipeline.stages) {
+        double &affordable = m_demand[stage.pool.text()].affordable;
+        if (affordable <= 0.0) {
+            affordable = value;
+            continue;
+        }
+        affordable *= 1.0 + affordableStep * (value < affordable ? tightShare - 1.0 : tightShare);
     }
-    const Reason reason = wait > slack ? Reason::DeadlineUnreachable : Reason::Overloaded;
-    return {reason, std::clamp(wait - allowed, leastRetryAfter, longestRetryAfter)};
+}
+
+Duration Admission::allowedWait(const AdmissionQuery &query, std::size_t stage)
+{
+    const PoolDemand &demand = m_demand[query.pipeline.stages[stage].pool.text()];
+    const double share = 1.0 - valueSpread * demand.values.shareAbove(densityOf(query, stage));
+    return Duration{static_cast<std::int64_t>(demand.affordable * share)};
 }
 
 AdmissionDecision Admission::judgeLimits(const Workspace &workspace, TimePoint now)
@@ -76,22 +125,28 @@
     return {Reason::DeadlineUnreachable, std::clamp(service - query.remaining, leastRetryAfter, longestRetryAfter)};
 }
 
-Duration Admission::bottleneckWait(const AdmissionQuery &query, const Policy &policy, std::size_t entries,
-                                   TimePoint now)
+Admission::Waits Admission::estimateWaits(const AdmissionQuery &query, const Policy &policy, std::size_t entries,
+                                          TimePoint now)
 {
-    Duration longest{};
+    Waits waits;
     for (std::size_t index = 0; index < query.pipeline.stages.size(); ++index) {
         const Stage &stage = query.pipeline.stages[index];
         const PlacementQuery place{stage.pool, query.model, query.workspace.name, query.prefix, query.costs[index],
                                    false,      {}};
-        const auto wait = m_placement.estimateWait(place, policy, now);
-        if (!wait || *wait <= policy.regionDistance) {
+        const auto estimated = m_placement.estimateWait(place, policy, now);
+        if (!estimated || *estimated <= policy.regionDistance) {
             // No endpoint at all is for the stage itself to say; next to no wait needs no closer look.
             continue;
         }
-        longest = std::max(longest, *wait + pendingWait(query, stage.pool, entries));
+        const Duration wait = *estimated + pendingWait(query, stage.pool, entries);
+        waits.total += wait;
+        waits.congested += wait > scaled(query.remaining, congestedShare) ? 1 : 0;
+        if (wait > waits.longest) {
+            waits.longest = wait;
+            waits.bottleneck = index;
+        }
     }
-    return longest;
+    return waits;
 }
 
 // Requests in their early stages will reach the bottleneck within a report's age, and no report shows them yet. Without
--- a/src/bergamottide/admission/admission.h
+++ b/src/bergamottide/admission/admission.h
@@ -41,14 +41,16 @@
  * Load: bursts of a partner that are many times its share, and saturation that lasts.
  * Harm prevented: requests that burn the early stages and then miss their deadline in the
  * queue of the bottleneck, and callers who learn that only when it is too late to turn to
- * anybody else. A request is refused when the service times of all its stages and the
- * wait in front of the bottleneck exceed its deadline. The wait is that of its own
- * workspace, as the fair queues of the sides report it; so a burst is refused its excess
- * while others notice nothing.
+ * anybody else. A request is refused when the service times and the waits of all its
+ * stages exceed its deadline. The waits are those of its own workspace, as the fair queues
+ * of the sides report them; so a burst is refused its excess while others notice nothing.
  *
- * Under saturation work of little value is refused first: it may use only a part of the
- * slack, the smaller the more of the recent demand is worth more. A workspace below its
- * share does not wait, and so loses nothing, whatever its value.
+ * Under saturation the queue of each pool is kept so short that most requests that use the
+ * pool can afford it, with the waits of their other stages; else a full early stage would
+ * let only those through that have no long stage behind it, and that stage would idle.
+ * Work of little value is refused first: the wait it may use is the shorter, the more of
+ * the recent demand for that pool is worth more per second of the pool's time. A workspace
+ * below its share does not wait, and so loses nothing, whatever its value.
  */
 class Admission
 {
@@ -76,18 +78,41 @@
     void stageLeft(const WorkspaceName &workspace, const PoolName &pool, Duration cost);
 
 private:
+    /*! @brief Estimated waits of a request on its way through the stages. */
+    struct Waits
+    {
+        Duration total{};
+        Duration longest{};
+        /*! @brief Stage with the longest wait. */
+        std::size_t bottleneck{};
+        /*! @brief Stages with a wait worth the name. */
+        std::uint32_t congested{};
+    };
+
+    /*! @brief What is known of the recent demand for one pool. */
+    struct PoolDemand
+    {
+        /*! @brief Demand by value per second of the pool's time. */
+        ValueDemand values;
+        /*! @brief Wait at this pool that all but the tightest requests can afford, in microseconds. */
+        double affordable{};
+    };
+
     using PoolKey = std::pair<std::string, std::string>;
     using KindKey = std::pair<std::string, std::string>;
 
     [[nodiscard]] AdmissionDecision judgeLimits(const Workspace &workspace, TimePoint now);
     [[nodiscard]] AdmissionDecision judgeService(const AdmissionQuery &query, Duration service, TimePoint now);
-    [[nodiscard]] Duration bottleneckWait(const AdmissionQuery &query, const Policy &policy, std::size_t entries,
-                                          TimePoint now);
+    [[nodiscard]] Waits estimateWaits(const AdmissionQuery &query, const Policy &policy, std::size_t entries,
+                                      TimePoint now);
+    [[nodiscard]] Duration allowedWait(const AdmissionQuery &query, std::size_t stage);
+    void learnAffordable(const AdmissionQuery &query, Duration slack);
+    void countDemand(const AdmissionQuery &query, TimePoint now);
     [[nodiscard]] Duration pendingWait(const AdmissionQuery &query, const PoolName &pool, std::size_t entries) const;
 
     Placement &m_placement;
     const EndpointTable &m_table;
-    ValueDemand m_demand;
+    absl::flat_hash_map<std::string, PoolDemand> m_demand;
     absl::flat_hash_map<std::string, TokenBucket> m_rates;
     absl::flat_hash_map<std::string, std::uint32_t> m_inProgress;
     /*! @brief Cost admitted and not yet dispatched, by workspace and pool. */
--- a/src/bergamottide/entry/stagedriver.cpp
+++ b/src/bergamottide/entry/stagedriver.cpp
@@ -62,14 +62,18 @@
         const bool reachable = number && m_context.peers.connected(request.home->side);
         return reachable ? std::optional{Placed{*number, Duration::zero(), false}} : std::nullopt;
     }
-    const PlacementQuery query{presentStage(request).pool,
-                               request.binding->model,
-                               request.workspace->name,
-                               request.prefix,
-                               request.costs[request.stage],
-                               mayTry,
-                               request.avoided};
-    return m_context.placement.choose(query, m_context.policy(), m_context.now);
+    return m_context.placement.choose(queryFor(request, mayTry), m_context.policy(), m_context.now);
+}
+
+PlacementQuery StageDriver::queryFor(const Request &request, bool mayTry) const
+{
+    return {presentStage(request).pool,
+            request.binding->model,
+            request.workspace->name,
+            request.prefix,
+            request.costs[request.stage],
+            mayTry,
+            request.avoided};
 }
 
 void StageDriver::start(Request &request)
@@ -347,11 +351,20 @@
     }
     const StageName &stage = presentStage(request).name;
     request.avoided.push_back(slow.side);
-    if (m_context.hedges.spend(request.workspace->name, stage) && dispatch(request, false)) {
+    if (hasRoomForHedge(request) && m_context.hedges.spend(request.workspace->name, stage)
+        && dispatch(request, false)) {
         m_context.observe(Metric::HedgesTotal, {stage.text()});
         return;
     }
     request.avoided.pop_back();
 }
 
+// A second run that queues takes the place of somebody's first one: under saturation everything is slow, and hedging
+// only adds to it.
+bool StageDriver::hasRoomForHedge(const Request &request)
+{
+    const auto wait = m_context.placement.estimateWait(queryFor(request, false), m_context.policy(), m_context.now);
+    return wait && *wait <= request.costs[request.stage] / 4;
+}
+
 } // namespace bergamottide
--- a/src/bergamottide/entry/stagedriver.h
+++ b/src/bergamottide/entry/stagedriver.h
@@ -75,6 +75,8 @@
 
 private:
     [[nodiscard]] std::optional<Placed> place(const Request &request, bool mayTry);
+    [[nodiscard]] PlacementQuery queryFor(const Request &request, bool mayTry) const;
+    [[nodiscard]] bool hasRoomForHedge(const Request &request);
     [[nodiscard]] bool dispatch(Request &request, bool mayTry);
     [[nodiscard]] bool mayRepeat(const Request &request, const Run &run) const;
     [[nodiscard]] StartRun messageFor(const Request &request, const Run &run) const;
