--- a/src/bergamottide/admission/admission.cpp
+++ b/src/bergamottide/admission/admission.cpp
@@ -7,8 +7,14 @@
 
 namespace {
 
-/*! @brief Part of the slack that work of the least value may not use: half leaves it room while there is enough. */
-constexpr double valueSpread = 0.5;
+/*! @brief Share of the deadline that may be spent waiting for the bottleneck. A longer queue serves no more requests
+ * under lasting saturation; it only lets a full early stage keep out those with long stages behind it. */
+constexpr double waitShare = 0.25;
+/*! @brief Factor on estimated waits: they are a report old, and a request refused by the last stage wasted the others.
+ */
+constexpr double waitReserve = 1.2;
+/*! @brief Part of that wait that work of the least value may not use: it still gets what others leave free. */
+constexpr double valueSpread = 0.8;
 /*! @brief Time between two requests let through although their service seems too long; else nobody would ever learn
  * that the stage has become fast again. One a second costs next to nothing. */
 constexpr Duration probePeriod = std::chrono::seconds{1};
@@ -22,6 +28,13 @@
     return Duration{static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor)};
 }
 
+/*! @brief Value per second of the endpoint time that a stage takes. */
+double densityOf(const AdmissionQuery &query, std::size_t stage)
+{
+    const double seconds = std::chrono::duration<double>(query.costs[stage]).count();
+    return query.kind.value / std::max(1e-6, seconds);
+}
+
 } // namespace
 
 Admission::Admission(Placement &placement, const EndpointTable &table)
@@ -37,20 +50,36 @@
     if (limits.reason != Reason::None) {
         return limits;
     }
+    countDemand(query, now);
     const Duration service = std::accumulate(query.costs.begin(), query.costs.end(), Duration::zero());
-    const double density = query.kind.value / std::max(1e-6, std::chrono::duration<double>(service).count());
-    m_demand.add(density, service, now);
-    const Duration slack = scaled(query.remaining, 1.0 / std::max(1e-6, policy.admissionMargin)) - service;
-    if (slack <= Duration::zero()) {
+    const Duration usable = scaled(query.remaining, 1.0 / std::max(1e-6, policy.admissionMargin));
+    if (service >= usable) {
         return judgeService(query, service, now);
     }
-    const Duration wait = bottleneckWait(query, policy, entries, now);
-    const Duration allowed = scaled(slack, 1.0 - valueSpread * m_demand.shareAbove(density));
-    if (wait <= allowed) {
-        return {};
+    const Waits waits = estimateWaits(query, policy, entries, now);
+    const Duration needed = service + scaled(waits.total, waitReserve);
+    if (needed > usable) {
+        return {Reason::DeadlineUnreachable, std::clamp(needed - usable, leastRetryAfter, longestRetryAfter)};
+    }
+    const Duration allowed = scaled(usable, waitShare * (1.0 - valueSpread * rankAt(query, waits.bottleneck)));
+    if (waits.longest > allowed) {
+        return {Reason::Overloaded, std::clamp(waits.longest - allowed, leastRetryAfter, longestRetryAfter)};
+    }
+    return {};
+}
+
+void Admission::countDemand(const AdmissionQuery &query, TimePoint now)
+{
+    for (std::size_t stage = 0; stage < query.costs.size(); ++stage) {
+        ValueDemand &demand = m_demand[query.pipeline.stages[stage].pool.text()];
+        demand.add(densityOf(query, stage), query.costs[stage], now);
     }
-    const Reason reason = wait > slack ? Reason::DeadlineUnreachable : Reason::Overloaded;
-    return {reason, std::clamp(wait - allowed, leastRetryAfter, longestRetryAfter)};
+}
+
+// Share of the recent demand for the stage's pool that is worth more than this request.
+double Admission::rankAt(const AdmissionQuery &query, std::size_t stage)
+{
+    return m_demand[query.pipeline.stages[stage].pool.text()].shareAbove(densityOf(query, stage));
 }
 
 AdmissionDecision Admission::judgeLimits(const Workspace &workspace, TimePoint now)
@@ -76,22 +105,27 @@
     return {Reason::DeadlineUnreachable, std::clamp(service - query.remaining, leastRetryAfter, longestRetryAfter)};
 }
 
-Duration Admission::bottleneckWait(const AdmissionQuery &query, const Policy &policy, std::size_t entries,
-                                   TimePoint now)
+Admission::Waits Admission::estimateWaits(const AdmissionQuery &query, const Policy &policy, std::size_t entries,
+                                          TimePoint now)
 {
-    Duration longest{};
+    Waits waits;
     for (std::size_t index = 0; index < query.pipeline.stages.size(); ++index) {
         const Stage &stage = query.pipeline.stages[index];
         const PlacementQuery place{stage.pool, query.model, query.workspace.name, query.prefix, query.costs[index],
                                    false,      {}};
-        const auto wait = m_placement.estimateWait(place, policy, now);
-        if (!wait || *wait <= policy.regionDistance) {
+        const auto estimated = m_placement.estimateWait(place, policy, now);
+        if (!estimated || *estimated <= policy.regionDistance) {
             // No endpoint at all is for the stage itself to say; next to no wait needs no closer look.
             continue;
         }
-        longest = std::max(longest, *wait + pendingWait(query, stage.pool, entries));
+        const Duration wait = *estimated + pendingWait(query, stage.pool, entries);
+        waits.total += wait;
+        if (wait > waits.longest) {
+            waits.longest = wait;
+            waits.bottleneck = index;
+        }
     }
-    return longest;
+    return waits;
 }
 
 // Requests in their early stages will reach the bottleneck within a report's age, and no report shows them yet. Without
