--- /dev/null
+++ b/test/bergamottide/scheduling/fairqueue.cpp
@@ -0,0 +1,258 @@
+#include "bergamottide/scheduling/fairqueue.h"
+
+#include "naivefairqueue.h"
+#include "support/property.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cmath>
+#include <map>
+#include <string>
+
+using namespace bergamottide;
+using namespace bergamottide::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+WorkspaceName workspace(std::uint64_t number)
+{
+    return WorkspaceName{"w" + std::to_string(number)};
+}
+
+QueueItem item(std::uint64_t number, const WorkspaceName &name, Duration cost = 100ms, Duration deadline = 60s,
+               double value = 1.0)
+{
+    return {RunId{RequestId{0, number}, 0, 1}, name, cost, Duration{}, TimePoint{} + deadline, value};
+}
+
+/*! @brief Reads one step for both queues from a word, so that failing cases shrink well. */
+struct Step
+{
+    explicit Step(std::uint32_t word)
+        : kind{word % 8}
+        , workspace{word / 8 % 4}
+        , cost{(1 + word / 32 % 8) * 10ms}
+        , deadline{(word / 256 % 16) * 50ms}
+        , value{static_cast<double>(1 + word / 4096 % 3)}
+    {
+    }
+
+    std::uint32_t kind;
+    std::uint32_t workspace;
+    Duration cost;
+    Duration deadline;
+    double value;
+};
+
+void sameOutcome(const QueueOutcome &left, const QueueOutcome &right)
+{
+    RC_ASSERT(left.accepted == right.accepted);
+    RC_ASSERT(left.victim.has_value() == right.victim.has_value());
+    if (left.victim) {
+        RC_ASSERT(left.victim->run == right.victim->run);
+    }
+}
+
+} // namespace
+
+class FairQueueTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FairQueueTest);
+    CPPUNIT_TEST(ordersLikeTheNaiveQueue);
+    CPPUNIT_TEST(sharesByWeightUnderSaturation);
+    CPPUNIT_TEST(idleWorkspaceGainsNoCredit);
+    CPPUNIT_TEST(burstDoesNotDelayTheNextRunOfAnother);
+    CPPUNIT_TEST(earliestDeadlineGoesFirstWhileAllFit);
+    CPPUNIT_TEST(highestWorthGoesFirstWhenNotAllFit);
+    CPPUNIT_TEST(victimIsTheLeastWorthOfTheFurthestOver);
+    CPPUNIT_TEST(offeredRunThatIsTheWorstIsRefused);
+    CPPUNIT_TEST(doomedLeaveInOrder);
+    CPPUNIT_TEST(everyWorkspaceIsServedWhateverTheValues);
+    CPPUNIT_TEST(waitIsShareOfTheBacklogButNeverMoreThanAll);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void ordersLikeTheNaiveQueue()
+    {
+        checkProperty(
+            [](const std::vector<std::uint32_t> &words) {
+                FairQueue queue{6, 2};
+                NaiveFairQueue naive{6, 2};
+                queue.setWeight(workspace(1), 2.5);
+                naive.setWeight(workspace(1), 2.5);
+                TimePoint now;
+                std::uint64_t number = 0;
+                for (const std::uint32_t word : words) {
+                    const Step step{word};
+                    now += 10ms;
+                    if (step.kind < 5) {
+                        QueueItem offered =
+                            item(++number, workspace(step.workspace), step.cost, step.deadline, step.value);
+                        offered.deadline = now + step.deadline;
+                        sameOutcome(queue.push(offered), naive.push(offered));
+                    } else if (step.kind < 7) {
+                        RC_ASSERT(queue.pop(now) == naive.pop(now));
+                    } else if (step.workspace == 0) {
+                        const RunId run{RequestId{0, number / 2}, 0, 1};
+                        RC_ASSERT(queue.erase(run) == naive.erase(run));
+                    } else {
+                        RC_ASSERT(queue.takeDoomed(now) == naive.takeDoomed(now));
+                    }
+                    RC_ASSERT(queue.size() == naive.size());
+                }
+            },
+            11, 2000);
+    }
+
+    void sharesByWeightUnderSaturation()
+    {
+        FairQueue queue{10000, 1};
+        queue.setWeight(workspace(0), 1.0);
+        queue.setWeight(workspace(1), 3.0);
+        for (std::uint64_t number = 0; number < 4000; ++number) {
+            // The lighter workspace sends long runs, the heavier short ones: time is shared, not turns.
+            const bool heavy = number % 2 == 1;
+            (void)queue.push(item(number, workspace(number % 2), heavy ? 10ms : 70ms, 10h));
+        }
+        std::map<WorkspaceName, Duration> served;
+        for (int turn = 0; turn < 1000; ++turn) {
+            const QueueItem next = *queue.pop(TimePoint{});
+            served[next.workspace] += next.cost;
+        }
+        const double ratio =
+            static_cast<double>(served[workspace(1)].count()) / static_cast<double>(served[workspace(0)].count());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(3.0, ratio, 0.05);
+    }
+
+    void idleWorkspaceGainsNoCredit()
+    {
+        FairQueue queue{1000, 1};
+        for (std::uint64_t number = 0; number < 400; ++number) {
+            (void)queue.push(item(number, workspace(0)));
+        }
+        for (int turn = 0; turn < 100; ++turn) {
+            (void)queue.pop(TimePoint{});
+        }
+        for (std::uint64_t number = 400; number < 500; ++number) {
+            (void)queue.push(item(number, workspace(1)));
+        }
+        int ofIdle = 0;
+        for (int turn = 0; turn < 100; ++turn) {
+            ofIdle += queue.pop(TimePoint{})->workspace == workspace(1) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(std::abs(ofIdle - 50) <= 1);
+    }
+
+    void burstDoesNotDelayTheNextRunOfAnother()
+    {
+        FairQueue queue{10000, 1};
+        for (std::uint64_t number = 0; number < 5000; ++number) {
+            (void)queue.push(item(number, workspace(0)));
+        }
+        (void)queue.pop(TimePoint{});
+        (void)queue.push(item(9999, workspace(1)));
+        CPPUNIT_ASSERT(queue.pop(TimePoint{})->workspace == workspace(1));
+    }
+
+    void earliestDeadlineGoesFirstWhileAllFit()
+    {
+        FairQueue queue{10, 1};
+        (void)queue.push(item(1, workspace(0), 100ms, 9s, 1.0));
+        (void)queue.push(item(2, workspace(0), 100ms, 5s, 1.0));
+        (void)queue.push(item(3, workspace(0), 100ms, 5s, 8.0));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, queue.pop(TimePoint{})->run.request.low);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, queue.pop(TimePoint{})->run.request.low);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, queue.pop(TimePoint{})->run.request.low);
+    }
+
+    void highestWorthGoesFirstWhenNotAllFit()
+    {
+        FairQueue queue{10, 1};
+        (void)queue.push(item(1, workspace(0), 400ms, 1s, 1.0));
+        (void)queue.push(item(2, workspace(0), 400ms, 1s, 9.0));
+        (void)queue.push(item(3, workspace(0), 100ms, 1s, 4.0));
+        (void)queue.push(item(4, workspace(0), 400ms, 1s, 1.0));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, queue.pop(TimePoint{})->run.request.low);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, queue.pop(TimePoint{} + 100ms)->run.request.low);
+    }
+
+    void victimIsTheLeastWorthOfTheFurthestOver()
+    {
+        FairQueue queue{4, 1};
+        queue.setWeight(workspace(1), 10.0);
+        (void)queue.push(item(1, workspace(0), 100ms, 9s, 5.0));
+        (void)queue.push(item(2, workspace(0), 100ms, 9s, 1.0));
+        (void)queue.push(item(3, workspace(1), 200ms));
+        (void)queue.push(item(4, workspace(1), 200ms));
+        const QueueOutcome outcome = queue.push(item(5, workspace(2), 50ms));
+        CPPUNIT_ASSERT(outcome.accepted);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, outcome.victim->run.request.low);
+    }
+
+    void offeredRunThatIsTheWorstIsRefused()
+    {
+        FairQueue queue{2, 1};
+        (void)queue.push(item(1, workspace(0), 100ms, 9s, 2.0));
+        (void)queue.push(item(2, workspace(1)));
+        const QueueOutcome outcome = queue.push(item(3, workspace(0), 100ms, 9s, 1.0));
+        CPPUNIT_ASSERT(!outcome.accepted && !outcome.victim);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, queue.size());
+    }
+
+    void doomedLeaveInOrder()
+    {
+        FairQueue queue{10, 1};
+        QueueItem late = item(1, workspace(0), 100ms, 900ms);
+        late.following = 300ms;
+        (void)queue.push(late);
+        (void)queue.push(item(2, workspace(1), 100ms, 500ms));
+        (void)queue.push(item(3, workspace(1), 100ms, 5s));
+        CPPUNIT_ASSERT(queue.nextDoomed() == TimePoint{} + 400ms);
+        CPPUNIT_ASSERT(queue.takeDoomed(TimePoint{} + 400ms).empty());
+        const auto doomed = queue.takeDoomed(TimePoint{} + 501ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, doomed.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, doomed[0].run.request.low);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, doomed[1].run.request.low);
+    }
+
+    void everyWorkspaceIsServedWhateverTheValues()
+    {
+        checkProperty(
+            [](const std::vector<std::uint32_t> &words) {
+                FairQueue queue{100000, 1};
+                std::uint64_t number = 0;
+                for (std::uint64_t poor = 0; poor < 3; ++poor) {
+                    (void)queue.push(item(++number, workspace(poor), 80ms, 10h, 0.001));
+                }
+                for (const std::uint32_t word : words) {
+                    const Step step{word};
+                    (void)queue.push(item(++number, workspace(3 + step.workspace), step.cost, 10h, 1000.0));
+                }
+                // Each workspace comes up within one round of the longest run of every other.
+                std::set<WorkspaceName> served;
+                for (int turn = 0; turn < 8 * 8 && queue.size() > 0; ++turn) {
+                    served.insert(queue.pop(TimePoint{})->workspace);
+                }
+                for (std::uint64_t poor = 0; poor < 3; ++poor) {
+                    RC_ASSERT(served.contains(workspace(poor)));
+                }
+            },
+            12);
+    }
+
+    void waitIsShareOfTheBacklogButNeverMoreThanAll()
+    {
+        FairQueue queue{100, 2};
+        for (std::uint64_t number = 0; number < 10; ++number) {
+            (void)queue.push(item(number, workspace(0)));
+        }
+        (void)queue.push(item(10, workspace(1)));
+        CPPUNIT_ASSERT(queue.wait(workspace(0)) == 550ms);
+        CPPUNIT_ASSERT(queue.wait(workspace(1)) == 100ms);
+        CPPUNIT_ASSERT(queue.wait(workspace(2)) == 0ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, queue.waits().size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FairQueueTest);
