--- a/src/bergamottide/scheduling/fairqueue.cpp
+++ b/src/bergamottide/scheduling/fairqueue.cpp
@@ -65,7 +65,7 @@
     const std::size_t share = shareOf(item.workspace);
     const RunId offered = item.run;
     insert(std::move(item), share);
-    if (m_entries.size() <= m_limit) {
+    if (size() <= m_limit) {
         return {true, std::nullopt};
     }
     QueueItem victim = remove(leastWorth());
@@ -83,16 +83,16 @@
     const std::size_t index = m_starts.top();
     Share &share = m_shares[index];
     m_virtualTime = std::max(m_virtualTime, share.nextStart);
-    const std::uint64_t sequence = choose(share, now);
-    const auto cost = static_cast<double>(m_entries.at(sequence).item.cost.count());
+    const std::size_t slot = choose(share, now);
+    const auto cost = static_cast<double>(m_slots[slot].item.cost.count());
     share.nextStart += cost / static_cast<double>(share.weight);
-    return remove(sequence);
+    return remove(slot);
 }
 
 bool FairQueue::erase(const RunId &run)
 {
-    const auto found = m_sequenceOf.find(run);
-    if (found == m_sequenceOf.end()) {
+    const auto found = m_slotOf.find(run);
+    if (found == m_slotOf.end()) {
         return false;
     }
     remove(found->second);
@@ -102,23 +102,23 @@
 std::vector<QueueItem> FairQueue::takeDoomed(TimePoint now)
 {
     std::vector<QueueItem> doomed;
-    while (!m_byLatestStart.empty() && m_byLatestStart.begin()->first < now) {
-        doomed.push_back(remove(m_byLatestStart.begin()->second));
+    while (!m_latestStarts.empty() && m_latestStarts.topKey().first < now) {
+        doomed.push_back(remove(m_latestStarts.top()));
     }
     return doomed;
 }
 
 std::optional<TimePoint> FairQueue::nextDoomed() const
 {
-    if (m_byLatestStart.empty()) {
+    if (m_latestStarts.empty()) {
         return std::nullopt;
     }
-    return m_byLatestStart.begin()->first;
+    return m_latestStarts.topKey().first;
 }
 
 std::size_t FairQueue::size() const noexcept
 {
-    return m_entries.size();
+    return m_slotOf.size();
 }
 
 Duration FairQueue::backlog() const noexcept
@@ -150,6 +150,11 @@
     return m_starts.size();
 }
 
+std::uint64_t FairQueue::steps() const noexcept
+{
+    return m_starts.steps() + m_largest.steps();
+}
+
 std::size_t FairQueue::shareOf(const WorkspaceName &workspace)
 {
     const auto [found, added] = m_shareOf.try_emplace(workspace.text(), m_shares.size());
@@ -162,34 +167,46 @@
 void FairQueue::insert(QueueItem item, std::size_t index)
 {
     Share &share = m_shares[index];
+    const std::size_t slot = freeSlot();
     const std::uint64_t sequence = m_nextSequence++;
     if (share.byDeadline.empty()) {
         share.nextStart = std::max(share.nextStart, m_virtualTime);
         m_activeWeight += share.weight;
     }
-    share.byDeadline.insert({item.deadline, item.value, sequence});
-    share.byWorth.insert({worthOf(item), item.deadline, sequence});
+    share.byDeadline.insert({item.deadline, item.value, sequence, slot});
+    share.byWorth.insert({worthOf(item), item.deadline, sequence, slot});
     share.backlog += item.cost;
     m_backlog += item.cost;
-    m_byLatestStart.emplace(item.latestStart(), sequence);
-    m_sequenceOf.emplace(item.run, sequence);
-    m_entries.emplace(sequence, Entry{std::move(item), index});
+    m_latestStarts.set(slot, {item.latestStart(), sequence});
+    m_slotOf.emplace(item.run, slot);
+    m_slots[slot] = Slot{std::move(item), index, sequence};
     rank(index);
 }
 
-QueueItem FairQueue::remove(std::uint64_t sequence)
+std::size_t FairQueue::freeSlot()
+{
+    if (m_freeSlots.empty()) {
+        m_slots.emplace_back();
+        return m_slots.size() - 1;
+    }
+    const std::size_t slot = m_freeSlots.back();
+    m_freeSlots.pop_back();
+    return slot;
+}
+
+QueueItem FairQueue::remove(std::size_t slot)
 {
-    const auto found = m_entries.find(sequence);
-    QueueItem item = std::move(found->second.item);
-    const std::size_t index = found->second.share;
-    m_entries.erase(found);
+    const std::size_t index = m_slots[slot].share;
+    const std::uint64_t sequence = m_slots[slot].sequence;
+    QueueItem item = std::move(m_slots[slot].item);
+    m_freeSlots.push_back(slot);
+    m_slotOf.erase(item.run);
+    m_latestStarts.erase(slot);
     Share &share = m_shares[index];
-    share.byDeadline.erase({item.deadline, item.value, sequence});
-    share.byWorth.erase({worthOf(item), item.deadline, sequence});
+    share.byDeadline.erase({item.deadline, item.value, sequence, slot});
+    share.byWorth.erase({worthOf(item), item.deadline, sequence, slot});
     share.backlog -= item.cost;
     m_backlog -= item.cost;
-    m_byLatestStart.erase({item.latestStart(), sequence});
-    m_sequenceOf.erase(item.run);
     if (share.byDeadline.empty()) {
         m_activeWeight -= share.weight;
     }
@@ -210,20 +227,20 @@
     m_largest.set(index, {-over, index});
 }
 
-std::uint64_t FairQueue::leastWorth() const
+std::size_t FairQueue::leastWorth() const
 {
-    return m_shares[m_largest.top()].byWorth.rbegin()->sequence;
+    return m_shares[m_largest.top()].byWorth.rbegin()->slot;
 }
 
-std::uint64_t FairQueue::choose(const Share &share, TimePoint now) const
+std::size_t FairQueue::choose(const Share &share, TimePoint now) const
 {
-    return saturated(share, now) ? share.byWorth.begin()->sequence : share.byDeadline.begin()->sequence;
+    return saturated(share, now) ? share.byWorth.begin()->slot : share.byDeadline.begin()->slot;
 }
 
 bool FairQueue::saturated(const Share &share, TimePoint now) const
 {
-    const Entry &last = m_entries.at(share.byDeadline.rbegin()->sequence);
-    return now + wait(share) > last.item.deadline - last.item.following;
+    const QueueItem &last = m_slots[share.byDeadline.rbegin()->slot].item;
+    return now + wait(share) > last.deadline - last.following;
 }
 
 Duration FairQueue::wait(const Share &share) const
--- a/src/bergamottide/scheduling/fairqueue.h
+++ b/src/bergamottide/scheduling/fairqueue.h
@@ -4,11 +4,13 @@
 #include "bergamottide/scheduling/indexedheap.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/hash/hash.h>
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -129,6 +131,8 @@
     [[nodiscard]] std::vector<std::pair<WorkspaceName, Duration>> waits() const;
     /*! @brief Returns the number of workspaces that have runs queued. */
     [[nodiscard]] std::size_t active() const noexcept;
+    /*! @brief Returns the number of steps through the orders of workspaces so far; tests bound the cost by it. */
+    [[nodiscard]] std::uint64_t steps() const noexcept;
 
 private:
     struct DeadlineKey
@@ -136,6 +140,7 @@
         TimePoint deadline;
         double value{};
         std::uint64_t sequence{};
+        std::size_t slot{};
         [[nodiscard]] bool operator<(const DeadlineKey &other) const;
     };
 
@@ -144,6 +149,7 @@
         double worth{};
         TimePoint deadline;
         std::uint64_t sequence{};
+        std::size_t slot{};
         [[nodiscard]] bool operator<(const WorthKey &other) const;
     };
 
@@ -157,20 +163,34 @@
         std::set<WorthKey> byWorth;
     };
 
-    struct Entry
+    /*! @brief Hash that mixes all bits, as the table needs it; identities from callers' keys may have patterns. */
+    struct RunHash
+    {
+        [[nodiscard]] std::size_t operator()(const RunId &run) const
+        {
+            return absl::HashOf(run.request.high, run.request.low, run.stage, run.attempt);
+        }
+    };
+
+    /*! @brief Place of one queued run; slots are used again. */
+    struct Slot
     {
         QueueItem item;
         std::size_t share{};
+        /*! @brief Order of arrival, which decides between equals. */
+        std::uint64_t sequence{};
     };
 
-    using HeapKey = std::pair<double, std::size_t>;
+    using ShareKey = std::pair<double, std::size_t>;
+    using StartKey = std::pair<TimePoint, std::uint64_t>;
 
     std::size_t shareOf(const WorkspaceName &workspace);
     void insert(QueueItem item, std::size_t share);
-    QueueItem remove(std::uint64_t sequence);
+    QueueItem remove(std::size_t slot);
+    std::size_t freeSlot();
     void rank(std::size_t share);
-    [[nodiscard]] std::uint64_t leastWorth() const;
-    [[nodiscard]] std::uint64_t choose(const Share &share, TimePoint now) const;
+    [[nodiscard]] std::size_t leastWorth() const;
+    [[nodiscard]] std::size_t choose(const Share &share, TimePoint now) const;
     [[nodiscard]] bool saturated(const Share &share, TimePoint now) const;
     [[nodiscard]] Duration wait(const Share &share) const;
 
@@ -182,11 +202,12 @@
     std::uint64_t m_nextSequence{1};
     std::vector<Share> m_shares;
     absl::flat_hash_map<std::string, std::size_t> m_shareOf;
-    absl::flat_hash_map<std::uint64_t, Entry> m_entries;
-    std::map<RunId, std::uint64_t> m_sequenceOf;
-    std::set<std::pair<TimePoint, std::uint64_t>> m_byLatestStart;
-    IndexedHeap<HeapKey> m_starts;
-    IndexedHeap<HeapKey> m_largest;
+    std::vector<Slot> m_slots;
+    std::vector<std::size_t> m_freeSlots;
+    absl::flat_hash_map<RunId, std::size_t, RunHash> m_slotOf;
+    IndexedHeap<StartKey> m_latestStarts;
+    IndexedHeap<ShareKey> m_starts;
+    IndexedHeap<ShareKey> m_largest;
 };
 
 } // namespace bergamottide
--- a/src/bergamottide/scheduling/indexedheap.h
+++ b/src/bergamottide/scheduling/indexedheap.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <utility>
 #include <vector>
 
@@ -50,6 +51,12 @@
         return m_nodes.front().first;
     }
 
+    /*! @brief Returns the number of steps up and down the heap so far; tests bound the cost by it. */
+    [[nodiscard]] std::uint64_t steps() const noexcept
+    {
+        return m_steps;
+    }
+
     /**
      * @brief Adds a member, or changes its key.
      * @param index Member.
@@ -99,6 +106,7 @@
 
     void exchange(std::size_t left, std::size_t right)
     {
+        ++m_steps;
         std::swap(m_nodes[left], m_nodes[right]);
         m_positions[m_nodes[left].second] = left;
         m_positions[m_nodes[right].second] = right;
@@ -136,6 +144,7 @@
 
     std::vector<std::pair<Key, Index>> m_nodes;
     std::vector<std::size_t> m_positions;
+    std::uint64_t m_steps{};
 };
 
 } // namespace bergamottide
--- a/test/bergamottide/scheduling/fairqueue.cpp
+++ b/test/bergamottide/scheduling/fairqueue.cpp
@@ -7,6 +7,7 @@
 
 #include <cmath>
 #include <map>
+#include <set>
 #include <string>
 
 using namespace bergamottide;
@@ -70,6 +71,7 @@
     CPPUNIT_TEST(doomedLeaveInOrder);
     CPPUNIT_TEST(everyWorkspaceIsServedWhateverTheValues);
     CPPUNIT_TEST(waitIsShareOfTheBacklogButNeverMoreThanAll);
+    CPPUNIT_TEST(costGrowsWithTheLogarithmOfWorkspaces);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -253,6 +255,26 @@
         CPPUNIT_ASSERT(queue.wait(workspace(2)) == 0ms);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, queue.waits().size());
     }
+
+    void costGrowsWithTheLogarithmOfWorkspaces()
+    {
+        for (const std::uint64_t workspaces : {5, 520, 10000}) {
+            FairQueue queue{4 * workspaces, 1};
+            std::uint64_t number = 0;
+            for (; number < 2 * workspaces; ++number) {
+                (void)queue.push(item(number, workspace(number % workspaces), (1 + number % 7) * 10ms, 10h));
+            }
+            const std::uint64_t before = queue.steps();
+            const std::uint64_t pairs = 1000;
+            for (std::uint64_t pair = 0; pair < pairs; ++pair) {
+                const QueueItem next = *queue.pop(TimePoint{});
+                (void)queue.push(item(number + pair, next.workspace, (1 + pair % 7) * 10ms, 10h));
+            }
+            // Two changes in each of two orders, each at most the height of its tree.
+            const double bound = 4.0 * (std::log2(static_cast<double>(workspaces)) + 1.0);
+            CPPUNIT_ASSERT(static_cast<double>(queue.steps() - before) <= bound * static_cast<double>(pairs));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FairQueueTest);
