--- a/src/bergamottide/ledger/keyownership.cpp
+++ b/src/bergamottide/ledger/keyownership.cpp
@@ -11,8 +11,9 @@
 
 std::uint64_t score(const RequestId &request, const InstanceName &instance)
 {
-    const std::uint64_t seed = request.high ^ (request.low * 0x9e3779b97f4a7c15ULL);
-    return XXH3_64bits_withSeed(instance.text().data(), instance.text().size(), seed);
+    // Both halves go through the hash: mixed by hand, patterns in them would cancel out.
+    const std::uint64_t inner = XXH3_64bits_withSeed(instance.text().data(), instance.text().size(), request.high);
+    return XXH3_64bits_withSeed(&inner, sizeof(inner), request.low);
 }
 
 /*! @brief Tells if one instance comes before another as home of a request. */
