--- a/src/bergamottide/side/sidereducer.cpp
+++ b/src/bergamottide/side/sidereducer.cpp
@@ -1,5 +1,6 @@
 #include "bergamottide/side/sidereducer.h"
 
+#include "bergamottide/orders/orderplanner.h"
 #include "bergamottide/side/drain.h"
 #include "bergamottide/side/loadreporter.h"
 #include "bergamottide/side/runreception.h"
@@ -21,11 +22,14 @@
         , reception{context, runs, delivery, scheduler, home}
         , reporter{context, scheduler}
         , drain{context, runs, ledger}
+        , orders{context.identity.instance, context.identity.seed}
     {
     }
 
     void detectPause();
     void pingUnconfirmed();
+    void planOrders();
+    void giveOrder();
     void finishEvent();
     [[nodiscard]] TimePoint dueTime() const;
 
@@ -68,6 +72,7 @@
     RunReception reception;
     LoadReporter reporter;
     Drain drain;
+    OrderPlanner orders;
     /*! @brief Time at which a tick was asked for after the last event. */
     std::optional<TimePoint> wakeup;
 };
@@ -104,6 +109,7 @@
         return;
     }
     context.peers.wakeUp();
+    orders.forgetReading(context.now);
     context.out.log(Severity::Warning, Part::Side, "The process was paused; it starts nothing until a peer confirms.",
                     {{"gap_us", std::to_string((context.now - *wakeup).count())}});
     pingUnconfirmed();
@@ -118,9 +124,36 @@
     }
 }
 
+void SideReducer::State::planOrders()
+{
+    if (context.document && context.view && context.pool.kind == PoolKind::Engine) {
+        orders.plan(*context.document, *context.view, context.now);
+    }
+}
+
+void SideReducer::State::giveOrder()
+{
+    // A side that leaves or has just woken up may not be the only giver any more.
+    if (context.draining || context.peers.paused() || context.pool.kind != PoolKind::Engine) {
+        return;
+    }
+    const std::optional<GiveOrder> order = orders.next(context.now);
+    if (!order) {
+        return;
+    }
+    const std::string kind{enumName(order->kind)};
+    context.out.add(*order);
+    context.out.observe(Metric::OrdersTotal, {kind});
+    context.out.log(Severity::Info, Part::Orders, "An order goes to the engine.",
+                    {{"kind", kind}, {"model", order->model.text()}, {"fence", std::to_string(order->fence)}});
+    context.out.add(AuditRecord{AuditKind::Order, order->model.text(), "engine differs from document",
+                                kind + " fence " + std::to_string(order->fence)});
+}
+
 void SideReducer::State::finishEvent()
 {
     scheduler.dispatch();
+    giveOrder();
     reporter.onTick();
     drain.onTick();
     wakeup = dueTime();
@@ -170,10 +203,12 @@
 void SideReducer::State::on(const EndpointReport &event)
 {
     reporter.onReport(event);
+    orders.onReport(event, context.now);
 }
 
-void SideReducer::State::on(const OrderAnswered &)
+void SideReducer::State::on(const OrderAnswered &event)
 {
+    orders.onAnswer(event, context.now);
 }
 
 void SideReducer::State::on(const ConfigChanged &event)
@@ -188,6 +223,7 @@
         context.pool = pool->second;
     }
     scheduler.configure();
+    planOrders();
 }
 
 void SideReducer::State::on(const ViewChanged &event)
@@ -198,6 +234,7 @@
     context.view = event.view;
     home.viewChanged();
     drain.onView();
+    planOrders();
 }
 
 void SideReducer::State::on(const DrainRequested &event)
--- a/test/bergamottide/scheduling/naivefairqueue.h
+++ b/test/bergamottide/scheduling/naivefairqueue.h
@@ -3,6 +3,7 @@
 #include "bergamottide/scheduling/fairqueue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <tuple>
 #include <vector>
@@ -22,7 +23,7 @@
     void setWeight(const WorkspaceName &workspace, double weight)
     {
         order(workspace);
-        m_weights[workspace] = static_cast<std::int64_t>(weight * 1000.0 + 0.5);
+        m_weights[workspace] = std::llround(weight * 1000.0);
     }
 
     QueueOutcome push(const QueueItem &item)
@@ -82,7 +83,7 @@
     }
 
 private:
-    std::vector<QueueItem> runsOf(const WorkspaceName &workspace) const
+    [[nodiscard]] std::vector<QueueItem> runsOf(const WorkspaceName &workspace) const
     {
         std::vector<QueueItem> runs;
         for (const QueueItem &item : m_items) {
@@ -113,7 +114,7 @@
         return sum;
     }
 
-    std::vector<WorkspaceName> active() const
+    [[nodiscard]] std::vector<WorkspaceName> active() const
     {
         std::vector<WorkspaceName> names;
         for (const QueueItem &item : m_items) {
@@ -148,7 +149,7 @@
         return item.value / static_cast<double>(item.cost.count());
     }
 
-    RunId best(const WorkspaceName &workspace) const
+    [[nodiscard]] RunId best(const WorkspaceName &workspace) const
     {
         const auto runs = runsOf(workspace);
         return std::min_element(
@@ -159,7 +160,7 @@
             ->run;
     }
 
-    RunId least(const WorkspaceName &workspace) const
+    [[nodiscard]] RunId least(const WorkspaceName &workspace) const
     {
         // The last one of the worst: among equals the newest leaves.
         auto runs = runsOf(workspace);
@@ -172,7 +173,7 @@
             ->run;
     }
 
-    RunId earliest(const WorkspaceName &workspace) const
+    [[nodiscard]] RunId earliest(const WorkspaceName &workspace) const
     {
         const auto runs = runsOf(workspace);
         return std::min_element(
