Home: a lost driver seals its opened request for the one who waits; less is opened when much is held

Cause: a process that attached to an opened request whose driver had died heard nothing until the deadline; and requests were opened whose runs the full memory then refused. Change: opening again makes the sender the driver; three seconds without its stream seal the record while another waits. Nothing is opened above three quarters of the bytes held at most.

--- a/src/bergamottide/side/requesthome.cpp
+++ b/src/bergamottide/side/requesthome.cpp
@@ -5,6 +5,19 @@
 
 namespace bergamottide {
 
+namespace {
+
+/**
+ * @brief Time without a stream after which the driver of an opened request is taken for dead.
+ *
+ * A driver that has only lost its stream opens a new one within a second; three times that
+ * leaves room for a second loss. A process that waits for the request then learns that it
+ * will not run, instead of waiting for its deadline.
+ */
+constexpr Duration driverGrace = std::chrono::seconds{3};
+
+} // namespace
+
 RequestHome::RequestHome(SideContext &context, RunTable &runs, Ledger &ledger, RunDelivery &delivery,
                          RunScheduler &scheduler)
     : m_context{context}
@@ -30,6 +43,8 @@
         refused.reason = Reason::Paused;
     } else if (m_context.draining && !m_ledger.knows(message.request)) {
         refused.reason = Reason::Draining;
+    } else if (m_delivery.crowded() && !m_ledger.knows(message.request)) {
+        refused.reason = Reason::LedgerFull;
     } else if (message.keyed && !m_ledger.knows(message.request)) {
         refused = refuseKeyed(message).value_or(refused);
     }
@@ -37,6 +52,7 @@
         const Duration remaining = std::min(message.remaining, policy.maxDeadline);
         const LedgerOpening opening = m_ledger.open(message.request, remaining, message.keyed, limits(), m_context.now);
         if (opening.reason == Reason::None) {
+            m_drivers[opening.record.serial] = Driver{from, std::nullopt};
             m_context.out.send(from,
                                RequestOpened{message.request, m_context.identity.incarnation, opening.record.serial,
                                              opening.record.state});
@@ -140,6 +156,27 @@
     for (const Serial serial : m_ledger.expire(m_context.now)) {
         tellWaiting(serial);
     }
+    std::erase_if(m_drivers, [this](const auto &entry) {
+        const LedgerRecord *record = m_ledger.find(entry.first);
+        return record == nullptr || record->state != LedgerState::Opened;
+    });
+    for (auto &[serial, driver] : m_drivers) {
+        if (m_waiting.contains(serial) && driverLost(driver)) {
+            sealRecord(serial, Reason::Sealed);
+        }
+    }
+}
+
+bool RequestHome::driverLost(Driver &driver) const
+{
+    if (m_context.peers.connected(driver.peer)) {
+        driver.goneSince.reset();
+        return false;
+    }
+    if (!driver.goneSince) {
+        driver.goneSince = m_context.now;
+    }
+    return *driver.goneSince + driverGrace < m_context.now;
 }
 
 LedgerLimits RequestHome::limits() const
--- a/src/bergamottide/side/requesthome.h
+++ b/src/bergamottide/side/requesthome.h
@@ -15,7 +15,9 @@
  *
  * A record is opened before anything of the request is dispatched. Its serial is the only
  * way to start the run, once. Whoever has the ticket can follow the run, or have it sealed
- * while it has not started.
+ * while it has not started. Opening again makes the sender the request's driver; when the
+ * driver has been without a stream for some time while another process waits for the
+ * request, the record is sealed and the waiting process told.
  */
 class RequestHome
 {
@@ -54,10 +56,19 @@
      */
     void onCancel(const InstanceName &from, const CancelRun &message);
 
-    /*! @brief Seals and forgets what has expired. */
+    /*! @brief Seals and forgets what has expired; seals what has lost its driver while someone waits for it. */
     void expire();
 
 private:
+    /*! @brief Process that drives an opened request: the last one that opened it. */
+    struct Driver
+    {
+        InstanceName peer;
+        /*! @brief Since when it has had no stream, if so. */
+        std::optional<TimePoint> goneSince;
+    };
+
+    [[nodiscard]] bool driverLost(Driver &driver) const;
     [[nodiscard]] LedgerLimits limits() const;
     [[nodiscard]] Duration keyMemory() const;
     [[nodiscard]] std::optional<OpenRefused> refuseKeyed(const OpenRequest &message) const;
@@ -74,6 +85,8 @@
     KeyOwnership m_keys;
     /*! @brief Processes attached to a record that has no run yet. */
     std::map<Serial, std::vector<InstanceName>> m_waiting;
+    /*! @brief Drivers of the records that are opened. */
+    std::map<Serial, Driver> m_drivers;
 };
 
 } // namespace bergamottide
--- a/src/bergamottide/side/rundelivery.cpp
+++ b/src/bergamottide/side/rundelivery.cpp
@@ -11,6 +11,10 @@
 
 /*! @brief Bytes in one message at most; a message stays well below the size that streams between processes allow. */
 constexpr std::size_t maxPiece = 256U << 10U;
+/*! @brief Bytes of bodies and results held at most: half of a daemon's 128 MB, the rest is the process itself. */
+constexpr std::size_t maxHeldBytes = 64U << 20U;
+/*! @brief Bytes beyond which nothing is opened: a request refused now has cost nothing, one refused later has. */
+constexpr std::size_t crowdedBytes = maxHeldBytes / 4 * 3;
 /*! @brief Longest backoff between two repetitions of an end, in sign-of-life periods. */
 constexpr int maxBackoffPeriods = 8;
 
@@ -158,6 +162,16 @@
     return m_heldBytes;
 }
 
+bool RunDelivery::crowded() const noexcept
+{
+    return m_heldBytes > crowdedBytes;
+}
+
+bool RunDelivery::full() const noexcept
+{
+    return m_heldBytes > maxHeldBytes;
+}
+
 void RunDelivery::hold(const Run &run)
 {
     m_heldBytes += bytesOf(run);
--- a/src/bergamottide/side/rundelivery.h
+++ b/src/bergamottide/side/rundelivery.h
@@ -83,6 +83,12 @@
     /*! @brief Returns the bytes of bodies and results held for all runs. */
     [[nodiscard]] std::size_t heldBytes() const noexcept;
 
+    /*! @brief Tells if so much is held that no request should be opened whose result would be kept too. */
+    [[nodiscard]] bool crowded() const noexcept;
+
+    /*! @brief Tells if so much is held that no run should be taken. */
+    [[nodiscard]] bool full() const noexcept;
+
     /*! @brief Counts the bytes that a run holds from its arrival on. */
     void hold(const Run &run);
 
--- a/src/bergamottide/side/runscheduler.cpp
+++ b/src/bergamottide/side/runscheduler.cpp
@@ -11,8 +11,6 @@
 constexpr double newestFailure = 0.05;
 /*! @brief Share of the concurrency up to which a run counts as nearly alone at the endpoint. */
 constexpr std::uint32_t lightShare = 4;
-/*! @brief Bytes of bodies and results held at most: half of a daemon's 128 MB, the rest is the process itself. */
-constexpr std::size_t maxHeldBytes = 64U << 20U;
 /*! @brief Workspaces named in one report: those that wait longest; it keeps a report below a kilobyte. */
 constexpr std::size_t maxReportedWaits = 16;
 
@@ -49,7 +47,7 @@
         refuse(run, Reason::DeadlineUnreachable);
         return;
     }
-    if (m_delivery.heldBytes() > maxHeldBytes) {
+    if (m_delivery.full()) {
         refuse(run, Reason::QueueFull);
         return;
     }
--- a/test/bergamottide/side/atmostonce.cpp
+++ b/test/bergamottide/side/atmostonce.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(cancelDoesNotCutARunningRunOff);
     CPPUNIT_TEST(resultOutlivesItsAcknowledgement);
     CPPUNIT_TEST(attachedProcessHearsOfTheLaterStart);
+    CPPUNIT_TEST(lostDriverOfAnOpenedRequestSealsItForTheOneWhoWaits);
+    CPPUNIT_TEST(nextDriverTakesAnOpenedRequestOver);
     CPPUNIT_TEST(endpointRefusalIsNotStartedAndFinal);
     CPPUNIT_TEST(endpointFailureIsUnknown);
     CPPUNIT_TEST(fullLedgerRefusesToOpen);
@@ -227,6 +229,36 @@
         CPPUNIT_ASSERT(fixture.messages<RunFinished>(fixture.other).at(0).state == RunState::Completed);
     }
 
+    void lostDriverOfAnOpenedRequestSealsItForTheOneWhoWaits()
+    {
+        SideFixture fixture;
+        fixture.apply(PeerUp{fixture.other});
+        const Serial serial = fixture.open(1);
+        fixture.receive(AttachRequest{RequestId{1, 1}, thisIncarnation, serial}, fixture.other);
+        fixture.pass(4s);
+        fixture.clear();
+        fixture.apply(PeerDown{fixture.entry});
+        fixture.pass(2900ms);
+        CPPUNIT_ASSERT(fixture.messages<RequestState>(fixture.other).empty());
+        fixture.pass(700ms);
+        CPPUNIT_ASSERT(fixture.messages<RequestState>(fixture.other).at(0).state == LedgerState::Sealed);
+        fixture.receive(SideFixture::start(runId(1), serial));
+        CPPUNIT_ASSERT(fixture.all<EndpointStart>().empty());
+    }
+
+    void nextDriverTakesAnOpenedRequestOver()
+    {
+        SideFixture fixture;
+        fixture.apply(PeerUp{fixture.other});
+        const Serial serial = fixture.open(1);
+        fixture.apply(PeerDown{fixture.entry});
+        fixture.receive(OpenRequest{RequestId{1, 1}, WorkspaceName{"north"}, 9s}, fixture.other);
+        fixture.receive(AttachRequest{RequestId{1, 1}, thisIncarnation, serial}, fixture.other);
+        fixture.pass(5s);
+        fixture.receive(SideFixture::start(runId(1), serial), fixture.other);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.starts(runId(1)));
+    }
+
     void endpointRefusalIsNotStartedAndFinal()
     {
         SideFixture fixture;
