Console of forms on the admin port

Cause: operators drive the system through forms whose only output is one validated document. Change: one static page at /console; its forms come from the tables of the reader (GET /v1/schema), a loaded file is read by the server's reader, valid or not (POST /v1/read), issues of POST /v1/validate are shown at their fields, and only a validated text can be downloaded. Not tried in a browser: none here. Conclusion: the console is whole but for a trial by hand.

--- a/src/bergamottide/app/adminport.cpp
+++ b/src/bergamottide/app/adminport.cpp
@@ -2,6 +2,7 @@
 
 #include "bergamottide/app/callerrequest.h"
 #include "bergamottide/config/parser.h"
+#include "bergamottide/console/console.h"
 
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
@@ -58,6 +59,12 @@
         answerJson(responder, m_hooks.ready() ? statusOk : statusUnavailable, "{}");
         return;
     }
+    if (request.path == "/console") {
+        // The page holds nothing of this process; what it asks for needs the key.
+        responder.answer(
+            HttpAnswer{statusOk, {{"content-type", "text/html; charset=utf-8"}}, std::string{consolePage()}});
+        return;
+    }
     if (!authorized(request)) {
         answerJson(responder, statusUnauthorized, R"({"reason":"wrong_key","field":"authorization"})");
         return;
@@ -96,6 +103,14 @@
         answerJson(responder, statusAccepted, "{}");
         return;
     }
+    if (get && request.path == "/v1/schema") {
+        answerJson(responder, statusOk, schemaJson());
+        return;
+    }
+    if (post && request.path == "/v1/read") {
+        answerJson(responder, statusOk, readJson(request.body));
+        return;
+    }
     if (post && request.path == "/v1/validate") {
         const ParseResult result = parseDocument(request.body);
         answerJson(responder, result.document ? statusOk : statusUnprocessable, validationJson(result));
