Damaged documents as a property

Cause: the reader was tested with hostile texts chosen by hand alone. Change: random damage to a valid text must be refused with an issue or give a document that round-trips.

--- a/test/bergamottide/config/parser.cpp
+++ b/test/bergamottide/config/parser.cpp
@@ -3,6 +3,7 @@
 #include "bergamottide/config/section.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
 
 #include <algorithm>
 #include <array>
@@ -74,6 +75,7 @@
     CPPUNIT_TEST(everyTruncationIsRefused);
     CPPUNIT_TEST(hostileTextsAreRefused);
     CPPUNIT_TEST(digestDependsOnValuesAlone);
+    CPPUNIT_TEST(propertyDamagedTextsAreRefusedOrRoundTrip);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -223,6 +225,27 @@
         CPPUNIT_ASSERT_EQUAL(std::string{}, textOf(again.issues));
         CPPUNIT_ASSERT_EQUAL(one.digest, again.digest);
     }
+
+    void propertyDamagedTextsAreRefusedOrRoundTrip()
+    {
+        const std::string whole = document("kinds: {k: {value: 2.5, deadline: 1.5s}}\npolicy:\n  maxBody: 2MiB\n"
+                                           "bindings:\n  - {workspace: w, pipeline: p, model: m, version: v1}\n");
+        const std::string bytes = "{}[]:,-#&*!|>'\"%@`?\\ \n\t\r0129azA.\x7f\xc3";
+        const bool held = rc::check([&whole, &bytes](const std::vector<std::uint16_t> &damage) {
+            std::string text = whole;
+            for (std::size_t index = 0; index + 1 < damage.size(); index += 2) {
+                const std::size_t place = damage[index] % text.size();
+                const char byte = bytes[damage[index + 1] % bytes.size()];
+                damage[index + 1] % 3 == 0 ? void(text.insert(place, 1, byte)) : void(text[place] = byte);
+            }
+            const ParseResult result = parseDocument(text);
+            RC_ASSERT(result.document.has_value() == result.issues.empty());
+            if (result.document) {
+                RC_ASSERT(parseDocument(writeDocument(*result.document)).digest == result.digest);
+            }
+        });
+        CPPUNIT_ASSERT(held);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ParserTest);
