Telemetry, monotonic store and audit trail in both daemons; adapters against hostile endpoints

Cause: the daemons logged to a stub, parsed documents on their own, and nothing had shown what a broken endpoint or platform costs. Change: log, audit trail, metrics and the configuration store behind the admin ports; tests of the adapters against garbage, endless heads, bodies, lines and tokens, breaks and gaps; of the platform's clients against a service that is down, stale, cuts values short or sends too much; of the callers' port without sockets. Conclusion: an invalid Content-Length in a head still aborts the process inside of the HTTP library's client and is not covered; everything else costs its own run only.

--- a/src/bergamottide/app/adminport.cpp
+++ b/src/bergamottide/app/adminport.cpp
@@ -3,6 +3,7 @@
 #include "bergamottide/app/callerrequest.h"
 #include "bergamottide/config/parser.h"
 
+#include <absl/strings/numbers.h>
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 
@@ -14,6 +15,7 @@
 
 constexpr int statusOk = 200;
 constexpr int statusAccepted = 202;
+constexpr int statusBadRequest = 400;
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
 constexpr int statusUnprocessable = 422;
@@ -88,7 +90,13 @@
         return;
     }
     if (get && request.path == "/audit") {
-        answerJson(responder, statusOk, m_hooks.audit());
+        std::uint64_t after = 0;
+        const std::string text{queryValue(request.query, "after")};
+        if (!text.empty() && !absl::SimpleAtoi(text, &after)) {
+            answerJson(responder, statusBadRequest, R"({"reason":"malformed_header","field":"after"})");
+            return;
+        }
+        responder.answer(HttpAnswer{statusOk, {{"content-type", "application/x-ndjson"}}, m_hooks.audit(after)});
         return;
     }
     if (post && request.path == "/drain") {
--- a/src/bergamottide/app/adminport.h
+++ b/src/bergamottide/app/adminport.h
@@ -2,6 +2,7 @@
 
 #include "bergamottide/net/httpserver.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -17,8 +18,8 @@
     std::function<std::string()> status;
     /*! @brief Writes the metrics in the text format of Prometheus. */
     std::function<std::string()> metrics;
-    /*! @brief Writes the audit trail as JSON. */
-    std::function<std::string()> audit;
+    /*! @brief Writes the audit trail after a position as lines of JSON. */
+    std::function<std::string(std::uint64_t after)> audit;
     /*! @brief Starts a graceful shutdown. */
     std::function<void(std::string cause)> drain;
 };
--- a/src/bergamottide/app/entryapp.cpp
+++ b/src/bergamottide/app/entryapp.cpp
@@ -45,10 +45,11 @@
 
 } // namespace
 
-EntryApp::EntryApp(Loop &loop, const Settings &settings, std::vector<TicketKey> ticketKeys, Incarnation incarnation)
+EntryApp::EntryApp(Loop &loop, const Clock &clock, const Settings &settings, std::vector<TicketKey> ticketKeys,
+                   Incarnation incarnation)
     : m_loop{loop}
     , m_settings{settings}
-    , m_telemetry{settings}
+    , m_telemetry{settings, clock}
     , m_tickets{std::move(ticketKeys)}
     , m_reducer{identityOf(settings, incarnation)}
     , m_reactor{loop, m_reducer,
@@ -87,6 +88,7 @@
     status.Update(m_adminServer.listen());
     status.Update(m_transport.listen());
     if (status.ok()) {
+        carryOut(AuditRecord{AuditKind::Start, m_settings.instance.text(), "process started", {}});
         m_feed.start();
         m_reactor.submit(Tick{});
         expirePeers();
@@ -230,8 +232,8 @@
     hooks.metrics = [this] {
         return m_telemetry.metrics();
     };
-    hooks.audit = [this] {
-        return m_telemetry.auditTrail();
+    hooks.audit = [this](std::uint64_t after) {
+        return m_telemetry.auditLines(after);
     };
     hooks.drain = [this](const std::string &cause) {
         drain(cause);
--- a/src/bergamottide/app/entryapp.h
+++ b/src/bergamottide/app/entryapp.h
@@ -30,11 +30,13 @@
     /**
      * @brief Creates an entry that does not listen yet.
      * @param loop Loop it runs on; outlives the entry.
+     * @param clock Source of the wall time for log and audit trail; outlives the object.
      * @param settings Settings of the process.
      * @param ticketKeys Keys that authenticate tickets, at least one.
      * @param incarnation Number of this start of the process.
      */
-    EntryApp(Loop &loop, const Settings &settings, std::vector<TicketKey> ticketKeys, Incarnation incarnation);
+    EntryApp(Loop &loop, const Clock &clock, const Settings &settings, std::vector<TicketKey> ticketKeys,
+             Incarnation incarnation);
 
     /*! @brief Listens on its ports and starts to read the platform. */
     [[nodiscard]] absl::Status start();
--- a/src/bergamottide/app/platformfeed.h
+++ b/src/bergamottide/app/platformfeed.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "bergamottide/config/document.h"
+#include "bergamottide/config/store.h"
 #include "bergamottide/membership/instanceview.h"
 #include "bergamottide/net/loop.h"
 #include "bergamottide/platform/configclient.h"
 #include "bergamottide/platform/instanceclient.h"
 #include "bergamottide/telemetry/logline.h"
+#include "bergamottide/telemetry/metric.h"
 
 #include <absl/status/statusor.h>
 
@@ -35,6 +36,7 @@
     std::function<void(std::shared_ptr<const InstanceView> view)> view;
     std::function<void(AuditRecord record)> audit;
     std::function<void(LogLine line)> log;
+    std::function<void(Observe observation)> observe;
 };
 
 /**
@@ -58,6 +60,9 @@
     /*! @brief Starts to read. */
     void start();
 
+    /*! @brief Observes version and age of the document in force, before the metrics are read. */
+    void observe();
+
     /*! @brief Returns the version in force; zero before the first. */
     [[nodiscard]] std::uint64_t version() const noexcept;
 
@@ -78,15 +83,16 @@
 
 private:
     absl::StatusOr<std::uint64_t> takeDocument(const std::string &text);
-    absl::Status refuse(const std::string &text, Reason reason, const std::string &detail);
+    absl::Status refuse(const std::string &text, const Verdict &verdict);
+    void putInForce(const Verdict &verdict, const char *cause);
+    void takeView(std::shared_ptr<const InstanceView> view);
     void readFailed(const char *source, const absl::Status &error);
 
     Loop &m_loop;
     PlatformFeedHooks m_hooks;
     ConfigClient m_config;
     InstanceClient m_instances;
-    std::uint64_t m_version{};
-    std::uint64_t m_digest{};
+    ConfigStore m_store;
     std::uint64_t m_revision{};
     std::optional<TimePoint> m_confirmed;
     /*! @brief Digest of the text refused last, so that one that is read again is recorded once. */
--- a/src/bergamottide/app/sideapp.cpp
+++ b/src/bergamottide/app/sideapp.cpp
@@ -31,10 +31,10 @@
 
 } // namespace
 
-SideApp::SideApp(Loop &loop, const Settings &settings, Incarnation incarnation)
+SideApp::SideApp(Loop &loop, const Clock &clock, const Settings &settings, Incarnation incarnation)
     : m_loop{loop}
     , m_settings{settings}
-    , m_telemetry{settings}
+    , m_telemetry{settings, clock}
     , m_reducer{identityOf(settings, incarnation)}
     , m_reactor{loop, m_reducer,
                 [this](SideEffect effect) {
@@ -58,6 +58,7 @@
     absl::Status status = m_adminServer.listen();
     status.Update(m_transport.listen());
     if (status.ok()) {
+        carryOut(AuditRecord{AuditKind::Start, m_settings.instance.text(), "process started", {}});
         m_feed.start();
         m_reactor.submit(Tick{});
         pollEndpoint();
@@ -182,8 +183,8 @@
     hooks.metrics = [this] {
         return m_telemetry.metrics();
     };
-    hooks.audit = [this] {
-        return m_telemetry.auditTrail();
+    hooks.audit = [this](std::uint64_t after) {
+        return m_telemetry.auditLines(after);
     };
     hooks.drain = [this](const std::string &cause) {
         drain(cause);
--- a/src/bergamottide/app/sideapp.h
+++ b/src/bergamottide/app/sideapp.h
@@ -31,10 +31,11 @@
     /**
      * @brief Creates a side that does not listen yet.
      * @param loop Loop it runs on; outlives the side.
+     * @param clock Source of the wall time for log and audit trail; outlives the object.
      * @param settings Settings of the process.
      * @param incarnation Number of this start of the process.
      */
-    SideApp(Loop &loop, const Settings &settings, Incarnation incarnation);
+    SideApp(Loop &loop, const Clock &clock, const Settings &settings, Incarnation incarnation);
 
     /*! @brief Listens on its ports and starts to read the platform. */
     [[nodiscard]] absl::Status start();
--- a/src/bergamottide/app/telemetry.cpp
+++ b/src/bergamottide/app/telemetry.cpp
@@ -1,44 +1,43 @@
 #include "bergamottide/app/telemetry.h"
 
-#include <iostream>
-
 namespace bergamottide {
 
-Telemetry::Telemetry(const Settings &settings)
-    : m_level{settings.logLevel}
+Telemetry::Telemetry(const Settings &settings, const Clock &clock)
+    : m_log{LogOptions{settings.logFormat, settings.logLevel, settings.instance}, clock}
+    , m_trail{settings.instance, clock}
 {
 }
 
 void Telemetry::log(const LogLine &line)
 {
-    if (line.severity < m_level) {
-        return;
-    }
-    std::cerr << enumName(line.severity) << " " << enumName(line.part) << ": " << line.text;
-    for (const auto &[name, value] : line.fields) {
-        std::cerr << " " << name << "=" << value;
-    }
-    std::cerr << "\n";
+    m_log.write(line);
 }
 
 void Telemetry::audit(const AuditRecord &record)
 {
-    std::cerr << "audit " << enumName(record.kind) << ": " << record.subject << " " << record.cause << " "
-              << record.detail << "\n";
+    m_trail.record(record);
+    m_log.write(LogLine{Severity::Info,
+                        Part::Admin,
+                        "A change was recorded.",
+                        {{"kind", std::string{enumName(record.kind)}},
+                         {"subject", record.subject},
+                         {"cause", record.cause},
+                         {"detail", record.detail}}});
 }
 
-void Telemetry::observe(const Observe &)
+void Telemetry::observe(const Observe &observation)
 {
+    m_registry.observe(observation);
 }
 
 std::string Telemetry::metrics() const
 {
-    return {};
+    return m_registry.text();
 }
 
-std::string Telemetry::auditTrail() const
+std::string Telemetry::auditLines(std::uint64_t after) const
 {
-    return R"({"records":[]})";
+    return m_trail.linesSince(after);
 }
 
 } // namespace bergamottide
--- a/src/bergamottide/app/telemetry.h
+++ b/src/bergamottide/app/telemetry.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include "bergamottide/config/settings.h"
+#include "bergamottide/telemetry/audittrail.h"
 #include "bergamottide/telemetry/logline.h"
+#include "bergamottide/telemetry/logsink.h"
 #include "bergamottide/telemetry/metric.h"
+#include "bergamottide/telemetry/metricsregistry.h"
 
+#include <cstdint>
 #include <string>
 
 namespace bergamottide {
@@ -15,8 +19,9 @@
     /**
      * @brief Opens the log.
      * @param settings Settings of the process.
+     * @param clock Source of the wall time; outlives the object.
      */
-    explicit Telemetry(const Settings &settings);
+    Telemetry(const Settings &settings, const Clock &clock);
 
     /**
      * @brief Writes a line to the log.
@@ -25,7 +30,7 @@
     void log(const LogLine &line);
 
     /**
-     * @brief Adds a record to the audit trail.
+     * @brief Adds a record to the audit trail, and to the log as well.
      * @param record Record to add.
      */
     void audit(const AuditRecord &record);
@@ -39,11 +44,16 @@
     /*! @brief Returns the metrics in the text format of Prometheus. */
     [[nodiscard]] std::string metrics() const;
 
-    /*! @brief Returns the audit trail as JSON. */
-    [[nodiscard]] std::string auditTrail() const;
+    /**
+     * @brief Returns the audit trail as lines of JSON.
+     * @param after Position already known; zero for all that is kept.
+     */
+    [[nodiscard]] std::string auditLines(std::uint64_t after) const;
 
 private:
-    Severity m_level;
+    LogSink m_log;
+    AuditTrail m_trail;
+    MetricsRegistry m_registry;
 };
 
 } // namespace bergamottide
--- a/src/daemons/bergamottide-side.cpp
+++ b/src/daemons/bergamottide-side.cpp
@@ -22,7 +22,7 @@
 {
     const SystemClock clock;
     Loop loop{clock};
-    SideApp app{loop, settings, drawIncarnation()};
+    SideApp app{loop, clock, settings, drawIncarnation()};
     const SignalWatch signals{loop, [&app] { app.drain("SIGTERM"); },
                               [] {
                               }};
--- /dev/null
+++ b/test/bergamottide/app/callerport.cpp
@@ -0,0 +1,218 @@
+#include "bergamottide/app/callerport.h"
+
+#include "bergamottide/app/calleranswer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <set>
+
+using namespace bergamottide;
+
+namespace {
+
+/*! @brief Responder that keeps what it is told. */
+class FakeResponder final : public HttpResponder
+{
+public:
+    void answer(HttpAnswer answer) override
+    {
+        whole = std::move(answer);
+    }
+
+    void begin(int status, const HttpHeaders &) override
+    {
+        whole.status = status;
+    }
+
+    void send(std::string_view piece) override
+    {
+        sent += piece;
+    }
+
+    void finish() override
+    {
+        finished = true;
+    }
+
+    void onClosed(std::function<void()> hook) override
+    {
+        closed = std::move(hook);
+    }
+
+    [[nodiscard]] std::size_t unsent() const override
+    {
+        return waiting;
+    }
+
+    HttpAnswer whole{0, {}, {}};
+    std::string sent;
+    bool finished{};
+    std::size_t waiting{};
+    std::function<void()> closed;
+};
+
+HttpRequest submission(HttpHeaders headers = {})
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/v1/pipelines/answer";
+    request.headers = std::move(headers);
+    request.headers.emplace_back("authorization", "Bearer key");
+    request.body = "{}";
+    return request;
+}
+
+} // namespace
+
+/*! @brief Callers' port without a socket. */
+class CallerPortTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CallerPortTest);
+    CPPUNIT_TEST(idempotencyKeyNamesOneRequestForEveryKeyOfAWorkspace);
+    CPPUNIT_TEST(requestsWithoutIdentityDiffer);
+    CPPUNIT_TEST(closedConnectionIsReportedOnce);
+    CPPUNIT_TEST(detachedCallerGetsItsTicketAndNothingElse);
+    CPPUNIT_TEST(piecesCarryTheirOffsets);
+    CPPUNIT_TEST(bytesThatAreNotTextArriveUnchanged);
+    CPPUNIT_TEST(slowReaderIsLetGo);
+    CPPUNIT_TEST(statusFollowsTheTable);
+    CPPUNIT_TEST(everyReasonHasAStatus);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void idempotencyKeyNamesOneRequestForEveryKeyOfAWorkspace()
+    {
+        auto document = std::make_shared<Document>();
+        Workspace workspace;
+        workspace.name = WorkspaceName{"audit"};
+        workspace.keyDigests = {keyDigest("key"), keyDigest("next")};
+        document->workspaces[workspace.name] = workspace;
+        m_port.setDocument(document);
+        HttpRequest request = submission({{"idempotency-key", "visit-1"}});
+        submit(request);
+        request.headers.back().second = "Bearer next";
+        submit(request);
+        request.headers.back().second = "Bearer other";
+        submit(request);
+        CPPUNIT_ASSERT(submitted(0).keyed);
+        CPPUNIT_ASSERT(submitted(0).request == submitted(1).request);
+        CPPUNIT_ASSERT(submitted(0).request != submitted(2).request);
+    }
+
+    void requestsWithoutIdentityDiffer()
+    {
+        submit(submission());
+        submit(submission());
+        CPPUNIT_ASSERT(submitted(0).request != submitted(1).request);
+        CPPUNIT_ASSERT(!submitted(0).keyed);
+    }
+
+    void closedConnectionIsReportedOnce()
+    {
+        const auto responder = submit(submission());
+        responder->closed();
+        responder->closed();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_events.size());
+        CPPUNIT_ASSERT(std::holds_alternative<CallerGone>(m_events[1]));
+        m_port.carryOut(answerTo(0, "late"));
+        CPPUNIT_ASSERT_EQUAL(0, responder->whole.status);
+    }
+
+    void detachedCallerGetsItsTicketAndNothingElse()
+    {
+        const auto responder = submit(submission({{"prefer", "respond-async"}}));
+        CPPUNIT_ASSERT(submitted(0).wantsTicket);
+        const Ticket ticket{submitted(0).request, WorkspaceName{"audit"}, InstanceName{"side"}, {}, Serial{4}};
+        m_port.carryOut(CallerTicket{submitted(0).call, ticket});
+        CPPUNIT_ASSERT_EQUAL(202, responder->whole.status);
+        const auto body = nlohmann::json::parse(responder->whole.body);
+        CPPUNIT_ASSERT(*m_tickets.read(body.value("ticket", "")) == ticket);
+        m_port.carryOut(answerTo(0, "later"));
+        CPPUNIT_ASSERT_EQUAL(202, responder->whole.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_events.size());
+    }
+
+    void piecesCarryTheirOffsets()
+    {
+        const auto responder = submit(submission({{"accept", "text/event-stream"}}));
+        m_port.carryOut(CallerPiece{submitted(0).call, "one "});
+        m_port.carryOut(CallerPiece{submitted(0).call, "two"});
+        m_port.carryOut(answerTo(0, " end"));
+        CPPUNIT_ASSERT(responder->finished);
+        CPPUNIT_ASSERT(responder->sent.find(R"({"offset":4,"text":"two"})") != std::string::npos);
+        CPPUNIT_ASSERT(responder->sent.find(R"({"offset":7,"text":" end"})") != std::string::npos);
+        CPPUNIT_ASSERT(responder->sent.find("event: answer\n") != std::string::npos);
+    }
+
+    void bytesThatAreNotTextArriveUnchanged()
+    {
+        const auto responder = submit(submission());
+        m_port.carryOut(answerTo(0, "\xff\xfe"));
+        const auto body = nlohmann::json::parse(responder->whole.body);
+        CPPUNIT_ASSERT_EQUAL(std::string{"//4="}, body.value("result_base64", ""));
+        CPPUNIT_ASSERT_EQUAL(std::string{R"({"offset":0,"base64":"//4="})"}, pieceData(0, "\xff\xfe"));
+    }
+
+    void slowReaderIsLetGo()
+    {
+        const auto responder = submit(submission({{"accept", "text/event-stream"}}));
+        responder->waiting = 100u << 20;
+        m_port.carryOut(CallerPiece{submitted(0).call, "piece"});
+        CPPUNIT_ASSERT(std::holds_alternative<CallerGone>(m_events.back()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_port.waiting());
+    }
+
+    void statusFollowsTheTable()
+    {
+        CPPUNIT_ASSERT_EQUAL(200, answerStatus(Outcome::Completed, Reason::None));
+        CPPUNIT_ASSERT_EQUAL(429, answerStatus(Outcome::NotRun, Reason::Overloaded));
+        CPPUNIT_ASSERT_EQUAL(503, answerStatus(Outcome::Unknown, Reason::ConnectionLost));
+        CPPUNIT_ASSERT_EQUAL(504, answerStatus(Outcome::Incomplete, Reason::DeadlineExceeded));
+        CallerAnswer answer;
+        answer.outcome = Outcome::NotRun;
+        answer.reason = Reason::QueueFull;
+        answer.retryAfter = std::chrono::milliseconds{1200};
+        CPPUNIT_ASSERT(headerValue(wholeAnswer(answer, "").headers, "retry-after") == "2");
+    }
+
+    void everyReasonHasAStatus()
+    {
+        const std::set<int> known{400, 401, 404, 409, 413, 429, 503, 504};
+        for (std::size_t index = 0; index < EnumNames<Reason>::names.size(); ++index) {
+            CPPUNIT_ASSERT(known.contains(answerStatus(Outcome::NotRun, static_cast<Reason>(index))));
+        }
+    }
+
+private:
+    std::shared_ptr<FakeResponder> submit(const HttpRequest &request)
+    {
+        auto responder = std::make_shared<FakeResponder>();
+        m_port.handle(request, responder);
+        return responder;
+    }
+
+    [[nodiscard]] const CallerSubmitted &submitted(std::size_t index) const
+    {
+        return std::get<CallerSubmitted>(m_events.at(index));
+    }
+
+    [[nodiscard]] CallerAnswer answerTo(std::size_t index, std::string body) const
+    {
+        CallerAnswer answer;
+        answer.call = submitted(index).call;
+        answer.outcome = Outcome::Completed;
+        answer.body = std::move(body);
+        return answer;
+    }
+
+    TicketCodec m_tickets{{TicketKey{"a", "0123456789abcdef"}}};
+    std::vector<EntryEvent> m_events;
+    CallerPort m_port{m_tickets, 1, [this](EntryEvent event) {
+                          m_events.push_back(std::move(event));
+                      }};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CallerPortTest);
--- a/test/processes/fleet.cpp
+++ b/test/processes/fleet.cpp
@@ -322,8 +322,9 @@
 
 std::string drawRequestId()
 {
-    static std::mt19937_64 s_random{std::random_device{}()};
-    return RequestId{s_random(), s_random()}.text();
+    static std::mt19937_64 random{std::random_device{}()};
+    const std::uint64_t high = random();
+    return RequestId{high, random()}.text();
 }
 
 Json bodyOf(const Reply &reply)
--- a/test/processes/process.cpp
+++ b/test/processes/process.cpp
@@ -9,8 +9,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char **environ;
-
 namespace bergamottide::test {
 
 namespace {
@@ -43,6 +41,7 @@
     std::vector<std::string> texts{path};
     texts.insert(texts.end(), arguments.begin(), arguments.end());
     std::vector<char *> pointers;
+    pointers.reserve(texts.size() + 1);
     for (std::string &text : texts) {
         pointers.push_back(text.data());
     }
--- /dev/null
+++ b/test/support/rawserver.cpp
@@ -0,0 +1,96 @@
+#include "support/rawserver.h"
+
+#include <array>
+#include <string_view>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace bergamottide::test {
+
+namespace {
+
+constexpr int pollMs = 20;
+
+bool sendAll(int connection, std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        const ssize_t sent = send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (sent <= 0) {
+            return false;
+        }
+        bytes.remove_prefix(static_cast<std::size_t>(sent));
+    }
+    return true;
+}
+
+} // namespace
+
+RawServer::RawServer(RawScript script)
+    : m_script{std::move(script)}
+    , m_listener{socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)}
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    constexpr int backlog = 8;
+    static_cast<void>(bind(m_listener, reinterpret_cast<const sockaddr *>(&address), sizeof(address)));
+    static_cast<void>(listen(m_listener, backlog));
+    m_thread = std::thread{[this] {
+        serve();
+    }};
+}
+
+RawServer::~RawServer()
+{
+    m_stopped = true;
+    m_thread.join();
+    close(m_listener);
+}
+
+std::string RawServer::address() const
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
+    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+std::size_t RawServer::sent() const noexcept
+{
+    return m_sent;
+}
+
+void RawServer::serve()
+{
+    while (!m_stopped) {
+        pollfd waiting{m_listener, POLLIN, 0};
+        if (poll(&waiting, 1, pollMs) <= 0) {
+            continue;
+        }
+        const int connection = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+        if (connection >= 0) {
+            serveOne(connection);
+            close(connection);
+        }
+    }
+}
+
+void RawServer::serveOne(int connection)
+{
+    // The request is read in part only; the answer does not depend on it.
+    std::array<char, 4096> request{};
+    static_cast<void>(recv(connection, request.data(), request.size(), 0));
+    bool open = sendAll(connection, m_script.head);
+    for (std::size_t time = 0; open && time < m_script.times && !m_stopped; ++time) {
+        open = sendAll(connection, m_script.repeated);
+        m_sent += m_script.repeated.size();
+    }
+    shutdown(connection, SHUT_RDWR);
+}
+
+} // namespace bergamottide::test
--- /dev/null
+++ b/test/support/rawserver.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <string>
+#include <thread>
+
+namespace bergamottide::test {
+
+/*! @brief What a hostile server sends, whatever it was asked. */
+struct RawScript
+{
+    /*! @brief Sent first. */
+    std::string head;
+    /*! @brief Sent again and again until the other end closes or the count is reached. */
+    std::string repeated;
+    std::size_t times{};
+};
+
+/*! @brief TCP server that answers each connection with the bytes of a script and closes it. */
+class RawServer
+{
+public:
+    /**
+     * @brief Listens on the loopback address, on a port that the kernel chooses.
+     * @param script What to send.
+     */
+    explicit RawServer(RawScript script);
+    RawServer(const RawServer &) = delete;
+    RawServer &operator=(const RawServer &) = delete;
+    ~RawServer();
+
+    /*! @brief Returns the address listened on. */
+    [[nodiscard]] std::string address() const;
+
+    /*! @brief Returns the number of bytes that were sent. */
+    [[nodiscard]] std::size_t sent() const noexcept;
+
+private:
+    void serve();
+    void serveOne(int connection);
+
+    RawScript m_script;
+    int m_listener{-1};
+    std::atomic<bool> m_stopped{};
+    std::atomic<std::size_t> m_sent{};
+    std::thread m_thread;
+};
+
+} // namespace bergamottide::test
