--- a/src/bergamottide/app/entryapp.cpp
+++ b/src/bergamottide/app/entryapp.cpp
@@ -17,8 +17,8 @@
  * The answers are with the kernel by then; sockets closed at once could cut off a slow reader.
  */
 constexpr Duration flushTime = std::chrono::milliseconds{300};
-/*! @brief Largest body of a caller read at all; the document sets the limit below it. */
-constexpr std::size_t maxBodyBytes = 16u << 20;
+/*! @brief Largest body of a caller read at all: the largest limit that a document may set. */
+constexpr std::size_t maxBodyBytes = 64u << 20;
 /*! @brief Time for which the stream to a side that vanished from the list is kept: the longest deadline allowed. */
 constexpr Duration vanishedKeepTime = std::chrono::seconds{60};
 constexpr Duration expiryPeriod = std::chrono::seconds{1};
--- a/test/processes/failures.cpp
+++ b/test/processes/failures.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(sideKilledDuringItsRunNeverDoublesIt);
     CPPUNIT_TEST(sideKilledBeforeItsRunIsReplacedByAnother);
     CPPUNIT_TEST(keptResultLostWithItsSideIsSaidToBeUnknown);
+    CPPUNIT_TEST(engineKilledDuringARepeatableRunIsReplacedByAnother);
+    CPPUNIT_TEST(engineKilledDuringARunThatMustNotBeRepeatedLeavesItUnknown);
     CPPUNIT_TEST(sideStoppedPastTheDeadlineStartsNothingWhenItWakes);
     CPPUNIT_TEST(entryStoppedPastTheDeadlineDoublesNothingWhenItWakes);
     CPPUNIT_TEST(silentConnectionIsReplacedAndTheRunGoesOn);
@@ -74,7 +76,7 @@
         const auto reply =
             m_fleet->submit("entry-0", "report", {{"x-request-id", id}, {"x-max-tokens", "500"}, {"x-deadline", "5s"}});
         m_fleet->await([&] { return started(id, "generate") == 1; }, "the run to start");
-        killBusySide();
+        m_fleet->daemon(busySide()).process->kill();
         m_fleet->await([&] { return reply->ended(); }, "the answer");
         CPPUNIT_ASSERT(reply->answer);
         CPPUNIT_ASSERT_EQUAL(std::string{"unknown"}, outcomeOf(*reply));
@@ -109,6 +111,31 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, started(id, "generate"));
     }
 
+    void engineKilledDuringARepeatableRunIsReplacedByAnother()
+    {
+        m_fleet->startOrdinary();
+        const std::string id = drawRequestId();
+        const auto reply = m_fleet->submit("entry-0", "answer", {{"x-request-id", id}, {"x-max-tokens", "250"}});
+        m_fleet->await([&] { return started(id, "generate") == 1; }, "the run to start");
+        m_fleet->stopEndpoint(busySide());
+        m_fleet->await([&] { return reply->ended(); }, "the answer");
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(reply->received, std::string{"completed"}, outcomeOf(*reply));
+        CPPUNIT_ASSERT_EQUAL(generatedText(id, 250), bodyOf(*reply).value("result", ""));
+    }
+
+    void engineKilledDuringARunThatMustNotBeRepeatedLeavesItUnknown()
+    {
+        m_fleet->startOrdinary();
+        const std::string id = drawRequestId();
+        const auto reply = m_fleet->submit("entry-0", "report", {{"x-request-id", id}, {"x-max-tokens", "500"}});
+        m_fleet->await([&] { return started(id, "generate") == 1; }, "the run to start");
+        m_fleet->stopEndpoint(busySide());
+        m_fleet->await([&] { return reply->ended(); }, "the answer");
+        CPPUNIT_ASSERT_EQUAL(std::string{"unknown"}, outcomeOf(*reply));
+        awaitAnswerAgain();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, started(id, "generate"));
+    }
+
     void sideStoppedPastTheDeadlineStartsNothingWhenItWakes()
     {
         m_fleet->startOrdinary();
@@ -239,15 +266,15 @@
         return m_fleet->executions()[{id, stage}].completed;
     }
 
-    void killBusySide()
+    std::string busySide()
     {
         for (const std::string name : {"engine-0", "engine-1"}) {
             if (m_fleet->status(name).value("in_progress", 0) > 0) {
-                m_fleet->daemon(name).process->kill();
-                return;
+                return name;
             }
         }
         CPPUNIT_FAIL("no side is busy");
+        return {};
     }
 
     /*! @brief Waits until an ordinary request completes. */
--- a/test/processes/fleet.cpp
+++ b/test/processes/fleet.cpp
@@ -147,6 +147,13 @@
     waitReady();
 }
 
+void Fleet::stopEndpoint(const std::string &side)
+{
+    const std::string address = daemon(side).port("endpoint");
+    standIn(address).kill();
+    std::erase(m_endpoints, address);
+}
+
 void Fleet::announceAddress(const std::string &name, const std::string &address)
 {
     m_announced[name] = address;
--- a/test/processes/fleet.h
+++ b/test/processes/fleet.h
@@ -104,6 +104,12 @@
      */
     void startOrdinary();
 
+    /**
+     * @brief Kills the endpoint beside a side; what it has done is no longer counted.
+     * @param side Name of the side.
+     */
+    void stopEndpoint(const std::string &side);
+
     /**
      * @brief Announces an address for a daemon other than its own, such as that of a relay.
      * @param name Name of the daemon.
