--- a/src/bergamottide/app/adminport.cpp
+++ b/src/bergamottide/app/adminport.cpp
@@ -4,6 +4,7 @@
 #include "bergamottide/config/parser.h"
 #include "bergamottide/console/console.h"
 
+#include <absl/strings/numbers.h>
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 
@@ -15,6 +16,7 @@
 
 constexpr int statusOk = 200;
 constexpr int statusAccepted = 202;
+constexpr int statusBadRequest = 400;
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
 constexpr int statusUnprocessable = 422;
@@ -95,7 +97,13 @@
         return;
     }
     if (get && request.path == "/audit") {
-        answerJson(responder, statusOk, m_hooks.audit());
+        std::uint64_t after = 0;
+        const std::string text{queryValue(request.query, "after")};
+        if (!text.empty() && !absl::SimpleAtoi(text, &after)) {
+            answerJson(responder, statusBadRequest, R"({"reason":"malformed_header","field":"after"})");
+            return;
+        }
+        responder.answer(HttpAnswer{statusOk, {{"content-type", "application/x-ndjson"}}, m_hooks.audit(after)});
         return;
     }
     if (post && request.path == "/drain") {
--- a/src/bergamottide/app/entryapp.cpp
+++ b/src/bergamottide/app/entryapp.cpp
@@ -17,8 +17,8 @@
  * The answers are with the kernel by then; sockets closed at once could cut off a slow reader.
  */
 constexpr Duration flushTime = std::chrono::milliseconds{300};
-/*! @brief Largest body of a caller read at all; the document sets the limit below it. */
-constexpr std::size_t maxBodyBytes = 16u << 20;
+/*! @brief Largest body of a caller read at all: the largest limit that a document may set. */
+constexpr std::size_t maxBodyBytes = 64u << 20;
 /*! @brief Time for which the stream to a side that vanished from the list is kept: the longest deadline allowed. */
 constexpr Duration vanishedKeepTime = std::chrono::seconds{60};
 constexpr Duration expiryPeriod = std::chrono::seconds{1};
@@ -45,10 +45,11 @@
 
 } // namespace
 
-EntryApp::EntryApp(Loop &loop, const Settings &settings, std::vector<TicketKey> ticketKeys, Incarnation incarnation)
+EntryApp::EntryApp(Loop &loop, const Clock &clock, const Settings &settings, std::vector<TicketKey> ticketKeys,
+                   Incarnation incarnation)
     : m_loop{loop}
     , m_settings{settings}
-    , m_telemetry{settings}
+    , m_telemetry{settings, clock}
     , m_tickets{std::move(ticketKeys)}
     , m_reducer{identityOf(settings, incarnation)}
     , m_reactor{loop, m_reducer,
@@ -87,6 +88,7 @@
     status.Update(m_adminServer.listen());
     status.Update(m_transport.listen());
     if (status.ok()) {
+        carryOut(AuditRecord{AuditKind::Start, m_settings.instance.text(), "process started", {}});
         m_feed.start();
         m_reactor.submit(Tick{});
         expirePeers();
@@ -230,8 +232,8 @@
     hooks.metrics = [this] {
         return m_telemetry.metrics();
     };
-    hooks.audit = [this] {
-        return m_telemetry.auditTrail();
+    hooks.audit = [this](std::uint64_t after) {
+        return m_telemetry.auditLines(after);
     };
     hooks.drain = [this](const std::string &cause) {
         drain(cause);
