Check the framing of an endpoint's head before h2o reads it

Cause: h2o 2.2.5's client aborts the process (assertion in on_error_before_head) when an answer's content length is no number or its transfer encoding is unknown; one hostile endpoint could end its side. Change: the raw head is checked before h2o's reader; the call fails as malformed.

--- a/src/bergamottide/net/httpclient.cpp
+++ b/src/bergamottide/net/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "bergamottide/net/httpclient.h"
 
+#include "bergamottide/net/headcheck.h"
 #include "bergamottide/net/socketaddress.h"
 #include "bergamottide/net/tlscontext.h"
 
@@ -8,7 +9,9 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 namespace bergamottide {
 
@@ -59,11 +62,14 @@
         HttpHeaders headers;
         std::string received;
         std::size_t receivedBytes{};
+        /*! @brief Reader of h2o that waits behind the check of the head; null until the check is in place. */
+        h2o_socket_cb headReader{};
     };
 
     State(Loop &eventLoop, HttpClientOptions clientOptions)
         : loop{eventLoop}
         , options{std::move(clientOptions)}
+        , roundHook{loop.addRoundHook([this] { guardHeads(); })}
     {
         const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(options.ioTimeout).count();
         h2o_timeout_init(loop.native(), &ioTimeout, static_cast<std::uint64_t>(timeout));
@@ -197,9 +203,47 @@
         *buffers = call.buffers.data();
         *count = call.body.empty() ? 1 : 2;
         *isHead = call.isHead ? 1 : 0;
+        call.state->unguarded.push_back(call.id);
         return &State::onHead;
     }
 
+    /**
+     * @brief Puts the check of the head before h2o's reader, once h2o has set that after its write.
+     *
+     * Runs after each round; the head itself can come in the next round at the earliest.
+     */
+    void guardHeads()
+    {
+        std::erase_if(unguarded, [this](HttpCallId id) {
+            const auto found = calls.find(id);
+            if (found == calls.end() || found->second->client == nullptr) {
+                return true;
+            }
+            Call &call = *found->second;
+            h2o_socket_t *socket = call.client->sock;
+            if (socket->_cb.read == nullptr) {
+                return false;
+            }
+            call.headReader = socket->_cb.read;
+            socket->_cb.read = &State::onRawHead;
+            return true;
+        });
+    }
+
+    static void onRawHead(h2o_socket_t *socket, const char *error)
+    {
+        // h2o keeps its client in the socket, and the client keeps the call.
+        auto *client = static_cast<h2o_http1client_t *>(socket->data);
+        auto &call = *static_cast<Call *>(client->data);
+        const std::string_view input{socket->input->bytes, socket->input->size};
+        if (error != nullptr || internal::framingIsSound(input)) {
+            call.headReader(socket, error);
+            return;
+        }
+        call.state->fail(call, HttpFailure::Malformed);
+        h2o_http1client_cancel(client);
+    }
+
     static h2o_http1client_body_cb onHead(h2o_http1client_t *client, const char *error, int, int status, h2o_iovec_t,
                                           h2o_header_t *headers, size_t count, int)
     {
@@ -280,6 +324,9 @@
 
     Loop &loop;
     HttpClientOptions options;
+    std::uint64_t roundHook;
+    /*! @brief Calls whose request is under way but whose head is not checked yet. */
+    std::vector<HttpCallId> unguarded;
     h2o_timeout_t ioTimeout{};
     h2o_multithread_receiver_t getaddrReceiver{};
     h2o_http1client_ctx_t context{};
@@ -300,6 +347,7 @@
 
 HttpClient::~HttpClient()
 {
+    m_state->loop.removeRoundHook(m_state->roundHook);
     for (const auto &[id, call] : m_state->calls) {
         if (call->client != nullptr) {
             h2o_http1client_cancel(call->client);
--- a/src/bergamottide/net/loop.cpp
+++ b/src/bergamottide/net/loop.cpp
@@ -72,6 +72,9 @@
     }
     const Duration wait = pending ? Duration::zero() : std::min(longest, untilNextTimer());
     h2o_evloop_run(m_loop, roundedUpMilliseconds(wait));
+    for (const auto &[id, hook] : m_roundHooks) {
+        hook();
+    }
     runPosted();
     runDueTimers();
 }
@@ -116,6 +119,17 @@
     m_due.erase(found);
 }
 
+std::uint64_t Loop::addRoundHook(Task hook)
+{
+    m_roundHooks.emplace(m_nextRoundHook, std::move(hook));
+    return m_nextRoundHook++;
+}
+
+void Loop::removeRoundHook(std::uint64_t hook)
+{
+    m_roundHooks.erase(hook);
+}
+
 TimePoint Loop::now() const
 {
     return m_clock.now();
--- a/src/bergamottide/net/loop.h
+++ b/src/bergamottide/net/loop.h
@@ -70,6 +70,19 @@
      */
     void cancel(TimerId timer);
 
+    /**
+     * @brief Sets a hook called after each round of h2o's loop, before posted tasks.
+     * @param hook Hook to call.
+     * @return Identity for `removeRoundHook`.
+     */
+    std::uint64_t addRoundHook(Task hook);
+
+    /**
+     * @brief Forgets a hook.
+     * @param hook Identity from `addRoundHook`.
+     */
+    void removeRoundHook(std::uint64_t hook);
+
     /*! @brief Returns the time of the loop's clock. */
     [[nodiscard]] TimePoint now() const;
 
@@ -96,6 +109,8 @@
     std::map<std::pair<TimePoint, std::uint64_t>, Task> m_timers;
     std::map<std::uint64_t, TimePoint> m_due;
     std::uint64_t m_nextTimer{1};
+    std::map<std::uint64_t, Task> m_roundHooks;
+    std::uint64_t m_nextRoundHook{1};
 };
 
 } // namespace bergamottide
