Limit the wait for a bottleneck to a share of the deadline

Cause: the learned affordable wait left queues long, and was hard to read. Change: at most 0.3 of the deadline may go to waiting for the bottleneck, less for work of little value (down to a twentieth of that); waits count with a reserve of 1.1.

--- a/src/bergamottide/admission/admission.cpp
+++ b/src/bergamottide/admission/admission.cpp
@@ -7,18 +7,14 @@
 
 namespace {
 
-/*! @brief Share of requests that may find the queue of a pool too long for them: the tightest fifth. */
-constexpr double tightShare = 0.2;
-/*! @brief Step of the estimate of the affordable wait, relative to it: settles within about a hundred requests. */
-constexpr double affordableStep = 0.03;
-/*! @brief Wait, as a share of the deadline, from which on a stage counts as congested. */
-constexpr double congestedShare = 0.03;
+/*! @brief Share of the deadline that may be spent waiting for the bottleneck. A longer queue serves no more requests
+ * under lasting saturation; it only lets a full early stage keep out those with long stages behind it. */
+constexpr double waitShare = 0.3;
 /*! @brief Factor on estimated waits: they are a report old, and a request refused by the last stage wasted the others.
  */
-constexpr double waitReserve = 1.2;
-/*! @brief Part of the affordable wait that work of the least value may not use: it still gets what others leave free.
- */
-constexpr double valueSpread = 0.8;
+constexpr double waitReserve = 1.1;
+/*! @brief Part of that wait that work of the least value may not use: it still gets what others leave free. */
+constexpr double valueSpread = 0.95;
 /*! @brief Time between two requests let through although their service seems too long; else nobody would ever learn
  * that the stage has become fast again. One a second costs next to nothing. */
 constexpr Duration probePeriod = std::chrono::seconds{1};
@@ -61,12 +57,11 @@
         return judgeService(query, service, now);
     }
     const Waits waits = estimateWaits(query, policy, entries, now);
-    learnAffordable(query, scaled(usable - service, 1.0 / (waitReserve * std::max(1U, waits.congested))));
     const Duration needed = service + scaled(waits.total, waitReserve);
     if (needed > usable) {
         return {Reason::DeadlineUnreachable, std::clamp(needed - usable, leastRetryAfter, longestRetryAfter)};
     }
-    const Duration allowed = allowedWait(query, waits.bottleneck);
+    const Duration allowed = scaled(usable, waitShare * (1.0 - valueSpread * rankAt(query, waits.bottleneck)));
     if (waits.longest > allowed) {
         return {Reason::Overloaded, std::clamp(waits.longest - allowed, leastRetryAfter, longestRetryAfter)};
     }
@@ -76,30 +71,15 @@
 void Admission::countDemand(const AdmissionQuery &query, TimePoint now)
 {
     for (std::size_t stage = 0; stage < query.costs.size(); ++stage) {
-        ValueDemand &demand = m_demand[query.pipeline.stages[stage].pool.text()].values;
+        ValueDemand &demand = m_demand[query.pipeline.stages[stage].pool.text()];
         demand.add(densityOf(query, stage), query.costs[stage], now);
     }
 }
 
-// A running quantile: it moves up a little with each request that could wait longer, down more with one that could not.
-void Admission::learnAffordable(const AdmissionQuery &query, Duration slack)
-{
-    const auto value = static_cast<double>(slack.count());
-    for (const Stage &stage : query.pipeline.stages) {
-        double &affordable = m_demand[stage.pool.text()].affordable;
-        if (affordable <= 0.0) {
-            affordable = value;
-            continue;
-        }
-        affordable *= 1.0 + affordableStep * (value < affordable ? tightShare - 1.0 : tightShare);
-    }
-}
-
-Duration Admission::allowedWait(const AdmissionQuery &query, std::size_t stage)
+// Share of the recent demand for the stage's pool that is worth more than this request.
+double Admission::rankAt(const AdmissionQuery &query, std::size_t stage)
 {
-    const PoolDemand &demand = m_demand[query.pipeline.stages[stage].pool.text()];
-    const double share = 1.0 - valueSpread * demand.values.shareAbove(densityOf(query, stage));
-    return Duration{static_cast<std::int64_t>(demand.affordable * share)};
+    return m_demand[query.pipeline.stages[stage].pool.text()].shareAbove(densityOf(query, stage));
 }
 
 AdmissionDecision Admission::judgeLimits(const Workspace &workspace, TimePoint now)
@@ -140,7 +120,6 @@
         }
         const Duration wait = *estimated + pendingWait(query, stage.pool, entries);
         waits.total += wait;
-        waits.congested += wait > scaled(query.remaining, congestedShare) ? 1 : 0;
         if (wait > waits.longest) {
             waits.longest = wait;
             waits.bottleneck = index;
--- a/src/bergamottide/admission/admission.h
+++ b/src/bergamottide/admission/admission.h
@@ -45,12 +45,11 @@
  * stages exceed its deadline. The waits are those of its own workspace, as the fair queues
  * of the sides report them; so a burst is refused its excess while others notice nothing.
  *
- * Under saturation the queue of each pool is kept so short that most requests that use the
- * pool can afford it, with the waits of their other stages; else a full early stage would
- * let only those through that have no long stage behind it, and that stage would idle.
- * Work of little value is refused first: the wait it may use is the shorter, the more of
- * the recent demand for that pool is worth more per second of the pool's time. A workspace
- * below its share does not wait, and so loses nothing, whatever its value.
+ * Under saturation the queue of the bottleneck is kept well below the deadline, so that
+ * requests with long stages behind it are not the first to be refused, and work of little
+ * value is refused first: the wait it may use is the shorter, the more of the recent
+ * demand for that pool is worth more per second of the pool's time. A workspace below its
+ * share does not wait, and so loses nothing, whatever its value.
  */
 class Admission
 {
@@ -85,17 +84,6 @@
         Duration longest{};
         /*! @brief Stage with the longest wait. */
         std::size_t bottleneck{};
-        /*! @brief Stages with a wait worth the name. */
-        std::uint32_t congested{};
-    };
-
-    /*! @brief What is known of the recent demand for one pool. */
-    struct PoolDemand
-    {
-        /*! @brief Demand by value per second of the pool's time. */
-        ValueDemand values;
-        /*! @brief Wait at this pool that all but the tightest requests can afford, in microseconds. */
-        double affordable{};
     };
 
     using PoolKey = std::pair<std::string, std::string>;
@@ -105,14 +93,14 @@
     [[nodiscard]] AdmissionDecision judgeService(const AdmissionQuery &query, Duration service, TimePoint now);
     [[nodiscard]] Waits estimateWaits(const AdmissionQuery &query, const Policy &policy, std::size_t entries,
                                       TimePoint now);
-    [[nodiscard]] Duration allowedWait(const AdmissionQuery &query, std::size_t stage);
-    void learnAffordable(const AdmissionQuery &query, Duration slack);
+    [[nodiscard]] double rankAt(const AdmissionQuery &query, std::size_t stage);
     void countDemand(const AdmissionQuery &query, TimePoint now);
     [[nodiscard]] Duration pendingWait(const AdmissionQuery &query, const PoolName &pool, std::size_t entries) const;
 
     Placement &m_placement;
     const EndpointTable &m_table;
-    absl::flat_hash_map<std::string, PoolDemand> m_demand;
+    /*! @brief Recent demand of each pool, by value per second of its time. */
+    absl::flat_hash_map<std::string, ValueDemand> m_demand;
     absl::flat_hash_map<std::string, TokenBucket> m_rates;
     absl::flat_hash_map<std::string, std::uint32_t> m_inProgress;
     /*! @brief Cost admitted and not yet dispatched, by workspace and pool. */
