Let a burst wait longer than lasting saturation

Change: the share of the deadline that may go to waiting, and the part that little value may not use, go from burst to lasting limits over one deadline during which a workspace waits for a pool without a break.

--- a/src/bergamottide/admission/admission.cpp
+++ b/src/bergamottide/admission/admission.cpp
@@ -7,14 +7,20 @@
 
 namespace {
 
-/*! @brief Share of the deadline that may be spent waiting for the bottleneck. A longer queue serves no more requests
- * under lasting saturation; it only lets a full early stage keep out those with long stages behind it. */
-constexpr double waitShare = 0.3;
+/*! @brief Share of the deadline that may be spent waiting for the bottleneck while a burst lasts. */
+constexpr double burstWaitShare = 0.6;
+/*! @brief The same under lasting saturation: a longer queue serves no more requests then, and lets a full early stage
+ * keep out those with long stages behind it. */
+constexpr double lastingWaitShare = 0.3;
 /*! @brief Factor on estimated waits: they are a report old, and a request refused by the last stage wasted the others.
  */
 constexpr double waitReserve = 1.1;
-/*! @brief Part of that wait that work of the least value may not use: it still gets what others leave free. */
-constexpr double valueSpread = 0.95;
+/*! @brief Part of that wait that work of the least value may not use while a burst lasts. */
+constexpr double burstValueSpread = 0.5;
+/*! @brief The same under lasting saturation: it still gets what others leave free. */
+constexpr double lastingValueSpread = 0.95;
+/*! @brief Wait, as a share of the deadline, from which on a workspace counts as waiting for a pool. */
+constexpr double waitingShare = 0.03;
 /*! @brief Time between two requests let through although their service seems too long; else nobody would ever learn
  * that the stage has become fast again. One a second costs next to nothing. */
 constexpr Duration probePeriod = std::chrono::seconds{1};
@@ -61,13 +67,29 @@
     if (needed > usable) {
         return {Reason::DeadlineUnreachable, std::clamp(needed - usable, leastRetryAfter, longestRetryAfter)};
     }
-    const Duration allowed = scaled(usable, waitShare * (1.0 - valueSpread * rankAt(query, waits.bottleneck)));
+    const Duration allowed = allowedWait(query, waits, now);
     if (waits.longest > allowed) {
         return {Reason::Overloaded, std::clamp(waits.longest - allowed, leastRetryAfter, longestRetryAfter)};
     }
     return {};
 }
 
+// A queue that empties again soon is a burst, and worth its wait; one that has stood for a whole deadline is not.
+Duration Admission::allowedWait(const AdmissionQuery &query, const Waits &waits, TimePoint now)
+{
+    const PoolName &pool = query.pipeline.stages[waits.bottleneck].pool;
+    const PoolKey key{query.workspace.name.text(), pool.text()};
+    if (waits.longest <= scaled(query.remaining, waitingShare)) {
+        m_waitingSince.erase(key);
+        return query.remaining;
+    }
+    const TimePoint since = m_waitingSince.try_emplace(key, now).first->second;
+    const double lasting = std::min(1.0, std::chrono::duration<double>(now - since) / query.remaining);
+    const double share = burstWaitShare + lasting * (lastingWaitShare - burstWaitShare);
+    const double spread = burstValueSpread + lasting * (lastingValueSpread - burstValueSpread);
+    return scaled(query.remaining, share * (1.0 - spread * rankAt(query, waits.bottleneck)));
+}
+
 void Admission::countDemand(const AdmissionQuery &query, TimePoint now)
 {
     for (std::size_t stage = 0; stage < query.costs.size(); ++stage) {
--- a/src/bergamottide/admission/admission.h
+++ b/src/bergamottide/admission/admission.h
@@ -45,11 +45,12 @@
  * stages exceed its deadline. The waits are those of its own workspace, as the fair queues
  * of the sides report them; so a burst is refused its excess while others notice nothing.
  *
- * Under saturation the queue of the bottleneck is kept well below the deadline, so that
- * requests with long stages behind it are not the first to be refused, and work of little
- * value is refused first: the wait it may use is the shorter, the more of the recent
- * demand for that pool is worth more per second of the pool's time. A workspace below its
- * share does not wait, and so loses nothing, whatever its value.
+ * A burst may fill the queue of the bottleneck up to a good part of the deadline; under
+ * lasting saturation the queue is kept shorter, so that requests with long stages behind a
+ * full early one are not the first to be refused. Work of little value is refused first:
+ * the wait it may use is the shorter, the more of the recent demand for that pool is worth
+ * more per second of the pool's time. A workspace below its share does not wait, and so
+ * loses nothing, whatever its value.
  */
 class Admission
 {
@@ -93,6 +94,7 @@
     [[nodiscard]] AdmissionDecision judgeService(const AdmissionQuery &query, Duration service, TimePoint now);
     [[nodiscard]] Waits estimateWaits(const AdmissionQuery &query, const Policy &policy, std::size_t entries,
                                       TimePoint now);
+    [[nodiscard]] Duration allowedWait(const AdmissionQuery &query, const Waits &waits, TimePoint now);
     [[nodiscard]] double rankAt(const AdmissionQuery &query, std::size_t stage);
     void countDemand(const AdmissionQuery &query, TimePoint now);
     [[nodiscard]] Duration pendingWait(const AdmissionQuery &query, const PoolName &pool, std::size_t entries) const;
@@ -105,6 +107,8 @@
     absl::flat_hash_map<std::string, std::uint32_t> m_inProgress;
     /*! @brief Cost admitted and not yet dispatched, by workspace and pool. */
     absl::flat_hash_map<PoolKey, Duration> m_pending;
+    /*! @brief Time since when a workspace has been waiting for a pool without a break. */
+    absl::flat_hash_map<PoolKey, TimePoint> m_waitingSince;
     /*! @brief Time of the next request let through although its service seems too long, by pipeline and kind. */
     absl::flat_hash_map<KindKey, TimePoint> m_nextProbe;
 };
