--- a/src/bergamottide/entry/resultbuffer.cpp
+++ b/src/bergamottide/entry/resultbuffer.cpp
@@ -13,12 +13,15 @@
 
 PieceResult ResultBuffer::add(std::uint64_t offset, std::string_view piece)
 {
-    const std::uint64_t end = offset + piece.size();
-    if (end <= m_bytes.size()) {
+    if (offset > m_limit || piece.size() > m_limit - offset) {
+        return PieceResult::TooLarge;
+    }
+    if (offset + piece.size() <= m_bytes.size()) {
         return PieceResult::Repeated;
     }
-    if (offset > m_limit || end > m_limit || m_waitingBytes + piece.size() > m_limit) {
-        return PieceResult::TooLarge;
+    if (offset > m_bytes.size() && m_waitingBytes + piece.size() > m_limit) {
+        // Overlapping pieces behind a gap; what is dropped here is asked for again.
+        return PieceResult::Repeated;
     }
     if (offset > m_bytes.size()) {
         std::string &waiting = m_waiting[offset];
--- a/src/bergamottide/entry/resultbuffer.h
+++ b/src/bergamottide/entry/resultbuffer.h
@@ -13,7 +13,7 @@
 enum class PieceResult : std::uint8_t
 {
     Added,
-    /*! @brief Every byte of the piece was there already. */
+    /*! @brief Nothing was added: the bytes were there already, or too much waits behind a gap. */
     Repeated,
     /*! @brief The result would grow above its limit; the piece was dropped. */
     TooLarge
--- a/src/bergamottide/placement/serviceestimator.cpp
+++ b/src/bergamottide/placement/serviceestimator.cpp
@@ -12,7 +12,7 @@
 /*! @brief Largest step, as a natural logarithm: a sample more than twice off counts like one that is twice off. */
 constexpr double largestStep = 0.6931;
 /*! @brief Weight of the coarser estimate, in samples. */
-constexpr double coarserWeight = 4.0;
+constexpr double coarserWeight = 2.0;
 /*! @brief Stands for all sizes of a stage and kind. */
 constexpr int anySize = -1;
 /*! @brief Classes kept at most; kinds and sizes come from callers, so they must not grow without bound. */
