--- a/src/bergamottide/placement/serviceestimator.cpp
+++ b/src/bergamottide/placement/serviceestimator.cpp
@@ -9,6 +9,8 @@
 
 /*! @brief Samples after which each new one counts the same: follows a change of level within about twenty. */
 constexpr std::uint32_t settledSamples = 20;
+/*! @brief Samples counted at most: by then the coarser estimate no longer matters. */
+constexpr std::uint32_t mostSamples = 1000;
 /*! @brief Largest step, as a natural logarithm: a sample more than twice off counts like one that is twice off. */
 constexpr double largestStep = 0.6931;
 /*! @brief Weight of the coarser estimate, in samples. */
@@ -41,8 +43,8 @@
         m_samples = 1;
         return;
     }
-    m_samples = std::min(m_samples + 1, settledSamples);
-    m_log += std::clamp(logarithm - m_log, -largestStep, largestStep) / m_samples;
+    m_samples = std::min(m_samples + 1, mostSamples);
+    m_log += std::clamp(logarithm - m_log, -largestStep, largestStep) / std::min(m_samples, settledSamples);
 }
 
 double RobustMean::value() const
--- a/src/bergamottide/placement/serviceestimator.h
+++ b/src/bergamottide/placement/serviceestimator.h
@@ -40,7 +40,7 @@
     /*! @brief Returns the estimate; requires one sample. */
     [[nodiscard]] double value() const;
 
-    /*! @brief Returns the number of samples, up to the number at which they stop to matter. */
+    /*! @brief Returns the number of samples, up to a thousand. */
     [[nodiscard]] std::uint32_t samples() const noexcept;
 
 private:
