Side: drains end within two seconds; the queue leaves room for following stages

At twice saturation the encoders' queue was full of requests that end early, and the engines starved at a quarter of their places. Change: a drain takes runs of earlier serials for 1.5 s only, then seals them. Within a workspace the deadline of this stage decides, not that of the request; worth counts in steps of the root of two, so that noise in costs does not order the queue.

--- a/src/bergamottide/scheduling/fairqueue.cpp
+++ b/src/bergamottide/scheduling/fairqueue.cpp
@@ -13,22 +13,26 @@
 
 /*! @brief Cost below which runs count alike: a free run must not have boundless worth, nor escape its share. */
 constexpr Duration leastCost{1};
+/*! @brief Worth below which runs count alike; it keeps the logarithm finite for a value of zero. */
+constexpr double leastWorthValue = 1e-18;
 
-double worthOf(const QueueItem &item)
+/*! @brief Returns the value for the cost, in steps of the root of two. */
+int worthOf(const QueueItem &item)
 {
-    return item.value / static_cast<double>(std::max(item.cost, leastCost).count());
+    const double worth = item.value / static_cast<double>(std::max(item.cost, leastCost).count());
+    return static_cast<int>(std::floor(2.0 * std::log2(std::max(worth, leastWorthValue))));
 }
 
 } // namespace
 
 bool FairQueue::DeadlineKey::operator<(const DeadlineKey &other) const
 {
-    return std::tie(deadline, other.value, sequence) < std::tie(other.deadline, value, other.sequence);
+    return std::tie(due, other.value, sequence) < std::tie(other.due, value, other.sequence);
 }
 
 bool FairQueue::WorthKey::operator<(const WorthKey &other) const
 {
-    return std::tie(other.worth, deadline, sequence) < std::tie(worth, other.deadline, other.sequence);
+    return std::tie(other.worth, due, sequence) < std::tie(worth, other.due, other.sequence);
 }
 
 FairQueue::FairQueue(std::size_t limit, std::size_t parallel)
@@ -173,8 +177,8 @@
         share.nextStart = std::max(share.nextStart, m_virtualTime);
         m_activeWeight += share.weight;
     }
-    share.byDeadline.insert({item.deadline, item.value, sequence, slot});
-    share.byWorth.insert({worthOf(item), item.deadline, sequence, slot});
+    share.byDeadline.insert({item.due(), item.value, sequence, slot});
+    share.byWorth.insert({worthOf(item), item.due(), sequence, slot});
     share.backlog += item.cost;
     m_backlog += item.cost;
     m_latestStarts.set(slot, {item.latestStart(), sequence});
@@ -203,8 +207,8 @@
     m_slotOf.erase(item.run);
     m_latestStarts.erase(slot);
     Share &share = m_shares[index];
-    share.byDeadline.erase({item.deadline, item.value, sequence, slot});
-    share.byWorth.erase({worthOf(item), item.deadline, sequence, slot});
+    share.byDeadline.erase({item.due(), item.value, sequence, slot});
+    share.byWorth.erase({worthOf(item), item.due(), sequence, slot});
     share.backlog -= item.cost;
     m_backlog -= item.cost;
     if (share.byDeadline.empty()) {
@@ -240,7 +244,7 @@
 bool FairQueue::saturated(const Share &share, TimePoint now) const
 {
     const QueueItem &last = m_slots[share.byDeadline.rbegin()->slot].item;
-    return now + wait(share) > last.deadline - last.following;
+    return now + wait(share) > last.due();
 }
 
 Duration FairQueue::wait(const Share &share) const
--- a/src/bergamottide/scheduling/fairqueue.h
+++ b/src/bergamottide/scheduling/fairqueue.h
@@ -30,10 +30,16 @@
     /*! @brief Worth of the request completed on time. */
     double value{1.0};
 
+    /*! @brief Returns the deadline of this stage: what is left after it is just enough for the following ones. */
+    [[nodiscard]] TimePoint due() const
+    {
+        return deadline - following;
+    }
+
     /*! @brief Returns the time after which a start cannot end within the deadline. */
     [[nodiscard]] TimePoint latestStart() const
     {
-        return deadline - cost - following;
+        return due() - cost;
     }
 
     [[nodiscard]] bool operator==(const QueueItem &) const = default;
@@ -58,10 +64,14 @@
  * workspace that comes back from idling starts at the present virtual time: it has gained
  * no credit that it could spend in a burst.
  *
- * Within a workspace the earliest deadline goes first, then the higher value. When the
- * backlog of a workspace no longer fits before its last deadline, some of it will be late
- * whatever the order; then the highest value for its cost goes first, so that what is lost
- * is worth least. Value never moves time from one workspace to another: weights alone do.
+ * Within a workspace the earliest deadline of this stage goes first, then the higher value;
+ * that deadline leaves room for the following stages, so that a flood of requests that end
+ * here does not use up the time of those that have long work before them. When the backlog
+ * of a workspace no longer fits before its last deadline, some of it will be late whatever
+ * the order; then the highest value for its cost goes first, so that what is lost is worth
+ * least. Worth counts in steps of the root of two: smaller differences are within the error
+ * of the estimates, and the deadline decides. Value never moves time from one workspace to
+ * another: weights alone do.
  *
  * Work in the queue is bounded. The victim rule: of the workspace furthest over its share
  * (largest backlog over weight, the offered run included) the run of least value for its
@@ -137,7 +147,7 @@
 private:
     struct DeadlineKey
     {
-        TimePoint deadline;
+        TimePoint due;
         double value{};
         std::uint64_t sequence{};
         std::size_t slot{};
@@ -146,8 +156,8 @@
 
     struct WorthKey
     {
-        double worth{};
-        TimePoint deadline;
+        int worth{};
+        TimePoint due;
         std::uint64_t sequence{};
         std::size_t slot{};
         [[nodiscard]] bool operator<(const WorthKey &other) const;
--- a/src/bergamottide/side/drain.h
+++ b/src/bergamottide/side/drain.h
@@ -13,9 +13,9 @@
  * @brief Graceful stop of a side.
  *
  * From the first sign (the instance list or the process's own stop) it opens no record and
- * takes no repeatable run. It finishes what is queued or running and the requests whose
- * serials it has given out, keeps results until they are fetched or have expired, and then
- * says that the process may exit. The longest deadline and the retention of results bound
+ * takes no repeatable run. It takes the runs of serials given out before for a short time
+ * more, finishes what is queued or running, keeps results until they are fetched or have
+ * expired, and then says that the process may exit. The longest deadline and the retention of results bound
  * all that; whatever is left then is logged and given up.
  */
 class Drain
--- a/src/bergamottide/side/runreception.cpp
+++ b/src/bergamottide/side/runreception.cpp
@@ -17,6 +17,15 @@
  */
 constexpr Duration abandonedGrace = std::chrono::seconds{2};
 
+/**
+ * @brief Time for which a draining side still takes the runs of serials that it gave out before.
+ *
+ * Their requests are in progress, and a planned stop shall cut off none; but an endpoint
+ * that leaves shall get no new run two seconds after the first sign. Most requests come to
+ * their last stage within this time; the others end incomplete, which is true.
+ */
+constexpr Duration drainGrace = std::chrono::milliseconds{1500};
+
 } // namespace
 
 RunReception::RunReception(SideContext &context, RunTable &runs, RunDelivery &delivery, RunScheduler &scheduler,
@@ -99,8 +108,8 @@
     if (!m_context.peers.fresh(from)) {
         return Reason::Paused;
     }
-    // The serial was given out before the drain: its request is in progress and is not cut off.
-    if (m_context.draining && order.serial == noSerial) {
+    const bool known = order.serial != noSerial && m_context.now <= m_context.drainingSince + drainGrace;
+    if (m_context.draining && !known) {
         return Reason::Draining;
     }
     if (!m_context.document->pools.contains(m_context.identity.pool)) {
--- a/src/bergamottide/side/sidecontext.h
+++ b/src/bergamottide/side/sidecontext.h
@@ -23,6 +23,8 @@
     /*! @brief Time at which the present event is handled. */
     TimePoint now;
     bool draining{};
+    /*! @brief Time of the first sign of the present drain. */
+    TimePoint drainingSince;
     PeerTable peers;
     Outbox out;
 };
--- a/test/bergamottide/scheduling/fairqueue.cpp
+++ b/test/bergamottide/scheduling/fairqueue.cpp
@@ -36,6 +36,7 @@
         , cost{(1 + word / 32 % 8) * 10ms}
         , deadline{(word / 256 % 16) * 50ms}
         , value{static_cast<double>(1 + word / 4096 % 3)}
+        , following{(word / 16384 % 4) * 100ms}
     {
     }
 
@@ -44,6 +45,7 @@
     Duration cost;
     Duration deadline;
     double value;
+    Duration following;
 };
 
 void sameOutcome(const QueueOutcome &left, const QueueOutcome &right)
@@ -65,6 +67,7 @@
     CPPUNIT_TEST(idleWorkspaceGainsNoCredit);
     CPPUNIT_TEST(burstDoesNotDelayTheNextRunOfAnother);
     CPPUNIT_TEST(earliestDeadlineGoesFirstWhileAllFit);
+    CPPUNIT_TEST(longFollowingWorkGoesFirst);
     CPPUNIT_TEST(highestWorthGoesFirstWhenNotAllFit);
     CPPUNIT_TEST(victimIsTheLeastWorthOfTheFurthestOver);
     CPPUNIT_TEST(offeredRunThatIsTheWorstIsRefused);
@@ -92,6 +95,7 @@
                         QueueItem offered =
                             item(++number, workspace(step.workspace), step.cost, step.deadline, step.value);
                         offered.deadline = now + step.deadline;
+                        offered.following = step.following;
                         sameOutcome(queue.push(offered), naive.push(offered));
                     } else if (step.kind < 7) {
                         RC_ASSERT(queue.pop(now) == naive.pop(now));
@@ -168,6 +172,19 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, queue.pop(TimePoint{})->run.request.low);
     }
 
+    void longFollowingWorkGoesFirst()
+    {
+        FairQueue queue{10, 1};
+        (void)queue.push(item(1, workspace(0), 100ms, 5s));
+        QueueItem longer = item(2, workspace(0), 110ms, 6s);
+        longer.following = 3s;
+        (void)queue.push(longer);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, queue.pop(TimePoint{})->run.request.low);
+        (void)queue.push(longer);
+        // Too late for both: costs that differ by a tenth are worth the same, and the order stays.
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, queue.pop(TimePoint{} + 10s)->run.request.low);
+    }
+
     void highestWorthGoesFirstWhenNotAllFit()
     {
         FairQueue queue{10, 1};
