--- a/test/programs/policy.cpp
+++ b/test/programs/policy.cpp
@@ -19,6 +19,7 @@
 DEFINE_bool(list_ablations, false, "Print the mechanisms that can be switched off.");
 DEFINE_bool(list, false, "Print the scenarios.");
 DEFINE_bool(baseline, true, "Also run the naive version.");
+DEFINE_double(length, 1.0, "Length of the steady loads relative to the usual one.");
 DEFINE_string(merge, "", "Read lines of figures from this file, print the table, and play nothing.");
 DEFINE_string(json, "", "With --merge: write the summary to this file.");
 DEFINE_string(data, "", "With --merge: write the table for gnuplot to this file.");
@@ -74,6 +75,7 @@
     options.size = {FLAGS_engines, FLAGS_workspaces, FLAGS_entries};
     options.seed = seed;
     options.withBaseline = FLAGS_baseline;
+    options.length = FLAGS_length;
     for (const Ablation &ablation : ablations()) {
         if (ablation.name == FLAGS_ablate) {
             options.tweak = ablation.apply;
