--- a/src/bergamottide/scheduling/fairqueue.h
+++ b/src/bergamottide/scheduling/fairqueue.h
@@ -4,11 +4,13 @@
 #include "bergamottide/scheduling/indexedheap.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/hash/hash.h>
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -28,10 +30,16 @@
     /*! @brief Worth of the request completed on time. */
     double value{1.0};
 
+    /*! @brief Returns the deadline of this stage: what is left after it is just enough for the following ones. */
+    [[nodiscard]] TimePoint due() const
+    {
+        return deadline - following;
+    }
+
     /*! @brief Returns the time after which a start cannot end within the deadline. */
     [[nodiscard]] TimePoint latestStart() const
     {
-        return deadline - cost - following;
+        return due() - cost;
     }
 
     [[nodiscard]] bool operator==(const QueueItem &) const = default;
@@ -56,10 +64,14 @@
  * workspace that comes back from idling starts at the present virtual time: it has gained
  * no credit that it could spend in a burst.
  *
- * Within a workspace the earliest deadline goes first, then the higher value. When the
- * backlog of a workspace no longer fits before its last deadline, some of it will be late
- * whatever the order; then the highest value for its cost goes first, so that what is lost
- * is worth least. Value never moves time from one workspace to another: weights alone do.
+ * Within a workspace the earliest deadline of this stage goes first, then the higher value;
+ * that deadline leaves room for the following stages, so that a flood of requests that end
+ * here does not use up the time of those that have long work before them. When the backlog
+ * of a workspace no longer fits before its last deadline, some of it will be late whatever
+ * the order; then the highest value for its cost goes first, so that what is lost is worth
+ * least. Worth counts in steps of the root of two: smaller differences are within the error
+ * of the estimates, and the deadline decides. Value never moves time from one workspace to
+ * another: weights alone do.
  *
  * Work in the queue is bounded. The victim rule: of the workspace furthest over its share
  * (largest backlog over weight, the offered run included) the run of least value for its
@@ -129,21 +141,25 @@
     [[nodiscard]] std::vector<std::pair<WorkspaceName, Duration>> waits() const;
     /*! @brief Returns the number of workspaces that have runs queued. */
     [[nodiscard]] std::size_t active() const noexcept;
+    /*! @brief Returns the number of steps through the orders of workspaces so far; tests bound the cost by it. */
+    [[nodiscard]] std::uint64_t steps() const noexcept;
 
 private:
     struct DeadlineKey
     {
-        TimePoint deadline;
+        TimePoint due;
         double value{};
         std::uint64_t sequence{};
+        std::size_t slot{};
         [[nodiscard]] bool operator<(const DeadlineKey &other) const;
     };
 
     struct WorthKey
     {
-        double worth{};
-        TimePoint deadline;
+        int worth{};
+        TimePoint due;
         std::uint64_t sequence{};
+        std::size_t slot{};
         [[nodiscard]] bool operator<(const WorthKey &other) const;
     };
 
@@ -157,20 +173,34 @@
         std::set<WorthKey> byWorth;
     };
 
-    struct Entry
+    /*! @brief Hash that mixes all bits, as the table needs it; identities from callers' keys may have patterns. */
+    struct RunHash
+    {
+        [[nodiscard]] std::size_t operator()(const RunId &run) const
+        {
+            return absl::HashOf(run.request.high, run.request.low, run.stage, run.attempt);
+        }
+    };
+
+    /*! @brief Place of one queued run; slots are used again. */
+    struct Slot
     {
         QueueItem item;
         std::size_t share{};
+        /*! @brief Order of arrival, which decides between equals. */
+        std::uint64_t sequence{};
     };
 
-    using HeapKey = std::pair<double, std::size_t>;
+    using ShareKey = std::pair<double, std::size_t>;
+    using StartKey = std::pair<TimePoint, std::uint64_t>;
 
     std::size_t shareOf(const WorkspaceName &workspace);
     void insert(QueueItem item, std::size_t share);
-    QueueItem remove(std::uint64_t sequence);
+    QueueItem remove(std::size_t slot);
+    std::size_t freeSlot();
     void rank(std::size_t share);
-    [[nodiscard]] std::uint64_t leastWorth() const;
-    [[nodiscard]] std::uint64_t choose(const Share &share, TimePoint now) const;
+    [[nodiscard]] std::size_t leastWorth() const;
+    [[nodiscard]] std::size_t choose(const Share &share, TimePoint now) const;
     [[nodiscard]] bool saturated(const Share &share, TimePoint now) const;
     [[nodiscard]] Duration wait(const Share &share) const;
 
@@ -182,11 +212,12 @@
     std::uint64_t m_nextSequence{1};
     std::vector<Share> m_shares;
     absl::flat_hash_map<std::string, std::size_t> m_shareOf;
-    absl::flat_hash_map<std::uint64_t, Entry> m_entries;
-    std::map<RunId, std::uint64_t> m_sequenceOf;
-    std::set<std::pair<TimePoint, std::uint64_t>> m_byLatestStart;
-    IndexedHeap<HeapKey> m_starts;
-    IndexedHeap<HeapKey> m_largest;
+    std::vector<Slot> m_slots;
+    std::vector<std::size_t> m_freeSlots;
+    absl::flat_hash_map<RunId, std::size_t, RunHash> m_slotOf;
+    IndexedHeap<StartKey> m_latestStarts;
+    IndexedHeap<ShareKey> m_starts;
+    IndexedHeap<ShareKey> m_largest;
 };
 
 } // namespace bergamottide
