Configuration by the tree in both daemons: one-shot reads, subscriptions, streams asked for

Cause: every process watched the configuration service by itself, which 4,350 of them must not; and the feed's hook for metrics was not set, so a refused document or a read of the metrics ended the process. Change: the distribution's reducer runs in entry and side; the client of the configuration service reads once when asked to; streams to parents are opened on demand, by one end first. The hook is set, and a process test reads metrics and trail of both daemons. Conclusion: documents come by the tree or by rare reads of the service.

--- a/src/bergamottide/app/entryapp.cpp
+++ b/src/bergamottide/app/entryapp.cpp
@@ -1,6 +1,5 @@
 #include "bergamottide/app/entryapp.h"
 
-#include "bergamottide/app/feedstatus.h"
 #include "bergamottide/app/startup.h"
 
 #include <nlohmann/json.hpp>
@@ -34,6 +33,13 @@
     return HttpServerOptions{settings.callersAddress, callersTls(settings), maxBodyBytes};
 }
 
+PlatformFeedOptions feedOptions(const Settings &settings, Incarnation incarnation)
+{
+    return PlatformFeedOptions{
+        settings.configService, settings.instanceList,
+        ConfigIdentity{settings.instance, settings.region, settings.zone, static_cast<std::uint64_t>(incarnation)}};
+}
+
 PeerTransportOptions transportOptions(const Settings &settings, Incarnation incarnation)
 {
     PeerTransportOptions options;
@@ -70,15 +76,12 @@
                         m_admin.handle(request, *responder);
                     }}
     , m_transport{loop, transportOptions(settings, incarnation), peerHooks()}
-    , m_peers{m_transport,
+    , m_peers{m_transport, settings.instance, Role::Entry,
               [this](const Instance &instance) {
                   return instance.role == Role::Side && instance.region == m_settings.region;
               },
               vanishedKeepTime}
-    , m_feed{
-          loop,
-          PlatformFeedOptions{settings.configService, settings.instanceList, static_cast<std::uint64_t>(incarnation)},
-          feedHooks()}
+    , m_feed{loop, feedOptions(settings, incarnation), feedHooks()}
 {
 }
 
@@ -186,20 +189,29 @@
 PlatformFeedHooks EntryApp::feedHooks()
 {
     PlatformFeedHooks hooks;
-    hooks.document = [this](std::shared_ptr<const Document> document, std::uint64_t digest) {
-        m_callers.setDocument(document);
-        m_reactor.submit(ConfigChanged{std::move(document), digest});
+    hooks.document = [this](ConfigChanged change) {
+        m_callers.setDocument(change.document);
+        m_reactor.submit(std::move(change));
     };
     hooks.view = [this](std::shared_ptr<const InstanceView> view) {
         m_peers.update(*view, m_loop.now());
         m_reactor.submit(ViewChanged{std::move(view)});
     };
+    hooks.send = [this](const SendMessage &effect) {
+        if (std::holds_alternative<ConfigSubscribe>(effect.message)) {
+            m_peers.require(effect.to, m_loop.now());
+        }
+        carryOut(effect);
+    };
     hooks.audit = [this](const AuditRecord &record) {
         carryOut(record);
     };
     hooks.log = [this](const LogLine &line) {
         carryOut(line);
     };
+    hooks.observe = [this](const Observe &observation) {
+        carryOut(observation);
+    };
     return hooks;
 }
 
@@ -212,9 +224,11 @@
     };
     hooks.down = [this](const InstanceName &peer) {
         m_peers.closed(peer);
+        m_feed.closed(peer);
         m_reactor.submit(PeerDown{peer});
     };
     hooks.received = [this](const InstanceName &peer, Message message) {
+        m_feed.received(peer, message);
         m_reactor.submit(PeerMessage{peer, std::move(message)});
     };
     return hooks;
@@ -248,7 +262,7 @@
 
 std::string EntryApp::status() const
 {
-    nlohmann::json status = feedStatus(m_feed);
+    nlohmann::json status = m_feed.status();
     status["instance"] = m_settings.instance.text();
     status["role"] = "entry";
     status["zone"] = m_settings.zone.text();
--- a/src/bergamottide/app/peerset.cpp
+++ b/src/bergamottide/app/peerset.cpp
@@ -5,8 +5,19 @@
 
 namespace bergamottide {
 
-PeerSet::PeerSet(PeerTransport &transport, Wanted wanted, Duration keepTime)
+namespace {
+
+/*! @brief Time for which a stream is kept after it was last asked for: three renewals of a subscription. */
+constexpr Duration requirementTime = std::chrono::seconds{30};
+/*! @brief Time after which the end that should wait opens the stream itself. */
+constexpr Duration patience = std::chrono::seconds{1};
+
+} // namespace
+
+PeerSet::PeerSet(PeerTransport &transport, InstanceName self, Role role, Wanted wanted, Duration keepTime)
     : m_transport{transport}
+    , m_self{std::move(self)}
+    , m_role{role}
     , m_wanted{std::move(wanted)}
     , m_keepTime{keepTime}
 {
@@ -14,8 +25,9 @@
 
 void PeerSet::update(const InstanceView &view, TimePoint now)
 {
+    m_listed = view.instances;
     for (const auto &[name, instance] : view.instances) {
-        if (!m_wanted(instance)) {
+        if (!isWanted(instance)) {
             continue;
         }
         m_vanished.erase(name);
@@ -28,15 +40,43 @@
     }
     for (const auto &[name, address] : m_addresses) {
         const auto listed = view.instances.find(name);
-        if (listed == view.instances.end() || !m_wanted(listed->second)) {
+        if (listed == view.instances.end() || !isWanted(listed->second)) {
             m_vanished.try_emplace(name, now);
         }
     }
     expire(now);
 }
 
+void PeerSet::require(const InstanceName &peer, TimePoint now)
+{
+    const auto listed = m_listed.find(peer);
+    if (listed == m_listed.end() || peer == m_self) {
+        return;
+    }
+    Requirement &requirement = m_required.try_emplace(peer, Requirement{now, now}).first->second;
+    requirement.last = now;
+    if (m_open.contains(peer) || m_addresses.contains(peer)) {
+        return;
+    }
+    if (!opensFirst(listed->second) && now - requirement.since < patience) {
+        return;
+    }
+    m_addresses[peer] = listed->second.address;
+    m_transport.connect(peer, listed->second.address);
+}
+
 void PeerSet::expire(TimePoint now)
 {
+    const auto old = [now](const auto &one) {
+        return now - one.second.last > requirementTime;
+    };
+    std::erase_if(m_required, old);
+    for (const auto &[name, address] : m_addresses) {
+        const auto listed = m_listed.find(name);
+        if (listed != m_listed.end() && !isWanted(listed->second)) {
+            m_vanished.try_emplace(name, now);
+        }
+    }
     std::vector<InstanceName> gone;
     for (const auto &[name, since] : m_vanished) {
         if (now - since > m_keepTime || !m_open.contains(name)) {
@@ -68,6 +108,20 @@
     return m_addresses.size() - m_vanished.size();
 }
 
+bool PeerSet::isWanted(const Instance &instance) const
+{
+    const bool required = m_required.contains(instance.name) && m_addresses.contains(instance.name);
+    return required || (instance.name != m_self && m_wanted(instance));
+}
+
+bool PeerSet::opensFirst(const Instance &instance) const
+{
+    if (instance.role == m_role) {
+        return m_self < instance.name;
+    }
+    return m_role == Role::Entry;
+}
+
 void PeerSet::forget(const InstanceName &peer)
 {
     m_vanished.erase(peer);
--- a/src/bergamottide/app/platformfeed.cpp
+++ b/src/bergamottide/app/platformfeed.cpp
@@ -3,53 +3,64 @@
 #include "bergamottide/core/error.h"
 
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_join.h>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
 
 namespace bergamottide {
 
+namespace {
+
+using Json = nlohmann::json;
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+template <typename Counts>
+Json countsJson(const Counts &counts, std::uint64_t values)
+{
+    return {{"reads", counts.reads}, {"values", values}, {"errors", counts.errors}, {"bytes", counts.bytes}};
+}
+
+} // namespace
+
 PlatformFeed::PlatformFeed(Loop &loop, const PlatformFeedOptions &options, PlatformFeedHooks hooks)
     : m_loop{loop}
     , m_hooks{std::move(hooks)}
-    , m_config{loop, options.configService, options.seed,
-               ConfigClientHooks{[this](const std::string &text) { return takeDocument(text); },
-                                 [this](const absl::Status &error) { readFailed("config", error); },
-                                 [this] {
-                                     m_confirmed = m_loop.now();
-                                 }}}
-    , m_instances{loop, options.instanceList, options.seed + 1,
-                  InstanceClientHooks{[this](std::shared_ptr<const InstanceView> view) { takeView(std::move(view)); },
-                                      [this](const absl::Status &error) { readFailed("instances", error); },
-                                      {}}}
+    , m_config{loop, options.configService, configHooks()}
+    , m_instances{loop, options.instanceList, options.identity.seed, instanceHooks()}
+    , m_distribution{options.identity, DistributionPolicy{}, loop.now()}
+    , m_reactor{loop, m_distribution, [this](ConfigEffect effect) {
+                    carryOut(std::move(effect));
+                }}
 {
 }
 
 void PlatformFeed::start()
 {
-    m_config.start();
     m_instances.start();
+    m_reactor.submit(Tick{});
 }
 
-void PlatformFeed::observe()
+void PlatformFeed::received(const InstanceName &from, const Message &message)
 {
-    m_hooks.observe(Observe{Metric::ConfigVersion, {}, static_cast<double>(version())});
-    const auto age = confirmedAge();
-    if (age) {
-        m_hooks.observe(Observe{Metric::ConfigAgeSeconds, {}, std::chrono::duration<double>(*age).count()});
+    const bool concerned = std::holds_alternative<Hello>(message) || std::holds_alternative<ConfigSubscribe>(message)
+        || std::holds_alternative<ConfigDelta>(message);
+    if (concerned) {
+        m_reactor.submit(PeerMessage{from, message});
     }
 }
 
-std::uint64_t PlatformFeed::version() const noexcept
+void PlatformFeed::closed(const InstanceName &peer)
 {
-    return m_store.version();
+    m_reactor.submit(PeerDown{peer});
 }
 
-std::uint64_t PlatformFeed::digest() const noexcept
+std::uint64_t PlatformFeed::version() const
 {
-    return m_store.digest();
+    return m_distribution.current() ? m_distribution.current()->version() : 0;
 }
 
 std::uint64_t PlatformFeed::revision() const noexcept
@@ -57,70 +68,93 @@
     return m_revision;
 }
 
-std::optional<Duration> PlatformFeed::confirmedAge() const
+Json PlatformFeed::status() const
 {
-    return m_confirmed ? std::optional<Duration>{m_loop.now() - *m_confirmed} : std::nullopt;
+    const ConfigStatus status = m_distribution.status();
+    return {{"config_version", status.version},
+            {"config_digest", absl::StrCat(absl::Hex(status.digest, absl::kZeroPad16))},
+            {"config_unconfirmed", status.unconfirmed},
+            {"config_age_ms", milliseconds(m_distribution.age(m_loop.now()))},
+            {"config_parent", status.parent.text()},
+            {"config_subscribers", status.subscribers},
+            {"config_refusal", status.refusal.empty() ? std::string{} : issueText(status.refusal.front())},
+            {"config_reads", countsJson(m_config.counts(), m_config.counts().documents)},
+            {"view_revision", m_revision},
+            {"instance_reads", countsJson(m_instances.counts(), m_instances.counts().values)}};
 }
 
-const LongPollCounts &PlatformFeed::configCounts() const noexcept
+void PlatformFeed::carryOut(ConfigEffect effect)
 {
-    return m_config.counts();
+    std::visit([this](const auto &one) { carryOut(one); }, effect);
 }
 
-const LongPollCounts &PlatformFeed::instanceCounts() const noexcept
+void PlatformFeed::carryOut(const SendMessage &effect)
 {
-    return m_instances.counts();
+    m_hooks.send(effect);
 }
 
-absl::StatusOr<std::uint64_t> PlatformFeed::takeDocument(const std::string &text)
+void PlatformFeed::carryOut(const ReadService &effect)
 {
-    const Verdict verdict = m_store.offerText(text);
-    switch (verdict.acceptance) {
-    case Acceptance::Accepted:
-        putInForce(verdict, "read from the configuration service");
-        return verdict.version;
-    case Acceptance::Same:
-    case Acceptance::Older:
-        return verdict.version;
-    case Acceptance::Conflicting:
-    case Acceptance::Invalid:
-    case Acceptance::Mismatched:
-        break;
-    }
-    return refuse(text, verdict);
+    m_config.read(effect.after);
 }
 
-void PlatformFeed::putInForce(const Verdict &verdict, const char *cause)
+void PlatformFeed::carryOut(const ConfigChanged &effect)
 {
-    m_confirmed = m_loop.now();
-    m_hooks.audit(AuditRecord{AuditKind::ConfigAccepted, absl::StrCat("version ", verdict.version), cause,
-                              absl::StrCat("digest ", absl::Hex(verdict.digest, absl::kZeroPad16), ", changed ",
-                                           absl::StrJoin(verdict.changed, " "))});
-    m_hooks.document(m_store.current()->document, verdict.digest);
+    m_hooks.document(effect);
 }
 
-absl::Status PlatformFeed::refuse(const std::string &text, const Verdict &verdict)
+void PlatformFeed::carryOut(const LogLine &line)
 {
-    const std::string detail = verdict.issues.empty() ? std::string{"The version in force came with another content."}
-                                                      : issueText(verdict.issues.front());
-    m_hooks.observe(Observe{Metric::ConfigRefusedTotal, {std::string{enumName(verdict.acceptance)}}, 1.0});
-    const std::uint64_t digest = XXH3_64bits(text.data(), text.size());
-    if (digest != m_refusedText) {
-        m_refusedText = digest;
-        m_hooks.audit(AuditRecord{AuditKind::ConfigRefused, absl::StrCat("version ", verdict.version),
-                                  std::string{enumName(verdict.acceptance)}, detail});
-    }
-    return makeError(Reason::MalformedBody, "config", detail);
+    m_hooks.log(line);
+}
+
+void PlatformFeed::carryOut(const AuditRecord &record)
+{
+    m_hooks.audit(record);
+}
+
+void PlatformFeed::carryOut(const Observe &observation)
+{
+    m_hooks.observe(observation);
+}
+
+ConfigClientHooks PlatformFeed::configHooks()
+{
+    ConfigClientHooks hooks;
+    hooks.document = [this](std::string text) {
+        m_reactor.submit(ServiceDocument{std::move(text)});
+    };
+    hooks.unchanged = [this] {
+        m_reactor.submit(ServiceUnchanged{});
+    };
+    hooks.failed = [this](const absl::Status &error) {
+        readFailed("config", error);
+        m_reactor.submit(ServiceFailed{});
+    };
+    return hooks;
+}
+
+InstanceClientHooks PlatformFeed::instanceHooks()
+{
+    InstanceClientHooks hooks;
+    hooks.view = [this](const std::shared_ptr<const InstanceView> &view) {
+        takeView(view);
+    };
+    hooks.failed = [this](const absl::Status &error) {
+        readFailed("instances", error);
+    };
+    return hooks;
 }
 
-void PlatformFeed::takeView(std::shared_ptr<const InstanceView> view)
+void PlatformFeed::takeView(const std::shared_ptr<const InstanceView> &view)
 {
     m_revision = view->revision;
     const auto leaving = std::count_if(view->instances.begin(), view->instances.end(),
                                        [](const auto &listed) { return listed.second.leaving; });
     m_hooks.audit(AuditRecord{AuditKind::ViewChange, absl::StrCat("revision ", view->revision), "instance list",
                               absl::StrCat(view->instances.size(), " instances, ", leaving, " leaving")});
-    m_hooks.view(std::move(view));
+    m_hooks.view(view);
+    m_reactor.submit(ViewChanged{view});
 }
 
 void PlatformFeed::readFailed(const char *source, const absl::Status &error)
--- a/src/bergamottide/app/reactor.h
+++ b/src/bergamottide/app/reactor.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <utility>
 
 namespace bergamottide {
@@ -78,7 +79,8 @@
     void arm()
     {
         const TimePoint latest = m_loop.now() + longestTick;
-        const TimePoint due = std::min(m_reducer.nextWakeup().value_or(latest), latest);
+        const std::optional<TimePoint> wanted = m_reducer.nextWakeup();
+        const TimePoint due = std::min(wanted.value_or(latest), latest);
         if (m_timer != TimerId{} && m_due <= due) {
             return;
         }
--- a/src/bergamottide/app/sideapp.cpp
+++ b/src/bergamottide/app/sideapp.cpp
@@ -1,6 +1,5 @@
 #include "bergamottide/app/sideapp.h"
 
-#include "bergamottide/app/feedstatus.h"
 #include "bergamottide/app/startup.h"
 
 #include <utility>
@@ -11,6 +10,8 @@
 
 /*! @brief Time after the last message before the process ends, so that the streams have sent it. */
 constexpr Duration flushTime = std::chrono::milliseconds{300};
+/*! @brief Time for which the stream to a process that vanished from the list is kept. */
+constexpr Duration vanishedKeepTime = std::chrono::seconds{60};
 /*! @brief Largest body read on the admin port: a document of a megabyte with room. */
 constexpr std::size_t maxAdminBytes = 2u << 20;
 
@@ -20,6 +21,13 @@
                         settings.pool,     incarnation,     static_cast<std::uint64_t>(incarnation)};
 }
 
+PlatformFeedOptions feedOptions(const Settings &settings, Incarnation incarnation)
+{
+    return PlatformFeedOptions{
+        settings.configService, settings.instanceList,
+        ConfigIdentity{settings.instance, settings.region, settings.zone, static_cast<std::uint64_t>(incarnation)}};
+}
+
 PeerTransportOptions transportOptions(const Settings &settings, Incarnation incarnation)
 {
     PeerTransportOptions options;
@@ -46,10 +54,8 @@
                         m_admin.handle(request, *responder);
                     }}
     , m_transport{loop, transportOptions(settings, incarnation), peerHooks()}
-    , m_feed{
-          loop,
-          PlatformFeedOptions{settings.configService, settings.instanceList, static_cast<std::uint64_t>(incarnation)},
-          feedHooks()}
+    , m_peers{m_transport, settings.instance, Role::Side, [](const Instance &) { return false; }, vanishedKeepTime}
+    , m_feed{loop, feedOptions(settings, incarnation), feedHooks()}
 {
 }
 
@@ -140,19 +146,29 @@
 PlatformFeedHooks SideApp::feedHooks()
 {
     PlatformFeedHooks hooks;
-    hooks.document = [this](std::shared_ptr<const Document> document, std::uint64_t digest) {
-        takeDocument(document);
-        m_reactor.submit(ConfigChanged{std::move(document), digest});
+    hooks.document = [this](ConfigChanged change) {
+        takeDocument(change.document);
+        m_reactor.submit(std::move(change));
     };
     hooks.view = [this](std::shared_ptr<const InstanceView> view) {
+        m_peers.update(*view, m_loop.now());
         m_reactor.submit(ViewChanged{std::move(view)});
     };
+    hooks.send = [this](const SendMessage &effect) {
+        if (std::holds_alternative<ConfigSubscribe>(effect.message)) {
+            m_peers.require(effect.to, m_loop.now());
+        }
+        carryOut(effect);
+    };
     hooks.audit = [this](const AuditRecord &record) {
         carryOut(record);
     };
     hooks.log = [this](const LogLine &line) {
         carryOut(line);
     };
+    hooks.observe = [this](const Observe &observation) {
+        carryOut(observation);
+    };
     return hooks;
 }
 
@@ -160,12 +176,16 @@
 {
     PeerHooks hooks;
     hooks.up = [this](const InstanceName &peer) {
+        m_peers.opened(peer);
         m_reactor.submit(PeerUp{peer});
     };
     hooks.down = [this](const InstanceName &peer) {
+        m_peers.closed(peer);
+        m_feed.closed(peer);
         m_reactor.submit(PeerDown{peer});
     };
     hooks.received = [this](const InstanceName &peer, Message message) {
+        m_feed.received(peer, message);
         m_reactor.submit(PeerMessage{peer, std::move(message)});
     };
     return hooks;
@@ -231,6 +251,7 @@
 
 void SideApp::pollEndpoint()
 {
+    m_peers.expire(m_loop.now());
     if (m_endpoint) {
         m_endpoint->poll();
     }
@@ -244,7 +265,7 @@
 
 std::string SideApp::status() const
 {
-    nlohmann::json status = feedStatus(m_feed);
+    nlohmann::json status = m_feed.status();
     status["instance"] = m_settings.instance.text();
     status["role"] = "side";
     status["zone"] = m_settings.zone.text();
--- a/src/bergamottide/app/sideapp.h
+++ b/src/bergamottide/app/sideapp.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bergamottide/app/adminport.h"
+#include "bergamottide/app/peerset.h"
 #include "bergamottide/app/platformfeed.h"
 #include "bergamottide/app/reactor.h"
 #include "bergamottide/app/telemetry.h"
@@ -68,7 +69,7 @@
     [[nodiscard]] AdminHooks adminHooks();
     [[nodiscard]] EndpointHooks endpointHooks();
     void takeDocument(const std::shared_ptr<const Document> &document);
-    /*! @brief Asks the endpoint for its load, and comes back. */
+    /*! @brief Asks the endpoint for its load, closes streams no longer asked for, and comes back. */
     void pollEndpoint();
     [[nodiscard]] bool ready() const;
     [[nodiscard]] std::string status() const;
@@ -81,6 +82,7 @@
     AdminPort m_admin;
     HttpServer m_adminServer;
     PeerTransport m_transport;
+    PeerSet m_peers;
     PlatformFeed m_feed;
     std::unique_ptr<EndpointAdapter> m_endpoint;
     PoolKind m_kind{};
--- a/src/bergamottide/platform/configclient.cpp
+++ b/src/bergamottide/platform/configclient.cpp
@@ -1,56 +1,97 @@
 #include "bergamottide/platform/configclient.h"
 
+#include "bergamottide/core/error.h"
 #include "bergamottide/platform/valuedigest.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <utility>
 
 namespace bergamottide {
 
 namespace {
 
-LongPollOptions pollOptions(const std::string &address, std::uint64_t seed)
+constexpr std::string_view path = "/v1/config";
+constexpr int statusOk = 200;
+constexpr int statusNotModified = 304;
+/*! @brief Largest document in bytes: the service holds values up to a megabyte. */
+constexpr std::size_t maxBytes = (1u << 20) + (64u << 10);
+/*! @brief Silence after which a read is given up; the service answers in milliseconds. */
+constexpr Duration timeout = std::chrono::seconds{4};
+
+HttpClientOptions clientOptions()
 {
-    LongPollOptions options;
-    options.address = address;
-    options.path = "/v1/config";
-    options.seed = seed;
+    HttpClientOptions options;
+    options.ioTimeout = timeout;
+    options.maxBodyBytes = maxBytes;
+    options.idleConnections = 1;
     return options;
 }
 
 } // namespace
 
-ConfigClient::ConfigClient(Loop &loop, const std::string &address, std::uint64_t seed, ConfigClientHooks hooks)
-    : m_hooks{std::move(hooks)}
-    , m_poll{loop, pollOptions(address, seed),
-             LongPoll::Hooks{[this](HttpAnswer answer) -> absl::StatusOr<std::uint64_t> {
-                                 absl::Status intact = checkDigest(answer);
-                                 if (!intact.ok()) {
-                                     return intact;
-                                 }
-                                 return m_hooks.document(std::move(answer.body));
-                             },
-                             m_hooks.failed, m_hooks.unchanged}}
+ConfigClient::ConfigClient(Loop &loop, std::string address, ConfigClientHooks hooks)
+    : m_address{std::move(address)}
+    , m_hooks{std::move(hooks)}
+    , m_client{loop, clientOptions()}
+{
+}
+
+ConfigClient::~ConfigClient()
 {
+    m_client.cancel(m_call);
 }
 
-void ConfigClient::start()
+void ConfigClient::read(std::uint64_t after)
 {
-    m_poll.start();
+    m_client.cancel(m_call);
+    ++m_counts.reads;
+    HttpRequest request;
+    request.method = "GET";
+    request.path = path;
+    request.query = absl::StrCat("after=", after, "&wait_ms=0");
+    HttpCallHooks hooks;
+    hooks.done = [this](HttpAnswer answer) {
+        answered(std::move(answer));
+    };
+    hooks.failed = [this](HttpFailure failure) {
+        const Reason reason = failure == HttpFailure::TooLarge ? Reason::AnswerTooLarge : Reason::ConnectionLost;
+        failed(makeError(reason, path, enumName(failure)));
+    };
+    m_call = m_client.call(m_address, std::move(request), std::move(hooks));
 }
 
-void ConfigClient::stop()
+const ConfigClientCounts &ConfigClient::counts() const noexcept
 {
-    m_poll.stop();
+    return m_counts;
 }
 
-void ConfigClient::advance(std::uint64_t version)
+void ConfigClient::answered(HttpAnswer answer)
 {
-    m_poll.advance(version);
+    m_call = {};
+    if (answer.status == statusNotModified) {
+        m_hooks.unchanged();
+        return;
+    }
+    if (answer.status != statusOk) {
+        failed(makeError(Reason::EndpointFailed, path, absl::StrCat("The service answered ", answer.status, ".")));
+        return;
+    }
+    m_counts.bytes += answer.body.size();
+    const absl::Status intact = checkDigest(answer);
+    if (!intact.ok()) {
+        failed(intact);
+        return;
+    }
+    ++m_counts.documents;
+    m_hooks.document(std::move(answer.body));
 }
 
-const LongPollCounts &ConfigClient::counts() const noexcept
+void ConfigClient::failed(const absl::Status &error)
 {
-    return m_poll.counts();
+    m_call = {};
+    ++m_counts.errors;
+    m_hooks.failed(error);
 }
 
 } // namespace bergamottide
--- a/test/processes/callers.cpp
+++ b/test/processes/callers.cpp
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(badInputIsRefusedWithItsFieldAndDispatchesNothing);
     CPPUNIT_TEST(duplicateRequestIsRefused);
     CPPUNIT_TEST(detachedRequestIsFetchedByTicketThroughTheOtherEntry);
+    CPPUNIT_TEST(adminPortsTellMetricsAndTrailToTheirKeyAlone);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -176,6 +177,24 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, executions.at({id, "generate"}).started);
     }
 
+    void adminPortsTellMetricsAndTrailToTheirKeyAlone()
+    {
+        for (const std::string name : {"entry-0", "engine-0"}) {
+            const std::string address = m_fleet->daemon(name).port("admin");
+            for (const std::string path : {"/metrics", "/audit"}) {
+                HttpRequest request;
+                request.method = "GET";
+                request.path = path;
+                CPPUNIT_ASSERT_EQUAL(401, m_fleet->call(address, request).answer->status);
+                request.headers = {{"authorization", "Bearer demo-admin-key"}};
+                const Reply told = m_fleet->call(address, request);
+                CPPUNIT_ASSERT_EQUAL(200, told.answer->status);
+                const std::string wanted = path == "/metrics" ? "bergamottide_config_version 1" : "config_accepted";
+                CPPUNIT_ASSERT_MESSAGE(told.received, told.received.find(wanted) != std::string::npos);
+            }
+        }
+    }
+
 private:
     std::unique_ptr<Fleet> m_fleet;
 };
