--- a/src/bergamottide/core/ids.h
+++ b/src/bergamottide/core/ids.h
@@ -145,6 +145,25 @@
 /*! @brief Value of no serial. */
 inline constexpr Serial noSerial{0};
 
+namespace internal {
+
+/**
+ * @brief Spreads the bits of a number over all of its bits, the same way in each run.
+ *
+ * Identities may have patterns: callers choose some of them.
+ */
+[[nodiscard]] constexpr std::uint64_t mix(std::uint64_t value) noexcept
+{
+    constexpr std::uint64_t first = 0xff51afd7ed558ccdULL;
+    constexpr std::uint64_t second = 0xc4ceb9fe1a85ec53ULL;
+    constexpr unsigned shift = 33;
+    value = (value ^ (value >> shift)) * first;
+    value = (value ^ (value >> shift)) * second;
+    return value ^ (value >> shift);
+}
+
+} // namespace internal
+
 } // namespace bergamottide
 
 template <typename Tag>
@@ -161,7 +180,7 @@
 {
     std::size_t operator()(const bergamottide::RequestId &id) const noexcept
     {
-        return static_cast<std::size_t>(id.high ^ (id.low * 0x9e3779b97f4a7c15ULL));
+        return static_cast<std::size_t>(bergamottide::internal::mix(bergamottide::internal::mix(id.high) + id.low));
     }
 };
 
@@ -171,6 +190,7 @@
     std::size_t operator()(const bergamottide::RunId &id) const noexcept
     {
         const auto position = (std::uint64_t{id.stage} << 32U) | id.attempt;
-        return std::hash<bergamottide::RequestId>{}(id.request) ^ (position * 0x9e3779b97f4a7c15ULL);
+        return static_cast<std::size_t>(
+            bergamottide::internal::mix(std::hash<bergamottide::RequestId>{}(id.request) + position));
     }
 };
--- a/test/bergamottide/core/ids.cpp
+++ b/test/bergamottide/core/ids.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(IdsTest);
     CPPUNIT_TEST(requestIdRoundTrips);
     CPPUNIT_TEST(requestIdRefusesOtherTexts);
+    CPPUNIT_TEST(patternedIdentitiesDoNotCollide);
     CPPUNIT_TEST(reasonNamesAreCompleteAndDistinct);
     CPPUNIT_TEST(errorKeepsReasonAndField);
     CPPUNIT_TEST_SUITE_END();
@@ -31,6 +32,16 @@
         CPPUNIT_ASSERT(!RequestId::parse("0123456789abcdeffedcba987654321g"));
     }
 
+    void patternedIdentitiesDoNotCollide()
+    {
+        constexpr std::uint64_t pattern = 0x9e3779b97f4a7c15ULL;
+        std::set<std::size_t> hashes;
+        for (std::uint64_t number = 1; number <= 1000; ++number) {
+            hashes.insert(std::hash<RequestId>{}(RequestId{number * pattern, number}));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1000}, hashes.size());
+    }
+
     void reasonNamesAreCompleteAndDistinct()
     {
         std::set<std::string_view> names;
