Fixed set of seeds in the tests

Cause: the faults that seeds of the set had found are mended. Change: seeds 1 to 200 of the exploration run as a test. Conclusion: the set guards what was mended.

--- a/test/bergamottide/harness/explore.cpp
+++ b/test/bergamottide/harness/explore.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(ExplorationTest);
     CPPUNIT_TEST(aCallerWithoutFaultsGetsItsAnswer);
     CPPUNIT_TEST(theSameSeedGivesTheSameRun);
+    CPPUNIT_TEST(seedsOfTheFixedSetKeepEveryPromise);
     CPPUNIT_TEST(noSingleFaultBreaksTheSmallestCase);
     CPPUNIT_TEST_SUITE_END();
 
@@ -26,6 +27,14 @@
         CPPUNIT_ASSERT(runSeed(3, true).trace == runSeed(3, true).trace);
     }
 
+    void seedsOfTheFixedSetKeepEveryPromise()
+    {
+        for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+            const CaseResult result = runSeed(seed, false);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::string{}, first(result));
+        }
+    }
+
     void noSingleFaultBreaksTheSmallestCase()
     {
         for (const auto afterLoss : {AfterLoss::Fetch, AfterLoss::Resubmit}) {
