One end alone opens the streams of the tree

Change: a side never opens a stream to an entry; of two equals the second waits for 5 s without a stream, above the transport's longest backoff. Conclusion: streams from both ends at once have to be avoided, not repaired.

--- a/src/bergamottide/app/entryapp.cpp
+++ b/src/bergamottide/app/entryapp.cpp
@@ -223,7 +223,7 @@
         m_reactor.submit(PeerUp{peer});
     };
     hooks.down = [this](const InstanceName &peer) {
-        m_peers.closed(peer);
+        m_peers.closed(peer, m_loop.now());
         m_feed.closed(peer);
         m_reactor.submit(PeerDown{peer});
     };
--- a/src/bergamottide/app/peerset.cpp
+++ b/src/bergamottide/app/peerset.cpp
@@ -9,8 +9,13 @@
 
 /*! @brief Time for which a stream is kept after it was last asked for: three renewals of a subscription. */
 constexpr Duration requirementTime = std::chrono::seconds{30};
-/*! @brief Time after which the end that should wait opens the stream itself. */
-constexpr Duration patience = std::chrono::seconds{1};
+/*!
+ * @brief Time without a stream after which the end that should wait opens it itself.
+ *
+ * Above the longest backoff of the transport, so that the other end has tried again by then:
+ * streams opened from both ends replace each other without end.
+ */
+constexpr Duration patience = std::chrono::seconds{5};
 
 } // namespace
 
@@ -53,6 +58,10 @@
     if (listed == m_listed.end() || peer == m_self) {
         return;
     }
+    if (m_role == Role::Side && listed->second.role == Role::Entry) {
+        // An entry keeps a stream to every side of its region.
+        return;
+    }
     Requirement &requirement = m_required.try_emplace(peer, Requirement{now, now}).first->second;
     requirement.last = now;
     if (m_open.contains(peer) || m_addresses.contains(peer)) {
@@ -93,9 +102,13 @@
     m_open.insert(peer);
 }
 
-void PeerSet::closed(const InstanceName &peer)
+void PeerSet::closed(const InstanceName &peer, TimePoint now)
 {
     m_open.erase(peer);
+    const auto required = m_required.find(peer);
+    if (required != m_required.end()) {
+        required->second.since = now;
+    }
 }
 
 std::size_t PeerSet::open() const noexcept
--- a/src/bergamottide/app/peerset.h
+++ b/src/bergamottide/app/peerset.h
@@ -43,8 +43,8 @@
      * @brief Asks for a stream to a process that is not among those wanted, such as a parent in the tree.
      *
      * Both ends may ask at once, and two streams would replace each other in turn. So one end
-     * opens it at once (the entry towards a side, otherwise the smaller name), and the other only
-     * if none has come after a while. It is kept while it is asked for.
+     * opens it at once (always the entry towards a side, otherwise the smaller name), and the
+     * other of two equals only if none has come after a while. It is kept while it is asked for.
      *
      * @param peer Name of the process.
      * @param now Present time.
@@ -66,8 +66,9 @@
     /**
      * @brief Notes that a stream has closed.
      * @param peer Peer at its other end.
+     * @param now Present time.
      */
-    void closed(const InstanceName &peer);
+    void closed(const InstanceName &peer, TimePoint now);
 
     /*! @brief Returns the number of streams that are open. */
     [[nodiscard]] std::size_t open() const noexcept;
--- a/src/bergamottide/app/sideapp.cpp
+++ b/src/bergamottide/app/sideapp.cpp
@@ -180,7 +180,7 @@
         m_reactor.submit(PeerUp{peer});
     };
     hooks.down = [this](const InstanceName &peer) {
-        m_peers.closed(peer);
+        m_peers.closed(peer, m_loop.now());
         m_feed.closed(peer);
         m_reactor.submit(PeerDown{peer});
     };
