A drain that begins right after a pause counts from the pause

Change: a sign heard before any peer has confirmed the wake-up counts from the time at which the pause may have begun.

--- a/src/bergamottide/side/drain.cpp
+++ b/src/bergamottide/side/drain.cpp
@@ -42,7 +42,8 @@
         return;
     }
     m_context.draining = draining;
-    m_context.drainingSince = m_context.now;
+    // A sign heard right after a pause may have been given at any moment of it.
+    m_context.drainingSince = m_context.peers.paused() ? m_context.pausedSince : m_context.now;
     const char *text = draining ? "The drain has started." : "The drain was called off.";
     m_context.out.log(Severity::Info, Part::Side, text, {{"cause", cause}});
     const AuditKind kind = draining ? AuditKind::DrainStarted : AuditKind::Return;
--- a/src/bergamottide/side/sidecontext.h
+++ b/src/bergamottide/side/sidecontext.h
@@ -25,6 +25,8 @@
     bool draining{};
     /*! @brief Time of the first sign of the present drain. */
     TimePoint drainingSince;
+    /*! @brief Time at which the latest pause of the process may have begun. */
+    TimePoint pausedSince;
     PeerTable peers;
     Outbox out;
 };
--- a/src/bergamottide/side/sidereducer.cpp
+++ b/src/bergamottide/side/sidereducer.cpp
@@ -110,6 +110,7 @@
     }
     context.peers.wakeUp();
     orders.forgetReading(context.now);
+    context.pausedSince = *wakeup;
     context.out.log(Severity::Warning, Part::Side, "The process was paused; it starts nothing until a peer confirms.",
                     {{"gap_us", std::to_string((context.now - *wakeup).count())}});
     pingUnconfirmed();
--- a/test/bergamottide/harness/explore.cpp
+++ b/test/bergamottide/harness/explore.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(aCallerWithoutFaultsGetsItsAnswer);
     CPPUNIT_TEST(theSameSeedGivesTheSameRun);
     CPPUNIT_TEST(seedsOfTheFixedSetKeepEveryPromise);
+    CPPUNIT_TEST(sideThatIsToldToLeaveWhilePausedTakesNoLateRun);
     CPPUNIT_TEST(noSingleFaultBreaksTheSmallestCase);
     CPPUNIT_TEST_SUITE_END();
 
@@ -35,6 +36,11 @@
         }
     }
 
+    void sideThatIsToldToLeaveWhilePausedTakesNoLateRun()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string{}, first(runSeed(13928, false)));
+    }
+
     void noSingleFaultBreaksTheSmallestCase()
     {
         for (const auto afterLoss : {AfterLoss::Fetch, AfterLoss::Resubmit}) {
