--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -127,7 +127,7 @@
   side; {entries_zone:.0f} entries and {engines_zone:.0f} engines in a zone.
 - An entry keeps streams to the sides of its own zone. Sides of other pools (encoders, retrievers, rerankers, services)
   are not in the letter; each adds one row of "endpoint in view".
-- At this size the document sets `report_period: {REPORT_PERIOD:.0f}s`. With the default of 250 ms, made for today's sizes,
+- At this size the document sets `reportPeriod: {REPORT_PERIOD:.0f}s`. With the default of 250 ms, made for today's sizes,
   an entry would hear {default_bytes / 1e3:.0f} KB of reports a second.
 
 ## Worked out for each role
