--- a/src/bergamottide/net/http.h
+++ b/src/bergamottide/net/http.h
@@ -14,6 +14,8 @@
 struct HttpRequest
 {
     std::string method;
+    /*! @brief Host that the request is for; a client sends the address it connects to where this is empty. */
+    std::string authority;
     /*! @brief Path without the query. */
     std::string path;
     /*! @brief Query without the question mark. */
--- a/src/bergamottide/net/httpclient.cpp
+++ b/src/bergamottide/net/httpclient.cpp
@@ -20,10 +20,19 @@
 /*! @brief Time an idle connection is kept, in milliseconds; below the servers' own limit. */
 constexpr std::uint64_t idleMs = 10'000;
 
+/*!
+ * @brief Timeout of h2o's own, in milliseconds: a year.
+ *
+ * h2o measures by the time of day, whose jumps would break every call; the silence of calls is measured here instead.
+ */
+constexpr std::uint64_t unusedTimeoutMs = 365ULL * 24 * 3600 * 1000;
+/*! @brief Period in which calls are looked at for silence; a call is given up this much late at most. */
+constexpr Duration silencePeriod = std::chrono::milliseconds{250};
+
 std::string writeHead(const std::string &address, const HttpRequest &request)
 {
     std::string head = absl::StrCat(request.method, " ", request.path, request.query.empty() ? "" : "?", request.query,
-                                    " HTTP/1.1\r\nhost: ", address, "\r\n");
+                                    " HTTP/1.1\r\nhost: ", request.authority.empty() ? address : request.authority, "\r\n");
     for (const auto &[name, value] : request.headers) {
         absl::StrAppend(&head, name, ": ", value, "\r\n");
     }
@@ -58,6 +67,13 @@
         std::array<h2o_iovec_t, 2> buffers{};
         bool isHead{};
         bool cancelled{};
+        /*! @brief Time of the start or of the last bytes received. */
+        TimePoint activeAt{};
+        /*! @brief Reader of h2o for a body that ends with its connection, behind the check of how that ends. */
+        h2o_socket_cb bodyReader{};
+        /*! @brief The connection stands and the request is on its way. */
+        bool connected{};
+        TimerId connectTimer{};
         int status{};
         HttpHeaders headers;
         std::string received;
@@ -71,8 +87,7 @@
         , options{std::move(clientOptions)}
         , roundHook{loop.addRoundHook([this] { guardHeads(); })}
     {
-        const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(options.ioTimeout).count();
-        h2o_timeout_init(loop.native(), &ioTimeout, static_cast<std::uint64_t>(timeout));
+        h2o_timeout_init(loop.native(), &ioTimeout, unusedTimeoutMs);
         h2o_multithread_register_receiver(loop.queue(), &getaddrReceiver, h2o_hostinfo_getaddr_receiver);
         context.loop = loop.native();
         context.getaddr_receiver = &getaddrReceiver;
@@ -109,6 +124,9 @@
             fail(call, HttpFailure::Connect);
             return;
         }
+        if (options.connectTimeout > Duration::zero()) {
+            call.connectTimer = loop.at(loop.now() + options.connectTimeout, [this, id = call.id] { giveUpConnect(id); });
+        }
         if (connection == Connection::Kept) {
             h2o_http1client_connect_with_pool(&call.client, &call, &context, &to->pool, &State::onConnect);
             return;
@@ -122,6 +140,7 @@
     void end(Call &call, std::function<void(const HttpCallHooks &)> report)
     {
         call.client = nullptr;
+        loop.cancel(call.connectTimer);
         auto node = calls.extract(call.id);
         if (call.cancelled) {
             graveyard(std::move(node.mapped()));
@@ -140,6 +159,52 @@
         });
     }
 
+    /*! @brief Fails calls that have been silent for too long. */
+    void reviewSilence()
+    {
+        silenceTimer = {};
+        std::vector<Call *> silent;
+        for (const auto &[id, call] : calls) {
+            if (!call->cancelled && loop.now() - call->activeAt > options.ioTimeout) {
+                silent.push_back(call.get());
+            }
+        }
+        for (Call *call : silent) {
+            h2o_http1client_t *client = call->client;
+            fail(*call, call->connected ? HttpFailure::Broken : HttpFailure::Connect);
+            if (client != nullptr) {
+                h2o_http1client_cancel(client);
+            }
+        }
+        armSilence();
+    }
+
+    void armSilence()
+    {
+        if (silenceTimer == TimerId{} && !calls.empty()) {
+            silenceTimer = loop.at(loop.now() + silencePeriod, [this] { reviewSilence(); });
+        }
+    }
+
+    /*! @brief Fails a call whose connection has not come about in time. */
+    void giveUpConnect(HttpCallId id)
+    {
+        const auto found = calls.find(id);
+        if (found == calls.end()) {
+            return;
+        }
+        Call &call = *found->second;
+        call.connectTimer = {};
+        if (call.connected || call.cancelled) {
+            return;
+        }
+        h2o_http1client_t *client = call.client;
+        fail(call, HttpFailure::Connect);
+        if (client != nullptr) {
+            h2o_http1client_cancel(client);
+        }
+    }
+
     /*! @brief Destroys a call after the present callback of h2o has returned. */
     void graveyard(std::unique_ptr<Call> call)
     {
@@ -185,7 +250,11 @@
     void closeCancelled(HttpCallId id)
     {
         const auto node = calls.extract(id);
-        if (!node.empty() && node.mapped()->client != nullptr) {
+        if (node.empty()) {
+            return;
+        }
+        loop.cancel(node.mapped()->connectTimer);
+        if (node.mapped()->client != nullptr) {
             h2o_http1client_cancel(node.mapped()->client);
         }
     }
@@ -198,11 +267,16 @@
             call.state->fail(call, HttpFailure::Connect);
             return nullptr;
         }
+        call.connected = true;
+        call.state->loop.cancel(call.connectTimer);
+        call.connectTimer = {};
+        detectSilence(h2o_socket_get_fd(client->sock), call.state->options.unacknowledged);
         call.buffers = {h2o_iovec_init(call.head.data(), call.head.size()),
                         h2o_iovec_init(call.body.data(), call.body.size())};
         *buffers = call.buffers.data();
         *count = call.body.empty() ? 1 : 2;
         *isHead = call.isHead ? 1 : 0;
+        call.activeAt = call.state->loop.now();
         call.state->unguarded.push_back(call.id);
         return &State::onHead;
     }
@@ -224,8 +298,11 @@
             if (socket->_cb.read == nullptr) {
                 return false;
             }
-            call.headReader = socket->_cb.read;
-            socket->_cb.read = &State::onRawHead;
+            if (call.headReader == nullptr) {
+                call.headReader = std::exchange(socket->_cb.read, &State::onRawHead);
+            } else {
+                call.bodyReader = std::exchange(socket->_cb.read, &State::onRawBody);
+            }
             return true;
         });
     }
@@ -244,6 +321,19 @@
         h2o_http1client_cancel(client);
     }
 
+    /*! @brief Tells a body that ends with a closed connection from one that is cut off by a reset; h2o does not. */
+    static void onRawBody(h2o_socket_t *socket, const char *error)
+    {
+        auto *client = static_cast<h2o_http1client_t *>(socket->data);
+        auto &call = *static_cast<Call *>(client->data);
+        if (error == nullptr || error == h2o_socket_error_closed) {
+            call.bodyReader(socket, error);
+            return;
+        }
+        call.state->fail(call, HttpFailure::Broken);
+        h2o_http1client_cancel(client);
+    }
+
     static h2o_http1client_body_cb onHead(h2o_http1client_t *client, const char *error, int, int status, h2o_iovec_t,
                                           h2o_header_t *headers, size_t count, int)
     {
@@ -254,6 +344,7 @@
             return nullptr;
         }
         call.status = status;
+        call.activeAt = call.state->loop.now();
         if (!call.state->readHeaders(call, headers, count)) {
             call.state->fail(call, HttpFailure::TooLarge);
             return nullptr;
@@ -266,6 +357,9 @@
             call.state->complete(call);
             return nullptr;
         }
+        if (headerValue(call.headers, "content-length").empty() && headerValue(call.headers, "transfer-encoding").empty()) {
+            call.state->unguarded.push_back(call.id);
+        }
         return &State::onBody;
     }
 
@@ -307,6 +401,7 @@
         const std::string piece{(*input)->bytes, (*input)->size};
         h2o_buffer_consume(input, (*input)->size);
         call.receivedBytes += piece.size();
+        call.activeAt = loop.now();
         if (call.receivedBytes > options.maxBodyBytes) {
             return false;
         }
@@ -336,6 +431,7 @@
     /*! @brief Calls whose last hook waits for the next round. */
     std::map<HttpCallId, std::unique_ptr<Call>> ended;
     std::uint64_t nextCall{1};
+    TimerId silenceTimer{};
     /*! @brief Expires with the client, for tasks that come later. */
     std::shared_ptr<int> life{std::make_shared<int>()};
 };
@@ -348,6 +444,7 @@
 HttpClient::~HttpClient()
 {
     m_state->loop.removeRoundHook(m_state->roundHook);
+    m_state->loop.cancel(m_state->silenceTimer);
     for (const auto &[id, call] : m_state->calls) {
         if (call->client != nullptr) {
             h2o_http1client_cancel(call->client);
@@ -370,8 +467,10 @@
     call->head = writeHead(address, request);
     call->body = std::move(request.body);
     call->isHead = request.method == "HEAD";
+    call->activeAt = m_state->loop.now();
     State::Call &kept = *m_state->calls.emplace(id, std::move(call)).first->second;
     m_state->start(kept, address, connection);
+    m_state->armSilence();
     return id;
 }
 
--- a/src/bergamottide/net/httpclient.h
+++ b/src/bergamottide/net/httpclient.h
@@ -24,6 +24,10 @@
 {
     /*! @brief Silence after which a call is given up. */
     Duration ioTimeout{std::chrono::seconds{30}};
+    /*! @brief Longest wait for a new connection; zero for that of `ioTimeout`. */
+    Duration connectTimeout{};
+    /*! @brief Time after which a connection whose bytes are not acknowledged is broken; zero for the kernel's own. */
+    Duration unacknowledged{};
     /*! @brief Largest body of an answer read, in bytes. */
     std::size_t maxBodyBytes{8u << 20};
     /*! @brief Largest sum of header bytes read. */
--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -5,6 +5,7 @@
 #include "bergamottide/net/tlscontext.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
 #include <list>
 #include <string>
@@ -16,10 +17,7 @@
 
 namespace {
 
-constexpr std::uint64_t requestTimeoutMs = 30'000;
 constexpr std::uint64_t idleTimeoutMs = 60'000;
-/*! @brief Period in which connections with an answer under way are looked at for a close by the caller. */
-constexpr Duration closePollPeriod = std::chrono::milliseconds{500};
 
 std::string textOf(const h2o_iovec_t &vector)
 {
@@ -77,6 +75,23 @@
         pump();
     }
 
+    void abort() override
+    {
+        if (m_request == nullptr || m_whole) {
+            return;
+        }
+        if (m_request->version < 0x200) {
+            h2o_socket_t *socket = m_request->conn->callbacks->get_socket(m_request->conn);
+            ::shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+        }
+        if (!m_begun) {
+            answer({502, {}, {}});
+            return;
+        }
+        m_waiting.clear();
+        finish();
+    }
+
     void onClosed(std::function<void()> hook) override
     {
         m_closed = std::move(hook);
@@ -105,7 +120,8 @@
         }
         h2o_socket_t *socket = m_request->conn->callbacks->get_socket(m_request->conn);
         char byte = 0;
-        return recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+        const auto got = recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
     }
 
     /*! @brief Calls the hook for a caller that has hung up. */
@@ -115,6 +131,8 @@
         if (hook) {
             hook();
         }
+        // Whatever is written fails, and h2o then lets go of the connection.
+        abort();
     }
 
 private:
@@ -224,7 +242,8 @@
         , handler{std::move(requestHandler)}
     {
         h2o_config_init(&config);
-        config.http1.req_timeout = requestTimeoutMs;
+        config.http1.req_timeout =
+            static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(options.idleTimeout).count());
         config.http2.idle_timeout = idleTimeoutMs;
         config.max_request_entity_size = options.maxBodyBytes;
         config.server_name = h2o_iovec_init(H2O_STRLIT("bergamottide"));
@@ -257,6 +276,7 @@
     {
         HttpRequest out;
         out.method = textOf(request->method);
+        out.authority = textOf(request->authority);
         const std::string path = textOf(request->path);
         const auto mark = request->query_at;
         out.path = path.substr(0, mark);
@@ -279,6 +299,7 @@
         auto *state = static_cast<State *>(listener->data);
         h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
         if (socket != nullptr) {
+            detectSilence(h2o_socket_get_fd(socket), state->options.unacknowledged);
             h2o_accept(&state->accept, socket);
         }
     }
@@ -297,7 +318,7 @@
             }
             ++next;
         }
-        timer = loop.at(loop.now() + closePollPeriod, [this] { pollClosed(); });
+        timer = loop.at(loop.now() + options.closePollPeriod, [this] { pollClosed(); });
     }
 
     Loop &loop;
--- a/src/bergamottide/net/httpserver.h
+++ b/src/bergamottide/net/httpserver.h
@@ -44,6 +44,9 @@
     /*! @brief Ends a body sent piece by piece. */
     virtual void finish() = 0;
 
+    /*! @brief Closes the connection, so that a caller sees that a body sent piece by piece is not whole. */
+    virtual void abort() = 0;
+
     /**
      * @brief Sets the hook called once if the connection closes before the answer is whole.
      * @param hook Hook to call.
@@ -77,6 +80,12 @@
     TlsFiles tls;
     /*! @brief Largest body in bytes; a larger one is answered 413 without a call of the handler. */
     std::size_t maxBodyBytes{8u << 20};
+    /*! @brief Time for which a connection may be idle, or a request take to be read. */
+    Duration idleTimeout{std::chrono::seconds{30}};
+    /*! @brief Period in which connections with an answer under way are looked at for a close by the caller. */
+    Duration closePollPeriod{std::chrono::milliseconds{500}};
+    /*! @brief Time after which a connection whose bytes are not acknowledged is broken; zero for the kernel's own. */
+    Duration unacknowledged{};
 };
 
 /*! @brief HTTP/1.1 and HTTP/2 server on h2o. */
--- a/src/bergamottide/net/loop.cpp
+++ b/src/bergamottide/net/loop.cpp
@@ -65,6 +65,7 @@
 
 void Loop::runOnce(Duration longest)
 {
+    m_thread.store(std::this_thread::get_id(), std::memory_order_relaxed);
     bool pending = false;
     {
         const std::lock_guard lock{m_mutex};
@@ -98,7 +99,8 @@
         first = m_posted.empty();
         m_posted.push_back(std::move(task));
     }
-    if (first) {
+    // The loop's own thread looks at the tasks before it waits again, and needs no wakeup.
+    if (first && m_thread.load(std::memory_order_relaxed) != std::this_thread::get_id()) {
         h2o_multithread_send_message(&m_wakeup->receiver, new h2o_multithread_message_t{});
     }
 }
--- a/src/bergamottide/net/loop.h
+++ b/src/bergamottide/net/loop.h
@@ -4,11 +4,13 @@
 
 #include <h2o.h>
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -103,6 +105,8 @@
     h2o_loop_t *m_loop;
     h2o_multithread_queue_t *m_queue;
     std::unique_ptr<Wakeup> m_wakeup;
+    /*! @brief Thread that ran the last round. */
+    std::atomic<std::thread::id> m_thread;
     std::mutex m_mutex;
     std::vector<Task> m_posted;
     bool m_stopped{};
--- a/src/bergamottide/net/socketaddress.cpp
+++ b/src/bergamottide/net/socketaddress.cpp
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <unistd.h>
 
 #include <array>
@@ -96,4 +97,14 @@
     return "[" + std::string{text.data()} + "]:" + std::to_string(ntohs(six->sin6_port));
 }
 
+void detectSilence(int descriptor, Duration longest)
+{
+    if (longest <= Duration::zero()) {
+        return;
+    }
+    const auto timeout = static_cast<unsigned>(std::chrono::duration_cast<std::chrono::milliseconds>(longest).count());
+    // Best effort: without the option the timeouts of the caller's own remain.
+    static_cast<void>(setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout)));
+}
+
 } // namespace bergamottide
--- a/src/bergamottide/net/socketaddress.h
+++ b/src/bergamottide/net/socketaddress.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "bergamottide/core/time.h"
+
 #include <absl/status/statusor.h>
 
 #include <sys/socket.h>
@@ -46,4 +48,14 @@
  */
 [[nodiscard]] std::string boundAddress(int descriptor);
 
+/**
+ * @brief Lets the kernel break a connection whose other end has gone silent.
+ *
+ * A partition answers nothing, so that a connection across it would hang for as long as the kernel tries again.
+ *
+ * @param descriptor Descriptor of a connected socket.
+ * @param longest Time for which bytes may stay unacknowledged; nothing is changed if zero.
+ */
+void detectSilence(int descriptor, Duration longest);
+
 } // namespace bergamottide
--- /dev/null
+++ b/src/bergamottide/serving/catalog.cpp
@@ -0,0 +1,81 @@
+#include "bergamottide/serving/catalog.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+
+#include <algorithm>
+
+namespace bergamottide::serving {
+
+namespace {
+
+/*! @brief Sets the level of a stage and of the stages it waits for; `depth` bounds a cycle. */
+void raise(std::vector<StageSpec> &stages, std::size_t stage, std::uint32_t level, std::size_t depth)
+{
+    if (depth > stages.size()) {
+        return;
+    }
+    stages[stage].level = std::max(stages[stage].level, level);
+    for (const std::uint32_t before : stages[stage].after) {
+        if (before >= stages.size()) {
+            continue;
+        }
+        stages[before].isLeaf = false;
+        raise(stages, before, level + 1, depth + 1);
+    }
+}
+
+std::string hostKey(std::string_view host)
+{
+    return absl::AsciiStrToLower(absl::string_view{host.data(), host.size()});
+}
+
+} // namespace
+
+std::uint32_t Route::topLevel() const noexcept
+{
+    std::uint32_t top = 0;
+    for (const StageSpec &stage : stages) {
+        top = std::max(top, stage.level);
+    }
+    return top;
+}
+
+void Catalog::index()
+{
+    routesOfHost.clear();
+    for (std::size_t position = 0; position < routes.size(); ++position) {
+        Route &route = routes[position];
+        routesOfHost[hostKey(route.host)].push_back(position);
+        for (std::size_t stage = 0; stage < route.stages.size(); ++stage) {
+            raise(route.stages, stage, 1, 0);
+        }
+    }
+}
+
+const Route *Catalog::find(std::string_view host, std::string_view path) const
+{
+    const auto found = routesOfHost.find(hostKey(host));
+    if (found == routesOfHost.end()) {
+        return nullptr;
+    }
+    const Route *best = nullptr;
+    for (const std::size_t position : found->second) {
+        const Route &route = routes[position];
+        if (!path.starts_with(route.pathPrefix)) {
+            continue;
+        }
+        if (best == nullptr || best->pathPrefix.size() < route.pathPrefix.size()) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+const Pool *Catalog::pool(const PoolName &name) const
+{
+    const auto found = pools.find(name.text());
+    return found == pools.end() ? nullptr : &found->second;
+}
+
+} // namespace bergamottide::serving
--- /dev/null
+++ b/src/bergamottide/serving/endpointboard.cpp
@@ -0,0 +1,179 @@
+#include "bergamottide/serving/endpointboard.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <set>
+
+namespace bergamottide::serving {
+
+namespace {
+
+/*! @brief Weight of the newest sign in the moving average: five failures in a row lift it from 0 to 0.67. */
+constexpr double failureWeight = 0.2;
+/*! @brief Share of failures below which an endpoint is never ejected: some requests fail anywhere. */
+constexpr double leastFailureShare = 0.3;
+/*! @brief Distance from the others of the pool above which an endpoint is ejected. */
+constexpr double failureDistance = 0.25;
+/*! @brief Signs before the share is trusted. */
+constexpr std::uint32_t trustedSamples = 4;
+/*! @brief First time out after a failure; doubles to the longest. A trial costs one request, hence not shorter. */
+constexpr Duration firstEjection = std::chrono::milliseconds{1000};
+constexpr Duration longestEjection = std::chrono::milliseconds{4000};
+constexpr std::uint32_t mostDoublings = 2;
+/*! @brief Share of failures that an endpoint returns with: one failure of its trial sends it out again. */
+constexpr double returnShare = 0.25;
+
+void log(Effects &effects, std::string text, const Endpoint &endpoint, std::string reason)
+{
+    effects.emplace_back(LogLine{Severity::Info,
+                                 Part::Membership,
+                                 std::move(text),
+                                 {{"endpoint", endpoint.record.instance.text()},
+                                  {"pool", endpoint.record.pool.text()},
+                                  {"address", endpoint.record.address},
+                                  {"reason", std::move(reason)}}});
+}
+
+} // namespace
+
+void EndpointBoard::update(const EndpointList &list, Effects &effects)
+{
+    std::set<InstanceName> listed;
+    for (const EndpointRecord &record : list) {
+        listed.insert(record.instance);
+        const auto [found, isNew] = m_endpoints.try_emplace(record.instance);
+        Endpoint &endpoint = found->second;
+        const bool drains = record.draining && !endpoint.record.draining;
+        endpoint.record = record;
+        endpoint.gone = false;
+        if (isNew) {
+            log(effects, "An endpoint is listed.", endpoint, record.draining ? "draining" : "ready");
+        } else if (drains) {
+            log(effects, "An endpoint takes no new work.", endpoint, "draining");
+        }
+    }
+    for (auto next = m_endpoints.begin(); next != m_endpoints.end();) {
+        const auto present = next++;
+        if (listed.contains(present->first) || present->second.gone) {
+            continue;
+        }
+        present->second.gone = true;
+        log(effects, "An endpoint is no longer listed.", present->second, "gone");
+        forgetIfIdle(present->first);
+    }
+}
+
+Endpoint *EndpointBoard::find(const InstanceName &instance)
+{
+    const auto found = m_endpoints.find(instance);
+    return found == m_endpoints.end() ? nullptr : &found->second;
+}
+
+std::vector<Endpoint *> EndpointBoard::usable(const PoolName &pool, TimePoint now)
+{
+    std::vector<Endpoint *> good;
+    std::vector<Endpoint *> all;
+    for (auto &[instance, endpoint] : m_endpoints) {
+        if (endpoint.record.pool != pool || !endpoint.takesWork()) {
+            continue;
+        }
+        all.push_back(&endpoint);
+        if (endpoint.ejectedUntil <= now) {
+            good.push_back(&endpoint);
+        }
+    }
+    return good.empty() ? all : good;
+}
+
+bool EndpointBoard::serves(const PoolName &pool) const
+{
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&pool](const auto &entry) {
+        return entry.second.record.pool == pool && entry.second.takesWork();
+    });
+}
+
+void EndpointBoard::started(const InstanceName &instance)
+{
+    if (Endpoint *endpoint = find(instance); endpoint != nullptr) {
+        ++endpoint->inFlight;
+    }
+}
+
+void EndpointBoard::ended(const InstanceName &instance, std::optional<EndpointSign> sign, TimePoint now, Effects &effects)
+{
+    Endpoint *endpoint = find(instance);
+    if (endpoint == nullptr) {
+        return;
+    }
+    endpoint->inFlight -= endpoint->inFlight > 0 ? 1 : 0;
+    if (sign && *sign != EndpointSign::Rejected) {
+        const double failed = *sign == EndpointSign::Good ? 0.0 : 1.0;
+        endpoint->failureShare += failureWeight * (failed - endpoint->failureShare);
+        endpoint->samples = std::min(endpoint->samples + 1, trustedSamples);
+        if (*sign == EndpointSign::Good) {
+            endpoint->ejections = 0;
+        }
+        if (*sign == EndpointSign::Unreached) {
+            endpoint->failureShare = std::max(endpoint->failureShare, leastFailureShare + failureDistance);
+            endpoint->samples = trustedSamples;
+        }
+        judge(*endpoint, now, effects);
+    }
+    forgetIfIdle(instance);
+}
+
+void EndpointBoard::told(const InstanceName &instance, const EndpointLoad &load, TimePoint now)
+{
+    if (Endpoint *endpoint = find(instance); endpoint != nullptr) {
+        endpoint->load = load;
+        endpoint->loadAt = now;
+    }
+}
+
+std::size_t EndpointBoard::size() const noexcept
+{
+    return m_endpoints.size();
+}
+
+void EndpointBoard::judge(Endpoint &endpoint, TimePoint now, Effects &effects)
+{
+    if (endpoint.samples < trustedSamples || endpoint.ejectedUntil > now || endpoint.failureShare < leastFailureShare) {
+        return;
+    }
+    const double others = failureShareOfOthers(endpoint);
+    if (endpoint.failureShare < others + failureDistance) {
+        return;
+    }
+    const Duration pause = std::min(firstEjection * (1U << std::min(endpoint.ejections, mostDoublings)), longestEjection);
+    log(effects, "An endpoint is left out for a while.", endpoint,
+        absl::StrCat("failure share ", endpoint.failureShare, " against ", others, " of the others; ms ", pause.count() / 1000));
+    endpoint.ejectedUntil = now + pause;
+    endpoint.failureShare = returnShare;
+    ++endpoint.ejections;
+}
+
+void EndpointBoard::forgetIfIdle(const InstanceName &instance)
+{
+    const auto found = m_endpoints.find(instance);
+    if (found != m_endpoints.end() && found->second.gone && found->second.inFlight == 0) {
+        m_endpoints.erase(found);
+    }
+}
+
+double EndpointBoard::failureShareOfOthers(const Endpoint &endpoint) const
+{
+    double sum = 0.0;
+    std::uint32_t count = 0;
+    for (const auto &[instance, other] : m_endpoints) {
+        if (&other == &endpoint || other.record.pool != endpoint.record.pool || !other.takesWork()) {
+            continue;
+        }
+        sum += other.failureShare;
+        ++count;
+    }
+    // Without others to compare with, nothing is gained by an ejection.
+    return count == 0 ? 1.0 : sum / count;
+}
+
+} // namespace bergamottide::serving
--- /dev/null
+++ b/src/bergamottide/serving/endpointdirectory.cpp
@@ -0,0 +1,117 @@
+#include "bergamottide/serving/endpointdirectory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace bergamottide::serving {
+
+namespace {
+
+/*! @brief Time within which an endpoint that lives has renewed its entry after the list's return: about 2 s, and a margin. */
+constexpr Duration renewal = std::chrono::milliseconds{2200};
+/*! @brief Outages shorter than this let no entry lapse: entries outlive three heartbeats. */
+constexpr Duration shortOutage = std::chrono::milliseconds{1000};
+
+} // namespace
+
+void EndpointDirectory::replace(const EndpointList &list, TimePoint now)
+{
+    std::set<InstanceName> listed;
+    for (const EndpointRecord &record : list) {
+        listed.insert(record.instance);
+        put(record);
+    }
+    std::vector<InstanceName> absent;
+    for (const auto &[instance, record] : m_endpoints) {
+        if (!listed.contains(instance)) {
+            absent.push_back(instance);
+        }
+    }
+    for (const InstanceName &instance : absent) {
+        remove(instance, now);
+    }
+}
+
+void EndpointDirectory::put(const EndpointRecord &record)
+{
+    m_missing.erase(record.instance);
+    const auto [found, isNew] = m_endpoints.try_emplace(record.instance, record);
+    EndpointRecord &known = found->second;
+    const bool draining = record.draining || (!isNew && known.draining);
+    if (isNew || known.draining != draining || known.address != record.address || known.pool != record.pool || known.slots != record.slots) {
+        m_changed = true;
+    }
+    known = record;
+    known.draining = draining;
+}
+
+void EndpointDirectory::remove(const InstanceName &instance, TimePoint now)
+{
+    const auto found = m_endpoints.find(instance);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    if (isForgiving(now) && !found->second.draining) {
+        m_missing.try_emplace(instance, m_forgivingUntil.value_or(now + renewal));
+        return;
+    }
+    m_missing.erase(instance);
+    m_endpoints.erase(found);
+    m_changed = true;
+}
+
+void EndpointDirectory::lost(TimePoint now)
+{
+    if (!m_isLost) {
+        m_isLost = true;
+        m_lostAt = now;
+    }
+}
+
+void EndpointDirectory::regained(TimePoint now)
+{
+    if (m_isLost && now - m_lostAt >= shortOutage) {
+        m_forgivingUntil = now + renewal;
+        for (auto &[instance, until] : m_missing) {
+            until = *m_forgivingUntil;
+        }
+    }
+    m_isLost = false;
+}
+
+std::optional<TimePoint> EndpointDirectory::nextWakeup() const
+{
+    std::optional<TimePoint> first;
+    for (const auto &[instance, until] : m_missing) {
+        first = first ? std::min(*first, until) : until;
+    }
+    return first;
+}
+
+std::shared_ptr<const EndpointList> EndpointDirectory::takeChange(TimePoint now)
+{
+    for (auto next = m_missing.begin(); next != m_missing.end();) {
+        if (next->second > now) {
+            ++next;
+            continue;
+        }
+        m_endpoints.erase(next->first);
+        next = m_missing.erase(next);
+        m_changed = true;
+    }
+    if (!std::exchange(m_changed, false)) {
+        return nullptr;
+    }
+    auto list = std::make_shared<EndpointList>();
+    for (const auto &[instance, record] : m_endpoints) {
+        list->push_back(record);
+    }
+    return list;
+}
+
+bool EndpointDirectory::isForgiving(TimePoint now) const
+{
+    return m_isLost || (m_forgivingUntil && now < *m_forgivingUntil);
+}
+
+} // namespace bergamottide::serving
--- /dev/null
+++ b/src/bergamottide/serving/request.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "bergamottide/core/time.h"
+#include "bergamottide/serving/catalog.h"
+#include "bergamottide/serving/events.h"
+#include "bergamottide/serving/eventsplitter.h"
+#include "bergamottide/serving/stagescheduler.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bergamottide::serving {
+
+/*! @brief A result that waits for its use. */
+struct KeptResult
+{
+    std::string handle;
+    InstanceName endpoint;
+    std::string address;
+    std::uint64_t bytes{};
+};
+
+/*! @brief Progress of one stage of a request. */
+struct StageProgress
+{
+    std::uint32_t pieces{};
+    std::optional<StageTaskId> task;
+    std::uint32_t made{};
+    std::vector<KeptResult> results;
+    bool isReleased{};
+
+    [[nodiscard]] bool isDone() const noexcept
+    {
+        return made == pieces;
+    }
+};
+
+/*! @brief A request in progress. */
+struct Request
+{
+    std::shared_ptr<const CallerRequest> in;
+    /*! @brief Version under which it came; holds for it to its end. */
+    std::shared_ptr<const Catalog> catalog;
+    const Route *route{};
+    Workspace workspace;
+    int rank{};
+    TimePoint arrived{};
+    /*! @brief Time at which the caller or the route ends the wait. */
+    TimePoint limit{};
+    /*! @brief Time by which the answer, or its first event, is on time. */
+    TimePoint objective{};
+
+    std::vector<StageProgress> stages;
+    /*! @brief Level of the stages at work; zero once all are done. */
+    std::uint32_t level{};
+    /*! @brief Times that stages were started again since an input was gone. */
+    std::uint32_t stageRestarts{};
+
+    /*! @brief Pool drawn for it. */
+    PoolName pool;
+    std::optional<RunNumber> run;
+    InstanceName endpoint;
+    /*! @brief Endpoints it was sent to. */
+    std::vector<InstanceName> tried;
+    /*! @brief Endpoints that may have worked on it. */
+    std::uint32_t executions{};
+    /*! @brief The endpoint may have begun to work on it: no promise of the contrary may be given. */
+    bool mayHaveRun{};
+
+    std::optional<EndpointAnswerHead> head;
+    std::string body;
+    /*! @brief The head of a stream has gone to the caller. */
+    bool begun{};
+    EventSplitter events;
+};
+
+} // namespace bergamottide::serving
--- /dev/null
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -0,0 +1,282 @@
+#include "bergamottide/serving/servingreducer.h"
+
+#include <absl/strings/str_cat.h>
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace bergamottide::serving {
+
+namespace {
+
+/*! @brief Distance between the ranks of two workspaces' priorities: above any priority of a route. */
+constexpr int rankOfWorkspace = 100;
+/*! @brief Added to the rank of a request that can no longer be on time, so that it takes nothing from those that can. */
+constexpr int rankOfLate = 1'000'000;
+/*! @brief Wait of a caller before it comes back when nothing is known that ends sooner. */
+constexpr Duration standardRetryAfter = std::chrono::milliseconds{300};
+constexpr Duration shortestRetryAfter = std::chrono::milliseconds{50};
+/*! @brief Callers wait for up to a third of their time; a longer wait would be cut to that anyway. */
+constexpr int retryAfterShare = 4;
+/*! @brief Time after the objective or arrival within which no request is known to be decided; bounds a request without any limit. */
+constexpr Duration longestRequest = std::chrono::seconds{60};
+
+std::string milliseconds(Duration duration)
+{
+    return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+} // namespace
+
+ServingReducer::ServingReducer(const ServingOptions &options)
+    : m_budget{options.retries}
+    , m_stages{m_endpoints, m_budget}
+{
+}
+
+Effects ServingReducer::apply(const Event &event, TimePoint now)
+{
+    m_now = now;
+    std::visit([this](const auto &one) { on(one); }, event);
+    if (m_catalog) {
+        m_stages.dispatch(*m_catalog, m_now, m_effects);
+        takeOutcomes();
+    }
+    if (m_draining && m_requests.empty()) {
+        m_effects.emplace_back(Drained{});
+    }
+    return std::exchange(m_effects, {});
+}
+
+std::optional<TimePoint> ServingReducer::nextWakeup() const
+{
+    std::optional<TimePoint> next = m_stages.nextWakeup();
+    if (!m_limits.empty()) {
+        const TimePoint first = m_limits.begin()->first;
+        next = next ? std::min(*next, first) : first;
+    }
+    return next;
+}
+
+std::size_t ServingReducer::inProgress() const noexcept
+{
+    return m_requests.size();
+}
+
+bool ServingReducer::canServe() const
+{
+    return !m_draining && m_catalog && m_endpoints.size() != 0;
+}
+
+void ServingReducer::on(const CatalogChanged &event)
+{
+    m_catalog = event.catalog;
+    m_effects.emplace_back(LogLine{Severity::Info,
+                                   Part::Config,
+                                   "A configuration is in force.",
+                                   {{"version", absl::StrCat(m_catalog->version)}, {"routes", absl::StrCat(m_catalog->routes.size())}}});
+}
+
+void ServingReducer::on(const EndpointsChanged &event)
+{
+    m_endpoints.update(*event.endpoints, m_effects);
+}
+
+void ServingReducer::on(const DrainRequested &)
+{
+    m_draining = true;
+    m_effects.emplace_back(LogLine{Severity::Info, Part::Entry, "The process drains.", {{"requests", absl::StrCat(m_requests.size())}}});
+}
+
+void ServingReducer::on(const Tick &)
+{
+    expire();
+    m_stages.expire(m_now, m_effects);
+}
+
+void ServingReducer::on(const RequestArrived &event)
+{
+    Request request;
+    request.in = std::make_shared<const CallerRequest>(event.request);
+    request.arrived = m_now;
+    request.limit = m_now + event.request.deadline.value_or(longestRequest);
+    request.catalog = m_catalog;
+    admit(std::move(request));
+}
+
+void ServingReducer::admit(Request request)
+{
+    const CallId call = request.in->call;
+    if (const auto refusal = whyRefused(request)) {
+        refuse(request, *refusal, "");
+        return;
+    }
+    const auto [place, isNew] = m_requests.emplace(call, std::move(request));
+    if (!isNew) {
+        return;
+    }
+    Request &admitted = place->second;
+    m_limits.emplace(admitted.limit, call);
+    m_budget.sent(admitted.pool, m_now);
+    advance(admitted);
+}
+
+std::optional<AnswerKind> ServingReducer::whyRefused(Request &request)
+{
+    if (!request.catalog) {
+        return AnswerKind::Unavailable;
+    }
+    const Route *route = request.catalog->find(request.in->host, request.in->path);
+    if (route == nullptr) {
+        return AnswerKind::NoRoute;
+    }
+    request.route = route;
+    if (request.in->attempt.empty()) {
+        return AnswerKind::BadRequest;
+    }
+    if (request.catalog->needsKeys && !route->isPublic) {
+        const auto found = request.catalog->workspaceOfKey.find(request.in->key);
+        if (found == request.catalog->workspaceOfKey.end()) {
+            return AnswerKind::UnknownKey;
+        }
+        request.workspace = found->second;
+    }
+    request.rank = request.workspace.priority * rankOfWorkspace + route->priority;
+    if (route->timeout > Duration::zero()) {
+        request.limit = std::min(request.limit, m_now + route->timeout);
+    }
+    request.objective = m_now + route->objective;
+    request.pool = drawPool(*route, request.in->attempt);
+    if (!m_endpoints.serves(request.pool)) {
+        return AnswerKind::Unavailable;
+    }
+    request.stages.resize(route->stages.size());
+    for (std::size_t stage = 0; stage < request.stages.size(); ++stage) {
+        request.stages[stage].pieces = stage < request.in->pieces.size() ? request.in->pieces[stage] : 0;
+    }
+    request.level = route->topLevel() + 1;
+    if (m_now + expectedStageTime(request) > request.limit) {
+        return AnswerKind::Unavailable;
+    }
+    return std::nullopt;
+}
+
+Duration ServingReducer::expectedStageTime(const Request &request)
+{
+    std::map<std::uint32_t, Duration> ofLevel;
+    for (std::size_t stage = 0; stage < request.stages.size(); ++stage) {
+        if (request.stages[stage].pieces == 0) {
+            continue;
+        }
+        const StageSpec &spec = request.route->stages[stage];
+        const Pool *pool = request.catalog->pool(spec.pool);
+        const auto wait = m_stages.expectedWait(spec.pool, request.rank, *request.catalog, m_now);
+        if (pool == nullptr || !pool->batch || !wait) {
+            return longestRequest;
+        }
+        const Duration time = *wait + pool->batch->callTime + pool->batch->itemTime * static_cast<std::int64_t>(request.stages[stage].pieces);
+        ofLevel[spec.level] = std::max(ofLevel[spec.level], time);
+    }
+    Duration sum{};
+    for (const auto &[level, time] : ofLevel) {
+        sum += time;
+    }
+    return sum;
+}
+
+PoolName ServingReducer::drawPool(const Route &route, const std::string &attempt) const
+{
+    std::uint64_t sum = 0;
+    for (const WeightedPool &pool : route.pools) {
+        sum += pool.weight;
+    }
+    if (sum == 0) {
+        return route.pools.empty() ? PoolName{} : route.pools.front().pool;
+    }
+    std::uint64_t drawn = XXH3_64bits(attempt.data(), attempt.size()) % sum;
+    for (const WeightedPool &pool : route.pools) {
+        if (drawn < pool.weight) {
+            return pool.pool;
+        }
+        drawn -= pool.weight;
+    }
+    return route.pools.back().pool;
+}
+
+void ServingReducer::on(const CallerLeft &event)
+{
+    Request *request = find(event.call);
+    if (request == nullptr) {
+        return;
+    }
+    finish(*request, "caller_left");
+}
+
+void ServingReducer::refuse(Request &request, AnswerKind kind, const std::string &reason)
+{
+    const CallId call = request.in->call;
+    RefuseCaller effect{call, kind, {}};
+    if (kind == AnswerKind::Unavailable) {
+        const Duration most = std::max((request.limit - m_now) / retryAfterShare, shortestRetryAfter);
+        effect.retryAfter = std::min(standardRetryAfter, most);
+    }
+    m_effects.emplace_back(effect);
+    log(request, "A request is refused.",
+        {{"answer", std::string{enumName(kind)}}, {"reason", reason}, {"route", request.route == nullptr ? "" : request.route->name}});
+    finish(request, enumName(kind));
+}
+
+void ServingReducer::finish(Request &request, std::string_view outcome)
+{
+    const CallId call = request.in->call;
+    m_effects.emplace_back(Observe{Metric::RequestsTotal,
+                                   {request.workspace.name.text(), request.route == nullptr ? "" : request.route->name, std::string{outcome}},
+                                   1.0});
+    if (request.run) {
+        m_effects.emplace_back(CancelRun{*request.run});
+        endRun(request, std::nullopt);
+    }
+    releaseAll(request);
+    m_limits.erase({request.limit, call});
+    m_requests.erase(call);
+}
+
+void ServingReducer::expire()
+{
+    while (!m_limits.empty() && m_limits.begin()->first <= m_now) {
+        Request *request = find(m_limits.begin()->second);
+        if (request == nullptr) {
+            m_limits.erase(m_limits.begin());
+            continue;
+        }
+        if (request->begun) {
+            m_effects.emplace_back(AbortStream{request->in->call});
+            log(*request, "A stream is broken off.", {{"reason", "its time is over"}});
+            finish(*request, "timed_out");
+            continue;
+        }
+        refuse(*request, request->mayHaveRun ? AnswerKind::TimedOut : AnswerKind::Unavailable, "its time is over");
+    }
+}
+
+Request *ServingReducer::find(CallId call)
+{
+    const auto found = m_requests.find(call);
+    return found == m_requests.end() ? nullptr : &found->second;
+}
+
+Request *ServingReducer::find(RunNumber run)
+{
+    const auto found = m_runs.find(run);
+    return found == m_runs.end() ? nullptr : find(found->second);
+}
+
+void ServingReducer::log(const Request &request, std::string text, std::vector<std::pair<std::string, std::string>> fields)
+{
+    fields.emplace_back("request", request.in->attempt);
+    fields.emplace_back("age_ms", milliseconds(m_now - request.arrived));
+    fields.emplace_back("version", absl::StrCat(request.catalog ? request.catalog->version : 0));
+    m_effects.emplace_back(LogLine{Severity::Info, Part::Entry, std::move(text), std::move(fields)});
+}
+
+} // namespace bergamottide::serving
--- /dev/null
+++ b/src/bergamottide/serving/servingreducer.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "bergamottide/core/ids.h"
+#include "bergamottide/core/time.h"
+#include "bergamottide/serving/endpointboard.h"
+#include "bergamottide/serving/events.h"
+#include "bergamottide/serving/request.h"
+#include "bergamottide/serving/retrybudget.h"
+#include "bergamottide/serving/stagescheduler.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace bergamottide::serving {
+
+/*! @brief Settings of the decisions. */
+struct ServingOptions
+{
+    RetryBudgetOptions retries;
+};
+
+/**
+ * @brief Decides what becomes of each request of a process that calls endpoints itself.
+ *
+ * A request is admitted or refused on arrival, has its stages made, is sent to one endpoint and answered. It is sent
+ * again only if it may run twice or has provably not run.
+ */
+class ServingReducer
+{
+public:
+    explicit ServingReducer(const ServingOptions &options);
+
+    /**
+     * @brief Applies one event.
+     * @param event What has come about.
+     * @param now Present time.
+     * @return What is to be done, in order.
+     */
+    [[nodiscard]] Effects apply(const Event &event, TimePoint now);
+
+    /*! @brief Returns the next time at which a tick is needed. */
+    [[nodiscard]] std::optional<TimePoint> nextWakeup() const;
+
+    /*! @brief Returns the number of requests in progress. */
+    [[nodiscard]] std::size_t inProgress() const noexcept;
+
+    /*! @brief Tells if a request could be served now. */
+    [[nodiscard]] bool canServe() const;
+
+private:
+    void on(const RequestArrived &event);
+    void on(const CallerLeft &event);
+    void on(const RunAnswered &event);
+    void on(const RunReceived &event);
+    void on(const RunEnded &event);
+    void on(const RunFailed &event);
+    void on(const StageCallEnded &event);
+    void on(const CatalogChanged &event);
+    void on(const EndpointsChanged &event);
+    void on(const DrainRequested &event);
+    void on(const Tick &event);
+
+    // Admission.
+    void admit(Request request);
+    [[nodiscard]] std::optional<AnswerKind> whyRefused(Request &request);
+    [[nodiscard]] Duration expectedStageTime(const Request &request);
+    [[nodiscard]] PoolName drawPool(const Route &route, const std::string &attempt) const;
+
+    // Stages.
+    void advance(Request &request);
+    void startLevel(Request &request);
+    void submitStage(Request &request, std::uint32_t stage);
+    void takeOutcomes();
+    void take(const StageOutcome &outcome);
+    void stageFailed(Request &request, PieceFailure failure);
+    void release(Request &request, StageProgress &stage);
+    void releaseAll(Request &request);
+    [[nodiscard]] std::vector<std::string> inputsOf(const Request &request, const std::vector<std::uint32_t> &stages) const;
+
+    // Runs.
+    void startRun(Request &request);
+    void retryOrGiveUp(Request &request, bool mayHaveRun, AnswerKind otherwise);
+    void endRun(Request &request, std::optional<EndpointSign> sign);
+    void runBroke(Request &request);
+    void passOn(Request &request);
+
+    // Answers.
+    void refuse(Request &request, AnswerKind kind, const std::string &reason);
+    void finish(Request &request, std::string_view outcome);
+    void expire();
+
+    Request *find(CallId call);
+    Request *find(RunNumber run);
+    void log(const Request &request, std::string text, std::vector<std::pair<std::string, std::string>> fields);
+
+    TimePoint m_now;
+    Effects m_effects;
+    std::shared_ptr<const Catalog> m_catalog;
+    EndpointBoard m_endpoints;
+    RetryBudget m_budget;
+    StageScheduler m_stages;
+    std::map<CallId, Request> m_requests;
+    std::map<RunNumber, CallId> m_runs;
+    std::map<StageTaskId, std::pair<CallId, std::uint32_t>> m_tasks;
+    std::set<std::pair<TimePoint, CallId>> m_limits;
+    std::uint64_t m_nextRun{1};
+    std::uint64_t m_nextTask{1};
+    bool m_draining{};
+};
+
+} // namespace bergamottide::serving
--- /dev/null
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -0,0 +1,223 @@
+#include "bergamottide/serving/engineplacement.h"
+#include "bergamottide/serving/servingreducer.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace bergamottide::serving {
+
+namespace {
+
+constexpr int firstFailureStatus = 500;
+/*! @brief Most urgent and least urgent rank that an engine knows. */
+constexpr int leastUrgent = 9;
+
+bool isSuccess(int status)
+{
+    constexpr int firstSuccess = 200;
+    constexpr int firstBeyond = 300;
+    return status >= firstSuccess && status < firstBeyond;
+}
+
+} // namespace
+
+void ServingReducer::startRun(Request &request)
+{
+    const bool isGeneration = request.route->kind == RouteKind::Streaming;
+    const std::vector<Endpoint *> usable = m_endpoints.usable(request.pool, m_now);
+    Endpoint *endpoint = isGeneration ? pickEngine(usable, request.tried, *request.in) : pickLeastLoaded(usable, request.tried, request.in->attempt);
+    if (endpoint == nullptr) {
+        refuse(request, request.mayHaveRun ? AnswerKind::BadGateway : AnswerKind::Unavailable, "no endpoint is left");
+        return;
+    }
+    StartRun start;
+    start.run = RunNumber{m_nextRun++};
+    start.instance = endpoint->record.instance;
+    start.address = endpoint->record.address;
+    start.deadline = request.limit - m_now;
+    start.workspace = request.workspace.name;
+    start.urgency = isGeneration ? std::clamp(request.route->priority, 0, leastUrgent) : -1;
+    std::vector<std::uint32_t> leaves;
+    for (std::uint32_t stage = 0; stage < request.stages.size(); ++stage) {
+        if (request.route->stages[stage].isLeaf) {
+            leaves.push_back(stage);
+        }
+    }
+    start.inputs = inputsOf(request, leaves);
+    if (const auto last = request.events.last(); last && request.begun) {
+        start.lastEvent = absl::StrCat(*last);
+    } else {
+        start.lastEvent = request.in->lastEvent;
+    }
+    start.mayRunTwice = request.route->mayRunTwice();
+    start.request = request.in;
+    request.run = start.run;
+    request.endpoint = start.instance;
+    request.tried.push_back(start.instance);
+    request.head.reset();
+    request.body.clear();
+    m_runs.emplace(start.run, request.in->call);
+    m_endpoints.started(start.instance);
+    log(request, "A request is sent to an endpoint.",
+        {{"route", request.route->name},
+         {"endpoint", start.instance.text()},
+         {"address", start.address},
+         {"in_flight", absl::StrCat(endpoint->inFlight)},
+         {"sends", absl::StrCat(request.tried.size())}});
+    m_effects.emplace_back(std::move(start));
+}
+
+void ServingReducer::on(const RunAnswered &event)
+{
+    Request *request = find(event.run);
+    if (request == nullptr) {
+        return;
+    }
+    if (event.head.load) {
+        m_endpoints.told(request->endpoint, *event.head.load, m_now);
+    }
+    if (event.head.foreign || (isSuccess(event.head.status) && !event.head.sealed)) {
+        m_effects.emplace_back(CancelRun{event.run});
+        runBroke(*request);
+        return;
+    }
+    request->head = event.head;
+    if (event.head.notExecuted) {
+        m_effects.emplace_back(CancelRun{event.run});
+        endRun(*request, EndpointSign::Rejected);
+        retryOrGiveUp(*request, false, AnswerKind::Unavailable);
+        return;
+    }
+    request->mayHaveRun = true;
+    if (request->route->kind != RouteKind::Streaming || !isSuccess(event.head.status)) {
+        return;
+    }
+    if (!request->begun) {
+        request->begun = true;
+        m_effects.emplace_back(BeginStream{request->in->call, event.head.status, event.head.headers});
+        return;
+    }
+    // A resumed stream goes on inside the answer begun before; what had not come whole is sent again.
+    request->events = EventSplitter{request->events.last()};
+}
+
+void ServingReducer::on(const RunReceived &event)
+{
+    Request *request = find(event.run);
+    if (request == nullptr || !request->head) {
+        return;
+    }
+    if (!request->begun || !isSuccess(request->head->status)) {
+        request->body += event.bytes;
+        return;
+    }
+    std::string events = request->events.take(event.bytes);
+    if (!events.empty()) {
+        if (!request->route->isResumable) {
+            // The engine has fetched its inputs by now.
+            for (StageProgress &stage : request->stages) {
+                release(*request, stage);
+            }
+        }
+        m_effects.emplace_back(StreamEvents{request->in->call, std::move(events)});
+    }
+    if (request->events.isBroken()) {
+        m_effects.emplace_back(CancelRun{event.run});
+        runBroke(*request);
+    }
+}
+
+void ServingReducer::on(const RunEnded &event)
+{
+    Request *request = find(event.run);
+    if (request == nullptr) {
+        return;
+    }
+    if (!request->head || (request->begun && request->events.inEvent())) {
+        runBroke(*request);
+        return;
+    }
+    const int status = request->head->status;
+    if (status >= firstFailureStatus) {
+        endRun(*request, EndpointSign::Failed);
+        const bool again = request->route->mayRunTwice() && request->tried.size() < request->route->maxAttempts && m_budget.take(request->pool, m_now);
+        if (again) {
+            startRun(*request);
+            return;
+        }
+        passOn(*request);
+        return;
+    }
+    endRun(*request, EndpointSign::Good);
+    passOn(*request);
+}
+
+void ServingReducer::passOn(Request &request)
+{
+    const CallId call = request.in->call;
+    const int status = request.head->status;
+    if (request.begun && isSuccess(status)) {
+        m_effects.emplace_back(FinishStream{call});
+    } else if (request.begun) {
+        m_effects.emplace_back(AbortStream{call});
+    } else {
+        m_effects.emplace_back(AnswerCaller{call, status, request.head->headers, std::move(request.body)});
+    }
+    log(request, "A request is answered.", {{"status", absl::StrCat(status)}, {"endpoint", request.endpoint.text()}});
+    finish(request, isSuccess(status) ? "completed" : "endpoint_failed");
+}
+
+void ServingReducer::on(const RunFailed &event)
+{
+    Request *request = find(event.run);
+    if (request == nullptr) {
+        return;
+    }
+    if (event.failure == RunFailure::Unreached) {
+        endRun(*request, EndpointSign::Unreached);
+        // Nothing was sent, so this does not count as a send to an endpoint.
+        retryOrGiveUp(*request, false, AnswerKind::Unavailable);
+        return;
+    }
+    runBroke(*request);
+}
+
+void ServingReducer::runBroke(Request &request)
+{
+    request.mayHaveRun = true;
+    ++request.executions;
+    endRun(request, EndpointSign::Failed);
+    retryOrGiveUp(request, true, AnswerKind::BadGateway);
+}
+
+void ServingReducer::retryOrGiveUp(Request &request, bool mayHaveRun, AnswerKind otherwise)
+{
+    // A rejection is not a run, so one more endpoint than runs are allowed may be asked after it.
+    const std::size_t sends = request.route->maxAttempts + (mayHaveRun ? 0 : 1);
+    const bool allowed = !mayHaveRun || request.route->mayRunTwice();
+    if (allowed && request.tried.size() < sends && request.executions < request.route->maxAttempts && m_budget.take(request.pool, m_now)) {
+        log(request, "A request is sent again.", {{"may_have_run", mayHaveRun ? "yes" : "no"}, {"endpoint", request.endpoint.text()}});
+        startRun(request);
+        return;
+    }
+    if (request.begun) {
+        m_effects.emplace_back(AbortStream{request.in->call});
+        log(request, "A stream is broken off.", {{"reason", "its endpoint failed"}, {"endpoint", request.endpoint.text()}});
+        finish(request, "broken_off");
+        return;
+    }
+    refuse(request, request.mayHaveRun ? AnswerKind::BadGateway : otherwise, mayHaveRun ? "its endpoint failed" : "no endpoint takes it");
+}
+
+void ServingReducer::endRun(Request &request, std::optional<EndpointSign> sign)
+{
+    if (!request.run) {
+        return;
+    }
+    m_runs.erase(*request.run);
+    request.run.reset();
+    m_endpoints.ended(request.endpoint, sign, m_now, m_effects);
+}
+
+} // namespace bergamottide::serving
--- /dev/null
+++ b/src/bergamottide/serving/servingsettings.cpp
@@ -0,0 +1,58 @@
+#include "bergamottide/serving/servingsettings.h"
+
+#include <utility>
+
+namespace bergamottide::serving {
+
+namespace {
+
+constexpr YamlLimits settingsLimits{.bytes = 1U << 16U, .depth = 4, .nodes = 1000};
+constexpr std::size_t mostSeeds = 16;
+constexpr Duration longestGrace = std::chrono::minutes{10};
+constexpr Duration longestWindow = std::chrono::minutes{10};
+constexpr double mostSlack = 1e6;
+
+} // namespace
+
+const FieldTable<ServingSettings> &servingSettingsFields()
+{
+    constexpr auto optional = Presence::Optional;
+    constexpr auto required = Presence::Required;
+    using S = ServingSettings;
+    static const FieldTable<S> table{
+        scalarField("instance", &S::instance, nameType<InstanceName>(), required, "Name of the instance."),
+        scalarField("zone", &S::zone, nameType<ZoneName>(), required, "Availability zone of the instance."),
+        scalarField("region", &S::region, nameType<RegionName>(), required, "Region of the instance."),
+        scalarField("callersAddress", &S::callersAddress, addressType(), required, "Where callers are listened for."),
+        scalarField("readyAddress", &S::readyAddress, addressType(), required, "Where the balancer asks for readiness."),
+        scalarField("peersAddress", &S::peersAddress, addressType(), required, "Where other processes of the system are listened for."),
+        listField("seeds", &S::seeds, addressType(), mostSeeds, "Addresses of some other processes; they may be out of date."),
+        scalarField("storeAddress", &S::storeAddress, addressType(), required, "Store in which the platform publishes what is served."),
+        scalarField("metricsAddress", &S::metricsAddress, addressType(), optional, "Where metrics are served."),
+        scalarField("gracePeriod", &S::gracePeriod, durationType(std::chrono::seconds{1}, longestGrace), optional,
+                    "Time between the request to stop and the kill."),
+        scalarField("retryRatio", &S::retryRatio, numberType(0.0, 1.0), optional, "Repeats for each request that all processes may send."),
+        scalarField("retrySlack", &S::retrySlack, numberType(0.0, mostSlack), optional, "Repeats that all processes may send in any window."),
+        scalarField("retryWindow", &S::retryWindow, durationType(std::chrono::seconds{1}, longestWindow), optional, "Window of the two bounds."),
+        scalarField("logLevel", &S::logLevel, choiceType<Severity>(), optional, "Lowest severity that is logged."),
+    };
+    return table;
+}
+
+ServingSettingsResult parseServingSettings(std::string_view yaml)
+{
+    IssueList issues;
+    const YamlNode root = readYaml(yaml, settingsLimits, issues);
+    ServingSettings settings;
+    if (issues.empty()) {
+        readRecord(root, {}, servingSettingsFields(), settings, issues);
+    }
+    ServingSettingsResult result;
+    result.issues = issues.take();
+    if (result.issues.empty()) {
+        result.settings = std::move(settings);
+    }
+    return result;
+}
+
+} // namespace bergamottide::serving
--- /dev/null
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -0,0 +1,186 @@
+#include "bergamottide/serving/servingreducer.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <map>
+
+namespace bergamottide::serving {
+
+namespace {
+
+/*! @brief Times that stages of a request are made again since an input was gone; each costs a whole chain of calls. */
+constexpr std::uint32_t mostStageRestarts = 2;
+
+constexpr int rankOfLate = 1'000'000;
+
+} // namespace
+
+void ServingReducer::on(const StageCallEnded &event)
+{
+    m_stages.ended(event, m_now, m_effects);
+    takeOutcomes();
+}
+
+void ServingReducer::advance(Request &request)
+{
+    while (request.level > 0) {
+        const bool busy = std::any_of(request.stages.begin(), request.stages.end(), [](const StageProgress &stage) { return stage.task.has_value(); });
+        if (busy) {
+            return;
+        }
+        --request.level;
+        if (request.level > 0) {
+            startLevel(request);
+        }
+    }
+    if (!request.run) {
+        startRun(request);
+    }
+}
+
+/*
+ * Stages start level by level, counted from the end: one whose result is needed late is made late. Large results then
+ * stay in the scarce memory of their makers only while the last level is at work, not for the length of the chain.
+ */
+void ServingReducer::startLevel(Request &request)
+{
+    for (std::uint32_t stage = 0; stage < request.stages.size(); ++stage) {
+        const StageProgress &progress = request.stages[stage];
+        if (request.route->stages[stage].level == request.level && !progress.isDone()) {
+            submitStage(request, stage);
+        }
+    }
+}
+
+void ServingReducer::submitStage(Request &request, std::uint32_t stage)
+{
+    const StageSpec &spec = request.route->stages[stage];
+    StageProgress &progress = request.stages[stage];
+    StageTask task;
+    task.id = StageTaskId{m_nextTask++};
+    task.pool = spec.pool;
+    task.rank = request.rank + (m_now > request.objective ? rankOfLate : 0);
+    task.deadline = request.limit;
+    task.due = request.objective;
+    task.attempt = request.in->attempt;
+    task.stage = stage;
+    task.pieces = progress.pieces;
+    task.inputs = inputsOf(request, spec.after);
+    task.key = task.inputs.empty() ? request.in->pieceKey : std::string{};
+    task.resultBytes = spec.resultBytes;
+    progress.task = task.id;
+    progress.made = 0;
+    progress.results.assign(progress.pieces, {});
+    progress.isReleased = false;
+    m_tasks.emplace(task.id, std::pair{request.in->call, stage});
+    m_budget.sent(spec.pool, m_now);
+    m_stages.submit(std::move(task));
+}
+
+std::vector<std::string> ServingReducer::inputsOf(const Request &request, const std::vector<std::uint32_t> &stages) const
+{
+    std::vector<std::string> handles;
+    for (const std::uint32_t stage : stages) {
+        if (stage >= request.stages.size()) {
+            continue;
+        }
+        for (const KeptResult &result : request.stages[stage].results) {
+            handles.push_back(result.handle);
+        }
+    }
+    return handles;
+}
+
+void ServingReducer::takeOutcomes()
+{
+    for (const StageOutcome &outcome : m_stages.takeOutcomes()) {
+        take(outcome);
+    }
+    m_stages.dispatch(*m_catalog, m_now, m_effects);
+}
+
+void ServingReducer::take(const StageOutcome &outcome)
+{
+    const auto found = m_tasks.find(outcome.task);
+    if (found == m_tasks.end()) {
+        return;
+    }
+    const auto [call, stage] = found->second;
+    Request *request = find(call);
+    if (request == nullptr) {
+        m_tasks.erase(found);
+        return;
+    }
+    StageProgress &progress = request->stages[stage];
+    if (outcome.result.handle.empty()) {
+        progress.task.reset();
+        m_tasks.erase(found);
+        stageFailed(*request, outcome.result.failure);
+        return;
+    }
+    progress.results[outcome.piece] = {outcome.result.handle, outcome.endpoint, outcome.address, request->route->stages[stage].resultBytes};
+    if (++progress.made < progress.pieces) {
+        return;
+    }
+    progress.task.reset();
+    m_tasks.erase(found);
+    for (const std::uint32_t before : request->route->stages[stage].after) {
+        if (before < request->stages.size()) {
+            release(*request, request->stages[before]);
+        }
+    }
+    advance(*request);
+}
+
+void ServingReducer::stageFailed(Request &request, PieceFailure failure)
+{
+    log(request, "A stage has failed.", {{"reason", std::string{enumName(failure)}}, {"level", absl::StrCat(request.level)}});
+    const bool again = failure == PieceFailure::InputGone && request.stageRestarts < mostStageRestarts && m_budget.take(request.pool, m_now);
+    if (!again) {
+        refuse(request, request.mayHaveRun ? AnswerKind::BadGateway : AnswerKind::Unavailable,
+               absl::StrCat("stage failed: ", std::string{enumName(failure)}));
+        return;
+    }
+    ++request.stageRestarts;
+    releaseAll(request);
+    for (StageProgress &stage : request.stages) {
+        stage.made = 0;
+    }
+    request.level = request.route->topLevel() + 1;
+    advance(request);
+}
+
+void ServingReducer::release(Request &request, StageProgress &stage)
+{
+    if (stage.isReleased) {
+        return;
+    }
+    stage.isReleased = true;
+    std::map<std::string, std::vector<std::string>> byAddress;
+    for (const KeptResult &result : stage.results) {
+        if (result.handle.empty()) {
+            continue;
+        }
+        m_stages.released(result.endpoint, result.bytes);
+        byAddress[result.address].push_back(result.handle);
+    }
+    for (auto &[address, handles] : byAddress) {
+        m_effects.emplace_back(FreeResults{address, std::move(handles)});
+    }
+    static_cast<void>(request);
+}
+
+void ServingReducer::releaseAll(Request &request)
+{
+    for (StageProgress &stage : request.stages) {
+        if (stage.task) {
+            m_stages.cancel(*stage.task, m_effects);
+            m_tasks.erase(*stage.task);
+            stage.task.reset();
+        }
+        release(request, stage);
+    }
+}
+
+} // namespace bergamottide::serving
--- /dev/null
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -0,0 +1,366 @@
+#include "bergamottide/serving/stagescheduler.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace bergamottide::serving {
+
+namespace {
+
+/*! @brief Failures of one task, not counting rejections, after which its request is given up. */
+constexpr std::uint32_t mostFailures = 3;
+/*! @brief A call is given up after this many times its expected time, plus the allowance for the network. */
+constexpr int expiryFactor = 3;
+constexpr Duration expiryAllowance = std::chrono::milliseconds{200};
+/*! @brief Weight of the newest call in an endpoint's slowness: one slow call of five times the time lifts it to 2.6. */
+constexpr double slownessWeight = 0.4;
+/*! @brief An endpoint slower than the fastest of its pool by this factor gets no work. */
+constexpr double slownessBound = 2.2;
+/*! @brief Time constant with which slowness is forgotten, so that a slow endpoint is tried again about every 2 s. */
+constexpr double slownessMemorySeconds = 2.0;
+/*! @brief Share of an endpoint's memory for results that is used; the rest covers results larger than announced. */
+constexpr double usableRoom = 0.9;
+
+double presentSlowness(const Endpoint &endpoint, TimePoint now)
+{
+    const double age = std::chrono::duration<double>(now - endpoint.slownessAt).count();
+    return 1.0 + (endpoint.slowness - 1.0) * std::exp(-age / slownessMemorySeconds);
+}
+
+Duration expectedTime(const BatchSpec &spec, std::size_t items)
+{
+    return spec.callTime + spec.itemTime * static_cast<std::int64_t>(items);
+}
+
+} // namespace
+
+StageScheduler::StageScheduler(EndpointBoard &endpoints, RetryBudget &budget)
+    : m_endpoints{endpoints}
+    , m_budget{budget}
+{
+}
+
+StageScheduler::Order StageScheduler::orderOf(const StageTask &task)
+{
+    return {task.rank, task.due, task.id};
+}
+
+void StageScheduler::submit(StageTask task)
+{
+    const StageTaskId id = task.id;
+    Pending pending;
+    for (std::uint32_t piece = 0; piece < task.pieces; ++piece) {
+        pending.waiting.push_back(piece);
+    }
+    pending.open = task.pieces;
+    m_queues[task.pool].insert(orderOf(task));
+    pending.task = std::move(task);
+    m_tasks.emplace(id, std::move(pending));
+}
+
+void StageScheduler::cancel(StageTaskId task, Effects &effects)
+{
+    const auto found = m_tasks.find(task);
+    if (found == m_tasks.end()) {
+        return;
+    }
+    m_queues[found->second.task.pool].erase(orderOf(found->second.task));
+    m_tasks.erase(found);
+    for (const auto &[number, call] : m_calls) {
+        const bool wanted = std::any_of(call.items.begin(), call.items.end(), [this](const CallItem &item) { return m_tasks.contains(item.task); });
+        const bool touched = std::any_of(call.items.begin(), call.items.end(), [task](const CallItem &item) { return item.task == task; });
+        if (touched && !wanted) {
+            // The endpoint drops a call that still waits; one that it works on ends as ever, and its results lapse.
+            effects.emplace_back(CancelStageCall{number});
+        }
+    }
+}
+
+void StageScheduler::dispatch(const Catalog &catalog, TimePoint now, Effects &effects)
+{
+    for (auto &[name, queue] : m_queues) {
+        const Pool *pool = catalog.pool(name);
+        if (queue.empty() || pool == nullptr || !pool->batch) {
+            continue;
+        }
+        dispatchPool(*pool, queue, now, effects);
+    }
+}
+
+void StageScheduler::dispatchPool(const Pool &pool, std::set<Order> &queue, TimePoint now, Effects &effects)
+{
+    while (!queue.empty()) {
+        std::uint64_t leastBytes = std::numeric_limits<std::uint64_t>::max();
+        for (const Order &order : queue) {
+            leastBytes = std::min(leastBytes, m_tasks.at(std::get<StageTaskId>(order)).task.resultBytes);
+        }
+        Endpoint *endpoint = freeEndpoint(pool, leastBytes, now);
+        if (endpoint == nullptr || !fill(pool, *endpoint, queue, now, effects)) {
+            return;
+        }
+    }
+}
+
+Endpoint *StageScheduler::freeEndpoint(const Pool &pool, std::uint64_t leastBytes, TimePoint now)
+{
+    const std::vector<Endpoint *> usable = m_endpoints.usable(pool.name, now);
+    double fastest = std::numeric_limits<double>::max();
+    for (const Endpoint *endpoint : usable) {
+        fastest = std::min(fastest, presentSlowness(*endpoint, now));
+    }
+    const auto room = static_cast<std::uint64_t>(usableRoom * static_cast<double>(pool.batch->resultRoom));
+    Endpoint *best = nullptr;
+    double bestSlowness = 0.0;
+    for (Endpoint *endpoint : usable) {
+        const double slowness = presentSlowness(*endpoint, now);
+        if (endpoint->inFlight >= pool.batch->slots || slowness > fastest * slownessBound) {
+            continue;
+        }
+        if (endpoint->resultBytes != 0 && endpoint->resultBytes + leastBytes > room) {
+            continue;
+        }
+        if (best == nullptr || slowness < bestSlowness) {
+            best = endpoint;
+            bestSlowness = slowness;
+        }
+    }
+    return best;
+}
+
+bool StageScheduler::fill(const Pool &pool, Endpoint &endpoint, std::set<Order> &queue, TimePoint now, Effects &effects)
+{
+    const auto room = static_cast<std::uint64_t>(usableRoom * static_cast<double>(pool.batch->resultRoom));
+    StartStageCall start;
+    Call call;
+    const Duration shortest = expectedTime(*pool.batch, 1);
+    std::vector<StageTaskId> late;
+    for (auto next = queue.begin(); next != queue.end() && call.items.size() < pool.batch->batch;) {
+        Pending &pending = m_tasks.at(std::get<StageTaskId>(*next));
+        const StageTask &task = pending.task;
+        if (task.deadline <= now + shortest) {
+            late.push_back(task.id);
+            next = queue.erase(next);
+            continue;
+        }
+        while (!pending.waiting.empty() && call.items.size() < pool.batch->batch) {
+            // The first result is always taken, or one larger than the room would wait for ever.
+            if (endpoint.resultBytes != 0 && endpoint.resultBytes + task.resultBytes > room) {
+                break;
+            }
+            const std::uint32_t piece = pending.waiting.front();
+            pending.waiting.erase(pending.waiting.begin());
+            call.items.push_back({task.id, piece, task.resultBytes});
+            endpoint.resultBytes += task.resultBytes;
+            start.items.push_back({task.attempt, task.stage, piece, task.deadline - now, task.key, task.inputs});
+            start.deadline = std::max(start.deadline, task.deadline - now);
+        }
+        next = pending.waiting.empty() ? queue.erase(next) : std::next(next);
+    }
+    for (const StageTaskId task : late) {
+        fail(m_tasks.at(task), PieceFailure::Late);
+    }
+    if (call.items.empty()) {
+        return !late.empty();
+    }
+    call.pool = pool.name;
+    call.endpoint = endpoint.record.instance;
+    call.address = endpoint.record.address;
+    call.started = now;
+    call.expected = expectedTime(*pool.batch, call.items.size());
+    call.expiry = now + call.expected * expiryFactor + expiryAllowance;
+    start.call = StageCallNumber{m_nextCall++};
+    start.instance = call.endpoint;
+    start.address = call.address;
+    m_endpoints.started(call.endpoint);
+    m_calls.emplace(start.call, std::move(call));
+    effects.emplace_back(std::move(start));
+    return true;
+}
+
+void StageScheduler::ended(const StageCallEnded &event, TimePoint now, Effects &effects)
+{
+    const auto node = m_calls.extract(event.call);
+    if (node.empty()) {
+        return;
+    }
+    const Call &call = node.mapped();
+    if (event.end != StageCallEnd::Answered || event.results.size() != call.items.size()) {
+        const bool rejected = event.end == StageCallEnd::Rejected;
+        m_endpoints.ended(call.endpoint,
+                          rejected ? EndpointSign::Rejected : event.end == StageCallEnd::Unreached ? EndpointSign::Unreached : EndpointSign::Failed, now,
+                          effects);
+        giveBack(call, !rejected, now, effects);
+        return;
+    }
+    noteSpeed(call, now);
+    m_endpoints.ended(call.endpoint, EndpointSign::Good, now, effects);
+    std::vector<std::string> orphans;
+    for (std::size_t index = 0; index < call.items.size(); ++index) {
+        const CallItem &item = call.items[index];
+        const PieceResult &result = event.results[index];
+        const auto found = m_tasks.find(item.task);
+        if (found == m_tasks.end()) {
+            released(call.endpoint, item.bytes);
+            if (!result.handle.empty()) {
+                orphans.push_back(result.handle);
+            }
+            continue;
+        }
+        if (result.handle.empty()) {
+            released(call.endpoint, item.bytes);
+            if (result.failure == PieceFailure::Late || result.failure == PieceFailure::InputGone) {
+                fail(found->second, result.failure);
+            } else {
+                requeue(item, result.failure != PieceFailure::NoRoom);
+            }
+            continue;
+        }
+        m_outcomes.push_back({item.task, item.piece, result, call.endpoint, call.address});
+        if (--found->second.open == 0) {
+            m_tasks.erase(found);
+        }
+    }
+    if (!orphans.empty()) {
+        effects.emplace_back(FreeResults{call.address, std::move(orphans)});
+    }
+}
+
+void StageScheduler::giveBack(const Call &call, bool failed, TimePoint now, Effects &effects)
+{
+    std::set<StageTaskId> refused;
+    std::set<StageTaskId> seen;
+    for (const CallItem &item : call.items) {
+        released(call.endpoint, item.bytes);
+        if (!m_tasks.contains(item.task)) {
+            continue;
+        }
+        if (seen.insert(item.task).second && !m_budget.take(call.pool, now)) {
+            refused.insert(item.task);
+        }
+        if (!refused.contains(item.task)) {
+            requeue(item, failed);
+        }
+    }
+    for (const StageTaskId task : refused) {
+        const auto found = m_tasks.find(task);
+        if (found == m_tasks.end()) {
+            continue;
+        }
+        effects.emplace_back(
+            LogLine{Severity::Info, Part::Entry, "A stage is not repeated: the budget is spent.", {{"request", found->second.task.attempt}, {"pool", call.pool.text()}}});
+        fail(found->second, PieceFailure::Error);
+    }
+}
+
+void StageScheduler::requeue(const CallItem &item, bool failed)
+{
+    const auto found = m_tasks.find(item.task);
+    if (found == m_tasks.end()) {
+        return;
+    }
+    Pending &pending = found->second;
+    pending.failures += failed ? 1 : 0;
+    if (pending.failures > mostFailures * pending.task.pieces) {
+        fail(pending, PieceFailure::Error);
+        return;
+    }
+    pending.waiting.push_back(item.piece);
+    m_queues[pending.task.pool].insert(orderOf(pending.task));
+}
+
+void StageScheduler::fail(Pending &pending, PieceFailure failure)
+{
+    const StageTaskId id = pending.task.id;
+    m_queues[pending.task.pool].erase(orderOf(pending.task));
+    m_outcomes.push_back({id, 0, PieceResult{{}, failure}, {}, {}});
+    m_tasks.erase(id);
+}
+
+void StageScheduler::expire(TimePoint now, Effects &effects)
+{
+    std::vector<StageCallNumber> expired;
+    for (const auto &[number, call] : m_calls) {
+        if (call.expiry <= now) {
+            expired.push_back(number);
+        }
+    }
+    for (const StageCallNumber number : expired) {
+        const Call call = std::move(m_calls.extract(number).mapped());
+        effects.emplace_back(CancelStageCall{number});
+        effects.emplace_back(LogLine{Severity::Warning,
+                                     Part::Entry,
+                                     "A stage call is given up: it takes much longer than expected.",
+                                     {{"endpoint", call.endpoint.text()},
+                                      {"pool", call.pool.text()},
+                                      {"expected_ms", absl::StrCat(call.expected.count() / 1000)},
+                                      {"items", absl::StrCat(call.items.size())}}});
+        noteSpeed(call, now);
+        m_endpoints.ended(call.endpoint, EndpointSign::Failed, now, effects);
+        giveBack(call, true, now, effects);
+    }
+}
+
+std::vector<StageOutcome> StageScheduler::takeOutcomes()
+{
+    return std::exchange(m_outcomes, {});
+}
+
+void StageScheduler::released(const InstanceName &endpoint, std::uint64_t bytes)
+{
+    if (Endpoint *found = m_endpoints.find(endpoint); found != nullptr) {
+        found->resultBytes -= std::min(found->resultBytes, bytes);
+    }
+}
+
+std::optional<Duration> StageScheduler::expectedWait(const PoolName &pool, int rank, const Catalog &catalog, TimePoint now)
+{
+    const Pool *spec = catalog.pool(pool);
+    const std::vector<Endpoint *> usable = m_endpoints.usable(pool, now);
+    if (spec == nullptr || !spec->batch || usable.empty()) {
+        return std::nullopt;
+    }
+    std::size_t ahead = 0;
+    if (const auto queue = m_queues.find(pool); queue != m_queues.end()) {
+        for (const Order &order : queue->second) {
+            if (std::get<int>(order) <= rank) {
+                ahead += m_tasks.at(std::get<StageTaskId>(order)).waiting.size();
+            }
+        }
+    }
+    Duration work = spec->batch->itemTime * static_cast<std::int64_t>(ahead)
+        + spec->batch->callTime * static_cast<std::int64_t>((ahead + spec->batch->batch - 1) / spec->batch->batch);
+    for (const auto &[number, call] : m_calls) {
+        if (call.pool == pool) {
+            work += std::max(Duration::zero(), call.started + call.expected - now);
+        }
+    }
+    return work / static_cast<std::int64_t>(usable.size() * spec->batch->slots);
+}
+
+std::optional<TimePoint> StageScheduler::nextWakeup() const
+{
+    std::optional<TimePoint> first;
+    for (const auto &[number, call] : m_calls) {
+        if (!first || call.expiry < *first) {
+            first = call.expiry;
+        }
+    }
+    return first;
+}
+
+void StageScheduler::noteSpeed(const Call &call, TimePoint now)
+{
+    Endpoint *endpoint = m_endpoints.find(call.endpoint);
+    if (endpoint == nullptr || call.expected <= Duration::zero()) {
+        return;
+    }
+    const double ratio = static_cast<double>((now - call.started).count()) / static_cast<double>(call.expected.count());
+    const double known = presentSlowness(*endpoint, now);
+    endpoint->slowness = known + slownessWeight * (ratio - known);
+    endpoint->slownessAt = now;
+}
+
+} // namespace bergamottide::serving
--- /dev/null
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -0,0 +1,180 @@
+#pragma once
+
+#include "bergamottide/core/ids.h"
+#include "bergamottide/core/time.h"
+#include "bergamottide/serving/catalog.h"
+#include "bergamottide/serving/endpointboard.h"
+#include "bergamottide/serving/events.h"
+#include "bergamottide/serving/retrybudget.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace bergamottide::serving {
+
+/*! @brief One stage of one request, as handed to the scheduler. */
+enum class StageTaskId : std::uint64_t
+{
+};
+
+/*! @brief Pieces of one stage of one request that are to be made. */
+struct StageTask
+{
+    StageTaskId id{};
+    PoolName pool;
+    /*! @brief Rank over all requests; the lowest goes first. */
+    int rank{};
+    /*! @brief Time at which its results come too late to be of use. */
+    TimePoint deadline{};
+    /*! @brief Order among tasks of the same rank; the earliest goes first. */
+    TimePoint due{};
+    std::string attempt;
+    std::uint32_t stage{};
+    std::uint32_t pieces{};
+    std::string key;
+    std::vector<std::string> inputs;
+    std::uint64_t resultBytes{};
+};
+
+/*! @brief A piece that has its result, or a task that has failed. */
+struct StageOutcome
+{
+    StageTaskId task{};
+    std::uint32_t piece{};
+    PieceResult result;
+    InstanceName endpoint;
+    std::string address;
+};
+
+/**
+ * @brief Makes calls to the endpoints of stage pools out of the pieces of many requests.
+ *
+ * A call costs much the same whatever it carries, and an endpoint works on one call at a time. So pieces wait here and
+ * not at the endpoint: whenever a slot is free, the most urgent pieces that wait fill one call. No call waits to be
+ * filled, so an idle endpoint adds no delay, and under load calls fill by themselves.
+ */
+class StageScheduler
+{
+public:
+    /**
+     * @brief Creates a scheduler without tasks.
+     * @param endpoints Endpoints; outlive the scheduler.
+     * @param budget Bounds repeated work; outlives the scheduler.
+     */
+    StageScheduler(EndpointBoard &endpoints, RetryBudget &budget);
+
+    /**
+     * @brief Adds a task.
+     * @param task Task with a new identity.
+     */
+    void submit(StageTask task);
+
+    /**
+     * @brief Forgets a task; calls that carry nothing else any more are closed.
+     * @param task Identity.
+     * @param effects Receives the effects.
+     */
+    void cancel(StageTaskId task, Effects &effects);
+
+    /**
+     * @brief Sends what can be sent.
+     * @param catalog Pools in force.
+     * @param now Present time.
+     * @param effects Receives the calls.
+     */
+    void dispatch(const Catalog &catalog, TimePoint now, Effects &effects);
+
+    /**
+     * @brief Takes the end of a call.
+     * @param event How it ended.
+     * @param now Present time.
+     * @param effects Receives the effects.
+     */
+    void ended(const StageCallEnded &event, TimePoint now, Effects &effects);
+
+    /**
+     * @brief Gives up calls that take much longer than expected; their pieces go elsewhere.
+     * @param now Present time.
+     * @param effects Receives the effects.
+     */
+    void expire(TimePoint now, Effects &effects);
+
+    /*! @brief Returns what has come about since the last call. */
+    [[nodiscard]] std::vector<StageOutcome> takeOutcomes();
+
+    /**
+     * @brief Notes that a result has left the memory of its endpoint.
+     * @param endpoint Endpoint that kept it.
+     * @param bytes Its size.
+     */
+    void released(const InstanceName &endpoint, std::uint64_t bytes);
+
+    /**
+     * @brief Estimates how long a new task waits before its first call, from the work that goes before it.
+     * @param pool Pool.
+     * @param rank Rank of the task.
+     * @param catalog Pools in force.
+     * @param now Present time.
+     * @return Estimate; nothing if no endpoint takes work.
+     */
+    [[nodiscard]] std::optional<Duration> expectedWait(const PoolName &pool, int rank, const Catalog &catalog, TimePoint now);
+
+    /*! @brief Returns when `expire` has something to do. */
+    [[nodiscard]] std::optional<TimePoint> nextWakeup() const;
+
+private:
+    struct Pending
+    {
+        StageTask task;
+        /*! @brief Pieces not in a call at present. */
+        std::vector<std::uint32_t> waiting;
+        std::uint32_t open{};
+        std::uint32_t failures{};
+    };
+
+    struct CallItem
+    {
+        StageTaskId task{};
+        std::uint32_t piece{};
+        std::uint64_t bytes{};
+    };
+
+    struct Call
+    {
+        PoolName pool;
+        InstanceName endpoint;
+        std::string address;
+        std::vector<CallItem> items;
+        TimePoint started{};
+        Duration expected{};
+        TimePoint expiry{};
+    };
+
+    /*! @brief Order in which the tasks of a pool are served. */
+    using Order = std::tuple<int, TimePoint, StageTaskId>;
+
+    [[nodiscard]] static Order orderOf(const StageTask &task);
+    void dispatchPool(const Pool &pool, std::set<Order> &queue, TimePoint now, Effects &effects);
+    [[nodiscard]] Endpoint *freeEndpoint(const Pool &pool, std::uint64_t leastBytes, TimePoint now);
+    bool fill(const Pool &pool, Endpoint &endpoint, std::set<Order> &queue, TimePoint now, Effects &effects);
+    void giveBack(const Call &call, bool failed, TimePoint now, Effects &effects);
+    void requeue(const CallItem &item, bool failed);
+    void fail(Pending &pending, PieceFailure failure);
+    void noteSpeed(const Call &call, TimePoint now);
+
+    EndpointBoard &m_endpoints;
+    RetryBudget &m_budget;
+    std::map<StageTaskId, Pending> m_tasks;
+    std::map<PoolName, std::set<Order>> m_queues;
+    std::map<StageCallNumber, Call> m_calls;
+    std::vector<StageOutcome> m_outcomes;
+    std::uint64_t m_nextCall{1};
+};
+
+} // namespace bergamottide::serving
--- a/test/bergamottide/app/callerport.cpp
+++ b/test/bergamottide/app/callerport.cpp
@@ -37,6 +37,11 @@
         finished = true;
     }
 
+    void abort() override
+    {
+        aborted = true;
+    }
+
     void onClosed(std::function<void()> hook) override
     {
         closed = std::move(hook);
@@ -50,6 +55,7 @@
     HttpAnswer whole{0, {}, {}};
     std::string sent;
     bool finished{};
+    bool aborted{};
     std::size_t waiting{};
     std::function<void()> closed;
 };
