Keep the queue of a stage pool at one peer

Ruled out: a wait that fills calls (an idle endpoint would add delay); one owner for all pools (a single process would carry all). Change: heartbeats among entries found by seeds; one keeper for each pool by rendezvous hashing; tasks are handed over as one call each, done again elsewhere when the keeper is lost.

--- /dev/null
+++ b/src/bergamottide/app/peerport.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "bergamottide/net/httpclient.h"
+#include "bergamottide/net/httpserver.h"
+#include "bergamottide/net/loop.h"
+#include "bergamottide/serving/events.h"
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace bergamottide {
+
+/*! @brief What a peer port asks of its process. */
+struct PeerPortHooks
+{
+    /*! @brief Takes an event that comes from a peer. */
+    std::function<void(serving::Event event)> submit;
+    /*! @brief Returns what this process tells its peers. */
+    std::function<serving::Heartbeat()> heartbeat;
+    std::function<void(const LogLine &line)> log;
+};
+
+/**
+ * @brief Talks with the peers of a process that serves callers: heartbeats, and stage tasks handed over.
+ *
+ * A task is one HTTP call that is answered when its pieces are made. A connection that breaks or falls silent therefore
+ * tells both ends at once: one does the work elsewhere, the other drops it.
+ */
+class PeerPort
+{
+public:
+    /**
+     * @brief Creates a port that does not listen yet.
+     * @param loop Loop it runs on; outlives the port.
+     * @param self This process; its address is listened on.
+     * @param hooks What the port asks of its process.
+     */
+    PeerPort(Loop &loop, serving::PeerInfo self, PeerPortHooks hooks);
+
+    /*! @brief Starts to listen. */
+    [[nodiscard]] absl::Status listen();
+
+    void carryOut(const serving::SendHeartbeat &effect);
+    void carryOut(const serving::HandTask &effect);
+    void carryOut(const serving::RecallTask &effect);
+    void carryOut(const serving::AnswerPeerTask &effect);
+    void carryOut(const serving::TellReleased &effect);
+
+private:
+    void handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
+    void takeTask(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
+    void takeHeartbeat(const std::string &text);
+    void handedEnded(serving::StageTaskId task, const InstanceName &peer, const HttpAnswer &answer);
+    void logUnreadable(const absl::Status &status);
+
+    Loop &m_loop;
+    serving::PeerInfo m_self;
+    PeerPortHooks m_hooks;
+    HttpServer m_server;
+    HttpClient m_client;
+    HttpClient m_heartbeats;
+    std::map<serving::StageTaskId, HttpCallId> m_handed;
+    std::map<serving::PeerTaskNumber, std::shared_ptr<HttpResponder>> m_asked;
+    std::uint64_t m_lastAsked{};
+};
+
+} // namespace bergamottide
--- /dev/null
+++ b/src/bergamottide/app/peerwire.cpp
@@ -0,0 +1,150 @@
+#include "bergamottide/app/peerwire.h"
+
+#include "bergamottide/core/error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bergamottide::peerwire {
+
+namespace {
+
+using namespace serving;
+using nlohmann::json;
+
+std::string dump(const json &value)
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+json infoOf(const PeerInfo &peer)
+{
+    return {{"instance", peer.instance.text()}, {"address", peer.address}};
+}
+
+PeerInfo peerOf(const json &value)
+{
+    return {InstanceName{value.at("instance").get<std::string>()}, value.at("address").get<std::string>()};
+}
+
+/*! @brief Reads a message; whatever is wrong with it becomes a typed error. */
+template <typename Decode>
+auto read(const std::string &text, Decode decode) -> absl::StatusOr<decltype(decode(json{}))>
+{
+    try {
+        return decode(json::parse(text));
+    } catch (const json::exception &error) {
+        return makeError(Reason::MalformedBody, "peer", error.what());
+    }
+}
+
+} // namespace
+
+std::string write(const Heartbeat &heartbeat)
+{
+    json out = infoOf(heartbeat.from);
+    out["incarnation"] = heartbeat.incarnation;
+    out["draining"] = heartbeat.draining;
+    out["version"] = heartbeat.version;
+    out["peers"] = json::array();
+    for (const PeerInfo &peer : heartbeat.peers) {
+        out["peers"].push_back(infoOf(peer));
+    }
+    out["waits"] = json::array();
+    for (const PoolWait &wait : heartbeat.waits) {
+        out["waits"].push_back({{"pool", wait.pool.text()}, {"rank", wait.rank}, {"wait", wait.wait.count()}});
+    }
+    return dump(out);
+}
+
+absl::StatusOr<Heartbeat> readHeartbeat(const std::string &text)
+{
+    return read(text, [](const json &value) {
+        Heartbeat heartbeat;
+        heartbeat.from = peerOf(value);
+        heartbeat.incarnation = value.at("incarnation").get<std::uint64_t>();
+        heartbeat.draining = value.at("draining").get<bool>();
+        heartbeat.version = value.at("version").get<std::uint64_t>();
+        for (const json &peer : value.at("peers")) {
+            heartbeat.peers.push_back(peerOf(peer));
+        }
+        for (const json &wait : value.at("waits")) {
+            heartbeat.waits.push_back(
+                {PoolName{wait.at("pool").get<std::string>()}, wait.at("rank").get<int>(), Duration{wait.at("wait").get<std::int64_t>()}});
+        }
+        return heartbeat;
+    });
+}
+
+std::string write(const StageTask &task, const InstanceName &from, TimePoint now)
+{
+    return dump({{"from", from.text()},
+                 {"pool", task.pool.text()},
+                 {"rank", task.rank},
+                 {"deadline", (task.deadline - now).count()},
+                 {"due", (task.due - now).count()},
+                 {"attempt", task.attempt},
+                 {"stage", task.stage},
+                 {"pieces", task.pieces},
+                 {"key", task.key},
+                 {"inputs", task.inputs},
+                 {"bytes", task.resultBytes}});
+}
+
+absl::StatusOr<AskedTask> readTask(const std::string &text, TimePoint now)
+{
+    return read(text, [now](const json &value) {
+        AskedTask asked;
+        asked.from = InstanceName{value.at("from").get<std::string>()};
+        StageTask &task = asked.task;
+        task.pool = PoolName{value.at("pool").get<std::string>()};
+        task.rank = value.at("rank").get<int>();
+        task.deadline = now + Duration{value.at("deadline").get<std::int64_t>()};
+        task.due = now + Duration{value.at("due").get<std::int64_t>()};
+        task.attempt = value.at("attempt").get<std::string>();
+        task.stage = value.at("stage").get<std::uint32_t>();
+        task.pieces = value.at("pieces").get<std::uint32_t>();
+        task.key = value.at("key").get<std::string>();
+        task.inputs = value.at("inputs").get<std::vector<std::string>>();
+        task.resultBytes = value.at("bytes").get<std::uint64_t>();
+        return asked;
+    });
+}
+
+std::string write(const std::vector<StageOutcome> &outcomes)
+{
+    json list = json::array();
+    for (const StageOutcome &outcome : outcomes) {
+        list.push_back({{"piece", outcome.piece},
+                        {"handle", outcome.result.handle},
+                        {"failure", enumName(outcome.result.failure)},
+                        {"endpoint", outcome.endpoint.text()},
+                        {"address", outcome.address}});
+    }
+    return dump(list);
+}
+
+absl::StatusOr<std::vector<StageOutcome>> readOutcomes(const std::string &text, StageTaskId task)
+{
+    return read(text, [task](const json &value) {
+        std::vector<StageOutcome> outcomes;
+        for (const json &one : value) {
+            const auto failure = enumFromName<PieceFailure>(one.at("failure").get<std::string>());
+            outcomes.push_back({task, one.at("piece").get<std::uint32_t>(),
+                                PieceResult{one.at("handle").get<std::string>(), failure.value_or(PieceFailure::Error)},
+                                InstanceName{one.at("endpoint").get<std::string>()}, one.at("address").get<std::string>()});
+        }
+        return outcomes;
+    });
+}
+
+std::string writeHandles(const std::vector<std::string> &handles)
+{
+    return dump(handles);
+}
+
+absl::StatusOr<std::vector<std::string>> readHandles(const std::string &text)
+{
+    return read(text, [](const json &value) { return value.get<std::vector<std::string>>(); });
+}
+
+} // namespace bergamottide::peerwire
--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -60,9 +60,12 @@
     return options;
 }
 
-ServingOptions servingOptions(const ServingSettings &settings)
+ServingOptions servingOptions(const ServingSettings &settings, Incarnation incarnation)
 {
     ServingOptions options;
+    options.self = {settings.instance, settings.peersAddress};
+    options.seeds = settings.seeds;
+    options.incarnation = static_cast<std::uint64_t>(incarnation);
     options.retries.ratio = settings.retryRatio;
     options.retries.slack = settings.retrySlack;
     options.retries.window = settings.retryWindow;
@@ -71,14 +74,15 @@
 
 } // namespace
 
-ServingApp::ServingApp(Loop &loop, const Clock &clock, const ServingSettings &settings, ServingCodec codec)
+ServingApp::ServingApp(Loop &loop, const Clock &clock, const ServingSettings &settings, ServingCodec codec, Incarnation incarnation)
     : m_loop{loop}
     , m_settings{settings}
     , m_codec{std::move(codec)}
     , m_log{LogOptions{LogFormat::Json, settings.logLevel, settings.instance}, clock}
-    , m_reducer{servingOptions(settings)}
+    , m_reducer{servingOptions(settings, incarnation)}
     , m_reactor{loop, m_reducer, [this](Effect effect) { carryOut(std::move(effect)); }}
     , m_endpoints{loop, endpointOptions()}
+    , m_peers{loop, PeerInfo{settings.instance, settings.peersAddress}, peerHooks()}
     , m_callersServer{loop, callersOptions(settings),
                       [this](HttpRequest request, const std::shared_ptr<HttpResponder> &responder) { handle(std::move(request), responder); }}
     , m_readyServer{loop, readyOptions(settings), [this](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) {
@@ -91,6 +95,7 @@
 {
     absl::Status status = m_callersServer.listen();
     status.Update(m_readyServer.listen());
+    status.Update(m_peers.listen());
     if (status.ok()) {
         log({Severity::Info, Part::Entry, "The process has started.", {{"callers", m_callersServer.address()}, {"zone", m_settings.zone.text()}}});
         m_reactor.submit(Tick{});
@@ -159,6 +164,21 @@
     m_reactor.submit(RequestArrived{*std::move(read)});
 }
 
+PeerPortHooks ServingApp::peerHooks()
+{
+    PeerPortHooks hooks;
+    hooks.submit = [this](Event event) {
+        m_reactor.submit(std::move(event));
+    };
+    hooks.heartbeat = [this] {
+        return m_reducer.heartbeat(m_loop.now());
+    };
+    hooks.log = [this](const LogLine &line) {
+        log(line);
+    };
+    return hooks;
+}
+
 ServingApp::Caller ServingApp::takeCaller(CallId call)
 {
     const auto node = m_callers.extract(call);
@@ -305,6 +325,31 @@
     m_endpoints.call(effect.address, m_codec.writeRelease(effect.handles), std::move(hooks));
 }
 
+void ServingApp::carryOut(const HandTask &effect)
+{
+    m_peers.carryOut(effect);
+}
+
+void ServingApp::carryOut(const RecallTask &effect)
+{
+    m_peers.carryOut(effect);
+}
+
+void ServingApp::carryOut(const AnswerPeerTask &effect)
+{
+    m_peers.carryOut(effect);
+}
+
+void ServingApp::carryOut(const TellReleased &effect)
+{
+    m_peers.carryOut(effect);
+}
+
+void ServingApp::carryOut(const SendHeartbeat &effect)
+{
+    m_peers.carryOut(effect);
+}
+
 void ServingApp::carryOut(const Drained &)
 {
     if (std::exchange(m_ending, true)) {
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bergamottide/app/peerport.h"
 #include "bergamottide/app/reactor.h"
 #include "bergamottide/net/httpclient.h"
 #include "bergamottide/net/httpserver.h"
@@ -47,8 +48,9 @@
      * @param clock Source of time; outlives the process.
      * @param settings Settings.
      * @param codec Format of requests and answers.
+     * @param incarnation Number that sets this start apart.
      */
-    ServingApp(Loop &loop, const Clock &clock, const serving::ServingSettings &settings, ServingCodec codec);
+    ServingApp(Loop &loop, const Clock &clock, const serving::ServingSettings &settings, ServingCodec codec, Incarnation incarnation);
 
     /*! @brief Starts to listen. */
     [[nodiscard]] absl::Status start();
@@ -99,10 +101,16 @@
     void carryOut(const serving::StartStageCall &effect);
     void carryOut(const serving::CancelStageCall &effect);
     void carryOut(const serving::FreeResults &effect);
+    void carryOut(const serving::HandTask &effect);
+    void carryOut(const serving::RecallTask &effect);
+    void carryOut(const serving::AnswerPeerTask &effect);
+    void carryOut(const serving::TellReleased &effect);
+    void carryOut(const serving::SendHeartbeat &effect);
     void carryOut(const serving::Drained &effect);
     void carryOut(const LogLine &effect);
     void carryOut(const Observe &effect);
 
+    [[nodiscard]] PeerPortHooks peerHooks();
     [[nodiscard]] Caller takeCaller(CallId call);
     void failRun(serving::RunNumber run, HttpFailure failure);
     void finishDrain();
@@ -117,6 +125,7 @@
     serving::ServingReducer m_reducer;
     Reactor<serving::ServingReducer, serving::Event, serving::Effect, serving::Tick> m_reactor;
     HttpClient m_endpoints;
+    PeerPort m_peers;
     HttpServer m_callersServer;
     HttpServer m_readyServer;
     std::map<CallId, Caller> m_callers;
--- a/src/bergamottide/serving/events.h
+++ b/src/bergamottide/serving/events.h
@@ -5,6 +5,8 @@
 #include "bergamottide/core/time.h"
 #include "bergamottide/net/http.h"
 #include "bergamottide/serving/catalog.h"
+#include "bergamottide/serving/peers.h"
+#include "bergamottide/serving/stagetask.h"
 #include "bergamottide/telemetry/logline.h"
 #include "bergamottide/telemetry/metric.h"
 
@@ -149,27 +151,6 @@
     RunFailure failure{};
 };
 
-/*! @brief Why a piece has no result. */
-enum class PieceFailure : std::uint8_t
-{
-    None,
-    /*! @brief Its time had run out at its turn. */
-    Late,
-    /*! @brief One of its inputs is no longer there. */
-    InputGone,
-    /*! @brief No memory for the result. */
-    NoRoom,
-    Error
-};
-
-/*! @brief Result of one piece. */
-struct PieceResult
-{
-    /*! @brief Where the result is kept; empty after a failure. */
-    std::string handle;
-    PieceFailure failure{};
-};
-
 /*! @brief How a stage call ended. */
 enum class StageCallEnd : std::uint8_t
 {
@@ -201,6 +182,46 @@
     std::shared_ptr<const EndpointList> endpoints;
 };
 
+/*! @brief A task of a peer, as this process numbers it. */
+enum class PeerTaskNumber : std::uint64_t
+{
+};
+
+/*! @brief Event: a peer asks for the pieces of a stage whose queue is kept here. */
+struct PeerTaskArrived
+{
+    PeerTaskNumber number{};
+    InstanceName peer;
+    StageTask task;
+};
+
+/*! @brief Event: the peer no longer waits for its task. */
+struct PeerTaskGone
+{
+    PeerTaskNumber number{};
+};
+
+/*! @brief Event: a task handed to a peer has ended there. */
+struct HandedTaskEnded
+{
+    StageTaskId task{};
+    InstanceName peer;
+    /*! @brief One for each piece, or one failure; empty if the peer was not reached or fell silent. */
+    std::vector<StageOutcome> outcomes;
+};
+
+/*! @brief Event: a peer has told of itself. */
+struct HeartbeatHeard
+{
+    Heartbeat heartbeat;
+};
+
+/*! @brief Event: a peer has given up results that are accounted for here. */
+struct PeerReleased
+{
+    std::vector<std::string> handles;
+};
+
 /*! @brief Event: the process is to end once it has no requests. */
 struct DrainRequested
 {
@@ -212,7 +233,7 @@
 };
 
 using Event = std::variant<RequestArrived, CallerLeft, RunAnswered, RunReceived, RunEnded, RunFailed, StageCallEnded, CatalogChanged,
-                           EndpointsChanged, DrainRequested, Tick>;
+                           EndpointsChanged, PeerTaskArrived, PeerTaskGone, HandedTaskEnded, HeartbeatHeard, PeerReleased, DrainRequested, Tick>;
 
 /*! @brief What an answer made here says. */
 enum class AnswerKind : std::uint8_t
@@ -332,13 +353,46 @@
     std::vector<std::string> handles;
 };
 
+/*! @brief Effect: a stage's pieces are asked of the peer that keeps the queue. */
+struct HandTask
+{
+    PeerInfo peer;
+    StageTask task;
+};
+
+/*! @brief Effect: a task handed to a peer is no longer wanted. */
+struct RecallTask
+{
+    StageTaskId task{};
+};
+
+/*! @brief Effect: a peer's task has ended. */
+struct AnswerPeerTask
+{
+    PeerTaskNumber number{};
+    std::vector<StageOutcome> outcomes;
+};
+
+/*! @brief Effect: a peer is told of results that were given up. */
+struct TellReleased
+{
+    PeerInfo peer;
+    std::vector<std::string> handles;
+};
+
+/*! @brief Effect: a heartbeat is due at an address. */
+struct SendHeartbeat
+{
+    std::string address;
+};
+
 /*! @brief Effect: the process has no requests left and may end. */
 struct Drained
 {
 };
 
 using Effect = std::variant<RefuseCaller, AnswerCaller, BeginStream, StreamEvents, FinishStream, AbortStream, StartRun, CancelRun,
-                            StartStageCall, CancelStageCall, FreeResults, Drained, LogLine, Observe>;
+                            StartStageCall, CancelStageCall, FreeResults, HandTask, RecallTask, AnswerPeerTask, TellReleased, SendHeartbeat, Drained, LogLine, Observe>;
 using Effects = std::vector<Effect>;
 
 } // namespace bergamottide::serving
@@ -349,12 +403,6 @@
     static constexpr std::array<std::string_view, 2> names{"unreached", "broken"};
 };
 
-template <>
-struct bergamottide::EnumNames<bergamottide::serving::PieceFailure>
-{
-    static constexpr std::array<std::string_view, 5> names{"none", "late", "input_gone", "no_room", "error"};
-};
-
 template <>
 struct bergamottide::EnumNames<bergamottide::serving::StageCallEnd>
 {
--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -26,6 +26,7 @@
 /*! @brief Progress of one stage of a request. */
 struct StageProgress
 {
+    PoolName pool;
     std::uint32_t pieces{};
     std::optional<StageTaskId> task;
     std::uint32_t made{};
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -31,6 +31,8 @@
 ServingReducer::ServingReducer(const ServingOptions &options)
     : m_budget{options.retries}
     , m_stages{m_endpoints, m_budget}
+    , m_peers{options.self, options.seeds}
+    , m_incarnation{options.incarnation}
 {
 }
 
@@ -55,7 +57,7 @@
         const TimePoint first = m_limits.begin()->first;
         next = next ? std::min(*next, first) : first;
     }
-    return next;
+    return next ? std::min(*next, m_heartbeatAt) : m_heartbeatAt;
 }
 
 std::size_t ServingReducer::inProgress() const noexcept
@@ -92,6 +94,8 @@
 {
     expire();
     m_stages.expire(m_now, m_effects);
+    reclaimTasks();
+    sendHeartbeats();
 }
 
 void ServingReducer::on(const RequestArrived &event)
@@ -155,22 +159,22 @@
         request.stages[stage].pieces = stage < request.in->pieces.size() ? request.in->pieces[stage] : 0;
     }
     request.level = route->topLevel() + 1;
-    if (m_now + expectedStageTime(request) > request.limit) {
+    if (m_now + expectedStageTime(request, request.level) > request.limit) {
         return AnswerKind::Unavailable;
     }
     return std::nullopt;
 }
 
-Duration ServingReducer::expectedStageTime(const Request &request)
+Duration ServingReducer::expectedStageTime(const Request &request, std::uint32_t belowLevel)
 {
     std::map<std::uint32_t, Duration> ofLevel;
     for (std::size_t stage = 0; stage < request.stages.size(); ++stage) {
-        if (request.stages[stage].pieces == 0) {
+        const StageSpec &spec = request.route->stages[stage];
+        if (request.stages[stage].pieces == 0 || spec.level >= belowLevel) {
             continue;
         }
-        const StageSpec &spec = request.route->stages[stage];
         const Pool *pool = request.catalog->pool(spec.pool);
-        const auto wait = m_stages.expectedWait(spec.pool, request.rank, *request.catalog, m_now);
+        const auto wait = expectedWait(spec.pool, request.rank);
         if (pool == nullptr || !pool->batch || !wait) {
             return longestRequest;
         }
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -4,6 +4,7 @@
 #include "bergamottide/core/time.h"
 #include "bergamottide/serving/endpointboard.h"
 #include "bergamottide/serving/events.h"
+#include "bergamottide/serving/peers.h"
 #include "bergamottide/serving/request.h"
 #include "bergamottide/serving/retrybudget.h"
 #include "bergamottide/serving/stagescheduler.h"
@@ -22,6 +23,10 @@
 struct ServingOptions
 {
     RetryBudgetOptions retries;
+    PeerInfo self;
+    /*! @brief Addresses of some peers. */
+    std::vector<std::string> seeds;
+    std::uint64_t incarnation{};
 };
 
 /**
@@ -49,6 +54,9 @@
     /*! @brief Returns the number of requests in progress. */
     [[nodiscard]] std::size_t inProgress() const noexcept;
 
+    /*! @brief Returns what this process tells its peers. */
+    [[nodiscard]] Heartbeat heartbeat(TimePoint now);
+
     /*! @brief Tells if a request could be served now. */
     [[nodiscard]] bool canServe() const;
 
@@ -62,15 +70,26 @@
     void on(const StageCallEnded &event);
     void on(const CatalogChanged &event);
     void on(const EndpointsChanged &event);
+    void on(const PeerTaskArrived &event);
+    void on(const PeerTaskGone &event);
+    void on(const HandedTaskEnded &event);
+    void on(const HeartbeatHeard &event);
+    void on(const PeerReleased &event);
     void on(const DrainRequested &event);
     void on(const Tick &event);
 
     // Admission.
     void admit(Request request);
     [[nodiscard]] std::optional<AnswerKind> whyRefused(Request &request);
-    [[nodiscard]] Duration expectedStageTime(const Request &request);
+    [[nodiscard]] Duration expectedStageTime(const Request &request, std::uint32_t belowLevel);
     [[nodiscard]] PoolName drawPool(const Route &route, const std::string &attempt) const;
 
+    // Queues kept by peers.
+    void place(StageTask task);
+    void reclaimTasks();
+    void sendHeartbeats();
+    [[nodiscard]] std::optional<Duration> expectedWait(const PoolName &pool, int rank);
+
     // Stages.
     void advance(Request &request);
     void startLevel(Request &request);
@@ -78,7 +97,7 @@
     void takeOutcomes();
     void take(const StageOutcome &outcome);
     void stageFailed(Request &request, PieceFailure failure);
-    void release(Request &request, StageProgress &stage);
+    void release(StageProgress &stage);
     void releaseAll(Request &request);
     [[nodiscard]] std::vector<std::string> inputsOf(const Request &request, const std::vector<std::uint32_t> &stages) const;
 
@@ -104,10 +123,19 @@
     EndpointBoard m_endpoints;
     RetryBudget m_budget;
     StageScheduler m_stages;
+    Peers m_peers;
+    std::uint64_t m_incarnation;
     std::map<CallId, Request> m_requests;
     std::map<RunNumber, CallId> m_runs;
     std::map<StageTaskId, std::pair<CallId, std::uint32_t>> m_tasks;
+    /*! @brief Tasks handed to peers. */
+    std::map<StageTaskId, std::pair<InstanceName, StageTask>> m_handed;
+    /*! @brief Tasks of peers, by the identity that they have here, and the results so far. */
+    std::map<StageTaskId, std::pair<PeerTaskNumber, std::vector<StageOutcome>>> m_peerTasks;
+    std::map<PeerTaskNumber, StageTaskId> m_peerNumbers;
+    std::map<StageTaskId, std::uint32_t> m_peerPieces;
     std::set<std::pair<TimePoint, CallId>> m_limits;
+    TimePoint m_heartbeatAt{};
     std::uint64_t m_nextRun{1};
     std::uint64_t m_nextTask{1};
     bool m_draining{};
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -117,7 +117,7 @@
         if (!request->route->isResumable) {
             // The engine has fetched its inputs by now.
             for (StageProgress &stage : request->stages) {
-                release(*request, stage);
+                release(stage);
             }
         }
         m_effects.emplace_back(StreamEvents{request->in->call, std::move(events)});
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -62,20 +62,21 @@
     task.pool = spec.pool;
     task.rank = request.rank + (m_now > request.objective ? rankOfLate : 0);
     task.deadline = request.limit;
-    task.due = request.objective;
+    task.due = request.objective - expectedStageTime(request, spec.level);
     task.attempt = request.in->attempt;
     task.stage = stage;
     task.pieces = progress.pieces;
     task.inputs = inputsOf(request, spec.after);
     task.key = task.inputs.empty() ? request.in->pieceKey : std::string{};
     task.resultBytes = spec.resultBytes;
+    progress.pool = spec.pool;
     progress.task = task.id;
     progress.made = 0;
     progress.results.assign(progress.pieces, {});
     progress.isReleased = false;
     m_tasks.emplace(task.id, std::pair{request.in->call, stage});
     m_budget.sent(spec.pool, m_now);
-    m_stages.submit(std::move(task));
+    place(std::move(task));
 }
 
 std::vector<std::string> ServingReducer::inputsOf(const Request &request, const std::vector<std::uint32_t> &stages) const
@@ -102,6 +103,19 @@
 
 void ServingReducer::take(const StageOutcome &outcome)
 {
+    if (const auto peerTask = m_peerTasks.find(outcome.task); peerTask != m_peerTasks.end()) {
+        auto &[number, outcomes] = peerTask->second;
+        outcomes.push_back(outcome);
+        const bool failed = outcome.result.handle.empty();
+        if (!failed && outcomes.size() < m_peerPieces[outcome.task]) {
+            return;
+        }
+        m_effects.emplace_back(AnswerPeerTask{number, std::move(outcomes)});
+        m_peerNumbers.erase(number);
+        m_peerPieces.erase(outcome.task);
+        m_peerTasks.erase(peerTask);
+        return;
+    }
     const auto found = m_tasks.find(outcome.task);
     if (found == m_tasks.end()) {
         return;
@@ -127,7 +141,7 @@
     m_tasks.erase(found);
     for (const std::uint32_t before : request->route->stages[stage].after) {
         if (before < request->stages.size()) {
-            release(*request, request->stages[before]);
+            release(request->stages[before]);
         }
     }
     advance(*request);
@@ -151,7 +165,7 @@
     advance(request);
 }
 
-void ServingReducer::release(Request &request, StageProgress &stage)
+void ServingReducer::release(StageProgress &stage)
 {
     if (stage.isReleased) {
         return;
@@ -162,24 +176,34 @@
         if (result.handle.empty()) {
             continue;
         }
-        m_stages.released(result.endpoint, result.bytes);
+        m_stages.released(result.handle);
         byAddress[result.address].push_back(result.handle);
     }
+    if (const auto keeper = m_peers.keeper(stage.pool, m_now); keeper && !byAddress.empty()) {
+        TellReleased tell{*keeper, {}};
+        for (const auto &[address, handles] : byAddress) {
+            tell.handles.insert(tell.handles.end(), handles.begin(), handles.end());
+        }
+        m_effects.emplace_back(std::move(tell));
+    }
     for (auto &[address, handles] : byAddress) {
         m_effects.emplace_back(FreeResults{address, std::move(handles)});
     }
-    static_cast<void>(request);
 }
 
 void ServingReducer::releaseAll(Request &request)
 {
     for (StageProgress &stage : request.stages) {
         if (stage.task) {
-            m_stages.cancel(*stage.task, m_effects);
+            if (m_handed.erase(*stage.task) != 0) {
+                m_effects.emplace_back(RecallTask{*stage.task});
+            } else {
+                m_stages.cancel(*stage.task, m_effects);
+            }
             m_tasks.erase(*stage.task);
             stage.task.reset();
         }
-        release(request, stage);
+        release(stage);
     }
 }
 
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -170,6 +170,7 @@
     call.address = endpoint.record.address;
     call.started = now;
     call.expected = expectedTime(*pool.batch, call.items.size());
+    call.resultTtl = pool.batch->resultTtl;
     call.expiry = now + call.expected * expiryFactor + expiryAllowance;
     start.call = StageCallNumber{m_nextCall++};
     start.instance = call.endpoint;
@@ -203,14 +204,14 @@
         const PieceResult &result = event.results[index];
         const auto found = m_tasks.find(item.task);
         if (found == m_tasks.end()) {
-            released(call.endpoint, item.bytes);
+            freeRoom(call.endpoint, item.bytes);
             if (!result.handle.empty()) {
                 orphans.push_back(result.handle);
             }
             continue;
         }
         if (result.handle.empty()) {
-            released(call.endpoint, item.bytes);
+            freeRoom(call.endpoint, item.bytes);
             if (result.failure == PieceFailure::Late || result.failure == PieceFailure::InputGone) {
                 fail(found->second, result.failure);
             } else {
@@ -218,6 +219,8 @@
             }
             continue;
         }
+        m_results[result.handle] = {call.endpoint, item.bytes, now + call.resultTtl};
+        m_resultExpiry.emplace(now + call.resultTtl, result.handle);
         m_outcomes.push_back({item.task, item.piece, result, call.endpoint, call.address});
         if (--found->second.open == 0) {
             m_tasks.erase(found);
@@ -233,7 +236,7 @@
     std::set<StageTaskId> refused;
     std::set<StageTaskId> seen;
     for (const CallItem &item : call.items) {
-        released(call.endpoint, item.bytes);
+        freeRoom(call.endpoint, item.bytes);
         if (!m_tasks.contains(item.task)) {
             continue;
         }
@@ -281,6 +284,10 @@
 
 void StageScheduler::expire(TimePoint now, Effects &effects)
 {
+    while (!m_resultExpiry.empty() && m_resultExpiry.begin()->first <= now) {
+        const std::string handle = m_resultExpiry.begin()->second;
+        released(handle);
+    }
     std::vector<StageCallNumber> expired;
     for (const auto &[number, call] : m_calls) {
         if (call.expiry <= now) {
@@ -308,7 +315,35 @@
     return std::exchange(m_outcomes, {});
 }
 
-void StageScheduler::released(const InstanceName &endpoint, std::uint64_t bytes)
+void StageScheduler::released(const std::string &handle)
+{
+    const auto found = m_results.find(handle);
+    if (found == m_results.end()) {
+        return;
+    }
+    freeRoom(found->second.endpoint, found->second.bytes);
+    m_resultExpiry.erase({found->second.expiry, handle});
+    m_results.erase(found);
+}
+
+std::vector<PoolWait> StageScheduler::waits(const Catalog &catalog, TimePoint now)
+{
+    std::vector<PoolWait> out;
+    for (const auto &[pool, queue] : m_queues) {
+        std::set<int> ranks{0};
+        for (const Order &order : queue) {
+            ranks.insert(std::get<int>(order));
+        }
+        for (const int rank : ranks) {
+            if (const auto wait = expectedWait(pool, rank, catalog, now)) {
+                out.push_back({pool, rank, *wait});
+            }
+        }
+    }
+    return out;
+}
+
+void StageScheduler::freeRoom(const InstanceName &endpoint, std::uint64_t bytes)
 {
     if (Endpoint *found = m_endpoints.find(endpoint); found != nullptr) {
         found->resultBytes -= std::min(found->resultBytes, bytes);
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -5,7 +5,9 @@
 #include "bergamottide/serving/catalog.h"
 #include "bergamottide/serving/endpointboard.h"
 #include "bergamottide/serving/events.h"
+#include "bergamottide/serving/peers.h"
 #include "bergamottide/serving/retrybudget.h"
+#include "bergamottide/serving/stagetask.h"
 
 #include <cstdint>
 #include <map>
@@ -18,40 +20,6 @@
 
 namespace bergamottide::serving {
 
-/*! @brief One stage of one request, as handed to the scheduler. */
-enum class StageTaskId : std::uint64_t
-{
-};
-
-/*! @brief Pieces of one stage of one request that are to be made. */
-struct StageTask
-{
-    StageTaskId id{};
-    PoolName pool;
-    /*! @brief Rank over all requests; the lowest goes first. */
-    int rank{};
-    /*! @brief Time at which its results come too late to be of use. */
-    TimePoint deadline{};
-    /*! @brief Order among tasks of the same rank; the earliest goes first. */
-    TimePoint due{};
-    std::string attempt;
-    std::uint32_t stage{};
-    std::uint32_t pieces{};
-    std::string key;
-    std::vector<std::string> inputs;
-    std::uint64_t resultBytes{};
-};
-
-/*! @brief A piece that has its result, or a task that has failed. */
-struct StageOutcome
-{
-    StageTaskId task{};
-    std::uint32_t piece{};
-    PieceResult result;
-    InstanceName endpoint;
-    std::string address;
-};
-
 /**
  * @brief Makes calls to the endpoints of stage pools out of the pieces of many requests.
  *
@@ -110,10 +78,12 @@
 
     /**
      * @brief Notes that a result has left the memory of its endpoint.
-     * @param endpoint Endpoint that kept it.
-     * @param bytes Its size.
+     * @param handle Result.
      */
-    void released(const InstanceName &endpoint, std::uint64_t bytes);
+    void released(const std::string &handle);
+
+    /*! @brief Returns the waits at the pools that have tasks, for each rank in their queues. */
+    [[nodiscard]] std::vector<PoolWait> waits(const Catalog &catalog, TimePoint now);
 
     /**
      * @brief Estimates how long a new task waits before its first call, from the work that goes before it.
@@ -153,6 +123,16 @@
         std::vector<CallItem> items;
         TimePoint started{};
         Duration expected{};
+        Duration resultTtl{};
+        TimePoint expiry{};
+    };
+
+    /*! @brief A result that takes up memory at its endpoint. */
+    struct Result
+    {
+        InstanceName endpoint;
+        std::uint64_t bytes{};
+        /*! @brief Time at which its endpoint has dropped it. */
         TimePoint expiry{};
     };
 
@@ -166,6 +146,7 @@
     void giveBack(const Call &call, bool failed, TimePoint now, Effects &effects);
     void requeue(const CallItem &item, bool failed);
     void fail(Pending &pending, PieceFailure failure);
+    void freeRoom(const InstanceName &endpoint, std::uint64_t bytes);
     void noteSpeed(const Call &call, TimePoint now);
 
     EndpointBoard &m_endpoints;
@@ -173,6 +154,8 @@
     std::map<StageTaskId, Pending> m_tasks;
     std::map<PoolName, std::set<Order>> m_queues;
     std::map<StageCallNumber, Call> m_calls;
+    std::map<std::string, Result> m_results;
+    std::set<std::pair<TimePoint, std::string>> m_resultExpiry;
     std::vector<StageOutcome> m_outcomes;
     std::uint64_t m_nextCall{1};
 };
