Drain refuses late requests; a cut chunked answer is broken; no promise while a run is out

Change: connections close after their answers once a drain begins, new requests are refused with a time to come back from 2.5 s on; the client checks how a body ends; a request with a run in progress is never said not to have run.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -111,6 +111,7 @@
     }
     m_drainSince = m_loop.now();
     m_loop.at(m_drainSince + m_settings.gracePeriod - endMargin, [this] { m_loop.stop(); });
+    m_callersServer.closeAfterAnswers();
     m_reactor.submit(DrainRequested{});
 }
 
--- a/src/bergamottide/net/http.h
+++ b/src/bergamottide/net/http.h
@@ -14,14 +14,14 @@
 struct HttpRequest
 {
     std::string method;
-    /*! @brief Host that the request is for; a client sends the address it connects to where this is empty. */
-    std::string authority;
     /*! @brief Path without the query. */
     std::string path;
     /*! @brief Query without the question mark. */
     std::string query;
     HttpHeaders headers;
     std::string body;
+    /*! @brief Host that the request is for; a client sends the address it connects to where this is empty. */
+    std::string authority;
 };
 
 /*! @brief One whole HTTP answer. */
--- a/src/bergamottide/net/httpclient.cpp
+++ b/src/bergamottide/net/httpclient.cpp
@@ -321,12 +321,18 @@
         h2o_http1client_cancel(client);
     }
 
-    /*! @brief Tells a body that ends with a closed connection from one that is cut off by a reset; h2o does not. */
+    /*!
+     * @brief Tells a whole body from one that was cut off, where h2o does not.
+     *
+     * h2o takes any end of the connection as the end of a body without length, a reset too, and a close between two
+     * chunks as the end of a chunked one.
+     */
     static void onRawBody(h2o_socket_t *socket, const char *error)
     {
         auto *client = static_cast<h2o_http1client_t *>(socket->data);
         auto &call = *static_cast<Call *>(client->data);
-        if (error == nullptr || error == h2o_socket_error_closed) {
+        const bool mayEnd = error == h2o_socket_error_closed && headerValue(call.headers, "transfer-encoding").empty();
+        if (error == nullptr || mayEnd) {
             call.bodyReader(socket, error);
             return;
         }
@@ -357,7 +363,7 @@
             call.state->complete(call);
             return nullptr;
         }
-        if (headerValue(call.headers, "content-length").empty() && headerValue(call.headers, "transfer-encoding").empty()) {
+        if (headerValue(call.headers, "content-length").empty() || !headerValue(call.headers, "transfer-encoding").empty()) {
             call.state->unguarded.push_back(call.id);
         }
         return &State::onBody;
--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -31,8 +31,14 @@
 class Responder final : public HttpResponder, public std::enable_shared_from_this<Responder>
 {
 public:
-    explicit Responder(h2o_req_t *request)
+    /**
+     * @brief Creates a responder.
+     * @param request Request to answer.
+     * @param closes Whether connections close after their answers; outlives the responder.
+     */
+    Responder(h2o_req_t *request, const bool &closes)
         : m_request{request}
+        , m_closes{closes}
     {
     }
 
@@ -146,6 +152,9 @@
     void writeHead(int status, const HttpHeaders &headers)
     {
         m_begun = true;
+        if (m_closes) {
+            m_request->http1_is_persistent = 0;
+        }
         m_request->res.status = status;
         m_request->res.reason = "Status";
         for (const auto &[name, value] : headers) {
@@ -201,6 +210,7 @@
     }
 
     h2o_req_t *m_request;
+    const bool &m_closes;
     Generator m_generator{};
     std::function<void()> m_closed;
     std::string m_waiting;
@@ -265,7 +275,7 @@
 
     void handle(h2o_req_t *request)
     {
-        auto responder = std::make_shared<Responder>(request);
+        auto responder = std::make_shared<Responder>(request, closes);
         void *memory = h2o_mem_alloc_shared(&request->pool, sizeof(Anchor), &Anchor::dispose);
         new (memory) Anchor{responder};
         responders.push_back(responder);
@@ -331,6 +341,7 @@
     h2o_socket_t *listener{};
     std::string address;
     Responders responders;
+    bool closes{};
     TimerId timer{};
 };
 
@@ -381,6 +392,11 @@
     return m_state->address;
 }
 
+void HttpServer::closeAfterAnswers()
+{
+    m_state->closes = true;
+}
+
 void HttpServer::shutdown()
 {
     if (m_state->listener != nullptr) {
--- a/src/bergamottide/net/httpserver.h
+++ b/src/bergamottide/net/httpserver.h
@@ -111,6 +111,9 @@
     /*! @brief Returns the address listened on, with the port that the kernel chose. */
     [[nodiscard]] std::string address() const;
 
+    /*! @brief Closes each connection after its present or next answer, and says so in that; goes on accepting. */
+    void closeAfterAnswers();
+
     /*! @brief Accepts no further connection and closes the present ones as they become idle. */
     void shutdown();
 
--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -68,7 +68,7 @@
     std::vector<InstanceName> tried;
     /*! @brief Endpoints that may have worked on it. */
     std::uint32_t executions{};
-    /*! @brief The endpoint may have begun to work on it: no promise of the contrary may be given. */
+    /*! @brief An endpoint that it was sent to may have begun to work on it; says nothing of a run in progress. */
     bool mayHaveRun{};
 
     std::optional<EndpointAnswerHead> head;
@@ -76,6 +76,12 @@
     /*! @brief The head of a stream has gone to the caller. */
     bool begun{};
     EventSplitter events;
+
+    /*! @brief Tells if no endpoint can have begun to work on it, or ever will: a promise to the caller. */
+    [[nodiscard]] bool provablyNotRun() const noexcept
+    {
+        return !mayHaveRun && !run;
+    }
 };
 
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -21,6 +21,14 @@
 /*! @brief Time after the objective or arrival within which no request is known to be decided; bounds a request without any limit. */
 constexpr Duration longestRequest = std::chrono::seconds{60};
 
+/*!
+ * @brief Time of a drain in which new requests are still taken.
+ *
+ * The balancer needs two misses, one a second, to send callers elsewhere; what is taken later may not end before the
+ * process does. A caller that is refused then comes back at another process.
+ */
+constexpr Duration drainIntake = std::chrono::milliseconds{2500};
+
 std::string milliseconds(Duration duration)
 {
     return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -87,6 +95,7 @@
 void ServingReducer::on(const DrainRequested &)
 {
     m_draining = true;
+    m_refusingFrom = m_now + drainIntake;
     m_effects.emplace_back(LogLine{Severity::Info, Part::Entry, "The process drains.", {{"requests", absl::StrCat(m_requests.size())}}});
 }
 
@@ -127,7 +136,7 @@
 
 std::optional<AnswerKind> ServingReducer::whyRefused(Request &request)
 {
-    if (!request.catalog) {
+    if (!request.catalog || (m_draining && m_now >= m_refusingFrom)) {
         return AnswerKind::Unavailable;
     }
     const Route *route = request.catalog->find(request.in->host, request.in->path);
@@ -259,7 +268,7 @@
             finish(*request, "timed_out");
             continue;
         }
-        refuse(*request, request->mayHaveRun ? AnswerKind::TimedOut : AnswerKind::Unavailable, "its time is over");
+        refuse(*request, request->provablyNotRun() ? AnswerKind::Unavailable : AnswerKind::TimedOut, "its time is over");
     }
 }
 
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -139,6 +139,7 @@
     std::uint64_t m_nextRun{1};
     std::uint64_t m_nextTask{1};
     bool m_draining{};
+    TimePoint m_refusingFrom{};
 };
 
 } // namespace bergamottide::serving
