Stage pools: room, rejections and hopeless tasks; placement by the part of the prompt that comes again

Change: an endpoint without room or with another caller gets a pause; results of broken calls stay accounted until they lapse; a task is given up when its inputs are sure to lapse or the backlog ahead outlasts it; engines are ranked by the deepest part of the prompt that is seen to come again.

--- a/src/bergamottide/serving/endpointboard.h
+++ b/src/bergamottide/serving/endpointboard.h
@@ -47,6 +47,8 @@
     /*! @brief Measured over expected time of stage calls, as a moving average; 1 is as expected. */
     double slowness{1.0};
     TimePoint slownessAt{};
+    /*! @brief Gets no stage call before this time. */
+    TimePoint pausedUntil{};
     /*! @brief Bytes of results that are in its memory or being made. */
     std::uint64_t resultBytes{};
 
--- a/src/bergamottide/serving/engineplacement.cpp
+++ b/src/bergamottide/serving/engineplacement.cpp
@@ -51,9 +51,8 @@
     return best;
 }
 
-Endpoint *pickEngine(const std::vector<Endpoint *> &usable, const std::vector<InstanceName> &excluded, const CallerRequest &request)
+Endpoint *pickEngine(const std::vector<Endpoint *> &usable, const std::vector<InstanceName> &excluded, std::string_view key)
 {
-    const std::string_view key = request.prompt.empty() ? std::string_view{request.attempt} : std::string_view{request.prompt.back().id};
     double sum = 0.0;
     std::vector<std::pair<std::uint64_t, Endpoint *>> ranked;
     for (Endpoint *endpoint : usable) {
--- a/src/bergamottide/serving/engineplacement.h
+++ b/src/bergamottide/serving/engineplacement.h
@@ -22,15 +22,15 @@
  * @brief Picks the engine for a generation: the one whose cache is likely to hold the prompt, unless it is loaded
  * well above the others.
  *
- * Every process ranks the engines of a session in the same order, by rendezvous hashing of the last part of the
+ * Every process ranks the engines of a session in the same order, by rendezvous hashing of a shared part of the
  * prompt, so that all of them send it to the same engine without talking to each other, and the loss of an engine moves
  * only its own sessions.
  *
  * @param usable Engines that take work.
  * @param excluded Engines that the request has been sent to before.
- * @param request Request to place.
+ * @param key Part of the prompt to place the request by; requests with the same one meet.
  * @return Engine, or null if none is left.
  */
-[[nodiscard]] Endpoint *pickEngine(const std::vector<Endpoint *> &usable, const std::vector<InstanceName> &excluded, const CallerRequest &request);
+[[nodiscard]] Endpoint *pickEngine(const std::vector<Endpoint *> &usable, const std::vector<InstanceName> &excluded, std::string_view key);
 
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -62,6 +62,8 @@
 
     /*! @brief Pool drawn for it. */
     PoolName pool;
+    /*! @brief Requests with the same one are best run at the same engine. */
+    std::string placementKey;
     std::optional<RunNumber> run;
     InstanceName endpoint;
     /*! @brief Endpoints it was sent to. */
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -79,7 +79,7 @@
         return;
     }
     const StageTaskId task = found->second;
-    m_stages.cancel(task, m_effects);
+    m_stages.cancel(task);
     for (const StageOutcome &outcome : m_peerTasks[task].second) {
         m_stages.released(outcome.result.handle);
         m_effects.emplace_back(FreeResults{outcome.address, {outcome.result.handle}});
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -21,6 +21,8 @@
 /*! @brief Time after the objective or arrival within which no request is known to be decided; bounds a request without any limit. */
 constexpr Duration longestRequest = std::chrono::seconds{60};
 
+/*! @brief Part of the caller's time that its request and the answer spend on the way; an answer after it reaches nobody. */
+constexpr Duration answerMargin = std::chrono::milliseconds{25};
 /*!
  * @brief Time of a drain in which new requests are still taken.
  *
@@ -112,7 +114,7 @@
     Request request;
     request.in = std::make_shared<const CallerRequest>(event.request);
     request.arrived = m_now;
-    request.limit = m_now + event.request.deadline.value_or(longestRequest);
+    request.limit = m_now + std::max(event.request.deadline.value_or(longestRequest) - answerMargin, Duration::zero());
     request.catalog = m_catalog;
     admit(std::move(request));
 }
@@ -160,6 +162,8 @@
     }
     request.objective = m_now + route->objective;
     request.pool = drawPool(*route, request.in->attempt);
+    const std::string_view part = m_prompts.note(route->name, request.in->prompt, m_now);
+    request.placementKey = part.empty() ? std::string_view{request.in->attempt} : part;
     if (!m_endpoints.serves(request.pool)) {
         return AnswerKind::Unavailable;
     }
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -5,6 +5,7 @@
 #include "bergamottide/serving/endpointboard.h"
 #include "bergamottide/serving/events.h"
 #include "bergamottide/serving/peers.h"
+#include "bergamottide/serving/prompthistory.h"
 #include "bergamottide/serving/request.h"
 #include "bergamottide/serving/retrybudget.h"
 #include "bergamottide/serving/stagescheduler.h"
@@ -99,6 +100,7 @@
     void stageFailed(Request &request, PieceFailure failure);
     void release(StageProgress &stage);
     void releaseAll(Request &request);
+    [[nodiscard]] TimePoint inputsLapse(const Request &request, const std::vector<std::uint32_t> &stages) const;
     [[nodiscard]] std::vector<std::string> inputsOf(const Request &request, const std::vector<std::uint32_t> &stages) const;
 
     // Runs.
@@ -124,6 +126,7 @@
     RetryBudget m_budget;
     StageScheduler m_stages;
     Peers m_peers;
+    PromptHistory m_prompts;
     std::uint64_t m_incarnation;
     std::map<CallId, Request> m_requests;
     std::map<RunNumber, CallId> m_runs;
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -26,7 +26,7 @@
 {
     const bool isGeneration = request.route->kind == RouteKind::Streaming;
     const std::vector<Endpoint *> usable = m_endpoints.usable(request.pool, m_now);
-    Endpoint *endpoint = isGeneration ? pickEngine(usable, request.tried, *request.in) : pickLeastLoaded(usable, request.tried, request.in->attempt);
+    Endpoint *endpoint = isGeneration ? pickEngine(usable, request.tried, request.placementKey) : pickLeastLoaded(usable, request.tried, request.in->attempt);
     if (endpoint == nullptr) {
         refuse(request, request.mayHaveRun ? AnswerKind::BadGateway : AnswerKind::Unavailable, "no endpoint is left");
         return;
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint32_t mostStageRestarts = 2;
 
 constexpr int rankOfLate = 1'000'000;
+/*! @brief Part of the time for which a result is kept that is not counted on: it began when the result was made, not when it was heard of. */
+constexpr Duration lapseMargin = std::chrono::milliseconds{300};
 
 } // namespace
 
@@ -61,7 +63,7 @@
     task.id = StageTaskId{m_nextTask++};
     task.pool = spec.pool;
     task.rank = request.rank + (m_now > request.objective ? rankOfLate : 0);
-    task.deadline = request.limit;
+    task.deadline = inputsLapse(request, spec.after);
     task.due = request.objective - expectedStageTime(request, spec.level);
     task.attempt = request.in->attempt;
     task.stage = stage;
@@ -93,6 +95,25 @@
     return handles;
 }
 
+/*
+ * A task that waits for longer than its inputs are kept fails at its turn, and its chain would have to be made again:
+ * under saturation that multiplied the work. It is given up instead once its inputs are sure to lapse.
+ */
+TimePoint ServingReducer::inputsLapse(const Request &request, const std::vector<std::uint32_t> &stages) const
+{
+    TimePoint first = request.limit;
+    for (const std::uint32_t stage : stages) {
+        if (stage >= request.stages.size() || request.stages[stage].pieces == 0) {
+            continue;
+        }
+        const Pool *pool = request.catalog->pool(request.route->stages[stage].pool);
+        if (pool != nullptr && pool->batch && pool->batch->resultTtl > Duration::zero()) {
+            first = std::min(first, m_now + pool->batch->resultTtl - lapseMargin);
+        }
+    }
+    return first;
+}
+
 void ServingReducer::takeOutcomes()
 {
     for (const StageOutcome &outcome : m_stages.takeOutcomes()) {
@@ -198,7 +219,7 @@
             if (m_handed.erase(*stage.task) != 0) {
                 m_effects.emplace_back(RecallTask{*stage.task});
             } else {
-                m_stages.cancel(*stage.task, m_effects);
+                m_stages.cancel(*stage.task);
             }
             m_tasks.erase(*stage.task);
             stage.task.reset();
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -21,8 +21,10 @@
 constexpr double slownessBound = 2.2;
 /*! @brief Time constant with which slowness is forgotten, so that a slow endpoint is tried again about every 2 s. */
 constexpr double slownessMemorySeconds = 2.0;
-/*! @brief Share of an endpoint's memory for results that is used; the rest covers results larger than announced. */
-constexpr double usableRoom = 0.9;
+/*! @brief Time for which an endpoint that had no room for a result gets none: results of others lapse or are given up by then. */
+constexpr Duration noRoomPause = std::chrono::milliseconds{250};
+/*! @brief Time for which an endpoint that rejected a call gets none: another process works with it, or it leaves. */
+constexpr Duration rejectionPause = std::chrono::milliseconds{60};
 
 double presentSlowness(const Endpoint &endpoint, TimePoint now)
 {
@@ -61,7 +63,7 @@
     m_tasks.emplace(id, std::move(pending));
 }
 
-void StageScheduler::cancel(StageTaskId task, Effects &effects)
+void StageScheduler::cancel(StageTaskId task)
 {
     const auto found = m_tasks.find(task);
     if (found == m_tasks.end()) {
@@ -69,14 +71,6 @@
     }
     m_queues[found->second.task.pool].erase(orderOf(found->second.task));
     m_tasks.erase(found);
-    for (const auto &[number, call] : m_calls) {
-        const bool wanted = std::any_of(call.items.begin(), call.items.end(), [this](const CallItem &item) { return m_tasks.contains(item.task); });
-        const bool touched = std::any_of(call.items.begin(), call.items.end(), [task](const CallItem &item) { return item.task == task; });
-        if (touched && !wanted) {
-            // The endpoint drops a call that still waits; one that it works on ends as ever, and its results lapse.
-            effects.emplace_back(CancelStageCall{number});
-        }
-    }
 }
 
 void StageScheduler::dispatch(const Catalog &catalog, TimePoint now, Effects &effects)
@@ -86,6 +80,7 @@
         if (queue.empty() || pool == nullptr || !pool->batch) {
             continue;
         }
+        m_specs[name] = *pool->batch;
         dispatchPool(*pool, queue, now, effects);
     }
 }
@@ -111,12 +106,12 @@
     for (const Endpoint *endpoint : usable) {
         fastest = std::min(fastest, presentSlowness(*endpoint, now));
     }
-    const auto room = static_cast<std::uint64_t>(usableRoom * static_cast<double>(pool.batch->resultRoom));
+    const std::uint64_t room = pool.batch->resultRoom;
     Endpoint *best = nullptr;
     double bestSlowness = 0.0;
     for (Endpoint *endpoint : usable) {
         const double slowness = presentSlowness(*endpoint, now);
-        if (endpoint->inFlight >= pool.batch->slots || slowness > fastest * slownessBound) {
+        if (endpoint->inFlight >= pool.batch->slots || endpoint->pausedUntil > now || slowness > fastest * slownessBound) {
             continue;
         }
         if (endpoint->resultBytes != 0 && endpoint->resultBytes + leastBytes > room) {
@@ -132,7 +127,7 @@
 
 bool StageScheduler::fill(const Pool &pool, Endpoint &endpoint, std::set<Order> &queue, TimePoint now, Effects &effects)
 {
-    const auto room = static_cast<std::uint64_t>(usableRoom * static_cast<double>(pool.batch->resultRoom));
+    const std::uint64_t room = pool.batch->resultRoom;
     StartStageCall start;
     Call call;
     const Duration shortest = expectedTime(*pool.batch, 1);
@@ -193,6 +188,9 @@
         m_endpoints.ended(call.endpoint,
                           rejected ? EndpointSign::Rejected : event.end == StageCallEnd::Unreached ? EndpointSign::Unreached : EndpointSign::Failed, now,
                           effects);
+        if (Endpoint *endpoint = m_endpoints.find(call.endpoint); endpoint != nullptr && rejected) {
+            endpoint->pausedUntil = now + rejectionPause;
+        }
         giveBack(call, !rejected, now, effects);
         return;
     }
@@ -215,6 +213,9 @@
             if (result.failure == PieceFailure::Late || result.failure == PieceFailure::InputGone) {
                 fail(found->second, result.failure);
             } else {
+                if (Endpoint *endpoint = m_endpoints.find(call.endpoint); endpoint != nullptr && result.failure == PieceFailure::NoRoom) {
+                    endpoint->pausedUntil = now + noRoomPause;
+                }
                 requeue(item, result.failure != PieceFailure::NoRoom);
             }
             continue;
@@ -236,7 +237,11 @@
     std::set<StageTaskId> refused;
     std::set<StageTaskId> seen;
     for (const CallItem &item : call.items) {
-        freeRoom(call.endpoint, item.bytes);
+        if (failed) {
+            keepLost(call, item, now);
+        } else {
+            freeRoom(call.endpoint, item.bytes);
+        }
         if (!m_tasks.contains(item.task)) {
             continue;
         }
@@ -258,6 +263,14 @@
     }
 }
 
+/*! @brief Accounts for a result that may have been made by a call whose answer never came. */
+void StageScheduler::keepLost(const Call &call, const CallItem &item, TimePoint now)
+{
+    const std::string name = absl::StrCat("lost/", m_nextLost++);
+    m_results[name] = {call.endpoint, item.bytes, now + call.resultTtl};
+    m_resultExpiry.emplace(now + call.resultTtl, name);
+}
+
 void StageScheduler::requeue(const CallItem &item, bool failed)
 {
     const auto found = m_tasks.find(item.task);
@@ -288,6 +301,9 @@
         const std::string handle = m_resultExpiry.begin()->second;
         released(handle);
     }
+    for (auto &[pool, queue] : m_queues) {
+        shedHopeless(pool, queue, now);
+    }
     std::vector<StageCallNumber> expired;
     for (const auto &[number, call] : m_calls) {
         if (call.expiry <= now) {
@@ -310,6 +326,34 @@
     }
 }
 
+/*
+ * Answers a backlog that outlasts the time of those at its end: they are given up now, while their callers can still
+ * come back, and not when their time is over.
+ */
+void StageScheduler::shedHopeless(const PoolName &pool, const std::set<Order> &queue, TimePoint now)
+{
+    const auto spec = m_specs.find(pool);
+    const auto endpoints = static_cast<std::int64_t>(m_endpoints.usable(pool, now).size());
+    if (spec == m_specs.end() || endpoints == 0) {
+        return;
+    }
+    const BatchSpec &batch = spec->second;
+    std::int64_t ahead = 0;
+    std::vector<StageTaskId> hopeless;
+    for (const Order &order : queue) {
+        const Pending &pending = m_tasks.at(std::get<StageTaskId>(order));
+        const Duration wait = (batch.itemTime * ahead + batch.callTime * (ahead / batch.batch)) / (endpoints * batch.slots);
+        if (now + wait + expectedTime(batch, 1) > pending.task.deadline) {
+            hopeless.push_back(pending.task.id);
+            continue;
+        }
+        ahead += static_cast<std::int64_t>(pending.waiting.size());
+    }
+    for (const StageTaskId task : hopeless) {
+        fail(m_tasks.at(task), PieceFailure::Late);
+    }
+}
+
 std::vector<StageOutcome> StageScheduler::takeOutcomes()
 {
     return std::exchange(m_outcomes, {});
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -44,11 +44,10 @@
     void submit(StageTask task);
 
     /**
-     * @brief Forgets a task; calls that carry nothing else any more are closed.
+     * @brief Forgets a task; results that still come of it are given up.
      * @param task Identity.
-     * @param effects Receives the effects.
      */
-    void cancel(StageTaskId task, Effects &effects);
+    void cancel(StageTaskId task);
 
     /**
      * @brief Sends what can be sent.
@@ -144,7 +143,9 @@
     [[nodiscard]] Endpoint *freeEndpoint(const Pool &pool, std::uint64_t leastBytes, TimePoint now);
     bool fill(const Pool &pool, Endpoint &endpoint, std::set<Order> &queue, TimePoint now, Effects &effects);
     void giveBack(const Call &call, bool failed, TimePoint now, Effects &effects);
+    void keepLost(const Call &call, const CallItem &item, TimePoint now);
     void requeue(const CallItem &item, bool failed);
+    void shedHopeless(const PoolName &pool, const std::set<Order> &queue, TimePoint now);
     void fail(Pending &pending, PieceFailure failure);
     void freeRoom(const InstanceName &endpoint, std::uint64_t bytes);
     void noteSpeed(const Call &call, TimePoint now);
@@ -157,6 +158,9 @@
     std::map<std::string, Result> m_results;
     std::set<std::pair<TimePoint, std::string>> m_resultExpiry;
     std::vector<StageOutcome> m_outcomes;
+    /*! @brief How the pools that have had tasks work. */
+    std::map<PoolName, BatchSpec> m_specs;
+    std::uint64_t m_nextLost{1};
     std::uint64_t m_nextCall{1};
 };
 
