Stage calls wait for room to fill; late tasks go last and take half the room at most

Change: the endpoint that takes most is chosen, and a call waits while less than 0.6 of it would be filled; due is the latest start by the shortest path, with the measured time to a first event.

--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -65,6 +65,7 @@
     /*! @brief Requests with the same one are best run at the same engine. */
     std::string placementKey;
     std::optional<RunNumber> run;
+    TimePoint runStarted{};
     InstanceName endpoint;
     /*! @brief Endpoints it was sent to. */
     std::vector<InstanceName> tried;
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -11,8 +11,6 @@
 
 /*! @brief Distance between the ranks of two workspaces' priorities: above any priority of a route. */
 constexpr int rankOfWorkspace = 100;
-/*! @brief Added to the rank of a request that can no longer be on time, so that it takes nothing from those that can. */
-constexpr int rankOfLate = 1'000'000;
 /*! @brief Wait of a caller before it comes back when nothing is known that ends sooner. */
 constexpr Duration standardRetryAfter = std::chrono::milliseconds{300};
 constexpr Duration shortestRetryAfter = std::chrono::milliseconds{50};
@@ -178,6 +176,25 @@
     return std::nullopt;
 }
 
+Duration ServingReducer::shortestStageTime(const Request &request, std::uint32_t belowLevel) const
+{
+    std::map<std::uint32_t, Duration> ofLevel;
+    for (std::size_t stage = 0; stage < request.stages.size(); ++stage) {
+        const StageSpec &spec = request.route->stages[stage];
+        const Pool *pool = request.catalog->pool(spec.pool);
+        if (request.stages[stage].pieces == 0 || spec.level >= belowLevel || pool == nullptr || !pool->batch) {
+            continue;
+        }
+        const auto items = static_cast<std::int64_t>(std::min(request.stages[stage].pieces, pool->batch->batch));
+        ofLevel[spec.level] = std::max(ofLevel[spec.level], pool->batch->callTime + pool->batch->itemTime * items);
+    }
+    Duration sum{};
+    for (const auto &[level, time] : ofLevel) {
+        sum += time;
+    }
+    return sum;
+}
+
 Duration ServingReducer::expectedStageTime(const Request &request, std::uint32_t belowLevel)
 {
     std::map<std::uint32_t, Duration> ofLevel;
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -4,6 +4,7 @@
 #include "bergamottide/core/time.h"
 #include "bergamottide/serving/endpointboard.h"
 #include "bergamottide/serving/events.h"
+#include "bergamottide/serving/firsteventtimes.h"
 #include "bergamottide/serving/peers.h"
 #include "bergamottide/serving/prompthistory.h"
 #include "bergamottide/serving/request.h"
@@ -82,6 +83,7 @@
     // Admission.
     void admit(Request request);
     [[nodiscard]] std::optional<AnswerKind> whyRefused(Request &request);
+    [[nodiscard]] Duration shortestStageTime(const Request &request, std::uint32_t belowLevel) const;
     [[nodiscard]] Duration expectedStageTime(const Request &request, std::uint32_t belowLevel);
     [[nodiscard]] PoolName drawPool(const Route &route, const std::string &attempt) const;
 
@@ -127,6 +129,7 @@
     StageScheduler m_stages;
     Peers m_peers;
     PromptHistory m_prompts;
+    FirstEventTimes m_firstEvents;
     std::uint64_t m_incarnation;
     std::map<CallId, Request> m_requests;
     std::map<RunNumber, CallId> m_runs;
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -53,6 +53,7 @@
     start.mayRunTwice = request.route->mayRunTwice();
     start.request = request.in;
     request.run = start.run;
+    request.runStarted = m_now;
     request.endpoint = start.instance;
     request.tried.push_back(start.instance);
     request.head.reset();
@@ -94,6 +95,7 @@
         return;
     }
     if (!request->begun) {
+        m_firstEvents.note(request->pool, m_now - request->runStarted);
         request->begun = true;
         m_effects.emplace_back(BeginStream{request->in->call, event.head.status, event.head.headers});
         return;
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -12,7 +12,6 @@
 /*! @brief Times that stages of a request are made again since an input was gone; each costs a whole chain of calls. */
 constexpr std::uint32_t mostStageRestarts = 2;
 
-constexpr int rankOfLate = 1'000'000;
 /*! @brief Part of the time for which a result is kept that is not counted on: it began when the result was made, not when it was heard of. */
 constexpr Duration lapseMargin = std::chrono::milliseconds{300};
 
@@ -62,9 +61,9 @@
     StageTask task;
     task.id = StageTaskId{m_nextTask++};
     task.pool = spec.pool;
-    task.rank = request.rank + (m_now > request.objective ? rankOfLate : 0);
+    task.rank = request.rank;
     task.deadline = inputsLapse(request, spec.after);
-    task.due = request.objective - expectedStageTime(request, spec.level);
+    task.due = request.objective - m_firstEvents.typical(request.pool) - shortestStageTime(request, spec.level + 1);
     task.attempt = request.in->attempt;
     task.stage = stage;
     task.pieces = progress.pieces;
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -21,6 +21,10 @@
 constexpr double slownessBound = 2.2;
 /*! @brief Time constant with which slowness is forgotten, so that a slow endpoint is tried again about every 2 s. */
 constexpr double slownessMemorySeconds = 2.0;
+/*! @brief Share of a full call, or of all that waits, below which a call waits for room at its endpoint. */
+constexpr double leastFill = 0.6;
+/*! @brief Share of the room that results of late requests may take: they wait longest, and would keep it from the others. */
+constexpr double lateRoomShare = 0.5;
 /*! @brief Time for which an endpoint that had no room for a result gets none: results of others lapse or are given up by then. */
 constexpr Duration noRoomPause = std::chrono::milliseconds{250};
 /*! @brief Time for which an endpoint that rejected a call gets none: another process works with it, or it leaves. */
@@ -45,9 +49,9 @@
 {
 }
 
-StageScheduler::Order StageScheduler::orderOf(const StageTask &task)
+StageScheduler::Order StageScheduler::orderOf(const Pending &pending)
 {
-    return {task.rank, task.due, task.id};
+    return {pending.isLate, pending.task.rank, pending.task.due, pending.task.id};
 }
 
 void StageScheduler::submit(StageTask task)
@@ -58,8 +62,8 @@
         pending.waiting.push_back(piece);
     }
     pending.open = task.pieces;
-    m_queues[task.pool].insert(orderOf(task));
     pending.task = std::move(task);
+    m_queues[pending.task.pool].insert(orderOf(pending));
     m_tasks.emplace(id, std::move(pending));
 }
 
@@ -69,7 +73,7 @@
     if (found == m_tasks.end()) {
         return;
     }
-    m_queues[found->second.task.pool].erase(orderOf(found->second.task));
+    m_queues[found->second.task.pool].erase(orderOf(found->second));
     m_tasks.erase(found);
 }
 
@@ -85,95 +89,137 @@
     }
 }
 
+/*
+ * Answers a backlog in which the oldest can no longer be on time: served first, they would make the next ones late as
+ * well. They go behind all that can still be on time.
+ */
+void StageScheduler::markLate(std::set<Order> &queue, TimePoint now)
+{
+    std::vector<StageTaskId> late;
+    for (const Order &order : queue) {
+        if (!std::get<bool>(order) && std::get<TimePoint>(order) < now) {
+            late.push_back(std::get<StageTaskId>(order));
+        }
+    }
+    for (const StageTaskId task : late) {
+        Pending &pending = m_tasks.at(task);
+        queue.erase(orderOf(pending));
+        pending.isLate = true;
+        queue.insert(orderOf(pending));
+    }
+}
+
 void StageScheduler::dispatchPool(const Pool &pool, std::set<Order> &queue, TimePoint now, Effects &effects)
 {
+    markLate(queue, now);
     while (!queue.empty()) {
-        std::uint64_t leastBytes = std::numeric_limits<std::uint64_t>::max();
+        Endpoint *best = nullptr;
+        std::vector<CallItem> bestItems;
+        for (Endpoint *endpoint : freeEndpoints(pool, now)) {
+            std::vector<CallItem> items = choose(pool, *endpoint, queue);
+            const bool fuller = items.size() > bestItems.size();
+            const bool faster = items.size() == bestItems.size() && best != nullptr && presentSlowness(*endpoint, now) < presentSlowness(*best, now);
+            if (!items.empty() && (fuller || faster)) {
+                best = endpoint;
+                bestItems = std::move(items);
+            }
+        }
+        if (best == nullptr) {
+            return;
+        }
+        std::size_t waiting = 0;
         for (const Order &order : queue) {
-            leastBytes = std::min(leastBytes, m_tasks.at(std::get<StageTaskId>(order)).task.resultBytes);
+            waiting += m_tasks.at(std::get<StageTaskId>(order)).waiting.size();
         }
-        Endpoint *endpoint = freeEndpoint(pool, leastBytes, now);
-        if (endpoint == nullptr || !fill(pool, *endpoint, queue, now, effects)) {
+        const std::size_t wanted = std::min<std::size_t>(waiting, pool.batch->batch);
+        // Room comes back with every result that is used; a call that carries little would keep the endpoint from it.
+        if (best->resultBytes != 0 && static_cast<double>(bestItems.size()) < leastFill * static_cast<double>(wanted)) {
             return;
         }
+        send(pool, *best, std::move(bestItems), queue, now, effects);
     }
 }
 
-Endpoint *StageScheduler::freeEndpoint(const Pool &pool, std::uint64_t leastBytes, TimePoint now)
+std::vector<Endpoint *> StageScheduler::freeEndpoints(const Pool &pool, TimePoint now)
 {
     const std::vector<Endpoint *> usable = m_endpoints.usable(pool.name, now);
     double fastest = std::numeric_limits<double>::max();
     for (const Endpoint *endpoint : usable) {
         fastest = std::min(fastest, presentSlowness(*endpoint, now));
     }
-    const std::uint64_t room = pool.batch->resultRoom;
-    Endpoint *best = nullptr;
-    double bestSlowness = 0.0;
+    std::vector<Endpoint *> out;
     for (Endpoint *endpoint : usable) {
-        const double slowness = presentSlowness(*endpoint, now);
-        if (endpoint->inFlight >= pool.batch->slots || endpoint->pausedUntil > now || slowness > fastest * slownessBound) {
-            continue;
-        }
-        if (endpoint->resultBytes != 0 && endpoint->resultBytes + leastBytes > room) {
-            continue;
-        }
-        if (best == nullptr || slowness < bestSlowness) {
-            best = endpoint;
-            bestSlowness = slowness;
+        const bool slow = presentSlowness(*endpoint, now) > fastest * slownessBound;
+        if (endpoint->inFlight < pool.batch->slots && endpoint->pausedUntil <= now && !slow) {
+            out.push_back(endpoint);
         }
     }
-    return best;
+    return out;
 }
 
-bool StageScheduler::fill(const Pool &pool, Endpoint &endpoint, std::set<Order> &queue, TimePoint now, Effects &effects)
+std::vector<StageScheduler::CallItem> StageScheduler::choose(const Pool &pool, const Endpoint &endpoint, const std::set<Order> &queue) const
 {
-    const std::uint64_t room = pool.batch->resultRoom;
-    StartStageCall start;
-    Call call;
-    const Duration shortest = expectedTime(*pool.batch, 1);
-    std::vector<StageTaskId> late;
-    for (auto next = queue.begin(); next != queue.end() && call.items.size() < pool.batch->batch;) {
-        Pending &pending = m_tasks.at(std::get<StageTaskId>(*next));
-        const StageTask &task = pending.task;
-        if (task.deadline <= now + shortest) {
-            late.push_back(task.id);
-            next = queue.erase(next);
-            continue;
-        }
-        while (!pending.waiting.empty() && call.items.size() < pool.batch->batch) {
+    std::vector<CallItem> items;
+    std::uint64_t bytes = endpoint.resultBytes;
+    for (const Order &order : queue) {
+        const Pending &pending = m_tasks.at(std::get<StageTaskId>(order));
+        const double share = pending.isLate ? lateRoomShare : 1.0;
+        const auto room = static_cast<std::uint64_t>(share * static_cast<double>(pool.batch->resultRoom));
+        for (const std::uint32_t piece : pending.waiting) {
+            if (items.size() >= pool.batch->batch) {
+                return items;
+            }
             // The first result is always taken, or one larger than the room would wait for ever.
-            if (endpoint.resultBytes != 0 && endpoint.resultBytes + task.resultBytes > room) {
+            if (bytes != 0 && bytes + pending.task.resultBytes > room) {
                 break;
             }
-            const std::uint32_t piece = pending.waiting.front();
-            pending.waiting.erase(pending.waiting.begin());
-            call.items.push_back({task.id, piece, task.resultBytes});
-            endpoint.resultBytes += task.resultBytes;
-            start.items.push_back({task.attempt, task.stage, piece, task.deadline - now, task.key, task.inputs});
-            start.deadline = std::max(start.deadline, task.deadline - now);
+            bytes += pending.task.resultBytes;
+            items.push_back({pending.task.id, piece, pending.task.resultBytes});
         }
-        next = pending.waiting.empty() ? queue.erase(next) : std::next(next);
-    }
-    for (const StageTaskId task : late) {
-        fail(m_tasks.at(task), PieceFailure::Late);
     }
-    if (call.items.empty()) {
-        return !late.empty();
+    return items;
+}
+
+void StageScheduler::send(const Pool &pool, Endpoint &endpoint, std::vector<CallItem> items, std::set<Order> &queue, TimePoint now, Effects &effects)
+{
+    StartStageCall start;
+    start.call = StageCallNumber{m_nextCall++};
+    start.instance = endpoint.record.instance;
+    start.address = endpoint.record.address;
+    for (const CallItem &item : items) {
+        Pending &pending = m_tasks.at(item.task);
+        const StageTask &task = pending.task;
+        const Duration left = task.deadline - now;
+        start.items.push_back({task.attempt, task.stage, item.piece, left, task.key, task.inputs});
+        start.deadline = std::max(start.deadline, left);
+        std::erase(pending.waiting, item.piece);
+        if (pending.waiting.empty()) {
+            queue.erase(orderOf(pending));
+        }
+        endpoint.resultBytes += item.bytes;
     }
+    Call call;
     call.pool = pool.name;
-    call.endpoint = endpoint.record.instance;
-    call.address = endpoint.record.address;
+    call.endpoint = start.instance;
+    call.address = start.address;
     call.started = now;
-    call.expected = expectedTime(*pool.batch, call.items.size());
+    call.expected = expectedTime(*pool.batch, items.size());
     call.resultTtl = pool.batch->resultTtl;
     call.expiry = now + call.expected * expiryFactor + expiryAllowance;
-    start.call = StageCallNumber{m_nextCall++};
-    start.instance = call.endpoint;
-    start.address = call.address;
+    call.items = std::move(items);
+    effects.emplace_back(LogLine{Severity::Info,
+                                 Part::Entry,
+                                 "A stage call is sent.",
+                                 {{"call", absl::StrCat(static_cast<std::uint64_t>(start.call))},
+                                  {"pool", pool.name.text()},
+                                  {"endpoint", call.endpoint.text()},
+                                  {"items", absl::StrCat(call.items.size())},
+                                  {"waiting_tasks", absl::StrCat(queue.size())},
+                                  {"result_bytes", absl::StrCat(endpoint.resultBytes)},
+                                  {"slowness", absl::StrCat(presentSlowness(endpoint, now))}}});
     m_endpoints.started(call.endpoint);
     m_calls.emplace(start.call, std::move(call));
     effects.emplace_back(std::move(start));
-    return true;
 }
 
 void StageScheduler::ended(const StageCallEnded &event, TimePoint now, Effects &effects)
@@ -284,13 +330,13 @@
         return;
     }
     pending.waiting.push_back(item.piece);
-    m_queues[pending.task.pool].insert(orderOf(pending.task));
+    m_queues[pending.task.pool].insert(orderOf(pending));
 }
 
 void StageScheduler::fail(Pending &pending, PieceFailure failure)
 {
     const StageTaskId id = pending.task.id;
-    m_queues[pending.task.pool].erase(orderOf(pending.task));
+    m_queues[pending.task.pool].erase(orderOf(pending));
     m_outcomes.push_back({id, 0, PieceResult{{}, failure}, {}, {}});
     m_tasks.erase(id);
 }
@@ -404,7 +450,7 @@
     std::size_t ahead = 0;
     if (const auto queue = m_queues.find(pool); queue != m_queues.end()) {
         for (const Order &order : queue->second) {
-            if (std::get<int>(order) <= rank) {
+            if (!std::get<bool>(order) && std::get<int>(order) <= rank) {
                 ahead += m_tasks.at(std::get<StageTaskId>(order)).waiting.size();
             }
         }
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -105,6 +105,8 @@
         std::vector<std::uint32_t> waiting;
         std::uint32_t open{};
         std::uint32_t failures{};
+        /*! @brief Its request cannot be on time any more. */
+        bool isLate{};
     };
 
     struct CallItem
@@ -136,12 +138,14 @@
     };
 
     /*! @brief Order in which the tasks of a pool are served. */
-    using Order = std::tuple<int, TimePoint, StageTaskId>;
+    using Order = std::tuple<bool, int, TimePoint, StageTaskId>;
 
-    [[nodiscard]] static Order orderOf(const StageTask &task);
+    [[nodiscard]] static Order orderOf(const Pending &pending);
+    void markLate(std::set<Order> &queue, TimePoint now);
+    [[nodiscard]] std::vector<Endpoint *> freeEndpoints(const Pool &pool, TimePoint now);
+    [[nodiscard]] std::vector<CallItem> choose(const Pool &pool, const Endpoint &endpoint, const std::set<Order> &queue) const;
     void dispatchPool(const Pool &pool, std::set<Order> &queue, TimePoint now, Effects &effects);
-    [[nodiscard]] Endpoint *freeEndpoint(const Pool &pool, std::uint64_t leastBytes, TimePoint now);
-    bool fill(const Pool &pool, Endpoint &endpoint, std::set<Order> &queue, TimePoint now, Effects &effects);
+    void send(const Pool &pool, Endpoint &endpoint, std::vector<CallItem> items, std::set<Order> &queue, TimePoint now, Effects &effects);
     void giveBack(const Call &call, bool failed, TimePoint now, Effects &effects);
     void keepLost(const Call &call, const CallItem &item, TimePoint now);
     void requeue(const CallItem &item, bool failed);
