--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -25,6 +25,12 @@
 constexpr double leastFill = 0.6;
 /*! @brief Share of the room that results of late requests may take: they wait longest, and would keep it from the others. */
 constexpr double lateRoomShare = 0.5;
+/*! @brief Time by which a task may be expected to miss its due before it is taken as late: estimates are no better than that. */
+constexpr Duration lateTolerance = std::chrono::milliseconds{50};
+/*! @brief Longest wait of a late task behind all others: its result is worth little, and its caller may come back sooner. */
+constexpr Duration longestLateWait = std::chrono::milliseconds{1500};
+/*! @brief Weight of the newest call in the typical fill of calls under a backlog. */
+constexpr double fillWeight = 0.1;
 /*! @brief Time for which an endpoint that had no room for a result gets none: results of others lapse or are given up by then. */
 constexpr Duration noRoomPause = std::chrono::milliseconds{250};
 /*! @brief Time for which an endpoint that rejected a call gets none: another process works with it, or it leaves. */
@@ -84,22 +90,29 @@
         if (queue.empty() || pool == nullptr || !pool->batch) {
             continue;
         }
-        m_specs[name] = *pool->batch;
         dispatchPool(*pool, queue, now, effects);
     }
 }
 
 /*
  * Answers a backlog in which the oldest can no longer be on time: served first, they would make the next ones late as
- * well. They go behind all that can still be on time.
+ * well. Whoever cannot be on time behind those that go before it is marked at once, and goes behind all that can.
  */
-void StageScheduler::markLate(std::set<Order> &queue, TimePoint now)
+void StageScheduler::markLate(const Pool &pool, std::set<Order> &queue, TimePoint now)
 {
+    const Duration busy = remainingTime(pool.name, now);
+    std::size_t ahead = 0;
     std::vector<StageTaskId> late;
     for (const Order &order : queue) {
-        if (!std::get<bool>(order) && std::get<TimePoint>(order) < now) {
-            late.push_back(std::get<StageTaskId>(order));
+        if (std::get<bool>(order)) {
+            break;
+        }
+        const Pending &pending = m_tasks.at(std::get<StageTaskId>(order));
+        if (now + waitBehind(pool, ahead, busy, now) > pending.task.due + lateTolerance) {
+            late.push_back(pending.task.id);
+            continue;
         }
+        ahead += pending.waiting.size();
     }
     for (const StageTaskId task : late) {
         Pending &pending = m_tasks.at(task);
@@ -107,11 +120,56 @@
         pending.isLate = true;
         queue.insert(orderOf(pending));
     }
+    shedLate(pool, queue, ahead, busy, now);
+}
+
+/*
+ * Answers saturation that outlasts the backlog: late tasks are served from what the others leave. Those that would wait
+ * longer than their bound are given up at once, so that their callers are not held for nothing and can come back.
+ */
+void StageScheduler::shedLate(const Pool &pool, const std::set<Order> &queue, std::size_t ahead, Duration busy, TimePoint now)
+{
+    std::vector<StageTaskId> hopeless;
+    for (const Order &order : queue) {
+        if (!std::get<bool>(order)) {
+            continue;
+        }
+        const Pending &pending = m_tasks.at(std::get<StageTaskId>(order));
+        const Duration wait = waitBehind(pool, ahead, busy, now);
+        const bool inCall = pending.waiting.size() < pending.open;
+        if (!inCall && (wait > longestLateWait || now + wait + expectedTime(*pool.batch, 1) > pending.task.deadline)) {
+            hopeless.push_back(pending.task.id);
+            continue;
+        }
+        ahead += pending.waiting.size();
+    }
+    for (const StageTaskId task : hopeless) {
+        fail(m_tasks.at(task), PieceFailure::Late);
+    }
+}
+
+Duration StageScheduler::remainingTime(const PoolName &pool, TimePoint now) const
+{
+    Duration remaining{};
+    for (const auto &[number, call] : m_calls) {
+        if (call.pool == pool) {
+            remaining += std::max(Duration::zero(), call.started + call.expected - now);
+        }
+    }
+    return remaining;
+}
+
+Duration StageScheduler::waitBehind(const Pool &pool, std::size_t pieces, Duration busy, TimePoint now)
+{
+    const auto endpoints = static_cast<std::int64_t>(std::max<std::size_t>(m_endpoints.usable(pool.name, now).size(), 1)) * pool.batch->slots;
+    const double fill = m_fill.contains(pool.name) ? m_fill.at(pool.name) : pool.batch->batch;
+    const auto calls = static_cast<std::int64_t>(std::floor(static_cast<double>(pieces) / fill));
+    return (busy + pool.batch->itemTime * static_cast<std::int64_t>(pieces) + pool.batch->callTime * calls) / endpoints;
 }
 
 void StageScheduler::dispatchPool(const Pool &pool, std::set<Order> &queue, TimePoint now, Effects &effects)
 {
-    markLate(queue, now);
+    markLate(pool, queue, now);
     while (!queue.empty()) {
         Endpoint *best = nullptr;
         std::vector<CallItem> bestItems;
@@ -136,6 +194,10 @@
         if (best->resultBytes != 0 && static_cast<double>(bestItems.size()) < leastFill * static_cast<double>(wanted)) {
             return;
         }
+        if (waiting >= pool.batch->batch) {
+            double &fill = m_fill.try_emplace(pool.name, static_cast<double>(pool.batch->batch)).first->second;
+            fill += fillWeight * (static_cast<double>(bestItems.size()) - fill);
+        }
         send(pool, *best, std::move(bestItems), queue, now, effects);
     }
 }
@@ -347,9 +409,6 @@
         const std::string handle = m_resultExpiry.begin()->second;
         released(handle);
     }
-    for (auto &[pool, queue] : m_queues) {
-        shedHopeless(pool, queue, now);
-    }
     std::vector<StageCallNumber> expired;
     for (const auto &[number, call] : m_calls) {
         if (call.expiry <= now) {
@@ -372,34 +431,6 @@
     }
 }
 
-/*
- * Answers a backlog that outlasts the time of those at its end: they are given up now, while their callers can still
- * come back, and not when their time is over.
- */
-void StageScheduler::shedHopeless(const PoolName &pool, const std::set<Order> &queue, TimePoint now)
-{
-    const auto spec = m_specs.find(pool);
-    const auto endpoints = static_cast<std::int64_t>(m_endpoints.usable(pool, now).size());
-    if (spec == m_specs.end() || endpoints == 0) {
-        return;
-    }
-    const BatchSpec &batch = spec->second;
-    std::int64_t ahead = 0;
-    std::vector<StageTaskId> hopeless;
-    for (const Order &order : queue) {
-        const Pending &pending = m_tasks.at(std::get<StageTaskId>(order));
-        const Duration wait = (batch.itemTime * ahead + batch.callTime * (ahead / batch.batch)) / (endpoints * batch.slots);
-        if (now + wait + expectedTime(batch, 1) > pending.task.deadline) {
-            hopeless.push_back(pending.task.id);
-            continue;
-        }
-        ahead += static_cast<std::int64_t>(pending.waiting.size());
-    }
-    for (const StageTaskId task : hopeless) {
-        fail(m_tasks.at(task), PieceFailure::Late);
-    }
-}
-
 std::vector<StageOutcome> StageScheduler::takeOutcomes()
 {
     return std::exchange(m_outcomes, {});
@@ -455,14 +486,7 @@
             }
         }
     }
-    Duration work = spec->batch->itemTime * static_cast<std::int64_t>(ahead)
-        + spec->batch->callTime * static_cast<std::int64_t>((ahead + spec->batch->batch - 1) / spec->batch->batch);
-    for (const auto &[number, call] : m_calls) {
-        if (call.pool == pool) {
-            work += std::max(Duration::zero(), call.started + call.expected - now);
-        }
-    }
-    return work / static_cast<std::int64_t>(usable.size() * spec->batch->slots);
+    return waitBehind(*spec, ahead, remainingTime(pool, now), now);
 }
 
 std::optional<TimePoint> StageScheduler::nextWakeup() const
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -141,7 +141,10 @@
     using Order = std::tuple<bool, int, TimePoint, StageTaskId>;
 
     [[nodiscard]] static Order orderOf(const Pending &pending);
-    void markLate(std::set<Order> &queue, TimePoint now);
+    void markLate(const Pool &pool, std::set<Order> &queue, TimePoint now);
+    void shedLate(const Pool &pool, const std::set<Order> &queue, std::size_t ahead, Duration busy, TimePoint now);
+    [[nodiscard]] Duration remainingTime(const PoolName &pool, TimePoint now) const;
+    [[nodiscard]] Duration waitBehind(const Pool &pool, std::size_t pieces, Duration busy, TimePoint now);
     [[nodiscard]] std::vector<Endpoint *> freeEndpoints(const Pool &pool, TimePoint now);
     [[nodiscard]] std::vector<CallItem> choose(const Pool &pool, const Endpoint &endpoint, const std::set<Order> &queue) const;
     void dispatchPool(const Pool &pool, std::set<Order> &queue, TimePoint now, Effects &effects);
@@ -149,7 +152,6 @@
     void giveBack(const Call &call, bool failed, TimePoint now, Effects &effects);
     void keepLost(const Call &call, const CallItem &item, TimePoint now);
     void requeue(const CallItem &item, bool failed);
-    void shedHopeless(const PoolName &pool, const std::set<Order> &queue, TimePoint now);
     void fail(Pending &pending, PieceFailure failure);
     void freeRoom(const InstanceName &endpoint, std::uint64_t bytes);
     void noteSpeed(const Call &call, TimePoint now);
@@ -162,8 +164,8 @@
     std::map<std::string, Result> m_results;
     std::set<std::pair<TimePoint, std::string>> m_resultExpiry;
     std::vector<StageOutcome> m_outcomes;
-    /*! @brief How the pools that have had tasks work. */
-    std::map<PoolName, BatchSpec> m_specs;
+    /*! @brief Typical number of items in a call while more than one call waits. */
+    std::map<PoolName, double> m_fill;
     std::uint64_t m_nextLost{1};
     std::uint64_t m_nextCall{1};
 };
