A request is not spread over stage calls

Cause: pieces of one request went into two calls, and the results of the first waited in scarce room for the second. Change: a call takes all pieces of a request or none, but for the first in the queue.

--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -96,6 +96,8 @@
     }
     if (!request->begun) {
         m_firstEvents.note(request->pool, m_now - request->runStarted);
+        log(*request, "A stream begins.",
+            {{"endpoint", request->endpoint.text()}, {"wait_ms", absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(m_now - request->runStarted).count())}});
         request->begun = true;
         m_effects.emplace_back(BeginStream{request->in->call, event.head.status, event.head.headers});
         return;
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -227,6 +227,13 @@
         const Pending &pending = m_tasks.at(std::get<StageTaskId>(order));
         const double share = pending.isLate ? lateRoomShare : 1.0;
         const auto room = static_cast<std::uint64_t>(share * static_cast<double>(pool.batch->resultRoom));
+        const std::size_t rest = pending.waiting.size();
+        const bool isWhole = items.size() + rest <= pool.batch->batch && bytes + rest * pending.task.resultBytes <= room;
+        // A request goes on when its last piece is made; the results of one that is spread over calls wait in scarce room.
+        // The first in the queue is spread all the same, or one with many pieces would wait for ever.
+        if (!isWhole && !items.empty()) {
+            continue;
+        }
         for (const std::uint32_t piece : pending.waiting) {
             if (items.size() >= pool.batch->batch) {
                 return items;
