Stages beside a slower one start later

Cause: the results of the faster of two parallel stages waited in their makers' memory for the slower. Change: its start is put off by 0.8 of the expected difference.

--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -29,6 +29,8 @@
     PoolName pool;
     std::uint32_t pieces{};
     std::optional<StageTaskId> task;
+    /*! @brief Set while its start is put off. */
+    std::optional<TimePoint> startAt;
     std::uint32_t made{};
     std::vector<KeptResult> results;
     bool isReleased{};
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -65,6 +65,10 @@
         const TimePoint first = m_limits.begin()->first;
         next = next ? std::min(*next, first) : first;
     }
+    if (!m_starts.empty()) {
+        const TimePoint first = std::get<TimePoint>(*m_starts.begin());
+        next = next ? std::min(*next, first) : first;
+    }
     return next ? std::min(*next, m_heartbeatAt) : m_heartbeatAt;
 }
 
@@ -102,6 +106,7 @@
 void ServingReducer::on(const Tick &)
 {
     expire();
+    startDelayed();
     m_stages.expire(m_now, m_effects);
     reclaimTasks();
     sendHeartbeats();
@@ -195,6 +200,17 @@
     return sum;
 }
 
+std::optional<Duration> ServingReducer::expectedTime(const Request &request, std::size_t stage)
+{
+    const StageSpec &spec = request.route->stages[stage];
+    const Pool *pool = request.catalog->pool(spec.pool);
+    const auto wait = expectedWait(spec.pool, request.rank);
+    if (pool == nullptr || !pool->batch || !wait) {
+        return std::nullopt;
+    }
+    return *wait + pool->batch->callTime + pool->batch->itemTime * static_cast<std::int64_t>(request.stages[stage].pieces);
+}
+
 Duration ServingReducer::expectedStageTime(const Request &request, std::uint32_t belowLevel)
 {
     std::map<std::uint32_t, Duration> ofLevel;
@@ -203,13 +219,11 @@
         if (request.stages[stage].pieces == 0 || spec.level >= belowLevel) {
             continue;
         }
-        const Pool *pool = request.catalog->pool(spec.pool);
-        const auto wait = expectedWait(spec.pool, request.rank);
-        if (pool == nullptr || !pool->batch || !wait) {
+        const auto time = expectedTime(request, stage);
+        if (!time) {
             return longestRequest;
         }
-        const Duration time = *wait + pool->batch->callTime + pool->batch->itemTime * static_cast<std::int64_t>(request.stages[stage].pieces);
-        ofLevel[spec.level] = std::max(ofLevel[spec.level], time);
+        ofLevel[spec.level] = std::max(ofLevel[spec.level], *time);
     }
     Duration sum{};
     for (const auto &[level, time] : ofLevel) {
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace bergamottide::serving {
@@ -84,6 +85,7 @@
     void admit(Request request);
     [[nodiscard]] std::optional<AnswerKind> whyRefused(Request &request);
     [[nodiscard]] Duration shortestStageTime(const Request &request, std::uint32_t belowLevel) const;
+    [[nodiscard]] std::optional<Duration> expectedTime(const Request &request, std::size_t stage);
     [[nodiscard]] Duration expectedStageTime(const Request &request, std::uint32_t belowLevel);
     [[nodiscard]] PoolName drawPool(const Route &route, const std::string &attempt) const;
 
@@ -96,6 +98,7 @@
     // Stages.
     void advance(Request &request);
     void startLevel(Request &request);
+    void startDelayed();
     void submitStage(Request &request, std::uint32_t stage);
     void takeOutcomes();
     void take(const StageOutcome &outcome);
@@ -141,6 +144,8 @@
     std::map<PeerTaskNumber, StageTaskId> m_peerNumbers;
     std::map<StageTaskId, std::uint32_t> m_peerPieces;
     std::set<std::pair<TimePoint, CallId>> m_limits;
+    /*! @brief Stages whose start is put off. */
+    std::set<std::tuple<TimePoint, CallId, std::uint32_t>> m_starts;
     TimePoint m_heartbeatAt{};
     std::uint64_t m_nextRun{1};
     std::uint64_t m_nextTask{1};
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -11,6 +11,10 @@
 
 /*! @brief Times that stages of a request are made again since an input was gone; each costs a whole chain of calls. */
 constexpr std::uint32_t mostStageRestarts = 2;
+/*! @brief Share, in percent, of the difference to the slowest stage beside it by which a faster stage starts later: estimates err. */
+constexpr int justInTimeShare = 80;
+/*! @brief Differences below this are not worth a wakeup. */
+constexpr Duration shortestDelay = std::chrono::milliseconds{20};
 
 /*! @brief Part of the time for which a result is kept that is not counted on: it began when the result was made, not when it was heard of. */
 constexpr Duration lapseMargin = std::chrono::milliseconds{300};
@@ -26,7 +30,8 @@
 void ServingReducer::advance(Request &request)
 {
     while (request.level > 0) {
-        const bool busy = std::any_of(request.stages.begin(), request.stages.end(), [](const StageProgress &stage) { return stage.task.has_value(); });
+        const bool busy =
+            std::any_of(request.stages.begin(), request.stages.end(), [](const StageProgress &stage) { return stage.task || stage.startAt; });
         if (busy) {
             return;
         }
@@ -46,10 +51,36 @@
  */
 void ServingReducer::startLevel(Request &request)
 {
+    std::map<std::uint32_t, Duration> expected;
+    Duration longest{};
     for (std::uint32_t stage = 0; stage < request.stages.size(); ++stage) {
         const StageProgress &progress = request.stages[stage];
         if (request.route->stages[stage].level == request.level && !progress.isDone()) {
+            expected[stage] = expectedTime(request, stage).value_or(Duration::zero());
+            longest = std::max(longest, expected[stage]);
+        }
+    }
+    for (const auto &[stage, time] : expected) {
+        const Duration delay = (longest - time) * justInTimeShare / 100;
+        if (delay < shortestDelay) {
             submitStage(request, stage);
+            continue;
+        }
+        // Results of the faster stage would only wait, in memory that others need, for those of the slower.
+        request.stages[stage].startAt = m_now + delay;
+        m_starts.emplace(m_now + delay, request.in->call, stage);
+    }
+}
+
+void ServingReducer::startDelayed()
+{
+    while (!m_starts.empty() && std::get<TimePoint>(*m_starts.begin()) <= m_now) {
+        const auto [due, call, stage] = *m_starts.begin();
+        m_starts.erase(m_starts.begin());
+        Request *request = find(call);
+        if (request != nullptr && request->stages[stage].startAt == due) {
+            request->stages[stage].startAt.reset();
+            submitStage(*request, stage);
         }
     }
 }
@@ -180,6 +211,7 @@
     releaseAll(request);
     for (StageProgress &stage : request.stages) {
         stage.made = 0;
+        stage.startAt.reset();
     }
     request.level = request.route->topLevel() + 1;
     advance(request);
