Peers pass on what the store published; tests of the serving modules and the platform's codecs

Cause: the store may turn machines away for many seconds while it serves others; these would have kept an old configuration.

--- a/src/bergamottide/app/peerport.cpp
+++ b/src/bergamottide/app/peerport.cpp
@@ -13,6 +13,7 @@
 constexpr std::string_view heartbeatPath = "/peer/heartbeat";
 constexpr std::string_view taskPath = "/peer/task";
 constexpr std::string_view releasedPath = "/peer/released";
+constexpr std::string_view publishedPath = "/peer/published";
 
 /*! @brief Time for which bytes to a peer may stay unacknowledged. */
 constexpr Duration unacknowledged = std::chrono::milliseconds{1000};
@@ -89,9 +90,37 @@
         }
         return;
     }
+    if (request.path == publishedPath && m_published) {
+        const auto body = m_published(request.query);
+        responder->answer({body ? 200 : 204, {}, body.value_or(std::string{})});
+        return;
+    }
     responder->answer({404, {}, {}});
 }
 
+void PeerPort::onPublishedAsked(std::function<std::optional<std::string>(const std::string &query)> answer)
+{
+    m_published = std::move(answer);
+}
+
+void PeerPort::askPublished(const PeerInfo &peer, const std::string &query, std::function<void(const std::string &body)> then)
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.path = publishedPath;
+    request.query = query;
+    HttpCallHooks hooks;
+    hooks.done = [then = std::move(then)](const HttpAnswer &answer) {
+        if (answer.status == 200) {
+            then(answer.body);
+        }
+    };
+    // Another peer is asked next time.
+    hooks.failed = [](HttpFailure) {
+    };
+    m_heartbeats.call(peer.address, std::move(request), std::move(hooks));
+}
+
 void PeerPort::takeTask(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
     auto asked = peerwire::readTask(request.body, m_loop.now());
--- a/src/bergamottide/app/peerport.h
+++ b/src/bergamottide/app/peerport.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace bergamottide {
@@ -45,6 +46,12 @@
     /*! @brief Starts to listen. */
     [[nodiscard]] absl::Status listen();
 
+    /*! @brief Sets what answers a peer that asks for what the platform has published. */
+    void onPublishedAsked(std::function<std::optional<std::string>(const std::string &query)> answer);
+
+    /*! @brief Asks a peer for what the platform has published; `then` is called with the body if there is one. */
+    void askPublished(const serving::PeerInfo &peer, const std::string &query, std::function<void(const std::string &body)> then);
+
     void carryOut(const serving::SendHeartbeat &effect);
     void carryOut(const serving::HandTask &effect);
     void carryOut(const serving::RecallTask &effect);
@@ -61,6 +68,7 @@
     Loop &m_loop;
     serving::PeerInfo m_self;
     PeerPortHooks m_hooks;
+    std::function<std::optional<std::string>(const std::string &query)> m_published;
     HttpServer m_server;
     HttpClient m_client;
     HttpClient m_heartbeats;
--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -141,6 +141,21 @@
     m_log.write(line);
 }
 
+std::vector<PeerInfo> ServingApp::livePeers() const
+{
+    return m_reducer.livePeers(m_loop.now());
+}
+
+void ServingApp::onPublishedAsked(std::function<std::optional<std::string>(const std::string &query)> answer)
+{
+    m_peers.onPublishedAsked(std::move(answer));
+}
+
+void ServingApp::askPublished(const PeerInfo &peer, const std::string &query, std::function<void(const std::string &body)> then)
+{
+    m_peers.askPublished(peer, query, std::move(then));
+}
+
 void ServingApp::watchDirectory()
 {
     endpointsChanged();
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,23 @@
     /*! @brief Writes a line to the log. */
     void log(const LogLine &line);
 
+    /*! @brief Returns the peers that are alive. */
+    [[nodiscard]] std::vector<serving::PeerInfo> livePeers() const;
+
+    /**
+     * @brief Sets what answers a peer that asks for what the platform has published.
+     * @param answer Returns the body for a query, or nothing.
+     */
+    void onPublishedAsked(std::function<std::optional<std::string>(const std::string &query)> answer);
+
+    /**
+     * @brief Asks a peer for what the platform has published.
+     * @param peer Peer to ask.
+     * @param query Query that the peer's `onPublishedAsked` understands.
+     * @param then Called with the body if there is one.
+     */
+    void askPublished(const serving::PeerInfo &peer, const std::string &query, std::function<void(const std::string &body)> then);
+
 private:
     /*! @brief A caller that waits for its answer. */
     struct Caller
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -124,6 +124,11 @@
     return m_peers.toldWait(keeper->instance, pool, rank).value_or(Duration::zero());
 }
 
+std::vector<PeerInfo> ServingReducer::livePeers(TimePoint now) const
+{
+    return m_peers.live(now);
+}
+
 Heartbeat ServingReducer::heartbeat(TimePoint now)
 {
     Heartbeat heartbeat;
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -57,6 +57,9 @@
     /*! @brief Returns the number of requests in progress. */
     [[nodiscard]] std::size_t inProgress() const noexcept;
 
+    /*! @brief Returns the peers that are alive. */
+    [[nodiscard]] std::vector<PeerInfo> livePeers(TimePoint now) const;
+
     /*! @brief Returns what this process tells its peers. */
     [[nodiscard]] Heartbeat heartbeat(TimePoint now);
 
--- /dev/null
+++ b/test/bergamottide/serving/peers.cpp
@@ -0,0 +1,213 @@
+#include "servingfixture.h"
+
+#include "bergamottide/serving/endpointdirectory.h"
+#include "bergamottide/serving/eventsplitter.h"
+#include "bergamottide/serving/peers.h"
+#include "bergamottide/serving/prompthistory.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace bergamottide;
+using namespace bergamottide::serving;
+using bergamottide::test::ServingFixture;
+
+/*! @brief What processes know of each other, and what becomes of work handed to one that is lost. */
+class ServingPeersTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ServingPeersTest);
+    CPPUNIT_TEST(processesThatSeeTheSamePeersAgreeOnTheKeeper);
+    CPPUNIT_TEST(silentPeerKeepsNoQueue);
+    CPPUNIT_TEST(drainingPeerKeepsNoQueue);
+    CPPUNIT_TEST(addressesOfPeersAreLearntFromPeers);
+    CPPUNIT_TEST(taskOfALostKeeperIsDoneHere);
+    CPPUNIT_TEST(resultsForAPeerThatLeftAreFreed);
+    CPPUNIT_TEST(endpointThatVanishesWithTheListIsKeptForAWhile);
+    CPPUNIT_TEST(endpointThatDrainsIsNotKept);
+    CPPUNIT_TEST(endpointRemovedInCalmTimesIsGoneAtOnce);
+    CPPUNIT_TEST(splitterKeepsUnfinishedEventsBack);
+    CPPUNIT_TEST(splitterDropsWhatWasPassedOnAndSeesGaps);
+    CPPUNIT_TEST(promptsArePlacedByThePartThatComesAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void processesThatSeeTheSamePeersAgreeOnTheKeeper()
+    {
+        Peers one{{InstanceName{"a"}, "a:1"}, {}};
+        Peers other{{InstanceName{"b"}, "b:1"}, {}};
+        one.heard(heartbeat("b"), m_now);
+        other.heard(heartbeat("a"), m_now);
+        for (const char *pool : {"p1", "p2", "p3", "p4"}) {
+            const bool oneKeeps = !one.keeper(PoolName{pool}, m_now);
+            const bool otherKeeps = !other.keeper(PoolName{pool}, m_now);
+            CPPUNIT_ASSERT(oneKeeps != otherKeeps);
+        }
+    }
+
+    void silentPeerKeepsNoQueue()
+    {
+        Peers peers{{InstanceName{"a"}, "a:1"}, {}};
+        peers.heard(heartbeat("b"), m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peers.live(m_now).size());
+        CPPUNIT_ASSERT(peers.live(m_now + std::chrono::seconds{1}).empty());
+        peers.unreached(InstanceName{"b"});
+        CPPUNIT_ASSERT(peers.live(m_now).empty());
+        peers.heard(heartbeat("b"), m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peers.live(m_now).size());
+    }
+
+    void drainingPeerKeepsNoQueue()
+    {
+        Peers peers{{InstanceName{"a"}, "a:1"}, {}};
+        Heartbeat draining = heartbeat("b");
+        draining.draining = true;
+        peers.heard(draining, m_now);
+        CPPUNIT_ASSERT(peers.live(m_now).empty());
+        CPPUNIT_ASSERT(peers.isLive(InstanceName{"b"}, m_now));
+    }
+
+    void addressesOfPeersAreLearntFromPeers()
+    {
+        Peers peers{{InstanceName{"a"}, "a:1"}, {"b:1", "a:1"}};
+        CPPUNIT_ASSERT((peers.due(m_now) == std::vector<std::string>{"b:1"}));
+        Heartbeat told = heartbeat("b");
+        told.peers = {{InstanceName{"c"}, "c:1"}, {InstanceName{"a"}, "a:1"}};
+        peers.heard(told, m_now);
+        CPPUNIT_ASSERT((peers.due(m_now) == std::vector<std::string>{"c:1"}));
+    }
+
+    void taskOfALostKeeperIsDoneHere()
+    {
+        const InstanceName keeper = findKeeper();
+        m_fixture.apply(HeartbeatHeard{heartbeat(keeper.text())});
+        RequestArrived arrival = m_fixture.arrival("/draft/1");
+        arrival.request.pieces = {1};
+        m_fixture.apply(arrival);
+        const auto *handed = m_fixture.effect<HandTask>();
+        CPPUNIT_ASSERT(handed != nullptr);
+        const StageTaskId task = handed->task.id;
+        m_fixture.apply(HandedTaskEnded{task, keeper, {}});
+        CPPUNIT_ASSERT(m_fixture.effect<StartStageCall>() != nullptr);
+    }
+
+    void resultsForAPeerThatLeftAreFreed()
+    {
+        StageTask task;
+        task.pool = PoolName{"encoders"};
+        task.attempt = "attempt";
+        task.pieces = 2;
+        task.due = m_fixture.now() + std::chrono::seconds{1};
+        task.deadline = m_fixture.now() + std::chrono::seconds{5};
+        task.resultBytes = 15'000;
+        m_fixture.apply(PeerTaskArrived{PeerTaskNumber{1}, InstanceName{"b"}, task});
+        const auto *call = m_fixture.effect<StartStageCall>();
+        CPPUNIT_ASSERT(call != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, call->items.size());
+        m_fixture.apply(StageCallEnded{call->call, StageCallEnd::Answered, {{"h-1", {}}}});
+        m_fixture.apply(PeerTaskGone{PeerTaskNumber{1}});
+        const auto *freed = m_fixture.effect<FreeResults>();
+        CPPUNIT_ASSERT(freed != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::string{"h-1"}, freed->handles.front());
+    }
+
+    void endpointThatVanishesWithTheListIsKeptForAWhile()
+    {
+        EndpointDirectory directory;
+        directory.put(record("e"));
+        static_cast<void>(directory.takeChange(m_now));
+        directory.lost(m_now);
+        m_now += std::chrono::seconds{5};
+        directory.regained(m_now);
+        directory.remove(InstanceName{"e"}, m_now);
+        CPPUNIT_ASSERT(directory.takeChange(m_now) == nullptr);
+        m_now += std::chrono::milliseconds{2300};
+        const auto list = directory.takeChange(m_now);
+        CPPUNIT_ASSERT(list != nullptr);
+        CPPUNIT_ASSERT(list->empty());
+    }
+
+    void endpointThatDrainsIsNotKept()
+    {
+        EndpointDirectory directory;
+        directory.put(record("e", true));
+        directory.lost(m_now);
+        m_now += std::chrono::seconds{5};
+        directory.regained(m_now);
+        directory.put(record("e", false));
+        CPPUNIT_ASSERT(directory.takeChange(m_now)->front().draining);
+        directory.remove(InstanceName{"e"}, m_now);
+        CPPUNIT_ASSERT(directory.takeChange(m_now)->empty());
+    }
+
+    void endpointRemovedInCalmTimesIsGoneAtOnce()
+    {
+        EndpointDirectory directory;
+        directory.put(record("e"));
+        directory.remove(InstanceName{"e"}, m_now);
+        CPPUNIT_ASSERT(directory.takeChange(m_now)->empty());
+    }
+
+    void splitterKeepsUnfinishedEventsBack()
+    {
+        EventSplitter splitter;
+        CPPUNIT_ASSERT_EQUAL(std::string{}, splitter.take("id: 1\ndata"));
+        CPPUNIT_ASSERT(splitter.inEvent());
+        CPPUNIT_ASSERT_EQUAL(std::string{"id: 1\ndata: x\n\n"}, splitter.take(": x\n\n"));
+        CPPUNIT_ASSERT(!splitter.inEvent());
+        CPPUNIT_ASSERT(splitter.last() == std::optional<std::uint64_t>{1});
+    }
+
+    void splitterDropsWhatWasPassedOnAndSeesGaps()
+    {
+        EventSplitter splitter{3};
+        CPPUNIT_ASSERT_EQUAL(std::string{"id: 4\ndata: d\n\n"}, splitter.take("id: 3\ndata: c\n\nid: 4\ndata: d\n\n"));
+        static_cast<void>(splitter.take("id: 6\ndata: f\n\n"));
+        CPPUNIT_ASSERT(splitter.isBroken());
+    }
+
+    void promptsArePlacedByThePartThatComesAgain()
+    {
+        PromptHistory history;
+        std::string key;
+        for (int request = 0; request < 40; ++request) {
+            const std::string session = "session-" + std::to_string(request % 8);
+            key = history.note("route", {{"system", 100}, {session, 50}, {"own-" + std::to_string(request), 10}}, m_now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string{"session-7"}, key);
+        for (int request = 0; request < 40; ++request) {
+            const std::string session = "session-" + std::to_string(request % 8);
+            key = history.note("sessions", {{"system", 100}, {session, 50}}, m_now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string{"session-7"}, key);
+    }
+
+private:
+    [[nodiscard]] static Heartbeat heartbeat(const std::string &name)
+    {
+        Heartbeat out;
+        out.from = {InstanceName{name}, name + ":1"};
+        return out;
+    }
+
+    [[nodiscard]] static EndpointRecord record(const std::string &name, bool draining = false)
+    {
+        return {InstanceName{name}, PoolName{"pool"}, "10.0.0.1:1", ZoneName{"a"}, 1, draining};
+    }
+
+    /*! @brief Returns a name that rendezvous hashing prefers to that of the fixture's process. */
+    [[nodiscard]] InstanceName findKeeper() const
+    {
+        for (int number = 2;; ++number) {
+            const std::string name = "entry-" + std::to_string(number);
+            Peers peers{{InstanceName{"entry-1"}, "10.0.0.9:1"}, {}};
+            peers.heard(heartbeat(name), m_now);
+            if (peers.keeper(PoolName{"encoders"}, m_now)) {
+                return InstanceName{name};
+            }
+        }
+    }
+
+    ServingFixture m_fixture;
+    TimePoint m_now{m_fixture.now()};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServingPeersTest);
--- /dev/null
+++ b/test/bergamottide/serving/servingfixture.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "bergamottide/serving/servingreducer.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bergamottide::test {
+
+/*! @brief A reducer under a virtual clock, with routes to a plain pool, a model pool and a stage pool. */
+class ServingFixture
+{
+public:
+    ServingFixture()
+    {
+        apply(serving::CatalogChanged{catalog()});
+        apply(serving::EndpointsChanged{endpoints()});
+    }
+
+    [[nodiscard]] static std::shared_ptr<const serving::Catalog> catalog()
+    {
+        using namespace serving;
+        auto out = std::make_shared<Catalog>();
+        out->version = 1;
+        out->needsKeys = true;
+        out->workspaceOfKey["key"] = Workspace{WorkspaceName{"north"}, 0};
+        out->routes.push_back(route("order", "/order/", RouteKind::NonIdempotent, "desk"));
+        out->routes.push_back(route("lookup", "/lookup/", RouteKind::Idempotent, "desk"));
+        out->routes.back().maxAttempts = 2;
+        out->routes.push_back(route("chat", "/chat/", RouteKind::Streaming, "engines"));
+        out->routes.push_back(route("summary", "/summary/", RouteKind::Streaming, "engines"));
+        out->routes.back().isResumable = true;
+        out->routes.back().maxAttempts = 2;
+        out->routes.push_back(route("draft", "/draft/", RouteKind::Streaming, "engines"));
+        out->routes.back().stages.push_back({PoolName{"encoders"}, {}, 1000});
+        out->pools["desk"] = Pool{PoolName{"desk"}, 100, {}, {}};
+        out->pools["engines"] = Pool{PoolName{"engines"}, 100, {}, EngineSpec{8, 100'000}};
+        out->pools["encoders"] = Pool{PoolName{"encoders"}, 100, batch(), {}};
+        out->index();
+        return out;
+    }
+
+    [[nodiscard]] static serving::BatchSpec batch()
+    {
+        return {1, 8, std::chrono::milliseconds{150}, std::chrono::milliseconds{10}, 20'000, std::chrono::seconds{4}};
+    }
+
+    [[nodiscard]] static std::shared_ptr<const serving::EndpointList> endpoints()
+    {
+        auto list = std::make_shared<serving::EndpointList>();
+        for (const auto &[name, pool] : std::vector<std::pair<std::string, std::string>>{
+                 {"desk-1", "desk"}, {"desk-2", "desk"}, {"engine-1", "engines"}, {"engine-2", "engines"}, {"encoder-1", "encoders"}}) {
+            list->push_back({InstanceName{name}, PoolName{pool}, "10.0.0.1:1", ZoneName{"a"}, 4, false});
+        }
+        return list;
+    }
+
+    [[nodiscard]] serving::RequestArrived arrival(const std::string &path, std::uint64_t call = 1) const
+    {
+        serving::CallerRequest request;
+        request.call = CallId{call};
+        request.attempt = "attempt-" + std::to_string(call);
+        request.method = "POST";
+        request.host = "example";
+        request.path = path;
+        request.target = path;
+        request.key = "key";
+        request.deadline = std::chrono::seconds{4};
+        return {request};
+    }
+
+    /*! @brief Applies an event; keeps its effects apart from log lines and metrics. */
+    void apply(const serving::Event &event)
+    {
+        m_effects.clear();
+        for (serving::Effect &effect : m_reducer.apply(event, m_now)) {
+            if (!std::holds_alternative<LogLine>(effect) && !std::holds_alternative<Observe>(effect)
+                && !std::holds_alternative<serving::SendHeartbeat>(effect)) {
+                m_effects.push_back(std::move(effect));
+            }
+        }
+    }
+
+    /*! @brief Moves the clock and ticks. */
+    void pass(Duration time)
+    {
+        m_now += time;
+        apply(serving::Tick{});
+    }
+
+    /*! @brief Returns the effect of a type among those of the last event, or null. */
+    template <typename Wanted>
+    [[nodiscard]] const Wanted *effect() const
+    {
+        for (const serving::Effect &one : m_effects) {
+            if (const auto *found = std::get_if<Wanted>(&one)) {
+                return found;
+            }
+        }
+        return nullptr;
+    }
+
+    [[nodiscard]] const serving::Effects &effects() const noexcept
+    {
+        return m_effects;
+    }
+
+    [[nodiscard]] serving::ServingReducer &reducer() noexcept
+    {
+        return m_reducer;
+    }
+
+    [[nodiscard]] TimePoint now() const noexcept
+    {
+        return m_now;
+    }
+
+    [[nodiscard]] static serving::EndpointAnswerHead head(int status = 200)
+    {
+        serving::EndpointAnswerHead out;
+        out.status = status;
+        out.sealed = true;
+        return out;
+    }
+
+private:
+    [[nodiscard]] static serving::Route route(const std::string &name, const std::string &prefix, serving::RouteKind kind, const std::string &pool)
+    {
+        serving::Route out;
+        out.name = name;
+        out.host = "example";
+        out.pathPrefix = prefix;
+        out.kind = kind;
+        out.timeout = std::chrono::seconds{3};
+        out.objective = std::chrono::seconds{1};
+        out.pools = {{PoolName{pool}, 1}};
+        return out;
+    }
+
+    [[nodiscard]] static serving::ServingOptions options()
+    {
+        serving::ServingOptions out;
+        out.self = {InstanceName{"entry-1"}, "10.0.0.9:1"};
+        return out;
+    }
+
+    TimePoint m_now{std::chrono::seconds{100}};
+    serving::ServingReducer m_reducer{options()};
+    serving::Effects m_effects;
+};
+
+} // namespace bergamottide::test
--- /dev/null
+++ b/test/bergamottide/serving/servingreducer.cpp
@@ -0,0 +1,223 @@
+#include "servingfixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace bergamottide;
+using namespace bergamottide::serving;
+using bergamottide::test::ServingFixture;
+
+/*! @brief What becomes of a request: sent, repeated, answered or refused. */
+class ServingReducerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ServingReducerTest);
+    CPPUNIT_TEST(plainAnswerIsPassedOnUnchanged);
+    CPPUNIT_TEST(unknownRouteAndKeyAreRefused);
+    CPPUNIT_TEST(withoutConfigurationNothingIsDenied);
+    CPPUNIT_TEST(nonIdempotentCallIsNotRepeatedAfterABreak);
+    CPPUNIT_TEST(nonIdempotentCallIsRepeatedAfterARejection);
+    CPPUNIT_TEST(idempotentCallIsRepeatedElsewhereAfterAFailure);
+    CPPUNIT_TEST(requestWithoutAnswerIsNeverSaidNotToHaveRun);
+    CPPUNIT_TEST(requestThatNoEndpointTookIsSaidNotToHaveRun);
+    CPPUNIT_TEST(unsealedSuccessIsNotPassedOn);
+    CPPUNIT_TEST(foreignAnswerIsNotPassedOn);
+    CPPUNIT_TEST(brokenStreamIsAborted);
+    CPPUNIT_TEST(resumableStreamGoesOnBehindItsLastWholeEvent);
+    CPPUNIT_TEST(callerThatLeavesCancelsItsRun);
+    CPPUNIT_TEST(drainTakesRequestsOnlyAtItsBeginning);
+    CPPUNIT_TEST(stagesAreMadeBeforeTheRunAndFreedAtItsFirstEvent);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void plainAnswerIsPassedOnUnchanged()
+    {
+        const RunNumber run = send("/order/1");
+        m_fixture.apply(RunAnswered{run, ServingFixture::head(201)});
+        m_fixture.apply(RunReceived{run, "body"});
+        m_fixture.apply(RunEnded{run});
+        const auto *answer = m_fixture.effect<AnswerCaller>();
+        CPPUNIT_ASSERT(answer != nullptr);
+        CPPUNIT_ASSERT_EQUAL(201, answer->status);
+        CPPUNIT_ASSERT_EQUAL(std::string{"body"}, answer->body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_fixture.reducer().inProgress());
+    }
+
+    void unknownRouteAndKeyAreRefused()
+    {
+        m_fixture.apply(m_fixture.arrival("/nowhere/1"));
+        CPPUNIT_ASSERT(refusal() == AnswerKind::NoRoute);
+        RequestArrived arrival = m_fixture.arrival("/order/1", 2);
+        arrival.request.key = "other";
+        m_fixture.apply(arrival);
+        CPPUNIT_ASSERT(refusal() == AnswerKind::UnknownKey);
+    }
+
+    void withoutConfigurationNothingIsDenied()
+    {
+        ServingReducer reducer{{}};
+        bool refused = false;
+        for (const Effect &effect : reducer.apply(m_fixture.arrival("/order/1"), m_fixture.now())) {
+            if (const auto *one = std::get_if<RefuseCaller>(&effect)) {
+                CPPUNIT_ASSERT(one->kind == AnswerKind::Unavailable);
+                refused = true;
+            }
+        }
+        CPPUNIT_ASSERT(refused);
+    }
+
+    void nonIdempotentCallIsNotRepeatedAfterABreak()
+    {
+        m_fixture.apply(RunFailed{send("/order/1"), RunFailure::Broken});
+        CPPUNIT_ASSERT(refusal() == AnswerKind::BadGateway);
+        CPPUNIT_ASSERT(m_fixture.effect<StartRun>() == nullptr);
+    }
+
+    void nonIdempotentCallIsRepeatedAfterARejection()
+    {
+        const RunNumber run = send("/order/1");
+        const InstanceName first = m_sentTo;
+        EndpointAnswerHead head = ServingFixture::head(503);
+        head.notExecuted = true;
+        m_fixture.apply(RunAnswered{run, head});
+        const auto *again = m_fixture.effect<StartRun>();
+        CPPUNIT_ASSERT(again != nullptr);
+        CPPUNIT_ASSERT(again->instance != first);
+    }
+
+    void idempotentCallIsRepeatedElsewhereAfterAFailure()
+    {
+        const RunNumber run = send("/lookup/1");
+        const InstanceName first = m_sentTo;
+        m_fixture.apply(RunAnswered{run, ServingFixture::head(500)});
+        m_fixture.apply(RunEnded{run});
+        const auto *again = m_fixture.effect<StartRun>();
+        CPPUNIT_ASSERT(again != nullptr);
+        CPPUNIT_ASSERT(again->instance != first);
+    }
+
+    void requestWithoutAnswerIsNeverSaidNotToHaveRun()
+    {
+        send("/order/1");
+        m_fixture.pass(std::chrono::seconds{3});
+        CPPUNIT_ASSERT(refusal() == AnswerKind::TimedOut);
+        CPPUNIT_ASSERT(m_fixture.effect<CancelRun>() != nullptr);
+    }
+
+    void requestThatNoEndpointTookIsSaidNotToHaveRun()
+    {
+        m_fixture.apply(RunFailed{send("/order/1"), RunFailure::Unreached});
+        const auto *again = m_fixture.effect<StartRun>();
+        CPPUNIT_ASSERT(again != nullptr);
+        m_fixture.apply(RunFailed{again->run, RunFailure::Unreached});
+        CPPUNIT_ASSERT(refusal() == AnswerKind::Unavailable);
+        CPPUNIT_ASSERT(m_fixture.effect<RefuseCaller>()->retryAfter > Duration::zero());
+    }
+
+    void unsealedSuccessIsNotPassedOn()
+    {
+        const RunNumber run = send("/order/1");
+        EndpointAnswerHead head = ServingFixture::head();
+        head.sealed = false;
+        m_fixture.apply(RunAnswered{run, head});
+        CPPUNIT_ASSERT(refusal() == AnswerKind::BadGateway);
+    }
+
+    void foreignAnswerIsNotPassedOn()
+    {
+        const RunNumber run = send("/order/1");
+        EndpointAnswerHead head = ServingFixture::head();
+        head.foreign = true;
+        m_fixture.apply(RunAnswered{run, head});
+        CPPUNIT_ASSERT(refusal() == AnswerKind::BadGateway);
+    }
+
+    void brokenStreamIsAborted()
+    {
+        const RunNumber run = send("/chat/1");
+        m_fixture.apply(RunAnswered{run, ServingFixture::head()});
+        CPPUNIT_ASSERT(m_fixture.effect<BeginStream>() != nullptr);
+        m_fixture.apply(RunReceived{run, "id: 1\ndata: a\n\nid: 2\nda"});
+        CPPUNIT_ASSERT_EQUAL(std::string{"id: 1\ndata: a\n\n"}, m_fixture.effect<StreamEvents>()->bytes);
+        m_fixture.apply(RunFailed{run, RunFailure::Broken});
+        CPPUNIT_ASSERT(m_fixture.effect<AbortStream>() != nullptr);
+        CPPUNIT_ASSERT(m_fixture.effect<StartRun>() == nullptr);
+    }
+
+    void resumableStreamGoesOnBehindItsLastWholeEvent()
+    {
+        const RunNumber run = send("/summary/1");
+        m_fixture.apply(RunAnswered{run, ServingFixture::head()});
+        m_fixture.apply(RunReceived{run, "id: 1\ndata: a\n\nid: 2\nda"});
+        m_fixture.apply(RunFailed{run, RunFailure::Broken});
+        const auto *again = m_fixture.effect<StartRun>();
+        CPPUNIT_ASSERT(again != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, again->lastEvent);
+        const RunNumber second = again->run;
+        m_fixture.apply(RunAnswered{second, ServingFixture::head()});
+        CPPUNIT_ASSERT(m_fixture.effect<BeginStream>() == nullptr);
+        m_fixture.apply(RunReceived{second, "id: 2\ndata: b\n\n"});
+        CPPUNIT_ASSERT_EQUAL(std::string{"id: 2\ndata: b\n\n"}, m_fixture.effect<StreamEvents>()->bytes);
+        m_fixture.apply(RunEnded{second});
+        CPPUNIT_ASSERT(m_fixture.effect<FinishStream>() != nullptr);
+    }
+
+    void callerThatLeavesCancelsItsRun()
+    {
+        send("/chat/1");
+        m_fixture.apply(CallerLeft{CallId{1}});
+        CPPUNIT_ASSERT(m_fixture.effect<CancelRun>() != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_fixture.reducer().inProgress());
+    }
+
+    void drainTakesRequestsOnlyAtItsBeginning()
+    {
+        m_fixture.apply(DrainRequested{});
+        m_fixture.apply(m_fixture.arrival("/order/1"));
+        CPPUNIT_ASSERT(m_fixture.effect<StartRun>() != nullptr);
+        m_fixture.pass(std::chrono::milliseconds{2600});
+        m_fixture.apply(m_fixture.arrival("/order/1", 2));
+        CPPUNIT_ASSERT(refusal() == AnswerKind::Unavailable);
+    }
+
+    void stagesAreMadeBeforeTheRunAndFreedAtItsFirstEvent()
+    {
+        RequestArrived arrival = m_fixture.arrival("/draft/1");
+        arrival.request.pieces = {2};
+        arrival.request.pieceKey = "input";
+        m_fixture.apply(arrival);
+        const auto *call = m_fixture.effect<StartStageCall>();
+        CPPUNIT_ASSERT(call != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, call->items.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"input"}, call->items.front().key);
+        m_fixture.apply(StageCallEnded{call->call, StageCallEnd::Answered, {{"h-1", {}}, {"h-2", {}}}});
+        const auto *run = m_fixture.effect<StartRun>();
+        CPPUNIT_ASSERT(run != nullptr);
+        CPPUNIT_ASSERT((run->inputs == std::vector<std::string>{"h-1", "h-2"}));
+        const RunNumber number = run->run;
+        m_fixture.apply(RunAnswered{number, ServingFixture::head()});
+        m_fixture.apply(RunReceived{number, "id: 1\ndata: a\n\n"});
+        const auto *freed = m_fixture.effect<FreeResults>();
+        CPPUNIT_ASSERT(freed != nullptr);
+        CPPUNIT_ASSERT((freed->handles == std::vector<std::string>{"h-1", "h-2"}));
+    }
+
+private:
+    RunNumber send(const std::string &path)
+    {
+        m_fixture.apply(m_fixture.arrival(path));
+        const auto *start = m_fixture.effect<StartRun>();
+        CPPUNIT_ASSERT(start != nullptr);
+        m_sentTo = start->instance;
+        return start->run;
+    }
+
+    [[nodiscard]] std::optional<AnswerKind> refusal() const
+    {
+        const auto *refused = m_fixture.effect<RefuseCaller>();
+        return refused == nullptr ? std::nullopt : std::optional{refused->kind};
+    }
+
+    ServingFixture m_fixture;
+    InstanceName m_sentTo;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServingReducerTest);
--- /dev/null
+++ b/test/platform/codecs.cpp
@@ -0,0 +1,220 @@
+#include "requestcodec.h"
+#include "stagecodec.h"
+#include "storecodec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace bergamottide;
+
+namespace {
+
+HttpRequest callerRequest()
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/draft/1";
+    request.query = "q=1";
+    request.authority = "example:80";
+    request.body = "body";
+    request.headers = {{"attempt-id", "a1"},
+                       {"deadline-ms", "4000"},
+                       {"x-api-key", "key"},
+                       {"token-counts", "1460,80"},
+                       {"prompt-prefix", "5c1e07a2:800,91bd3f06:660"},
+                       {"pieces", "2,0"},
+                       {"piece-key", "input"},
+                       {"model", "m"}};
+    return request;
+}
+
+} // namespace
+
+/*! @brief What the platform's bytes mean to the product, and the other way round. */
+class PlatformCodecsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformCodecsTest);
+    CPPUNIT_TEST(readsACallersRequest);
+    CPPUNIT_TEST(refusesHeadersThatCannotBeRead);
+    CPPUNIT_TEST(passesNothingOnThatOnlyTheSystemMaySet);
+    CPPUNIT_TEST(writesARunWithWhatIsLeft);
+    CPPUNIT_TEST(takesNoAnswerOfAnotherRequest);
+    CPPUNIT_TEST(takesARejectionWithoutAName);
+    CPPUNIT_TEST(givesATimeToComeBackInFractions);
+    CPPUNIT_TEST(writesAndReadsStageCalls);
+    CPPUNIT_TEST(answerWithTheWrongNumberOfItemsIsBroken);
+    CPPUNIT_TEST(readsAConfiguration);
+    CPPUNIT_TEST(configurationOfTheWrongTypesIsATypedError);
+    CPPUNIT_TEST(readsPagesAndWritesThemForPeers);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void readsACallersRequest()
+    {
+        const auto read = platform::readRequest(CallId{1}, callerRequest());
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT_EQUAL(std::string{"a1"}, read->attempt);
+        CPPUNIT_ASSERT_EQUAL(std::string{"example"}, read->host);
+        CPPUNIT_ASSERT_EQUAL(std::string{"/draft/1"}, read->path);
+        CPPUNIT_ASSERT_EQUAL(std::string{"/draft/1?q=1"}, read->target);
+        CPPUNIT_ASSERT(read->deadline == std::optional<Duration>{std::chrono::seconds{4}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1460}, read->promptTokens);
+        CPPUNIT_ASSERT_EQUAL(std::string{"91bd3f06"}, read->prompt.back().id);
+        CPPUNIT_ASSERT((read->pieces == std::vector<std::uint32_t>{2, 0}));
+    }
+
+    void refusesHeadersThatCannotBeRead()
+    {
+        for (const auto &[name, value] : HttpHeaders{{"deadline-ms", "soon"}, {"deadline-ms", "-1"}, {"pieces", "1,x"}, {"pieces", "99999999"}, {"prompt-prefix", "a"}, {"token-counts", "1"}}) {
+            HttpRequest request = callerRequest();
+            std::erase_if(request.headers, [&name = name](const auto &header) { return header.first == name; });
+            request.headers.emplace_back(name, value);
+            CPPUNIT_ASSERT(!platform::readRequest(CallId{1}, request).ok());
+        }
+    }
+
+    void passesNothingOnThatOnlyTheSystemMaySet()
+    {
+        HttpRequest request = callerRequest();
+        for (const char *name : {"Tenant", "Expect-Instance", "Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch", "Inputs", "Request-Urgency",
+                                 "Expect-Version", "Transfer-Encoding", "Upgrade", "X-Local"}) {
+            request.headers.emplace_back(name, "1");
+        }
+        request.headers.emplace_back("Connection", "close, x-local");
+        const HttpRequest out = platform::writeRun(run(request));
+        for (const char *name : {"tenant", "hold", "pin-ms", "kv-backup", "kv-from", "kv-fetch", "inputs", "request-urgency", "expect-version",
+                                 "transfer-encoding", "upgrade", "connection", "x-local", "x-api-key"}) {
+            CPPUNIT_ASSERT_EQUAL(std::string{}, std::string{headerValue(out.headers, name)});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string{"engine-1"}, std::string{headerValue(out.headers, "expect-instance")});
+        CPPUNIT_ASSERT_EQUAL(std::string{"m"}, std::string{headerValue(out.headers, "model")});
+    }
+
+    void writesARunWithWhatIsLeft()
+    {
+        serving::StartRun start = run(callerRequest());
+        start.workspace = WorkspaceName{"north"};
+        start.urgency = 2;
+        start.inputs = {"h1", "h2"};
+        start.lastEvent = "7";
+        const HttpRequest out = platform::writeRun(start);
+        CPPUNIT_ASSERT_EQUAL(std::string{"/draft/1?q=1"}, out.path);
+        CPPUNIT_ASSERT_EQUAL(std::string{"example:80"}, out.authority);
+        CPPUNIT_ASSERT_EQUAL(std::string{"1500"}, std::string{headerValue(out.headers, "deadline-ms")});
+        CPPUNIT_ASSERT_EQUAL(std::string{"north"}, std::string{headerValue(out.headers, "tenant")});
+        CPPUNIT_ASSERT_EQUAL(std::string{"2"}, std::string{headerValue(out.headers, "request-urgency")});
+        CPPUNIT_ASSERT_EQUAL(std::string{"h1,h2"}, std::string{headerValue(out.headers, "inputs")});
+        CPPUNIT_ASSERT_EQUAL(std::string{"7"}, std::string{headerValue(out.headers, "last-event-id")});
+    }
+
+    void takesNoAnswerOfAnotherRequest()
+    {
+        serving::CallerRequest request;
+        request.attempt = "a1";
+        const auto own = platform::readAnswerHead(request, 200, {{"Attempt-Id", "a1"}, {"Response-Seal", "s"}, {"Server-Load", "3,1,8"}, {"X-Kept", "1"}});
+        CPPUNIT_ASSERT(!own.foreign && own.sealed && !own.notExecuted);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{8}, own.load->slots);
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, std::string{headerValue(own.headers, "x-kept")});
+        CPPUNIT_ASSERT(platform::readAnswerHead(request, 200, {{"Attempt-Id", "a2"}, {"Response-Seal", "s"}}).foreign);
+        CPPUNIT_ASSERT(platform::readAnswerHead(request, 200, {{"Response-Seal", "s"}}).foreign);
+        CPPUNIT_ASSERT(!platform::readAnswerHead(request, 200, {{"Attempt-Id", "a1"}, {"Response-Seal", "s"}, {"Content-Encoding", "gzip"}}).sealed);
+    }
+
+    void takesARejectionWithoutAName()
+    {
+        serving::CallerRequest request;
+        request.attempt = "a1";
+        const auto rejected = platform::readAnswerHead(request, 503, {{"Not-Executed", "1"}});
+        CPPUNIT_ASSERT(rejected.notExecuted && !rejected.foreign);
+        CPPUNIT_ASSERT(platform::readAnswerHead(request, 421, {}).notExecuted);
+        CPPUNIT_ASSERT(platform::readAnswerHead(request, 503, {{"Not-Executed", "1"}, {"Attempt-Id", "a2"}}).foreign);
+    }
+
+    void givesATimeToComeBackInFractions()
+    {
+        const HttpAnswer answer = platform::writeRefusal({CallId{1}, serving::AnswerKind::Unavailable, std::chrono::milliseconds{250}}, "a1");
+        CPPUNIT_ASSERT_EQUAL(503, answer.status);
+        CPPUNIT_ASSERT_EQUAL(std::string{"0.250"}, std::string{headerValue(answer.headers, "retry-after")});
+        CPPUNIT_ASSERT_EQUAL(504, platform::writeRefusal({CallId{1}, serving::AnswerKind::TimedOut, {}}, "a1").status);
+    }
+
+    void writesAndReadsStageCalls()
+    {
+        serving::StartStageCall call;
+        call.instance = InstanceName{"encoder-1"};
+        call.deadline = std::chrono::milliseconds{900};
+        call.items = {{"a1", 0, 2, std::chrono::milliseconds{900}, "input", {}}, {"a2", 1, 0, std::chrono::milliseconds{500}, "", {"h1"}}};
+        const HttpRequest out = platform::writeStageCall(call);
+        CPPUNIT_ASSERT_EQUAL(std::string{R"({"items":[{"id":"a1","key":"input","leftMs":900,"piece":2,"stage":0},)"
+                                         R"({"id":"a2","inputs":["h1"],"leftMs":500,"piece":0,"stage":1}]})"},
+                             out.body);
+        CPPUNIT_ASSERT_EQUAL(std::string{"encoder-1"}, std::string{headerValue(out.headers, "expect-instance")});
+        const auto ended = platform::readStageAnswer(serving::StageCallNumber{1}, 2, {200, {}, R"({"items":[{"handle":"h2"},{"reason":"gone"}]})"});
+        CPPUNIT_ASSERT(ended.end == serving::StageCallEnd::Answered);
+        CPPUNIT_ASSERT_EQUAL(std::string{"h2"}, ended.results[0].handle);
+        CPPUNIT_ASSERT(ended.results[1].failure == serving::PieceFailure::InputGone);
+    }
+
+    void answerWithTheWrongNumberOfItemsIsBroken()
+    {
+        const serving::StageCallNumber call{1};
+        CPPUNIT_ASSERT(platform::readStageAnswer(call, 2, {200, {}, R"({"items":[{"handle":"h2"}]})"}).end == serving::StageCallEnd::Broken);
+        CPPUNIT_ASSERT(platform::readStageAnswer(call, 2, {200, {}, "x"}).end == serving::StageCallEnd::Broken);
+        CPPUNIT_ASSERT(platform::readStageAnswer(call, 2, {503, {{"not-executed", "1"}}, ""}).end == serving::StageCallEnd::Rejected);
+        CPPUNIT_ASSERT(platform::readStageAnswer(call, 2, {500, {}, ""}).end == serving::StageCallEnd::Broken);
+    }
+
+    void readsAConfiguration()
+    {
+        const auto catalog = platform::readCatalog(R"({"version":7,"routes":[
+            {"name":"r1","host":"Example","pathPrefix":"/a/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":1000,"priority":1,
+             "trafficSplit":[{"service":"m1","weight":90},{"service":"m2","weight":10}],"maxAttempts":2,"resumable":true,
+             "stages":[{"service":"e","after":[],"bytes":8000},{"service":"f","after":[0],"bytes":60000}]},
+            {"name":"r2","host":"example","pathPrefix":"/a/b/","kind":"unsafe","service":"d","public":true}],
+            "services":[{"name":"e","maxConnections":370,"pieces":{"slots":1,"batch":8,"callMs":150.0,"itemMs":16.0,"headroomMb":45.0,"handleS":4.0}}],
+            "tenants":[{"name":"north","apiKeys":["k1","k2"],"priority":1}]})");
+        CPPUNIT_ASSERT(catalog.ok());
+        const serving::Route *route = catalog->find("example", "/a/x");
+        CPPUNIT_ASSERT(route != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::string{"r1"}, route->name);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, route->topLevel());
+        CPPUNIT_ASSERT(!route->stages[0].isLeaf && route->stages[1].isLeaf);
+        CPPUNIT_ASSERT(route->mayRunTwice());
+        CPPUNIT_ASSERT_EQUAL(std::string{"r2"}, catalog->find("EXAMPLE", "/a/b/x")->name);
+        CPPUNIT_ASSERT(catalog->find("example", "/b/") == nullptr);
+        CPPUNIT_ASSERT(catalog->pool(PoolName{"e"})->batch->itemTime == std::chrono::milliseconds{16});
+        CPPUNIT_ASSERT_EQUAL(std::string{"north"}, catalog->workspaceOfKey.at("k2").name.text());
+    }
+
+    void configurationOfTheWrongTypesIsATypedError()
+    {
+        CPPUNIT_ASSERT(!platform::readCatalog("{}").ok());
+        CPPUNIT_ASSERT(!platform::readCatalog("x").ok());
+        CPPUNIT_ASSERT(!platform::readCatalog(R"({"version":1,"routes":[{"name":7}]})").ok());
+        CPPUNIT_ASSERT(!platform::readEndpoint("i", R"({"service":["x"]})").ok());
+    }
+
+    void readsPagesAndWritesThemForPeers()
+    {
+        const auto page = platform::readPage(
+            R"({"items":[{"key":"servers/i-1","value":"eyJzdGF0ZSI6ImRyYWluaW5nIn0=","revision":12}],"hasMore":true,"storeRevision":13})");
+        CPPUNIT_ASSERT(page.ok());
+        CPPUNIT_ASSERT(page->hasMore);
+        CPPUNIT_ASSERT(platform::readEndpoint("i-1", page->items[0].value)->draining);
+        const auto again = platform::readPage(platform::writePage(*page));
+        CPPUNIT_ASSERT(again.ok());
+        CPPUNIT_ASSERT_EQUAL(page->items[0].value, again->items[0].value);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{13}, again->revision);
+    }
+
+private:
+    static serving::StartRun run(const HttpRequest &request)
+    {
+        serving::StartRun start;
+        start.instance = InstanceName{"engine-1"};
+        start.deadline = std::chrono::milliseconds{1500};
+        start.request = std::make_shared<const serving::CallerRequest>(*platform::readRequest(CallId{1}, request));
+        return start;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformCodecsTest);
