Late tasks wait 1.2 s at most; large results are made in the zone of their engine

Change: a late task is given up after 1.2 s, and late ones may take three quarters of the room; a call is filled first with tasks whose engine is in the endpoint's zone.

--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -87,7 +87,8 @@
                  {"pieces", task.pieces},
                  {"key", task.key},
                  {"inputs", task.inputs},
-                 {"bytes", task.resultBytes}});
+                 {"bytes", task.resultBytes},
+                 {"zone", task.zone.text()}});
 }
 
 absl::StatusOr<AskedTask> readTask(const std::string &text, TimePoint now)
@@ -106,6 +107,7 @@
         task.key = value.at("key").get<std::string>();
         task.inputs = value.at("inputs").get<std::vector<std::string>>();
         task.resultBytes = value.at("bytes").get<std::uint64_t>();
+        task.zone = ZoneName{value.at("zone").get<std::string>()};
         return asked;
     });
 }
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -1,3 +1,4 @@
+#include "bergamottide/serving/engineplacement.h"
 #include "bergamottide/serving/servingreducer.h"
 
 #include <absl/strings/str_cat.h>
@@ -14,6 +15,8 @@
 /*! @brief Share, in percent, of the difference to the slowest stage beside it by which a faster stage starts later:
  * estimates err. */
 constexpr int justInTimeShare = 80;
+/*! @brief Results from this size on are made in the zone of the engine that fetches them where that costs no time: bytes between zones are metered. */
+constexpr std::uint64_t largeResult = 500'000;
 /*! @brief Differences below this are not worth a wakeup. */
 constexpr Duration shortestDelay = std::chrono::milliseconds{20};
 
@@ -103,6 +106,10 @@
     task.inputs = inputsOf(request, spec.after);
     task.key = task.inputs.empty() ? request.in->pieceKey : std::string{};
     task.resultBytes = spec.resultBytes;
+    if (spec.isLeaf && spec.resultBytes >= largeResult) {
+        const Endpoint *engine = pickEngine(m_endpoints.usable(request.pool, m_now), {}, request.placementKey);
+        task.zone = engine == nullptr ? ZoneName{} : engine->record.zone;
+    }
     progress.pool = spec.pool;
     progress.task = task.id;
     progress.made = 0;
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -25,13 +25,13 @@
 constexpr double leastFill = 0.6;
 /*! @brief Share of the room that results of late requests may take: they wait longest, and would keep it from the
  * others. */
-constexpr double lateRoomShare = 0.5;
+constexpr double lateRoomShare = 0.75;
 /*! @brief Time by which a task may be expected to miss its due before it is taken as late: estimates are no better than
  * that. */
 constexpr Duration lateTolerance = std::chrono::milliseconds{50};
 /*! @brief Longest wait of a late task behind all others: its result is worth little, and its caller may come back
  * sooner. */
-constexpr Duration longestLateWait = std::chrono::milliseconds{1500};
+constexpr Duration longestLateWait = std::chrono::milliseconds{1200};
 /*! @brief Weight of the newest call in the typical fill of calls under a backlog. */
 constexpr double fillWeight = 0.1;
 /*! @brief Time for which an endpoint that had no room for a result gets none: results of others lapse or are given up
@@ -137,6 +137,7 @@
         Pending &pending = m_tasks.at(task);
         queue.erase(orderOf(pending));
         pending.isLate = true;
+        pending.lateSince = now;
         queue.insert(orderOf(pending));
     }
     shedLate(pool, queue, ahead, busy, now);
@@ -155,7 +156,7 @@
             continue;
         }
         const Pending &pending = m_tasks.at(std::get<StageTaskId>(order));
-        const Duration wait = waitBehind(pool, ahead, busy, now);
+        const Duration wait = std::max(waitBehind(pool, ahead, busy, now), now - pending.lateSince);
         const bool inCall = pending.waiting.size() < pending.open;
         if (!inCall && (wait > longestLateWait || now + wait + expectedTime(*pool.batch, 1) > pending.task.deadline)) {
             hopeless.push_back(pending.task.id);
@@ -194,15 +195,12 @@
     markLate(pool, queue, now);
     while (!queue.empty()) {
         Endpoint *best = nullptr;
-        std::vector<CallItem> bestItems;
+        Choice chosen;
         for (Endpoint *endpoint : freeEndpoints(pool, now)) {
-            std::vector<CallItem> items = choose(pool, *endpoint, queue);
-            const bool fuller = items.size() > bestItems.size();
-            const bool faster = items.size() == bestItems.size() && best != nullptr
-                && presentSlowness(*endpoint, now) < presentSlowness(*best, now);
-            if (!items.empty() && (fuller || faster)) {
+            Choice choice = choose(pool, *endpoint, queue);
+            if (!choice.items.empty() && (best == nullptr || isBetter(choice, *endpoint, chosen, *best, now))) {
                 best = endpoint;
-                bestItems = std::move(items);
+                chosen = std::move(choice);
             }
         }
         if (best == nullptr) {
@@ -214,14 +212,14 @@
         }
         const std::size_t wanted = std::min<std::size_t>(waiting, pool.batch->batch);
         // Room comes back with every result that is used; a call that carries little would keep the endpoint from it.
-        if (best->resultBytes != 0 && static_cast<double>(bestItems.size()) < leastFill * static_cast<double>(wanted)) {
+        if (best->resultBytes != 0 && static_cast<double>(chosen.items.size()) < leastFill * static_cast<double>(wanted)) {
             return;
         }
         if (waiting >= pool.batch->batch) {
             double &fill = m_fill.try_emplace(pool.name, static_cast<double>(pool.batch->batch)).first->second;
-            fill += fillWeight * (static_cast<double>(bestItems.size()) - fill);
+            fill += fillWeight * (static_cast<double>(chosen.items.size()) - fill);
         }
-        send(pool, *best, std::move(bestItems), queue, now, effects);
+        send(pool, *best, std::move(chosen.items), queue, now, effects);
     }
 }
 
@@ -242,36 +240,70 @@
     return out;
 }
 
-std::vector<StageScheduler::CallItem> StageScheduler::choose(const Pool &pool, const Endpoint &endpoint,
-                                                             const std::set<Order> &queue) const
+bool StageScheduler::isBetter(const Choice &one, const Endpoint &endpoint, const Choice &other, const Endpoint &rival,
+                              TimePoint now)
+{
+    if (one.items.size() != other.items.size()) {
+        return one.items.size() > other.items.size();
+    }
+    if (one.local != other.local) {
+        return one.local > other.local;
+    }
+    return presentSlowness(endpoint, now) < presentSlowness(rival, now);
+}
+
+/*
+ * Large results are best made in the zone in which they are used. Tasks of other zones that are no more urgent than the
+ * first wait for the endpoints there as long as the call fills without them.
+ */
+StageScheduler::Choice StageScheduler::choose(const Pool &pool, const Endpoint &endpoint,
+                                              const std::set<Order> &queue) const
 {
-    std::vector<CallItem> items;
-    std::uint64_t bytes = endpoint.resultBytes;
+    Choice choice;
+    choice.bytes = endpoint.resultBytes;
+    const Order &first = *queue.begin();
     for (const Order &order : queue) {
         const Pending &pending = m_tasks.at(std::get<StageTaskId>(order));
-        const double share = pending.isLate ? lateRoomShare : 1.0;
-        const auto room = static_cast<std::uint64_t>(share * static_cast<double>(pool.batch->resultRoom));
-        const std::size_t rest = pending.waiting.size();
-        const bool isWhole =
-            items.size() + rest <= pool.batch->batch && bytes + rest * pending.task.resultBytes <= room;
-        // A request goes on when its last piece is made; the results of one that is spread over calls wait in scarce
-        // room. The first in the queue is spread all the same, or one with many pieces would wait for ever.
-        if (!isWhole && !items.empty()) {
-            continue;
+        const bool asUrgent = std::get<bool>(order) == std::get<bool>(first) && std::get<int>(order) == std::get<int>(first);
+        const bool fits = pending.task.zone.empty() || pending.task.zone == endpoint.record.zone;
+        if (fits && asUrgent) {
+            take(pool, pending, choice);
         }
-        for (const std::uint32_t piece : pending.waiting) {
-            if (items.size() >= pool.batch->batch) {
-                return items;
-            }
-            // The first result is always taken, or one larger than the room would wait for ever.
-            if (bytes != 0 && bytes + pending.task.resultBytes > room) {
-                break;
-            }
-            bytes += pending.task.resultBytes;
-            items.push_back({pending.task.id, piece, pending.task.resultBytes});
+    }
+    for (const Order &order : queue) {
+        take(pool, m_tasks.at(std::get<StageTaskId>(order)), choice);
+    }
+    for (const CallItem &item : choice.items) {
+        choice.local += m_tasks.at(item.task).task.zone == endpoint.record.zone ? 1 : 0;
+    }
+    return choice;
+}
+
+void StageScheduler::take(const Pool &pool, const Pending &pending, Choice &choice) const
+{
+    if (choice.items.size() >= pool.batch->batch || choice.tasks.contains(pending.task.id)) {
+        return;
+    }
+    const double share = pending.isLate ? lateRoomShare : 1.0;
+    const auto room = static_cast<std::uint64_t>(share * static_cast<double>(pool.batch->resultRoom));
+    const std::size_t rest = pending.waiting.size();
+    const bool isWhole =
+        choice.items.size() + rest <= pool.batch->batch && choice.bytes + rest * pending.task.resultBytes <= room;
+    // A request goes on when its last piece is made; the results of one that is spread over calls wait in scarce room.
+    // The first in the queue is spread all the same, or one with many pieces would wait for ever.
+    if (!isWhole && !choice.items.empty()) {
+        return;
+    }
+    choice.tasks.insert(pending.task.id);
+    for (const std::uint32_t piece : pending.waiting) {
+        // The first result is always taken, or one larger than the room would wait for ever.
+        const bool hasRoom = choice.bytes == 0 || choice.bytes + pending.task.resultBytes <= room;
+        if (choice.items.size() >= pool.batch->batch || !hasRoom) {
+            return;
         }
+        choice.bytes += pending.task.resultBytes;
+        choice.items.push_back({pending.task.id, piece, pending.task.resultBytes});
     }
-    return items;
 }
 
 void StageScheduler::send(const Pool &pool, Endpoint &endpoint, std::vector<CallItem> items, std::set<Order> &queue,
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -108,6 +108,7 @@
         std::uint32_t failures{};
         /*! @brief Its request cannot be on time any more. */
         bool isLate{};
+        TimePoint lateSince{};
     };
 
     struct CallItem
@@ -129,6 +130,17 @@
         TimePoint expiry{};
     };
 
+    /*! @brief What a call to one endpoint would carry. */
+    struct Choice
+    {
+        std::vector<CallItem> items;
+        std::set<StageTaskId> tasks;
+        /*! @brief Bytes in the endpoint's memory with it. */
+        std::uint64_t bytes{};
+        /*! @brief Items whose results are used in the endpoint's zone. */
+        std::size_t local{};
+    };
+
     /*! @brief A result that takes up memory at its endpoint. */
     struct Result
     {
@@ -147,8 +159,9 @@
     [[nodiscard]] Duration remainingTime(const PoolName &pool, TimePoint now) const;
     [[nodiscard]] Duration waitBehind(const Pool &pool, std::size_t pieces, Duration busy, TimePoint now);
     [[nodiscard]] std::vector<Endpoint *> freeEndpoints(const Pool &pool, TimePoint now);
-    [[nodiscard]] std::vector<CallItem> choose(const Pool &pool, const Endpoint &endpoint,
-                                               const std::set<Order> &queue) const;
+    [[nodiscard]] Choice choose(const Pool &pool, const Endpoint &endpoint, const std::set<Order> &queue) const;
+    void take(const Pool &pool, const Pending &pending, Choice &choice) const;
+    [[nodiscard]] static bool isBetter(const Choice &one, const Endpoint &endpoint, const Choice &other, const Endpoint &rival, TimePoint now);
     void dispatchPool(const Pool &pool, std::set<Order> &queue, TimePoint now, Effects &effects);
     void send(const Pool &pool, Endpoint &endpoint, std::vector<CallItem> items, std::set<Order> &queue, TimePoint now,
               Effects &effects);
--- a/src/bergamottide/serving/stagetask.h
+++ b/src/bergamottide/serving/stagetask.h
@@ -35,6 +35,8 @@
     std::string key;
     std::vector<std::string> inputs;
     std::uint64_t resultBytes{};
+    /*! @brief Zone in which its results are used, if they are large; empty for none. */
+    ZoneName zone;
 };
 
 /*! @brief Why a piece has no result. */
