--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -103,6 +103,7 @@
     void startLevel(Request &request);
     void startDelayed();
     void submitStage(Request &request, std::uint32_t stage);
+    [[nodiscard]] ZoneName zoneOf(const Request &request, std::uint32_t stage);
     void takeOutcomes();
     void take(const StageOutcome &outcome);
     void stageFailed(Request &request, PieceFailure failure);
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -15,8 +15,8 @@
 /*! @brief Share, in percent, of the difference to the slowest stage beside it by which a faster stage starts later:
  * estimates err. */
 constexpr int justInTimeShare = 80;
-/*! @brief Results from this size on are made in the zone of the engine that fetches them where that costs no time: bytes between zones are metered. */
-constexpr std::uint64_t largeResult = 500'000;
+/*! @brief Bytes that a stage moves from which on a zone is preferred, where that costs no time: below, the price of waiting is higher. */
+constexpr std::uint64_t manyBytes = 200'000;
 /*! @brief Differences below this are not worth a wakeup. */
 constexpr Duration shortestDelay = std::chrono::milliseconds{20};
 
@@ -106,10 +106,7 @@
     task.inputs = inputsOf(request, spec.after);
     task.key = task.inputs.empty() ? request.in->pieceKey : std::string{};
     task.resultBytes = spec.resultBytes;
-    if (spec.isLeaf && spec.resultBytes >= largeResult) {
-        const Endpoint *engine = pickEngine(m_endpoints.usable(request.pool, m_now), {}, request.placementKey);
-        task.zone = engine == nullptr ? ZoneName{} : engine->record.zone;
-    }
+    task.zone = zoneOf(request, stage);
     progress.pool = spec.pool;
     progress.task = task.id;
     progress.made = 0;
@@ -135,6 +132,33 @@
     return handles;
 }
 
+/*
+ * Each piece fetches all of its inputs, so a stage of many pieces moves its inputs many times over: of the bytes between
+ * zones, most are inputs. The zone that spares most of them is preferred.
+ */
+ZoneName ServingReducer::zoneOf(const Request &request, std::uint32_t stage)
+{
+    const StageSpec &spec = request.route->stages[stage];
+    const std::uint64_t pieces = request.stages[stage].pieces;
+    std::map<ZoneName, std::uint64_t> bytes;
+    for (const std::uint32_t before : spec.after) {
+        if (before >= request.stages.size()) {
+            continue;
+        }
+        for (const KeptResult &result : request.stages[before].results) {
+            if (const Endpoint *maker = m_endpoints.find(result.endpoint); maker != nullptr) {
+                bytes[maker->record.zone] += result.bytes * pieces;
+            }
+        }
+    }
+    if (spec.isLeaf) {
+        const Endpoint *engine = pickEngine(m_endpoints.usable(request.pool, m_now), {}, request.placementKey);
+        bytes[engine == nullptr ? ZoneName{} : engine->record.zone] += spec.resultBytes * pieces;
+    }
+    const auto most = std::max_element(bytes.begin(), bytes.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
+    return most == bytes.end() || most->second < manyBytes ? ZoneName{} : most->first;
+}
+
 /*
  * A task that waits for longer than its inputs are kept fails at its turn, and its chain would have to be made again:
  * under saturation that multiplied the work. It is given up instead once its inputs are sure to lapse.
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -253,8 +253,8 @@
 }
 
 /*
- * Large results are best made in the zone in which they are used. Tasks of other zones that are no more urgent than the
- * first wait for the endpoints there as long as the call fills without them.
+ * Large inputs and results are best kept within a zone. Tasks of other zones that are no more urgent than the first wait
+ * for the endpoints there as long as the call fills without them.
  */
 StageScheduler::Choice StageScheduler::choose(const Pool &pool, const Endpoint &endpoint,
                                               const std::set<Order> &queue) const
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -137,7 +137,7 @@
         std::set<StageTaskId> tasks;
         /*! @brief Bytes in the endpoint's memory with it. */
         std::uint64_t bytes{};
-        /*! @brief Items whose results are used in the endpoint's zone. */
+        /*! @brief Items that prefer the endpoint's zone. */
         std::size_t local{};
     };
 
--- a/src/bergamottide/serving/stagetask.h
+++ b/src/bergamottide/serving/stagetask.h
@@ -35,7 +35,7 @@
     std::string key;
     std::vector<std::string> inputs;
     std::uint64_t resultBytes{};
-    /*! @brief Zone in which its results are used, if they are large; empty for none. */
+    /*! @brief Zone in which making it moves the fewest bytes between zones; empty if that does not matter. */
     ZoneName zone;
 };
 
