A stage task waits 0.1 s for an endpoint of its zone

Change: while an endpoint of its zone works, a task leaves free ones of other zones aside for 0.1 s, unless its time is short.

--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -22,7 +22,7 @@
 {
     const auto keeper = m_peers.keeper(task.pool, m_now);
     if (!keeper) {
-        m_stages.submit(std::move(task));
+        m_stages.submit(std::move(task), m_now);
         return;
     }
     m_handed[task.id] = {keeper->instance, task};
@@ -74,7 +74,7 @@
     m_peerTasks[task.id] = {event.number, {}};
     m_peerNumbers[event.number] = task.id;
     m_peerPieces[task.id] = task.pieces;
-    m_stages.submit(std::move(task));
+    m_stages.submit(std::move(task), m_now);
 }
 
 void ServingReducer::on(const PeerTaskGone &event)
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -34,6 +34,15 @@
 constexpr Duration longestLateWait = std::chrono::milliseconds{1200};
 /*! @brief Weight of the newest call in the typical fill of calls under a backlog. */
 constexpr double fillWeight = 0.1;
+/*!
+ * @brief Time for which a task waits for an endpoint of its zone while others are free.
+ *
+ * A stage whose pieces each fetch all inputs moves several megabytes; a call takes 150 ms and more, so that an endpoint of
+ * the zone is likely to become free meanwhile.
+ */
+constexpr Duration zonePatience = std::chrono::milliseconds{100};
+/*! @brief A task with less time than this to its latest start does not wait for its zone. */
+constexpr Duration zoneUrgency = std::chrono::milliseconds{200};
 /*! @brief Time for which an endpoint that had no room for a result gets none: results of others lapse or are given up
  * by then. */
 constexpr Duration noRoomPause = std::chrono::milliseconds{250};
@@ -79,7 +88,7 @@
     return {pending.isLate, pending.task.rank, pending.task.due, pending.task.id};
 }
 
-void StageScheduler::submit(StageTask task)
+void StageScheduler::submit(StageTask task, TimePoint now)
 {
     const StageTaskId id = task.id;
     Pending pending;
@@ -87,6 +96,7 @@
         pending.waiting.push_back(piece);
     }
     pending.open = task.pieces;
+    pending.patientUntil = task.zone.empty() ? now : std::min(now + zonePatience, task.due - zoneUrgency);
     pending.task = std::move(task);
     m_queues[pending.task.pool].insert(orderOf(pending));
     m_tasks.emplace(id, std::move(pending));
@@ -104,6 +114,7 @@
 
 void StageScheduler::dispatch(const Catalog &catalog, TimePoint now, Effects &effects)
 {
+    m_dispatchedAt = now;
     for (auto &[name, queue] : m_queues) {
         const Pool *pool = catalog.pool(name);
         if (queue.empty() || pool == nullptr || !pool->batch) {
@@ -193,11 +204,15 @@
 void StageScheduler::dispatchPool(const Pool &pool, std::set<Order> &queue, TimePoint now, Effects &effects)
 {
     markLate(pool, queue, now);
+    std::set<ZoneName> zones;
+    for (const Endpoint *endpoint : m_endpoints.usable(pool.name, now)) {
+        zones.insert(endpoint->record.zone);
+    }
     while (!queue.empty()) {
         Endpoint *best = nullptr;
         Choice chosen;
         for (Endpoint *endpoint : freeEndpoints(pool, now)) {
-            Choice choice = choose(pool, *endpoint, queue);
+            Choice choice = choose(pool, *endpoint, queue, zones, now);
             if (!choice.items.empty() && (best == nullptr || isBetter(choice, *endpoint, chosen, *best, now))) {
                 best = endpoint;
                 chosen = std::move(choice);
@@ -256,8 +271,7 @@
  * Large inputs and results are best kept within a zone. Tasks of other zones that are no more urgent than the first wait
  * for the endpoints there as long as the call fills without them.
  */
-StageScheduler::Choice StageScheduler::choose(const Pool &pool, const Endpoint &endpoint,
-                                              const std::set<Order> &queue) const
+StageScheduler::Choice StageScheduler::choose(const Pool &pool, const Endpoint &endpoint, const std::set<Order> &queue, const std::set<ZoneName> &zones, TimePoint now) const
 {
     Choice choice;
     choice.bytes = endpoint.resultBytes;
@@ -271,7 +285,11 @@
         }
     }
     for (const Order &order : queue) {
-        take(pool, m_tasks.at(std::get<StageTaskId>(order)), choice);
+        const Pending &pending = m_tasks.at(std::get<StageTaskId>(order));
+        const bool fits = pending.task.zone == endpoint.record.zone || !zones.contains(pending.task.zone);
+        if (fits || pending.patientUntil <= now) {
+            take(pool, pending, choice);
+        }
     }
     for (const CallItem &item : choice.items) {
         choice.local += m_tasks.at(item.task).task.zone == endpoint.record.zone ? 1 : 0;
@@ -570,6 +588,14 @@
             first = call.expiry;
         }
     }
+    for (const auto &[pool, queue] : m_queues) {
+        for (const Order &order : queue) {
+            const TimePoint until = m_tasks.at(std::get<StageTaskId>(order)).patientUntil;
+            if (until > m_dispatchedAt && (!first || until < *first)) {
+                first = until;
+            }
+        }
+    }
     return first;
 }
 
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -40,8 +40,9 @@
     /**
      * @brief Adds a task.
      * @param task Task with a new identity.
+     * @param now Present time.
      */
-    void submit(StageTask task);
+    void submit(StageTask task, TimePoint now);
 
     /**
      * @brief Forgets a task; results that still come of it are given up.
@@ -109,6 +110,8 @@
         /*! @brief Its request cannot be on time any more. */
         bool isLate{};
         TimePoint lateSince{};
+        /*! @brief Until then only endpoints of its zone take it. */
+        TimePoint patientUntil{};
     };
 
     struct CallItem
@@ -159,7 +162,7 @@
     [[nodiscard]] Duration remainingTime(const PoolName &pool, TimePoint now) const;
     [[nodiscard]] Duration waitBehind(const Pool &pool, std::size_t pieces, Duration busy, TimePoint now);
     [[nodiscard]] std::vector<Endpoint *> freeEndpoints(const Pool &pool, TimePoint now);
-    [[nodiscard]] Choice choose(const Pool &pool, const Endpoint &endpoint, const std::set<Order> &queue) const;
+    [[nodiscard]] Choice choose(const Pool &pool, const Endpoint &endpoint, const std::set<Order> &queue, const std::set<ZoneName> &zones, TimePoint now) const;
     void take(const Pool &pool, const Pending &pending, Choice &choice) const;
     [[nodiscard]] static bool isBetter(const Choice &one, const Endpoint &endpoint, const Choice &other, const Endpoint &rival, TimePoint now);
     void dispatchPool(const Pool &pool, std::set<Order> &queue, TimePoint now, Effects &effects);
@@ -182,6 +185,7 @@
     std::vector<StageOutcome> m_outcomes;
     /*! @brief Typical number of items in a call while more than one call waits. */
     std::map<PoolName, double> m_fill;
+    TimePoint m_dispatchedAt{};
     std::uint64_t m_nextLost{1};
     std::uint64_t m_nextCall{1};
 };
--- a/test/bergamottide/serving/stagescheduler.cpp
+++ b/test/bergamottide/serving/stagescheduler.cpp
@@ -183,7 +183,7 @@
         task.pieces = pieces;
         task.key = "input";
         task.resultBytes = bytes;
-        m_scheduler.submit(std::move(task));
+        m_scheduler.submit(std::move(task), m_now);
     }
 
     std::vector<StartStageCall> dispatch()
