--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -40,7 +40,7 @@
  * A stage whose pieces each fetch all inputs moves several megabytes; a call takes 150 ms and more, so that an endpoint of
  * the zone is likely to become free meanwhile.
  */
-constexpr Duration zonePatience = std::chrono::milliseconds{100};
+constexpr Duration zonePatience = std::chrono::milliseconds{200};
 /*! @brief A task with less time than this to its latest start does not wait for its zone. */
 constexpr Duration zoneUrgency = std::chrono::milliseconds{200};
 /*! @brief Time for which an endpoint that had no room for a result gets none: results of others lapse or are given up
