Silent endpoints are left out

Change: a run whose answer has not begun after six times the typical time (1 s at least) makes its endpoint suspect; one that has answered nothing since is left out at once, and a request that may run twice goes elsewhere. Tests: silentEndpointGetsNoFurtherRequests, idempotentCallAtASilentEndpointIsRepeatedElsewhere.

--- a/src/bergamottide/serving/endpointboard.cpp
+++ b/src/bergamottide/serving/endpointboard.cpp
@@ -124,6 +124,28 @@
     forgetIfIdle(instance);
 }
 
+void EndpointBoard::answered(const InstanceName &instance, TimePoint now)
+{
+    if (Endpoint *endpoint = find(instance); endpoint != nullptr) {
+        endpoint->answeredAt = now;
+    }
+}
+
+void EndpointBoard::suspect(const InstanceName &instance, TimePoint since, TimePoint now, Effects &effects)
+{
+    Endpoint *endpoint = find(instance);
+    if (endpoint == nullptr) {
+        return;
+    }
+    endpoint->failureShare += failureWeight * (1.0 - endpoint->failureShare);
+    endpoint->samples = std::min(endpoint->samples + 1, trustedSamples);
+    if (endpoint->answeredAt < since) {
+        endpoint->failureShare = std::max(endpoint->failureShare, leastFailureShare + failureDistance);
+        endpoint->samples = trustedSamples;
+    }
+    judge(*endpoint, now, effects);
+}
+
 void EndpointBoard::told(const InstanceName &instance, const EndpointLoad &load, TimePoint now)
 {
     if (Endpoint *endpoint = find(instance); endpoint != nullptr) {
--- a/src/bergamottide/serving/endpointboard.h
+++ b/src/bergamottide/serving/endpointboard.h
@@ -36,6 +36,8 @@
     /*! @brief Load it told last, and when. */
     EndpointLoad load;
     TimePoint loadAt{};
+    /*! @brief When it last answered anything. */
+    TimePoint answeredAt{};
     /*! @brief Share of recent work that failed, as a moving average from 0 to 1. */
     double failureShare{};
     /*! @brief Pieces of work behind the share, up to the number at which it is trusted. */
@@ -103,6 +105,18 @@
      */
     void ended(const InstanceName &instance, std::optional<EndpointSign> sign, TimePoint now, Effects &effects);
 
+    /*! @brief Notes that an endpoint has begun to answer something. */
+    void answered(const InstanceName &instance, TimePoint now);
+
+    /**
+     * @brief Notes work that an endpoint has not begun to answer for much longer than is typical.
+     * @param instance Endpoint.
+     * @param since When the work was sent; an endpoint that has answered nothing since is taken as silent altogether.
+     * @param now Present time.
+     * @param effects Receives a log line for an ejection.
+     */
+    void suspect(const InstanceName &instance, TimePoint since, TimePoint now, Effects &effects);
+
     /*! @brief Notes the load that an endpoint told. */
     void told(const InstanceName &instance, const EndpointLoad &load, TimePoint now);
 
--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -68,6 +68,8 @@
     std::string placementKey;
     std::optional<RunNumber> run;
     TimePoint runStarted{};
+    /*! @brief Its run was taken as silent. */
+    bool isSuspected{};
     /*! @brief When the first event of a stream came. */
     std::optional<TimePoint> firstEventAt;
     InstanceName endpoint;
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -113,6 +113,7 @@
 {
     expire();
     startDelayed();
+    reviewSilentRuns();
     m_stages.expire(m_now, m_effects);
     reclaimTasks();
     sendHeartbeats();
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -116,6 +116,8 @@
     // Runs.
     void startRun(Request &request);
     void retryOrGiveUp(Request &request, bool mayHaveRun, AnswerKind otherwise);
+    void reviewSilentRuns();
+    [[nodiscard]] bool isSilent(const Request &request) const;
     void endRun(Request &request, std::optional<EndpointSign> sign);
     void runBroke(Request &request);
     void passOn(Request &request);
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -13,6 +13,11 @@
 /*! @brief Most urgent and least urgent rank that an engine knows. */
 constexpr int leastUrgent = 9;
 
+/*! @brief An endpoint is silent after this many times the typical time to an answer's begin, but not before some time.
+ */
+constexpr int silenceFactor = 6;
+constexpr Duration shortestSilence = std::chrono::milliseconds{1000};
+
 bool isSuccess(int status)
 {
     constexpr int firstSuccess = 200;
@@ -55,6 +60,7 @@
     start.request = request.in;
     request.run = start.run;
     request.runStarted = m_now;
+    request.isSuspected = false;
     request.endpoint = start.instance;
     request.tried.push_back(start.instance);
     request.head.reset();
@@ -76,6 +82,8 @@
     if (request == nullptr) {
         return;
     }
+    m_endpoints.answered(request->endpoint, m_now);
+    m_firstEvents.note(request->pool, m_now - request->runStarted);
     if (event.head.load) {
         m_endpoints.told(request->endpoint, *event.head.load, m_now);
     }
@@ -96,7 +104,6 @@
         return;
     }
     if (!request->begun) {
-        m_firstEvents.note(request->pool, m_now - request->runStarted);
         m_effects.emplace_back(Observe{Metric::FirstEventSeconds,
                                        {request->pool.text()},
                                        std::chrono::duration<double>(m_now - request->runStarted).count()});
@@ -227,6 +234,38 @@
            mayHaveRun ? "its endpoint failed" : "no endpoint takes it");
 }
 
+bool ServingReducer::isSilent(const Request &request) const
+{
+    const Duration longest = std::max(m_firstEvents.typical(request.pool) * silenceFactor, shortestSilence);
+    return request.run && !request.head && m_now - request.runStarted > longest;
+}
+
+/*
+ * Answers endpoints that take work and answer nothing: a failure that shows only by its absence, so that without this
+ * review they would go on to get their share until each of its requests had run out of time.
+ */
+void ServingReducer::reviewSilentRuns()
+{
+    std::vector<CallId> silent;
+    for (const auto &[call, request] : m_requests) {
+        if (!request.isSuspected && isSilent(request)) {
+            silent.push_back(call);
+        }
+    }
+    for (const CallId call : silent) {
+        Request &request = *find(call);
+        request.isSuspected = true;
+        log(request, "An endpoint is silent.", {{"endpoint", request.endpoint.text()}, {"pool", request.pool.text()}},
+            Severity::Warning);
+        m_endpoints.suspect(request.endpoint, request.runStarted, m_now, m_effects);
+        const bool mayRepeat = request.route->mayRunTwice() && request.tried.size() < request.route->maxAttempts;
+        if (mayRepeat && m_endpoints.usable(request.pool, m_now).size() > 1) {
+            m_effects.emplace_back(CancelRun{*request.run});
+            runBroke(request);
+        }
+    }
+}
+
 void ServingReducer::endRun(Request &request, std::optional<EndpointSign> sign)
 {
     if (!request.run) {
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -15,7 +15,8 @@
 /*! @brief Share, in percent, of the difference to the slowest stage beside it by which a faster stage starts later:
  * estimates err. */
 constexpr int justInTimeShare = 80;
-/*! @brief Bytes that a stage moves from which on a zone is preferred, where that costs no time: below, the price of waiting is higher. */
+/*! @brief Bytes that a stage moves from which on a zone is preferred, where that costs no time: below, the price of
+ * waiting is higher. */
 constexpr std::uint64_t manyBytes = 200'000;
 /*! @brief Differences below this are not worth a wakeup. */
 constexpr Duration shortestDelay = std::chrono::milliseconds{20};
@@ -133,8 +134,8 @@
 }
 
 /*
- * Each piece fetches all of its inputs, so a stage of many pieces moves its inputs many times over: of the bytes between
- * zones, most are inputs. The zone that spares most of them is preferred.
+ * Each piece fetches all of its inputs, so a stage of many pieces moves its inputs many times over: of the bytes
+ * between zones, most are inputs. The zone that spares most of them is preferred.
  */
 ZoneName ServingReducer::zoneOf(const Request &request, std::uint32_t stage)
 {
@@ -155,7 +156,8 @@
         const Endpoint *engine = pickEngine(m_endpoints.usable(request.pool, m_now), {}, request.placementKey);
         bytes[engine == nullptr ? ZoneName{} : engine->record.zone] += spec.resultBytes * pieces;
     }
-    const auto most = std::max_element(bytes.begin(), bytes.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
+    const auto most = std::max_element(bytes.begin(), bytes.end(),
+                                       [](const auto &left, const auto &right) { return left.second < right.second; });
     return most == bytes.end() || most->second < manyBytes ? ZoneName{} : most->first;
 }
 
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -37,8 +37,8 @@
 /*!
  * @brief Time for which a task waits for an endpoint of its zone while others are free.
  *
- * A stage whose pieces each fetch all inputs moves several megabytes; a call takes 150 ms and more, so that an endpoint of
- * the zone is likely to become free meanwhile.
+ * A stage whose pieces each fetch all inputs moves several megabytes; a call takes 150 ms and more, so that an endpoint
+ * of the zone is likely to become free meanwhile.
  */
 constexpr Duration zonePatience = std::chrono::milliseconds{200};
 /*! @brief A task with less time than this to its latest start does not wait for its zone. */
@@ -227,7 +227,8 @@
         }
         const std::size_t wanted = std::min<std::size_t>(waiting, pool.batch->batch);
         // Room comes back with every result that is used; a call that carries little would keep the endpoint from it.
-        if (best->resultBytes != 0 && static_cast<double>(chosen.items.size()) < leastFill * static_cast<double>(wanted)) {
+        if (best->resultBytes != 0
+            && static_cast<double>(chosen.items.size()) < leastFill * static_cast<double>(wanted)) {
             return;
         }
         if (waiting >= pool.batch->batch) {
@@ -268,17 +269,19 @@
 }
 
 /*
- * Large inputs and results are best kept within a zone. Tasks of other zones that are no more urgent than the first wait
- * for the endpoints there as long as the call fills without them.
+ * Large inputs and results are best kept within a zone. Tasks of other zones that are no more urgent than the first
+ * wait for the endpoints there as long as the call fills without them.
  */
-StageScheduler::Choice StageScheduler::choose(const Pool &pool, const Endpoint &endpoint, const std::set<Order> &queue, const std::set<ZoneName> &zones, TimePoint now) const
+StageScheduler::Choice StageScheduler::choose(const Pool &pool, const Endpoint &endpoint, const std::set<Order> &queue,
+                                              const std::set<ZoneName> &zones, TimePoint now) const
 {
     Choice choice;
     choice.bytes = endpoint.resultBytes;
     const Order &first = *queue.begin();
     for (const Order &order : queue) {
         const Pending &pending = m_tasks.at(std::get<StageTaskId>(order));
-        const bool asUrgent = std::get<bool>(order) == std::get<bool>(first) && std::get<int>(order) == std::get<int>(first);
+        const bool asUrgent =
+            std::get<bool>(order) == std::get<bool>(first) && std::get<int>(order) == std::get<int>(first);
         const bool fits = pending.task.zone.empty() || pending.task.zone == endpoint.record.zone;
         if (fits && asUrgent) {
             take(pool, pending, choice);
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -162,9 +162,11 @@
     [[nodiscard]] Duration remainingTime(const PoolName &pool, TimePoint now) const;
     [[nodiscard]] Duration waitBehind(const Pool &pool, std::size_t pieces, Duration busy, TimePoint now);
     [[nodiscard]] std::vector<Endpoint *> freeEndpoints(const Pool &pool, TimePoint now);
-    [[nodiscard]] Choice choose(const Pool &pool, const Endpoint &endpoint, const std::set<Order> &queue, const std::set<ZoneName> &zones, TimePoint now) const;
+    [[nodiscard]] Choice choose(const Pool &pool, const Endpoint &endpoint, const std::set<Order> &queue,
+                                const std::set<ZoneName> &zones, TimePoint now) const;
     void take(const Pool &pool, const Pending &pending, Choice &choice) const;
-    [[nodiscard]] static bool isBetter(const Choice &one, const Endpoint &endpoint, const Choice &other, const Endpoint &rival, TimePoint now);
+    [[nodiscard]] static bool isBetter(const Choice &one, const Endpoint &endpoint, const Choice &other,
+                                       const Endpoint &rival, TimePoint now);
     void dispatchPool(const Pool &pool, std::set<Order> &queue, TimePoint now, Effects &effects);
     void send(const Pool &pool, Endpoint &endpoint, std::vector<CallItem> items, std::set<Order> &queue, TimePoint now,
               Effects &effects);
--- a/test/bergamottide/serving/servingreducer.cpp
+++ b/test/bergamottide/serving/servingreducer.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(foreignAnswerIsNotPassedOn);
     CPPUNIT_TEST(brokenStreamIsAborted);
     CPPUNIT_TEST(resumableStreamGoesOnBehindItsLastWholeEvent);
+    CPPUNIT_TEST(silentEndpointGetsNoFurtherRequests);
+    CPPUNIT_TEST(idempotentCallAtASilentEndpointIsRepeatedElsewhere);
     CPPUNIT_TEST(callerThatLeavesCancelsItsRun);
     CPPUNIT_TEST(drainTakesRequestsOnlyAtItsBeginning);
     CPPUNIT_TEST(stagesAreMadeBeforeTheRunAndFreedAtItsFirstEvent);
@@ -160,6 +162,29 @@
         CPPUNIT_ASSERT(m_fixture.effect<FinishStream>() != nullptr);
     }
 
+    void silentEndpointGetsNoFurtherRequests()
+    {
+        send("/chat/1");
+        const InstanceName silent = m_sentTo;
+        m_fixture.pass(std::chrono::milliseconds{1100});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.reducer().inProgress());
+        for (std::uint64_t call = 2; call < 12; ++call) {
+            m_fixture.apply(m_fixture.arrival("/chat/1", call));
+            CPPUNIT_ASSERT(m_fixture.effect<StartRun>()->instance != silent);
+        }
+    }
+
+    void idempotentCallAtASilentEndpointIsRepeatedElsewhere()
+    {
+        send("/lookup/1");
+        const InstanceName silent = m_sentTo;
+        m_fixture.pass(std::chrono::milliseconds{1100});
+        const auto *again = m_fixture.effect<StartRun>();
+        CPPUNIT_ASSERT(again != nullptr);
+        CPPUNIT_ASSERT(again->instance != silent);
+        CPPUNIT_ASSERT(m_fixture.effect<CancelRun>() != nullptr);
+    }
+
     void callerThatLeavesCancelsItsRun()
     {
         send("/chat/1");
