--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -119,7 +119,7 @@
     void reviewSilentRuns();
     [[nodiscard]] bool isSilent(const Request &request) const;
     void endRun(Request &request, std::optional<EndpointSign> sign);
-    void runBroke(Request &request);
+    void runBroke(Request &request, const std::string &reason);
     void passOn(Request &request);
 
     // Answers.
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -89,7 +89,7 @@
     }
     if (event.head.foreign || (isSuccess(event.head.status) && !event.head.sealed)) {
         m_effects.emplace_back(CancelRun{event.run});
-        runBroke(*request);
+        runBroke(*request, event.head.foreign ? "the answer names another request" : "the success is not signed");
         return;
     }
     request->head = event.head;
@@ -143,7 +143,7 @@
     }
     if (request->events.isBroken()) {
         m_effects.emplace_back(CancelRun{event.run});
-        runBroke(*request);
+        runBroke(*request, "an event is missing");
     }
 }
 
@@ -154,7 +154,7 @@
         return;
     }
     if (!request->head || (request->begun && request->events.inEvent())) {
-        runBroke(*request);
+        runBroke(*request, request->head ? "the stream ends in an event" : "an answer without a head");
         return;
     }
     const int status = request->head->status;
@@ -200,11 +200,18 @@
         retryOrGiveUp(*request, false, AnswerKind::Unavailable);
         return;
     }
-    runBroke(*request);
+    runBroke(*request, "the connection broke or the answer is not whole");
 }
 
-void ServingReducer::runBroke(Request &request)
+void ServingReducer::runBroke(Request &request, const std::string &reason)
 {
+    log(request, "A run has failed.",
+        {{"reason", reason},
+         {"endpoint", request.endpoint.text()},
+         {"status", absl::StrCat(request.head ? request.head->status : 0)},
+         {"run_ms",
+          absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(m_now - request.runStarted).count())}},
+        Severity::Warning);
     request.mayHaveRun = true;
     ++request.executions;
     endRun(request, EndpointSign::Failed);
@@ -261,7 +268,7 @@
         const bool mayRepeat = request.route->mayRunTwice() && request.tried.size() < request.route->maxAttempts;
         if (mayRepeat && m_endpoints.usable(request.pool, m_now).size() > 1) {
             m_effects.emplace_back(CancelRun{*request.run});
-            runBroke(request);
+            runBroke(request, "the endpoint is silent");
         }
     }
 }
--- a/test/checks/docs.py
+++ b/test/checks/docs.py
@@ -9,7 +9,7 @@
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-PROGRAMS = ["bergamottide-entry", "bergamottide-side", "bergamottidectl"]
+PROGRAMS = ["bergamottide-entry", "bergamottide-side", "bergamottidectl", "bergamottide-platform"]
 
 
 def pages():
@@ -33,7 +33,7 @@
 
 
 def unknown_flags(text, flags):
-    for line in re.findall(r"^.*(?:bergamottide-entry|bergamottide-side|bergamottidectl).*$", text, re.M):
+    for line in re.findall(r"^.*(?:bergamottide-entry|bergamottide-side|bergamottidectl|bergamottide-platform).*$", text, re.M):
         for program in PROGRAMS:
             if program not in line:
                 continue
@@ -63,7 +63,7 @@
 
 
 def flags_of(program):
-    source = next((ROOT / "src").glob(f"*/{program}.cpp"))
+    source = next((ROOT / "src").glob(f"*/{program}.cpp"), ROOT / "platform/main.cpp")
     return set(re.findall(r"DEFINE_\w+\(\s*(\w+)", source.read_text())) | {"help"}
 
 
