--- a/test/bergamottide/serving/stagescheduler.cpp
+++ b/test/bergamottide/serving/stagescheduler.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <map>
 
 using namespace bergamottide;
 using namespace bergamottide::serving;
@@ -25,6 +26,9 @@
     CPPUNIT_TEST(resultsForACancelledTaskAreFreed);
     CPPUNIT_TEST(callThatTakesTooLongIsMadeElsewhere);
     CPPUNIT_TEST(repeatsEndWithTheBudget);
+    CPPUNIT_TEST(taskWaitsAWhileForAnEndpointOfItsZone);
+    CPPUNIT_TEST(taskOfAZoneWithoutEndpointsDoesNotWait);
+    CPPUNIT_TEST(burstIsServedOnTimeWhereSingleCallsAreNot);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -164,10 +168,76 @@
         CPPUNIT_ASSERT(outcomes.front().result.failure == PieceFailure::Error);
     }
 
+    void taskWaitsAWhileForAnEndpointOfItsZone()
+    {
+        m_endpoints.update({endpoint("encoder-1", "a"), endpoint("encoder-2", "b")}, m_effects);
+        submit(1, 1);
+        submit(2, 1);
+        m_zone = ZoneName{"a"};
+        const auto first = dispatch();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.size());
+        const InstanceName other{first.front().instance == InstanceName{"encoder-1"} ? "encoder-2" : "encoder-1"};
+        m_zone = ZoneName{first.front().instance == InstanceName{"encoder-1"} ? "a" : "b"};
+        submit(3, 1);
+        CPPUNIT_ASSERT(dispatch().empty());
+        m_now += std::chrono::milliseconds{201};
+        const auto second = dispatch();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.size());
+        CPPUNIT_ASSERT(second.front().instance == other);
+    }
+
+    void taskOfAZoneWithoutEndpointsDoesNotWait()
+    {
+        m_zone = ZoneName{"elsewhere"};
+        submit(1, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dispatch().size());
+    }
+
+    /*! @brief Somewhat more load than calls of one request each could carry, for six seconds, with scarce room. */
+    void burstIsServedOnTimeWhereSingleCallsAreNot()
+    {
+        m_endpoints.update({endpoint("encoder-1"), endpoint("encoder-2"), endpoint("encoder-3")}, m_effects);
+        constexpr Duration step = std::chrono::milliseconds{10};
+        constexpr int steps = 600;
+        constexpr int stepsPerRequest = 5;
+        std::multimap<TimePoint, StartStageCall> running;
+        std::multimap<TimePoint, std::string> used;
+        std::map<std::string, TimePoint> dues;
+        int onTime = 0;
+        for (int count = 0; count < steps; ++count) {
+            if (count % stepsPerRequest == 0) {
+                const auto id = static_cast<std::uint64_t>(count / stepsPerRequest + 1);
+                submit(id, 1 + static_cast<std::uint32_t>(id % 3), 0, std::chrono::milliseconds{600}, 1500);
+                dues["attempt-" + std::to_string(id)] = m_now + std::chrono::milliseconds{1000};
+            }
+            for (auto next = running.begin(); next != running.end() && next->first <= m_now;) {
+                answer(next->second);
+                for (std::size_t item = 0; item < next->second.items.size(); ++item) {
+                    const StageItem &made = next->second.items[item];
+                    onTime += made.piece == 0 && m_now <= dues[made.attempt] ? 1 : 0;
+                    used.emplace(m_now + std::chrono::milliseconds{200}, handleOf(next->second, item));
+                }
+                next = running.erase(next);
+            }
+            for (auto next = used.begin(); next != used.end() && next->first <= m_now;) {
+                m_scheduler.released(next->second);
+                next = used.erase(next);
+            }
+            for (const StartStageCall &call : dispatch()) {
+                const auto items = static_cast<std::int64_t>(call.items.size());
+                running.emplace(m_now + std::chrono::milliseconds{150 + 10 * items}, call);
+            }
+            m_now += step;
+        }
+        // One request a call: three endpoints make 3 / 0.17 s = 18 calls a second of the 20 requests that arrive, and
+        // the backlog of 2 a second passes the 600 ms of slack after some seconds. In full calls all of them fit.
+        CPPUNIT_ASSERT(onTime >= 110);
+    }
+
 private:
-    static EndpointRecord endpoint(const std::string &name)
+    static EndpointRecord endpoint(const std::string &name, const std::string &zone = "a")
     {
-        return {InstanceName{name}, PoolName{"encoders"}, "10.0.0.1:1", ZoneName{"a"}, 1, false};
+        return {InstanceName{name}, PoolName{"encoders"}, "10.0.0.1:1", ZoneName{zone}, 1, false};
     }
 
     void submit(std::uint64_t id, std::uint32_t pieces, int rank = 0, Duration due = std::chrono::seconds{1},
@@ -183,6 +253,7 @@
         task.pieces = pieces;
         task.key = "input";
         task.resultBytes = bytes;
+        task.zone = m_zone;
         m_scheduler.submit(std::move(task), m_now);
     }
 
@@ -226,6 +297,7 @@
     EndpointBoard m_endpoints;
     RetryBudget m_budget{{.ratio = 0.0, .slack = 3.0, .window = std::chrono::seconds{10}, .sharers = 1}};
     StageScheduler m_scheduler{m_endpoints, m_budget};
+    ZoneName m_zone;
     Effects m_effects;
 };
 
