--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -266,7 +266,11 @@
             Severity::Warning);
         m_endpoints.suspect(request.endpoint, request.runStarted, m_now, m_effects);
         const bool mayRepeat = request.route->mayRunTwice() && request.tried.size() < request.route->maxAttempts;
-        if (mayRepeat && m_endpoints.usable(request.pool, m_now).size() > 1) {
+        const std::vector<Endpoint *> usable = m_endpoints.usable(request.pool, m_now);
+        const bool hasOther = std::any_of(usable.begin(), usable.end(), [&request](const Endpoint *endpoint) {
+            return endpoint->record.instance != request.endpoint;
+        });
+        if (mayRepeat && hasOther) {
             m_effects.emplace_back(CancelRun{*request.run});
             runBroke(request, "the endpoint is silent");
         }
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -80,6 +80,7 @@
 StageScheduler::StageScheduler(EndpointBoard &endpoints, RetryBudget &budget)
     : m_endpoints{endpoints}
     , m_budget{budget}
+    , m_room{endpoints}
 {
 }
 
@@ -400,14 +401,14 @@
         const PieceResult &result = event.results[index];
         const auto found = m_tasks.find(item.task);
         if (found == m_tasks.end()) {
-            freeRoom(call.endpoint, item.bytes);
+            m_room.giveBack(call.endpoint, item.bytes);
             if (!result.handle.empty()) {
                 orphans.push_back(result.handle);
             }
             continue;
         }
         if (result.handle.empty()) {
-            freeRoom(call.endpoint, item.bytes);
+            m_room.giveBack(call.endpoint, item.bytes);
             if (result.failure == PieceFailure::Late || result.failure == PieceFailure::InputGone) {
                 fail(found->second, result.failure);
             } else {
@@ -419,8 +420,7 @@
             }
             continue;
         }
-        m_results[result.handle] = {call.endpoint, item.bytes, now + call.resultTtl};
-        m_resultExpiry.emplace(now + call.resultTtl, result.handle);
+        m_room.keep(result.handle, call.endpoint, item.bytes, now + call.resultTtl);
         m_outcomes.push_back({item.task, item.piece, result, call.endpoint, call.address});
         if (--found->second.open == 0) {
             m_tasks.erase(found);
@@ -437,9 +437,9 @@
     std::set<StageTaskId> seen;
     for (const CallItem &item : call.items) {
         if (failed) {
-            keepLost(call, item, now);
+            m_room.keepLost(call.endpoint, item.bytes, now + call.resultTtl);
         } else {
-            freeRoom(call.endpoint, item.bytes);
+            m_room.giveBack(call.endpoint, item.bytes);
         }
         if (!m_tasks.contains(item.task)) {
             continue;
@@ -464,14 +464,6 @@
     }
 }
 
-/*! @brief Accounts for a result that may have been made by a call whose answer never came. */
-void StageScheduler::keepLost(const Call &call, const CallItem &item, TimePoint now)
-{
-    const std::string name = absl::StrCat("lost/", m_nextLost++);
-    m_results[name] = {call.endpoint, item.bytes, now + call.resultTtl};
-    m_resultExpiry.emplace(now + call.resultTtl, name);
-}
-
 void StageScheduler::requeue(const CallItem &item, bool failed)
 {
     const auto found = m_tasks.find(item.task);
@@ -498,10 +490,7 @@
 
 void StageScheduler::expire(TimePoint now, Effects &effects)
 {
-    while (!m_resultExpiry.empty() && m_resultExpiry.begin()->first <= now) {
-        const std::string handle = m_resultExpiry.begin()->second;
-        released(handle);
-    }
+    m_room.expire(now);
     std::vector<StageCallNumber> expired;
     for (const auto &[number, call] : m_calls) {
         if (call.expiry <= now) {
@@ -531,13 +520,7 @@
 
 void StageScheduler::released(const std::string &handle)
 {
-    const auto found = m_results.find(handle);
-    if (found == m_results.end()) {
-        return;
-    }
-    freeRoom(found->second.endpoint, found->second.bytes);
-    m_resultExpiry.erase({found->second.expiry, handle});
-    m_results.erase(found);
+    m_room.release(handle);
 }
 
 std::vector<PoolWait> StageScheduler::waits(const Catalog &catalog, TimePoint now)
@@ -557,13 +540,6 @@
     return out;
 }
 
-void StageScheduler::freeRoom(const InstanceName &endpoint, std::uint64_t bytes)
-{
-    if (Endpoint *found = m_endpoints.find(endpoint); found != nullptr) {
-        found->resultBytes -= std::min(found->resultBytes, bytes);
-    }
-}
-
 std::optional<Duration> StageScheduler::expectedWait(const PoolName &pool, int rank, const Catalog &catalog,
                                                      TimePoint now)
 {
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -6,6 +6,7 @@
 #include "bergamottide/serving/endpointboard.h"
 #include "bergamottide/serving/events.h"
 #include "bergamottide/serving/peers.h"
+#include "bergamottide/serving/resultroom.h"
 #include "bergamottide/serving/retrybudget.h"
 #include "bergamottide/serving/stagetask.h"
 
@@ -144,15 +145,6 @@
         std::size_t local{};
     };
 
-    /*! @brief A result that takes up memory at its endpoint. */
-    struct Result
-    {
-        InstanceName endpoint;
-        std::uint64_t bytes{};
-        /*! @brief Time at which its endpoint has dropped it. */
-        TimePoint expiry{};
-    };
-
     /*! @brief Order in which the tasks of a pool are served. */
     using Order = std::tuple<bool, int, TimePoint, StageTaskId>;
 
@@ -171,10 +163,8 @@
     void send(const Pool &pool, Endpoint &endpoint, std::vector<CallItem> items, std::set<Order> &queue, TimePoint now,
               Effects &effects);
     void giveBack(const Call &call, bool failed, TimePoint now, Effects &effects);
-    void keepLost(const Call &call, const CallItem &item, TimePoint now);
     void requeue(const CallItem &item, bool failed);
     void fail(Pending &pending, PieceFailure failure);
-    void freeRoom(const InstanceName &endpoint, std::uint64_t bytes);
     void noteSpeed(const Call &call, TimePoint now);
 
     EndpointBoard &m_endpoints;
@@ -182,13 +172,11 @@
     std::map<StageTaskId, Pending> m_tasks;
     std::map<PoolName, std::set<Order>> m_queues;
     std::map<StageCallNumber, Call> m_calls;
-    std::map<std::string, Result> m_results;
-    std::set<std::pair<TimePoint, std::string>> m_resultExpiry;
+    ResultRoom m_room;
     std::vector<StageOutcome> m_outcomes;
     /*! @brief Typical number of items in a call while more than one call waits. */
     std::map<PoolName, double> m_fill;
     TimePoint m_dispatchedAt{};
-    std::uint64_t m_nextLost{1};
     std::uint64_t m_nextCall{1};
 };
 
