--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -31,7 +31,7 @@
 constexpr Duration lateTolerance = std::chrono::milliseconds{50};
 /*! @brief Longest wait of a late task behind all others: its result is worth little, and its caller may come back
  * sooner. */
-constexpr Duration longestLateWait = std::chrono::milliseconds{1200};
+constexpr Duration longestLateWait = std::chrono::milliseconds{700};
 /*! @brief Weight of the newest call in the typical fill of calls under a backlog. */
 constexpr double fillWeight = 0.1;
 /*!
