One record for a peer's task; addresses of peers that are long gone are forgotten

Cause: three maps held one task's state; an address once heard of was asked for ever. A conversion in a test failed the linter. Tests: ServingPeersTest::addressOfAPeerThatIsLongGoneIsNotAskedAnyMore.

--- a/src/bergamottide/serving/peers.cpp
+++ b/src/bergamottide/serving/peers.cpp
@@ -31,6 +31,7 @@
 {
     for (const std::string &seed : seeds) {
         if (seed != m_self.address) {
+            m_seeds.insert(seed);
             m_askedAt.emplace(seed, TimePoint{});
         }
     }
@@ -63,9 +64,24 @@
     }
 }
 
+void Peers::forgetGone(TimePoint now)
+{
+    for (auto next = m_peers.begin(); next != m_peers.end();) {
+        const Peer &peer = next->second;
+        if (now - peer.heardAt <= forgetting) {
+            ++next;
+            continue;
+        }
+        if (!m_seeds.contains(peer.info.address)) {
+            m_askedAt.erase(peer.info.address);
+        }
+        next = m_peers.erase(next);
+    }
+}
+
 std::vector<std::string> Peers::due(TimePoint now)
 {
-    std::erase_if(m_peers, [now](const auto &entry) { return now - entry.second.heardAt > forgetting; });
+    forgetGone(now);
     std::map<std::string, bool> lively;
     for (const auto &[instance, peer] : m_peers) {
         lively[peer.info.address] = now - peer.heardAt < silence;
--- a/src/bergamottide/serving/peers.h
+++ b/src/bergamottide/serving/peers.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -104,7 +105,11 @@
         std::vector<PoolWait> waits;
     };
 
+    void forgetGone(TimePoint now);
+
     PeerInfo m_self;
+    std::set<std::string> m_seeds;
+    /*! @brief Addresses to ask, and when each was asked last. */
     std::map<std::string, TimePoint> m_askedAt;
     std::map<InstanceName, Peer> m_peers;
 };
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -71,12 +71,24 @@
 {
     StageTask task = event.task;
     task.id = StageTaskId{firstPeerTask + m_nextTask++};
-    m_peerTasks[task.id] = {event.number, {}};
+    m_peerTasks[task.id] = {event.number, task.pieces, {}};
     m_peerNumbers[event.number] = task.id;
-    m_peerPieces[task.id] = task.pieces;
     m_stages.submit(std::move(task), m_now);
 }
 
+void ServingReducer::takeForPeer(StageTaskId id, const StageOutcome &outcome)
+{
+    PeerTask &task = m_peerTasks.at(id);
+    task.outcomes.push_back(outcome);
+    const bool failed = outcome.result.handle.empty();
+    if (!failed && task.outcomes.size() < task.pieces) {
+        return;
+    }
+    m_peerNumbers.erase(task.number);
+    m_effects.emplace_back(AnswerPeerTask{task.number, std::move(task.outcomes)});
+    m_peerTasks.erase(id);
+}
+
 void ServingReducer::on(const PeerTaskGone &event)
 {
     const auto found = m_peerNumbers.find(event.number);
@@ -85,12 +97,11 @@
     }
     const StageTaskId task = found->second;
     m_stages.cancel(task);
-    for (const StageOutcome &outcome : m_peerTasks[task].second) {
+    for (const StageOutcome &outcome : m_peerTasks[task].outcomes) {
         m_stages.released(outcome.result.handle);
         m_effects.emplace_back(FreeResults{outcome.address, {outcome.result.handle}});
     }
     m_peerTasks.erase(task);
-    m_peerPieces.erase(task);
     m_peerNumbers.erase(found);
 }
 
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -106,6 +106,7 @@
     [[nodiscard]] ZoneName zoneOf(const Request &request, std::uint32_t stage);
     void takeOutcomes();
     void take(const StageOutcome &outcome);
+    void takeForPeer(StageTaskId id, const StageOutcome &outcome);
     void stageFailed(Request &request, PieceFailure failure);
     void release(StageProgress &stage);
     void releaseAll(Request &request);
@@ -134,6 +135,14 @@
     void log(const Request &request, std::string text, std::vector<std::pair<std::string, std::string>> fields,
              Severity severity = Severity::Info);
 
+    /*! @brief A peer's task, and its results so far. */
+    struct PeerTask
+    {
+        PeerTaskNumber number{};
+        std::uint32_t pieces{};
+        std::vector<StageOutcome> outcomes;
+    };
+
     TimePoint m_now;
     Effects m_effects;
     std::shared_ptr<const Catalog> m_catalog;
@@ -149,10 +158,9 @@
     std::map<StageTaskId, std::pair<CallId, std::uint32_t>> m_tasks;
     /*! @brief Tasks handed to peers. */
     std::map<StageTaskId, std::pair<InstanceName, StageTask>> m_handed;
-    /*! @brief Tasks of peers, by the identity that they have here, and the results so far. */
-    std::map<StageTaskId, std::pair<PeerTaskNumber, std::vector<StageOutcome>>> m_peerTasks;
+    /*! @brief Tasks of peers, by the identity that they have here. */
+    std::map<StageTaskId, PeerTask> m_peerTasks;
     std::map<PeerTaskNumber, StageTaskId> m_peerNumbers;
-    std::map<StageTaskId, std::uint32_t> m_peerPieces;
     std::set<std::pair<TimePoint, CallId>> m_limits;
     /*! @brief Stages whose start is put off. */
     std::set<std::tuple<TimePoint, CallId, std::uint32_t>> m_starts;
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -190,17 +190,8 @@
 
 void ServingReducer::take(const StageOutcome &outcome)
 {
-    if (const auto peerTask = m_peerTasks.find(outcome.task); peerTask != m_peerTasks.end()) {
-        auto &[number, outcomes] = peerTask->second;
-        outcomes.push_back(outcome);
-        const bool failed = outcome.result.handle.empty();
-        if (!failed && outcomes.size() < m_peerPieces[outcome.task]) {
-            return;
-        }
-        m_effects.emplace_back(AnswerPeerTask{number, std::move(outcomes)});
-        m_peerNumbers.erase(number);
-        m_peerPieces.erase(outcome.task);
-        m_peerTasks.erase(peerTask);
+    if (m_peerTasks.contains(outcome.task)) {
+        takeForPeer(outcome.task, outcome);
         return;
     }
     const auto found = m_tasks.find(outcome.task);
--- a/test/bergamottide/serving/peers.cpp
+++ b/test/bergamottide/serving/peers.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(silentPeerKeepsNoQueue);
     CPPUNIT_TEST(drainingPeerKeepsNoQueue);
     CPPUNIT_TEST(addressesOfPeersAreLearntFromPeers);
+    CPPUNIT_TEST(addressOfAPeerThatIsLongGoneIsNotAskedAnyMore);
     CPPUNIT_TEST(taskOfALostKeeperIsDoneHere);
     CPPUNIT_TEST(resultsForAPeerThatLeftAreFreed);
     CPPUNIT_TEST(endpointThatVanishesWithTheListIsKeptForAWhile);
@@ -76,6 +77,15 @@
         CPPUNIT_ASSERT((peers.due(m_now) == std::vector<std::string>{"c:1"}));
     }
 
+    void addressOfAPeerThatIsLongGoneIsNotAskedAnyMore()
+    {
+        Peers peers{{InstanceName{"a"}, "a:1"}, {"b:1"}};
+        peers.heard(heartbeat("b"), m_now);
+        peers.heard(heartbeat("c"), m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, peers.due(m_now).size());
+        CPPUNIT_ASSERT((peers.due(m_now + std::chrono::seconds{61}) == std::vector<std::string>{"b:1"}));
+    }
+
     void taskOfALostKeeperIsDoneHere()
     {
         const InstanceName keeper = findKeeper();
--- a/test/bergamottide/serving/stagescheduler.cpp
+++ b/test/bergamottide/serving/stagescheduler.cpp
@@ -206,7 +206,7 @@
         int onTime = 0;
         for (int count = 0; count < steps; ++count) {
             if (count % stepsPerRequest == 0) {
-                const auto id = static_cast<std::uint64_t>(count / stepsPerRequest + 1);
+                const std::uint64_t id = static_cast<std::uint64_t>(count) / stepsPerRequest + 1;
                 submit(id, 1 + static_cast<std::uint32_t>(id % 3), 0, std::chrono::milliseconds{600}, 1500);
                 dues["attempt-" + std::to_string(id)] = m_now + std::chrono::milliseconds{1000};
             }
