Admission by a forecast of all stages; a draining process hands its queues over

Cause: a request was refused on arrival only if it could not end before its caller left. The wait that was looked at knew only the queues of the moment, which are empty at the later stages when a burst begins. Ruled out: too few calls at the endpoints (a pool's calls ran at 17 of 18 a second). Change: StageForecast adds the wait, the items of whole calls, work that is on its way from earlier stages (told with heartbeats) and more urgent arrivals (PoolLoad). A request that would be over 0.3 s late is refused at once, with a time to come back taken from its lateness. Processes tell a new keeper which results of a former one they hold; a draining keeper gives tasks that are not in a call back, so that two keepers do not fill the same endpoints. A line is logged for each admission. Tried and reverted: asking endpoints for their free memory.

--- a/src/bergamottide/app/peerport.cpp
+++ b/src/bergamottide/app/peerport.cpp
@@ -126,9 +126,9 @@
 
 void PeerPort::takeTask(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
-    auto asked = peerwire::readTask(request.body, m_loop.now());
-    if (!asked.ok()) {
-        logUnreadable(asked.status());
+    auto task = peerwire::readTask(request.body, m_loop.now());
+    if (!task.ok()) {
+        logUnreadable(task.status());
         responder->answer({400, {}, {}});
         return;
     }
@@ -139,7 +139,7 @@
             m_hooks.submit(PeerTaskGone{number});
         }
     });
-    m_hooks.submit(PeerTaskArrived{number, asked->from, std::move(asked->task)});
+    m_hooks.submit(PeerTaskArrived{number, *std::move(task)});
 }
 
 void PeerPort::takeHeartbeat(const std::string &text)
@@ -180,7 +180,7 @@
         }
     };
     m_handed[task] =
-        m_client.call(effect.peer.address, post(taskPath, peerwire::write(effect.task, m_self.instance, m_loop.now())),
+        m_client.call(effect.peer.address, post(taskPath, peerwire::write(effect.task, m_loop.now())),
                       std::move(hooks));
 }
 
--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -51,7 +51,15 @@
     }
     out["waits"] = json::array();
     for (const PoolWait &wait : heartbeat.waits) {
-        out["waits"].push_back({{"pool", wait.pool.text()}, {"rank", wait.rank}, {"wait", wait.wait.count()}});
+        out["waits"].push_back({{"pool", wait.pool.text()},
+                                {"rank", wait.rank},
+                                {"wait", wait.wait.count()},
+                                {"perPiece", wait.perPiece.count()},
+                                {"items", wait.items}});
+    }
+    out["upcoming"] = json::array();
+    for (const PoolWork &work : heartbeat.upcoming) {
+        out["upcoming"].push_back({{"pool", work.pool.text()}, {"rank", work.rank}, {"pieces", work.pieces}});
     }
     return dump(out);
 }
@@ -69,15 +77,25 @@
         }
         for (const json &wait : value.at("waits")) {
             heartbeat.waits.push_back({PoolName{wait.at("pool").get<std::string>()}, wait.at("rank").get<int>(),
-                                       Duration{wait.at("wait").get<std::int64_t>()}});
+                                       Duration{wait.at("wait").get<std::int64_t>()},
+                                       Duration{wait.at("perPiece").get<std::int64_t>()},
+                                       wait.at("items").get<double>()});
+        }
+        for (const json &work : value.at("upcoming")) {
+            heartbeat.upcoming.push_back({PoolName{work.at("pool").get<std::string>()}, work.at("rank").get<int>(),
+                                          work.at("pieces").get<std::uint64_t>()});
         }
         return heartbeat;
     });
 }
 
-std::string write(const StageTask &task, const InstanceName &from, TimePoint now)
+std::string write(const StageTask &task, TimePoint now)
 {
-    return dump({{"from", from.text()},
+    json held = json::array();
+    for (const HeldResults &one : task.held) {
+        held.push_back({{"endpoint", one.endpoint.text()}, {"bytes", one.bytes}});
+    }
+    return dump({{"from", task.from.text()},
                  {"pool", task.pool.text()},
                  {"rank", task.rank},
                  {"deadline", (task.deadline - now).count()},
@@ -88,15 +106,15 @@
                  {"key", task.key},
                  {"inputs", task.inputs},
                  {"bytes", task.resultBytes},
-                 {"zone", task.zone.text()}});
+                 {"zone", task.zone.text()},
+                 {"held", std::move(held)}});
 }
 
-absl::StatusOr<AskedTask> readTask(const std::string &text, TimePoint now)
+absl::StatusOr<StageTask> readTask(const std::string &text, TimePoint now)
 {
     return read(text, [now](const json &value) {
-        AskedTask asked;
-        asked.from = InstanceName{value.at("from").get<std::string>()};
-        StageTask &task = asked.task;
+        StageTask task;
+        task.from = InstanceName{value.at("from").get<std::string>()};
         task.pool = PoolName{value.at("pool").get<std::string>()};
         task.rank = value.at("rank").get<int>();
         task.deadline = now + Duration{value.at("deadline").get<std::int64_t>()};
@@ -108,7 +126,11 @@
         task.inputs = value.at("inputs").get<std::vector<std::string>>();
         task.resultBytes = value.at("bytes").get<std::uint64_t>();
         task.zone = ZoneName{value.at("zone").get<std::string>()};
-        return asked;
+        for (const json &one : value.at("held")) {
+            task.held.push_back(
+                {InstanceName{one.at("endpoint").get<std::string>()}, one.at("bytes").get<std::uint64_t>()});
+        }
+        return task;
     });
 }
 
--- a/src/bergamottide/app/peerwire.h
+++ b/src/bergamottide/app/peerwire.h
@@ -20,16 +20,9 @@
 [[nodiscard]] std::string write(const serving::Heartbeat &heartbeat);
 [[nodiscard]] absl::StatusOr<serving::Heartbeat> readHeartbeat(const std::string &text);
 
-[[nodiscard]] std::string write(const serving::StageTask &task, const InstanceName &from, TimePoint now);
+[[nodiscard]] std::string write(const serving::StageTask &task, TimePoint now);
 
-/*! @brief A task with the process that asks. */
-struct AskedTask
-{
-    InstanceName from;
-    serving::StageTask task;
-};
-
-[[nodiscard]] absl::StatusOr<AskedTask> readTask(const std::string &text, TimePoint now);
+[[nodiscard]] absl::StatusOr<serving::StageTask> readTask(const std::string &text, TimePoint now);
 
 [[nodiscard]] std::string write(const std::vector<serving::StageOutcome> &outcomes);
 
--- a/src/bergamottide/serving/endpointboard.h
+++ b/src/bergamottide/serving/endpointboard.h
@@ -51,8 +51,16 @@
     TimePoint slownessAt{};
     /*! @brief Gets no stage call before this time. */
     TimePoint pausedUntil{};
-    /*! @brief Bytes of results that are in its memory or being made. */
+    /*! @brief Bytes of results that are in its memory or being made, as far as they were asked for here. */
     std::uint64_t resultBytes{};
+    /*! @brief Bytes of results there that another scheduler has had made. */
+    std::uint64_t otherBytes{};
+
+    /*! @brief Returns the bytes of results that are in its memory or being made. */
+    [[nodiscard]] std::uint64_t takenBytes() const noexcept
+    {
+        return resultBytes + otherBytes;
+    }
 
     [[nodiscard]] bool takesWork() const noexcept
     {
--- a/src/bergamottide/serving/events.h
+++ b/src/bergamottide/serving/events.h
@@ -191,7 +191,6 @@
 struct PeerTaskArrived
 {
     PeerTaskNumber number{};
-    InstanceName peer;
     StageTask task;
 };
 
--- a/src/bergamottide/serving/peers.cpp
+++ b/src/bergamottide/serving/peers.cpp
@@ -44,10 +44,12 @@
     }
     Peer &peer = m_peers[heartbeat.from.instance];
     peer.info = heartbeat.from;
+    peer.incarnation = heartbeat.incarnation;
     peer.heardAt = now;
     peer.draining = heartbeat.draining;
     peer.isUnreached = false;
     peer.waits = heartbeat.waits;
+    peer.upcoming = heartbeat.upcoming;
     m_askedAt.try_emplace(heartbeat.from.address, TimePoint{});
     for (const PeerInfo &other : heartbeat.peers) {
         if (other.instance != m_self.instance) {
@@ -56,6 +58,11 @@
     }
 }
 
+void Peers::drain() noexcept
+{
+    m_isDraining = true;
+}
+
 void Peers::unreached(const InstanceName &peer)
 {
     const auto found = m_peers.find(peer);
@@ -115,7 +122,7 @@
     std::uint64_t bestScore = score(pool, m_self.instance);
     for (const PeerInfo &peer : live(now)) {
         const std::uint64_t one = score(pool, peer.instance);
-        if (one > bestScore) {
+        if (one > bestScore || (m_isDraining && !best)) {
             best = peer;
             bestScore = one;
         }
@@ -123,27 +130,47 @@
     return best;
 }
 
+std::uint64_t Peers::incarnationOf(const InstanceName &peer) const
+{
+    const auto found = m_peers.find(peer);
+    return found == m_peers.end() ? 0 : found->second.incarnation;
+}
+
 bool Peers::isLive(const InstanceName &peer, TimePoint now) const
 {
     const auto found = m_peers.find(peer);
     return found != m_peers.end() && !found->second.isUnreached && now - found->second.heardAt < silence;
 }
 
-std::optional<Duration> Peers::toldWait(const InstanceName &peer, const PoolName &pool, int rank) const
+std::optional<PoolWait> Peers::toldWait(const InstanceName &peer, const PoolName &pool, int rank) const
 {
     const auto found = m_peers.find(peer);
     if (found == m_peers.end()) {
         return std::nullopt;
     }
-    std::optional<Duration> longest;
+    std::optional<PoolWait> longest;
     for (const PoolWait &wait : found->second.waits) {
-        if (wait.pool == pool && wait.rank <= rank) {
-            longest = std::max(longest.value_or(Duration::zero()), wait.wait);
+        if (wait.pool == pool && wait.rank <= rank && (!longest || wait.wait > longest->wait)) {
+            longest = wait;
         }
     }
     return longest;
 }
 
+std::uint64_t Peers::upcoming(const PoolName &pool, int rank, TimePoint now) const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[instance, peer] : m_peers) {
+        if (!isLive(instance, now)) {
+            continue;
+        }
+        for (const PoolWork &work : peer.upcoming) {
+            sum += work.pool == pool && work.rank <= rank ? work.pieces : 0;
+        }
+    }
+    return sum;
+}
+
 const PeerInfo &Peers::self() const noexcept
 {
     return m_self;
--- a/src/bergamottide/serving/peers.h
+++ b/src/bergamottide/serving/peers.h
@@ -26,6 +26,18 @@
     PoolName pool;
     int rank{};
     Duration wait{};
+    /*! @brief Time by which each further piece ahead lengthens the wait. */
+    Duration perPiece{};
+    /*! @brief Typical number of items of a call, which last together. */
+    double items{1.0};
+};
+
+/*! @brief Pieces of admitted requests that have yet to reach a stage pool. */
+struct PoolWork
+{
+    PoolName pool;
+    int rank{};
+    std::uint64_t pieces{};
 };
 
 /*! @brief What a process tells its peers several times a second. */
@@ -41,6 +53,8 @@
     std::vector<PeerInfo> peers;
     /*! @brief Waits at the pools whose queue it keeps. */
     std::vector<PoolWait> waits;
+    /*! @brief Work of its own requests that is on its way to the pools. */
+    std::vector<PoolWork> upcoming;
 };
 
 /*! @brief Period of heartbeats: four of them fit into the silence after which a peer counts as gone. */
@@ -66,6 +80,9 @@
     /*! @brief Takes what a peer told, as a question or an answer. */
     void heard(const Heartbeat &heartbeat, TimePoint now);
 
+    /*! @brief Notes that this process takes no new work: it keeps no queue any more while a peer can. */
+    void drain() noexcept;
+
     /*! @brief Notes that a call to a peer has failed: it counts as gone until it is heard again. */
     void unreached(const InstanceName &peer);
 
@@ -86,11 +103,17 @@
      */
     [[nodiscard]] std::optional<PeerInfo> keeper(const PoolName &pool, TimePoint now) const;
 
+    /*! @brief Returns the incarnation that a peer told; zero if it is not known. */
+    [[nodiscard]] std::uint64_t incarnationOf(const InstanceName &peer) const;
+
     /*! @brief Tells if a peer is alive; it may drain. */
     [[nodiscard]] bool isLive(const InstanceName &peer, TimePoint now) const;
 
-    /*! @brief Returns the wait that a keeper told for a pool and rank. */
-    [[nodiscard]] std::optional<Duration> toldWait(const InstanceName &peer, const PoolName &pool, int rank) const;
+    /*! @brief Returns the wait that a keeper told for a pool and rank: the longest of the ranks up to it. */
+    [[nodiscard]] std::optional<PoolWait> toldWait(const InstanceName &peer, const PoolName &pool, int rank) const;
+
+    /*! @brief Returns the pieces of a rank or a more urgent one that live peers told to be on their way to a pool. */
+    [[nodiscard]] std::uint64_t upcoming(const PoolName &pool, int rank, TimePoint now) const;
 
     /*! @brief Returns this process. */
     [[nodiscard]] const PeerInfo &self() const noexcept;
@@ -99,15 +122,18 @@
     struct Peer
     {
         PeerInfo info;
+        std::uint64_t incarnation{};
         TimePoint heardAt{};
         bool draining{};
         bool isUnreached{};
         std::vector<PoolWait> waits;
+        std::vector<PoolWork> upcoming;
     };
 
     void forgetGone(TimePoint now);
 
     PeerInfo m_self;
+    bool m_isDraining{};
     std::set<std::string> m_seeds;
     /*! @brief Addresses to ask, and when each was asked last. */
     std::map<std::string, TimePoint> m_askedAt;
--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -6,6 +6,7 @@
 #include "bergamottide/serving/eventsplitter.h"
 #include "bergamottide/serving/stagescheduler.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -21,6 +22,8 @@
     InstanceName endpoint;
     std::string address;
     std::uint64_t bytes{};
+    /*! @brief Incarnation of the process whose scheduler has had it made. */
+    std::uint64_t scheduler{};
 };
 
 /*! @brief Progress of one stage of a request. */
@@ -55,6 +58,8 @@
     TimePoint limit{};
     /*! @brief Time by which the answer, or its first event, is on time. */
     TimePoint objective{};
+    /*! @brief Time of its answer, or of its first event, as forecast on arrival. */
+    TimePoint expected{};
 
     std::vector<StageProgress> stages;
     /*! @brief Level of the stages at work; zero once all are done. */
@@ -86,6 +91,12 @@
     bool begun{};
     EventSplitter events;
 
+    /*! @brief Returns the time past the objective that was forecast on arrival; zero if none. */
+    [[nodiscard]] Duration lateness() const noexcept
+    {
+        return std::max(expected - objective, Duration::zero());
+    }
+
     /*! @brief Tells if no endpoint can have begun to work on it, or ever will: a promise to the caller. */
     [[nodiscard]] bool provablyNotRun() const noexcept
     {
--- a/src/bergamottide/serving/resultroom.cpp
+++ b/src/bergamottide/serving/resultroom.cpp
@@ -6,6 +6,14 @@
 
 namespace bergamottide::serving {
 
+namespace {
+
+/*! @brief Time for which it counts what a process told of results made elsewhere: such results are used, given up or
+ * told of again by then. */
+constexpr Duration heldMemory = std::chrono::milliseconds{1500};
+
+} // namespace
+
 ResultRoom::ResultRoom(EndpointBoard &endpoints)
     : m_endpoints{endpoints}
 {
@@ -46,6 +54,40 @@
         const std::string handle = m_lapses.begin()->second;
         release(handle);
     }
+    for (auto next = m_held.begin(); next != m_held.end();) {
+        if (now - next->second.at < heldMemory) {
+            ++next;
+            continue;
+        }
+        count(next->second.results, false);
+        next = m_held.erase(next);
+    }
+}
+
+void ResultRoom::noteHeld(const StageTask &task, TimePoint now)
+{
+    const std::pair key{task.from, task.pool};
+    const auto known = m_held.find(key);
+    if (known != m_held.end()) {
+        count(known->second.results, false);
+        m_held.erase(known);
+    }
+    if (!task.held.empty()) {
+        count(task.held, true);
+        m_held.emplace(key, Held{task.held, now});
+    }
+}
+
+void ResultRoom::count(const std::vector<HeldResults> &results, bool add)
+{
+    for (const HeldResults &held : results) {
+        Endpoint *endpoint = m_endpoints.find(held.endpoint);
+        if (endpoint == nullptr) {
+            continue;
+        }
+        endpoint->otherBytes =
+            add ? endpoint->otherBytes + held.bytes : endpoint->otherBytes - std::min(endpoint->otherBytes, held.bytes);
+    }
 }
 
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/resultroom.h
+++ b/src/bergamottide/serving/resultroom.h
@@ -3,12 +3,14 @@
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
 #include "bergamottide/serving/endpointboard.h"
+#include "bergamottide/serving/stagetask.h"
 
 #include <cstdint>
 #include <map>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace bergamottide::serving {
 
@@ -16,7 +18,8 @@
  * @brief Accounts for the memory that results take up at the endpoints of stage pools.
  *
  * Room is taken from the sending of a call until its result is given up or has lapsed. A result that may exist although
- * its call was lost counts until it would have lapsed.
+ * its call was lost counts until it would have lapsed. Results that another scheduler has had made, before it stopped or
+ * its queue was taken over, are known only to the processes that hold them: these tell of them with their next tasks.
  */
 class ResultRoom
 {
@@ -48,6 +51,13 @@
     /*! @brief Forgets results that have lapsed. */
     void expire(TimePoint now);
 
+    /**
+     * @brief Takes what a process tells of results that were made elsewhere; replaces what it told before of the pool.
+     * @param task Task of the process.
+     * @param now Present time.
+     */
+    void noteHeld(const StageTask &task, TimePoint now);
+
 private:
     struct Result
     {
@@ -56,7 +66,17 @@
         TimePoint lapse{};
     };
 
+    /*! @brief What one process told of results of one pool. */
+    struct Held
+    {
+        std::vector<HeldResults> results;
+        TimePoint at{};
+    };
+
+    void count(const std::vector<HeldResults> &results, bool add);
+
     EndpointBoard &m_endpoints;
+    std::map<std::pair<InstanceName, PoolName>, Held> m_held;
     std::map<std::string, Result> m_results;
     std::set<std::pair<TimePoint, std::string>> m_lapses;
     std::uint64_t m_nextLost{1};
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -21,6 +21,8 @@
 void ServingReducer::place(StageTask task)
 {
     const auto keeper = m_peers.keeper(task.pool, m_now);
+    task.from = m_peers.self().instance;
+    task.held = heldOfOthers(task.pool, keeper ? m_peers.incarnationOf(keeper->instance) : m_incarnation);
     if (!keeper) {
         m_stages.submit(std::move(task), m_now);
         return;
@@ -29,6 +31,32 @@
     m_effects.emplace_back(HandTask{*keeper, std::move(task)});
 }
 
+/*
+ * Answers the loss of the process that kept a queue: what it has had made still fills the memory of the endpoints, and
+ * calls that its successor sends without regard to that come back without results.
+ */
+std::vector<HeldResults> ServingReducer::heldOfOthers(const PoolName &pool, std::uint64_t scheduler) const
+{
+    std::map<InstanceName, std::uint64_t> bytes;
+    for (const auto &[call, request] : m_requests) {
+        for (const StageProgress &stage : request.stages) {
+            if (stage.pool != pool || stage.isReleased) {
+                continue;
+            }
+            for (const KeptResult &result : stage.results) {
+                if (!result.handle.empty() && result.scheduler != scheduler) {
+                    bytes[result.endpoint] += result.bytes;
+                }
+            }
+        }
+    }
+    std::vector<HeldResults> out;
+    for (const auto &[endpoint, sum] : bytes) {
+        out.push_back({endpoint, sum});
+    }
+    return out;
+}
+
 void ServingReducer::on(const HandedTaskEnded &event)
 {
     const auto found = m_handed.find(event.task);
@@ -48,7 +76,7 @@
         return;
     }
     for (const StageOutcome &outcome : event.outcomes) {
-        take(outcome);
+        take(outcome, m_peers.incarnationOf(event.peer));
     }
 }
 
@@ -67,6 +95,28 @@
     }
 }
 
+/*
+ * Answers planned stops: two processes that both have work for the same endpoints fill their memory and their queues
+ * without knowing of each other. Whatever is not in a call goes to the process that keeps the queue from now on.
+ */
+void ServingReducer::handOverQueues()
+{
+    m_peers.drain();
+    if (m_peers.live(m_now).empty()) {
+        return;
+    }
+    for (StageTask &task : m_stages.handOver()) {
+        const auto peer = m_peerTasks.find(task.id);
+        if (peer == m_peerTasks.end()) {
+            place(std::move(task));
+            continue;
+        }
+        m_peerNumbers.erase(peer->second.number);
+        m_effects.emplace_back(AnswerPeerTask{peer->second.number, {}});
+        m_peerTasks.erase(peer);
+    }
+}
+
 void ServingReducer::on(const PeerTaskArrived &event)
 {
     StageTask task = event.task;
@@ -136,13 +186,41 @@
     }
 }
 
-std::optional<Duration> ServingReducer::expectedWait(const PoolName &pool, int rank)
+std::optional<PoolOutlook> ServingReducer::outlook(const PoolName &pool, int rank)
 {
+    if (!m_endpoints.serves(pool)) {
+        return std::nullopt;
+    }
     const auto keeper = m_peers.keeper(pool, m_now);
-    if (!keeper) {
-        return m_stages.expectedWait(pool, rank, *m_catalog, m_now);
+    const auto wait = keeper ? m_peers.toldWait(keeper->instance, pool, rank)
+                             : m_stages.expectedWait(pool, rank, *m_catalog, m_now);
+    PoolOutlook out;
+    if (wait) {
+        out.wait = wait->wait;
+        out.perPiece = wait->perPiece;
+        out.items = wait->items;
+    }
+    out.upcoming = m_peers.upcoming(pool, rank, m_now);
+    for (const auto &[key, pieces] : ownUpcoming()) {
+        out.upcoming += key.first == pool && key.second <= rank ? pieces : 0;
     }
-    return m_peers.toldWait(keeper->instance, pool, rank).value_or(Duration::zero());
+    return out;
+}
+
+/*! @brief Counts the pieces of own requests whose stage has not begun, by pool and rank. */
+std::map<std::pair<PoolName, int>, std::uint64_t> ServingReducer::ownUpcoming() const
+{
+    std::map<std::pair<PoolName, int>, std::uint64_t> out;
+    for (const auto &[call, request] : m_requests) {
+        for (std::size_t stage = 0; stage < request.stages.size(); ++stage) {
+            const StageProgress &progress = request.stages[stage];
+            const bool isAhead = progress.startAt || request.route->stages[stage].level < request.level;
+            if (isAhead && progress.pieces != 0) {
+                out[{request.route->stages[stage].pool, request.rank}] += progress.pieces;
+            }
+        }
+    }
+    return out;
 }
 
 std::vector<PeerInfo> ServingReducer::livePeers(TimePoint now) const
@@ -161,6 +239,9 @@
     if (m_catalog) {
         heartbeat.waits = m_stages.waits(*m_catalog, now);
     }
+    for (const auto &[key, pieces] : ownUpcoming()) {
+        heartbeat.upcoming.push_back({key.first, key.second, pieces});
+    }
     return heartbeat;
 }
 
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -13,9 +13,11 @@
 constexpr int rankOfWorkspace = 100;
 /*! @brief Wait of a caller before it comes back when nothing is known that ends sooner. */
 constexpr Duration standardRetryAfter = std::chrono::milliseconds{300};
+/*! @brief Lateness that a request may be expected to have and be admitted still: forecasts err by about that. */
+constexpr Duration mostLateness = std::chrono::milliseconds{300};
 constexpr Duration shortestRetryAfter = std::chrono::milliseconds{50};
 /*! @brief Callers wait for up to a third of their time; a longer wait would be cut to that anyway. */
-constexpr int retryAfterShare = 4;
+constexpr int retryAfterShare = 3;
 /*! @brief Time after the objective or arrival within which no request is known to be decided; bounds a request without
  * any limit. */
 constexpr Duration longestRequest = std::chrono::seconds{60};
@@ -105,6 +107,7 @@
 {
     m_draining = true;
     m_refusingFrom = m_now + drainIntake;
+    handOverQueues();
     m_effects.emplace_back(
         LogLine{Severity::Info, Part::Entry, "The process drains.", {{"requests", absl::StrCat(m_requests.size())}}});
 }
@@ -143,6 +146,13 @@
     Request &admitted = place->second;
     m_limits.emplace(admitted.limit, call);
     m_budget.sent(admitted.pool, m_now);
+    log(admitted, "A request is admitted.",
+        {{"route", admitted.route->name},
+         {"workspace", admitted.workspace.name.text()},
+         {"rank", absl::StrCat(admitted.rank)},
+         {"expected_ms", milliseconds(admitted.expected - m_now)},
+         {"objective_ms", milliseconds(admitted.objective - m_now)},
+         {"limit_ms", milliseconds(admitted.limit - m_now)}});
     advance(admitted);
 }
 
@@ -182,6 +192,7 @@
         request.limit = std::min(request.limit, m_now + route->timeout);
     }
     request.objective = m_now + route->objective;
+    request.expected = m_now;
     request.pool = drawPool(*route, request.in->attempt);
     const std::string_view part = m_prompts.note(route->name, request.in->prompt, m_now);
     request.placementKey = part.empty() ? std::string_view{request.in->attempt} : part;
@@ -193,12 +204,26 @@
         request.stages[stage].pieces = stage < request.in->pieces.size() ? request.in->pieces[stage] : 0;
     }
     request.level = route->topLevel() + 1;
-    if (m_now + expectedStageTime(request, request.level) > request.limit) {
+    if (!route->stages.empty() && isHopeless(request)) {
         return AnswerKind::Unavailable;
     }
     return std::nullopt;
 }
 
+/*
+ * Answers a burst that fills the stage pools: who is admitted although it will be late takes room and calls from those
+ * that could be on time, and is held for nothing if it is given up halfway. It is told at once when to come back.
+ */
+bool ServingReducer::isHopeless(Request &request)
+{
+    const auto answer = expectedAnswer(request);
+    if (!answer) {
+        return true;
+    }
+    request.expected = *answer;
+    return *answer > request.limit || request.lateness() > mostLateness;
+}
+
 Duration ServingReducer::shortestStageTime(const Request &request, std::uint32_t belowLevel) const
 {
     std::map<std::uint32_t, Duration> ofLevel;
@@ -218,37 +243,23 @@
     return sum;
 }
 
-std::optional<Duration> ServingReducer::expectedTime(const Request &request, std::size_t stage)
+StageForecast ServingReducer::forecast(const Catalog &catalog)
 {
-    const StageSpec &spec = request.route->stages[stage];
-    const Pool *pool = request.catalog->pool(spec.pool);
-    const auto wait = expectedWait(spec.pool, request.rank);
-    if (pool == nullptr || !pool->batch || !wait) {
-        return std::nullopt;
-    }
-    return *wait + pool->batch->callTime
-        + pool->batch->itemTime * static_cast<std::int64_t>(request.stages[stage].pieces);
+    return StageForecast{catalog, [this](const PoolName &pool, int rank) { return outlook(pool, rank); }};
 }
 
-Duration ServingReducer::expectedStageTime(const Request &request, std::uint32_t belowLevel)
+/*! @brief Forecasts the answer, or its first event, of a request whose stages have not begun. */
+std::optional<TimePoint> ServingReducer::expectedAnswer(const Request &request)
 {
-    std::map<std::uint32_t, Duration> ofLevel;
-    for (std::size_t stage = 0; stage < request.stages.size(); ++stage) {
-        const StageSpec &spec = request.route->stages[stage];
-        if (request.stages[stage].pieces == 0 || spec.level >= belowLevel) {
-            continue;
-        }
-        const auto time = expectedTime(request, stage);
-        if (!time) {
-            return longestRequest;
-        }
-        ofLevel[spec.level] = std::max(ofLevel[spec.level], *time);
+    std::vector<std::uint32_t> pieces;
+    for (const StageProgress &stage : request.stages) {
+        pieces.push_back(stage.pieces);
     }
-    Duration sum{};
-    for (const auto &[level, time] : ofLevel) {
-        sum += time;
+    const auto stages = forecast(*request.catalog).allStages(*request.route, pieces, request.rank);
+    if (!stages) {
+        return std::nullopt;
     }
-    return sum;
+    return m_now + *stages + m_firstEvents.typical(request.pool);
 }
 
 PoolName ServingReducer::drawPool(const Route &route, const std::string &attempt) const
@@ -285,7 +296,7 @@
     RefuseCaller effect{call, kind, {}};
     if (kind == AnswerKind::Unavailable) {
         const Duration most = std::max((request.limit - m_now) / retryAfterShare, shortestRetryAfter);
-        effect.retryAfter = std::min(standardRetryAfter, most);
+        effect.retryAfter = std::min(std::max(standardRetryAfter, request.lateness()), most);
     }
     m_effects.emplace_back(effect);
     log(request, "A request is refused.",
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -9,6 +9,7 @@
 #include "bergamottide/serving/prompthistory.h"
 #include "bergamottide/serving/request.h"
 #include "bergamottide/serving/retrybudget.h"
+#include "bergamottide/serving/stageforecast.h"
 #include "bergamottide/serving/stagescheduler.h"
 
 #include <cstdint>
@@ -88,15 +89,19 @@
     void admit(Request request);
     [[nodiscard]] std::optional<AnswerKind> whyRefused(Request &request);
     [[nodiscard]] Duration shortestStageTime(const Request &request, std::uint32_t belowLevel) const;
-    [[nodiscard]] std::optional<Duration> expectedTime(const Request &request, std::size_t stage);
-    [[nodiscard]] Duration expectedStageTime(const Request &request, std::uint32_t belowLevel);
+    [[nodiscard]] StageForecast forecast(const Catalog &catalog);
+    [[nodiscard]] std::optional<TimePoint> expectedAnswer(const Request &request);
+    [[nodiscard]] bool isHopeless(Request &request);
     [[nodiscard]] PoolName drawPool(const Route &route, const std::string &attempt) const;
 
     // Queues kept by peers.
     void place(StageTask task);
+    [[nodiscard]] std::vector<HeldResults> heldOfOthers(const PoolName &pool, std::uint64_t scheduler) const;
     void reclaimTasks();
+    void handOverQueues();
     void sendHeartbeats();
-    [[nodiscard]] std::optional<Duration> expectedWait(const PoolName &pool, int rank);
+    [[nodiscard]] std::optional<PoolOutlook> outlook(const PoolName &pool, int rank);
+    [[nodiscard]] std::map<std::pair<PoolName, int>, std::uint64_t> ownUpcoming() const;
 
     // Stages.
     void advance(Request &request);
@@ -105,7 +110,7 @@
     void submitStage(Request &request, std::uint32_t stage);
     [[nodiscard]] ZoneName zoneOf(const Request &request, std::uint32_t stage);
     void takeOutcomes();
-    void take(const StageOutcome &outcome);
+    void take(const StageOutcome &outcome, std::uint64_t scheduler);
     void takeForPeer(StageTaskId id, const StageOutcome &outcome);
     void stageFailed(Request &request, PieceFailure failure);
     void release(StageProgress &stage);
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -57,12 +57,15 @@
  */
 void ServingReducer::startLevel(Request &request)
 {
+    const StageForecast stageForecast = forecast(*request.catalog);
     std::map<std::uint32_t, Duration> expected;
     Duration longest{};
     for (std::uint32_t stage = 0; stage < request.stages.size(); ++stage) {
         const StageProgress &progress = request.stages[stage];
         if (request.route->stages[stage].level == request.level && !progress.isDone()) {
-            expected[stage] = expectedTime(request, stage).value_or(Duration::zero());
+            expected[stage] =
+                stageForecast.stage(request.route->stages[stage], progress.pieces, request.rank, Duration::zero())
+                    .value_or(Duration::zero());
             longest = std::max(longest, expected[stage]);
         }
     }
@@ -183,12 +186,12 @@
 void ServingReducer::takeOutcomes()
 {
     for (const StageOutcome &outcome : m_stages.takeOutcomes()) {
-        take(outcome);
+        take(outcome, m_incarnation);
     }
     m_stages.dispatch(*m_catalog, m_now, m_effects);
 }
 
-void ServingReducer::take(const StageOutcome &outcome)
+void ServingReducer::take(const StageOutcome &outcome, std::uint64_t scheduler)
 {
     if (m_peerTasks.contains(outcome.task)) {
         takeForPeer(outcome.task, outcome);
@@ -212,7 +215,7 @@
         return;
     }
     progress.results[outcome.piece] = {outcome.result.handle, outcome.endpoint, outcome.address,
-                                       request->route->stages[stage].resultBytes};
+                                       request->route->stages[stage].resultBytes, scheduler};
     if (++progress.made < progress.pieces) {
         return;
     }
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -32,8 +32,8 @@
 /*! @brief Longest wait of a late task behind all others: its result is worth little, and its caller may come back
  * sooner. */
 constexpr Duration longestLateWait = std::chrono::milliseconds{700};
-/*! @brief Weight of the newest call in the typical fill of calls under a backlog. */
-constexpr double fillWeight = 0.1;
+/*! @brief Share of a pool that more urgent work is taken to fill at most, in the forecast of a wait behind it. */
+constexpr double mostUrgentShare = 0.8;
 /*!
  * @brief Time for which a task waits for an endpoint of its zone while others are free.
  *
@@ -55,6 +55,21 @@
     return 1.0 + (endpoint.slowness - 1.0) * std::exp(-age / slownessMemorySeconds);
 }
 
+/*! @brief Returns the slowness of the fastest endpoint; infinite without endpoints. */
+double fastestOf(const std::vector<Endpoint *> &endpoints, TimePoint now)
+{
+    double fastest = std::numeric_limits<double>::max();
+    for (const Endpoint *endpoint : endpoints) {
+        fastest = std::min(fastest, presentSlowness(*endpoint, now));
+    }
+    return fastest;
+}
+
+Duration scaled(Duration duration, double factor)
+{
+    return Duration{static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor)};
+}
+
 Duration expectedTime(const BatchSpec &spec, std::size_t items)
 {
     return spec.callTime + spec.itemTime * static_cast<std::int64_t>(items);
@@ -100,6 +115,8 @@
     pending.patientUntil = task.zone.empty() ? now : std::min(now + zonePatience, task.due - zoneUrgency);
     pending.task = std::move(task);
     m_queues[pending.task.pool].insert(orderOf(pending));
+    m_room.noteHeld(pending.task, now);
+    m_loads[pending.task.pool].noteArrival(pending.task.rank, pending.task.pieces, now);
     m_tasks.emplace(id, std::move(pending));
 }
 
@@ -113,6 +130,20 @@
     m_tasks.erase(found);
 }
 
+std::vector<StageTask> StageScheduler::handOver()
+{
+    std::vector<StageTask> out;
+    for (const auto &[id, pending] : m_tasks) {
+        if (pending.waiting.size() == pending.task.pieces) {
+            out.push_back(pending.task);
+        }
+    }
+    for (const StageTask &task : out) {
+        cancel(task.id);
+    }
+    return out;
+}
+
 void StageScheduler::dispatch(const Catalog &catalog, TimePoint now, Effects &effects)
 {
     m_dispatchedAt = now;
@@ -192,14 +223,32 @@
     return remaining;
 }
 
+/*! @brief Returns how many endpoints of the expected speed the pool's slots amount to, at least one. */
+double StageScheduler::capacity(const Pool &pool, TimePoint now)
+{
+    const std::vector<Endpoint *> usable = m_endpoints.usable(pool.name, now);
+    const double bound = fastestOf(usable, now) * slownessBound;
+    double sum = 0.0;
+    for (const Endpoint *endpoint : usable) {
+        const double slowness = presentSlowness(*endpoint, now);
+        sum += slowness > bound ? 0.0 : 1.0 / slowness;
+    }
+    return std::max(sum, 1.0) * pool.batch->slots;
+}
+
 Duration StageScheduler::waitBehind(const Pool &pool, std::size_t pieces, Duration busy, TimePoint now)
 {
-    const auto endpoints =
-        static_cast<std::int64_t>(std::max<std::size_t>(m_endpoints.usable(pool.name, now).size(), 1))
-        * pool.batch->slots;
-    const double fill = m_fill.contains(pool.name) ? m_fill.at(pool.name) : pool.batch->batch;
+    const double fill = m_loads[pool.name].fill(*pool.batch);
     const auto calls = static_cast<std::int64_t>(std::floor(static_cast<double>(pieces) / fill));
-    return (busy + pool.batch->itemTime * static_cast<std::int64_t>(pieces) + pool.batch->callTime * calls) / endpoints;
+    const Duration work =
+        busy + pool.batch->itemTime * static_cast<std::int64_t>(pieces) + pool.batch->callTime * calls;
+    return scaled(work, 1.0 / capacity(pool, now));
+}
+
+Duration StageScheduler::timePerPiece(const Pool &pool, TimePoint now)
+{
+    const double fill = m_loads[pool.name].fill(*pool.batch);
+    return scaled(pool.batch->itemTime + scaled(pool.batch->callTime, 1.0 / fill), 1.0 / capacity(pool, now));
 }
 
 void StageScheduler::dispatchPool(const Pool &pool, std::set<Order> &queue, TimePoint now, Effects &effects)
@@ -228,14 +277,11 @@
         }
         const std::size_t wanted = std::min<std::size_t>(waiting, pool.batch->batch);
         // Room comes back with every result that is used; a call that carries little would keep the endpoint from it.
-        if (best->resultBytes != 0
+        if (best->takenBytes() != 0
             && static_cast<double>(chosen.items.size()) < leastFill * static_cast<double>(wanted)) {
             return;
         }
-        if (waiting >= pool.batch->batch) {
-            double &fill = m_fill.try_emplace(pool.name, static_cast<double>(pool.batch->batch)).first->second;
-            fill += fillWeight * (static_cast<double>(chosen.items.size()) - fill);
-        }
+        m_loads[pool.name].noteCall(*pool.batch, chosen.items.size(), waiting);
         send(pool, *best, std::move(chosen.items), queue, now, effects);
     }
 }
@@ -243,10 +289,7 @@
 std::vector<Endpoint *> StageScheduler::freeEndpoints(const Pool &pool, TimePoint now)
 {
     const std::vector<Endpoint *> usable = m_endpoints.usable(pool.name, now);
-    double fastest = std::numeric_limits<double>::max();
-    for (const Endpoint *endpoint : usable) {
-        fastest = std::min(fastest, presentSlowness(*endpoint, now));
-    }
+    const double fastest = fastestOf(usable, now);
     std::vector<Endpoint *> out;
     for (Endpoint *endpoint : usable) {
         const bool slow = presentSlowness(*endpoint, now) > fastest * slownessBound;
@@ -277,7 +320,7 @@
                                               const std::set<ZoneName> &zones, TimePoint now) const
 {
     Choice choice;
-    choice.bytes = endpoint.resultBytes;
+    choice.bytes = endpoint.takenBytes();
     const Order &first = *queue.begin();
     for (const Order &order : queue) {
         const Pending &pending = m_tasks.at(std::get<StageTaskId>(order));
@@ -396,6 +439,7 @@
     noteSpeed(call, now);
     m_endpoints.ended(call.endpoint, EndpointSign::Good, now, effects);
     std::vector<std::string> orphans;
+    logFailures(event, call, effects);
     for (std::size_t index = 0; index < call.items.size(); ++index) {
         const CallItem &item = call.items[index];
         const PieceResult &result = event.results[index];
@@ -431,6 +475,26 @@
     }
 }
 
+void StageScheduler::logFailures(const StageCallEnded &event, const Call &call, Effects &effects)
+{
+    std::map<PieceFailure, std::size_t> failures;
+    for (const PieceResult &result : event.results) {
+        if (result.handle.empty()) {
+            ++failures[result.failure];
+        }
+    }
+    for (const auto &[failure, pieces] : failures) {
+        effects.emplace_back(LogLine{Severity::Warning,
+                                     Part::Entry,
+                                     "Pieces of a stage call were not made.",
+                                     {{"call", absl::StrCat(static_cast<std::uint64_t>(event.call))},
+                                      {"endpoint", call.endpoint.text()},
+                                      {"pool", call.pool.text()},
+                                      {"reason", std::string{enumName(failure)}},
+                                      {"pieces", absl::StrCat(pieces)}}});
+    }
+}
+
 void StageScheduler::giveBack(const Call &call, bool failed, TimePoint now, Effects &effects)
 {
     std::set<StageTaskId> refused;
@@ -533,14 +597,14 @@
         }
         for (const int rank : ranks) {
             if (const auto wait = expectedWait(pool, rank, catalog, now)) {
-                out.push_back({pool, rank, *wait});
+                out.push_back(*wait);
             }
         }
     }
     return out;
 }
 
-std::optional<Duration> StageScheduler::expectedWait(const PoolName &pool, int rank, const Catalog &catalog,
+std::optional<PoolWait> StageScheduler::expectedWait(const PoolName &pool, int rank, const Catalog &catalog,
                                                      TimePoint now)
 {
     const Pool *spec = catalog.pool(pool);
@@ -556,7 +620,16 @@
             }
         }
     }
-    return waitBehind(*spec, ahead, remainingTime(pool, now), now);
+    PoolWait out;
+    out.pool = pool;
+    out.rank = rank;
+    out.perPiece = timePerPiece(*spec, now);
+    out.items = m_loads[pool].items();
+    // More urgent work that arrives meanwhile goes first as well.
+    const double urgent = m_loads[pool].urgentRate(rank, now) * std::chrono::duration<double>(out.perPiece).count();
+    out.wait = scaled(waitBehind(*spec, ahead, remainingTime(pool, now), now),
+                      1.0 / (1.0 - std::min(urgent, mostUrgentShare)));
+    return out;
 }
 
 std::optional<TimePoint> StageScheduler::nextWakeup() const
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -6,6 +6,7 @@
 #include "bergamottide/serving/endpointboard.h"
 #include "bergamottide/serving/events.h"
 #include "bergamottide/serving/peers.h"
+#include "bergamottide/serving/poolload.h"
 #include "bergamottide/serving/resultroom.h"
 #include "bergamottide/serving/retrybudget.h"
 #include "bergamottide/serving/stagetask.h"
@@ -51,6 +52,12 @@
      */
     void cancel(StageTaskId task);
 
+    /**
+     * @brief Gives up the tasks of which no piece is in a call or made, so that another scheduler can take them.
+     * @return The tasks.
+     */
+    [[nodiscard]] std::vector<StageTask> handOver();
+
     /**
      * @brief Sends what can be sent.
      * @param catalog Pools in force.
@@ -94,7 +101,7 @@
      * @param now Present time.
      * @return Estimate; nothing if no endpoint takes work.
      */
-    [[nodiscard]] std::optional<Duration> expectedWait(const PoolName &pool, int rank, const Catalog &catalog,
+    [[nodiscard]] std::optional<PoolWait> expectedWait(const PoolName &pool, int rank, const Catalog &catalog,
                                                        TimePoint now);
 
     /*! @brief Returns when `expire` has something to do. */
@@ -152,7 +159,9 @@
     void markLate(const Pool &pool, std::set<Order> &queue, TimePoint now);
     void shedLate(const Pool &pool, const std::set<Order> &queue, std::size_t ahead, Duration busy, TimePoint now);
     [[nodiscard]] Duration remainingTime(const PoolName &pool, TimePoint now) const;
+    [[nodiscard]] double capacity(const Pool &pool, TimePoint now);
     [[nodiscard]] Duration waitBehind(const Pool &pool, std::size_t pieces, Duration busy, TimePoint now);
+    [[nodiscard]] Duration timePerPiece(const Pool &pool, TimePoint now);
     [[nodiscard]] std::vector<Endpoint *> freeEndpoints(const Pool &pool, TimePoint now);
     [[nodiscard]] Choice choose(const Pool &pool, const Endpoint &endpoint, const std::set<Order> &queue,
                                 const std::set<ZoneName> &zones, TimePoint now) const;
@@ -162,6 +171,7 @@
     void dispatchPool(const Pool &pool, std::set<Order> &queue, TimePoint now, Effects &effects);
     void send(const Pool &pool, Endpoint &endpoint, std::vector<CallItem> items, std::set<Order> &queue, TimePoint now,
               Effects &effects);
+    static void logFailures(const StageCallEnded &event, const Call &call, Effects &effects);
     void giveBack(const Call &call, bool failed, TimePoint now, Effects &effects);
     void requeue(const CallItem &item, bool failed);
     void fail(Pending &pending, PieceFailure failure);
@@ -174,8 +184,7 @@
     std::map<StageCallNumber, Call> m_calls;
     ResultRoom m_room;
     std::vector<StageOutcome> m_outcomes;
-    /*! @brief Typical number of items in a call while more than one call waits. */
-    std::map<PoolName, double> m_fill;
+    std::map<PoolName, PoolLoad> m_loads;
     TimePoint m_dispatchedAt{};
     std::uint64_t m_nextCall{1};
 };
--- a/src/bergamottide/serving/stagetask.h
+++ b/src/bergamottide/serving/stagetask.h
@@ -12,6 +12,13 @@
 
 namespace bergamottide::serving {
 
+/*! @brief Results that wait for their use at an endpoint. */
+struct HeldResults
+{
+    InstanceName endpoint;
+    std::uint64_t bytes{};
+};
+
 /*! @brief One stage of one request, as handed to a scheduler. */
 enum class StageTaskId : std::uint64_t
 {
@@ -37,6 +44,10 @@
     std::uint64_t resultBytes{};
     /*! @brief Zone in which making it moves the fewest bytes between zones; empty if that does not matter. */
     ZoneName zone;
+    /*! @brief Process whose request it is. */
+    InstanceName from;
+    /*! @brief Results of the pool that this process holds and that another scheduler has had made. */
+    std::vector<HeldResults> held;
 };
 
 /*! @brief Why a piece has no result. */
--- a/test/bergamottide/serving/peers.cpp
+++ b/test/bergamottide/serving/peers.cpp
@@ -109,7 +109,7 @@
         task.due = m_fixture.now() + std::chrono::seconds{1};
         task.deadline = m_fixture.now() + std::chrono::seconds{5};
         task.resultBytes = 15'000;
-        m_fixture.apply(PeerTaskArrived{PeerTaskNumber{1}, InstanceName{"b"}, task});
+        m_fixture.apply(PeerTaskArrived{PeerTaskNumber{1}, task});
         const auto *call = m_fixture.effect<StartStageCall>();
         CPPUNIT_ASSERT(call != nullptr);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, call->items.size());
