A process without a configuration keeps no queue; due timers leave sockets their turn; results freed at the first event

A process that had just started was handed the queue of a pool before it knew what is served. Nothing was dispatched, the tasks' patience lay in the past, and the reducer asked for a wakeup that was due at once, for ever: the loop ran its timers until none was due and never came to its sockets. With the processor charged, time passes meanwhile and the process crawls; without, it hangs. Ruled out: the store (other processes read it at that time), the load (no call was in progress there). Change: heartbeats tell if a process can keep queues; one that cannot sends tasks back. The loop runs the timers that were there when it began. Stage results of resumable streams are freed at the first event like those of others; a stream that breaks off has them made again.

--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -44,6 +44,7 @@
     json out = infoOf(heartbeat.from);
     out["incarnation"] = heartbeat.incarnation;
     out["draining"] = heartbeat.draining;
+    out["keepsQueues"] = heartbeat.keepsQueues;
     out["version"] = heartbeat.version;
     out["peers"] = json::array();
     for (const PeerInfo &peer : heartbeat.peers) {
@@ -71,6 +72,7 @@
         heartbeat.from = peerOf(value);
         heartbeat.incarnation = value.at("incarnation").get<std::uint64_t>();
         heartbeat.draining = value.at("draining").get<bool>();
+        heartbeat.keepsQueues = value.at("keepsQueues").get<bool>();
         heartbeat.version = value.at("version").get<std::uint64_t>();
         for (const json &peer : value.at("peers")) {
             heartbeat.peers.push_back(peerOf(peer));
--- a/src/bergamottide/net/loop.cpp
+++ b/src/bergamottide/net/loop.cpp
@@ -160,7 +160,9 @@
 void Loop::runDueTimers()
 {
     const TimePoint now = m_clock.now();
-    while (!m_timers.empty() && m_timers.begin()->first.first <= now) {
+    // A timer that is set to be due at once by one of these waits for the next round, so that sockets get their turn.
+    const std::uint64_t firstNew = m_nextTimer;
+    while (!m_timers.empty() && m_timers.begin()->first.first <= now && m_timers.begin()->first.second < firstNew) {
         m_ranTasks = true;
         auto node = m_timers.extract(m_timers.begin());
         m_due.erase(node.key().second);
--- a/src/bergamottide/serving/peers.cpp
+++ b/src/bergamottide/serving/peers.cpp
@@ -47,6 +47,7 @@
     peer.incarnation = heartbeat.incarnation;
     peer.heardAt = now;
     peer.draining = heartbeat.draining;
+    peer.keepsQueues = heartbeat.keepsQueues;
     peer.isUnreached = false;
     peer.waits = heartbeat.waits;
     peer.upcoming = heartbeat.upcoming;
@@ -58,9 +59,9 @@
     }
 }
 
-void Peers::drain() noexcept
+void Peers::setKeepsQueues(bool keepsQueues) noexcept
 {
-    m_isDraining = true;
+    m_keepsQueues = keepsQueues;
 }
 
 void Peers::unreached(const InstanceName &peer)
@@ -119,11 +120,14 @@
 std::optional<PeerInfo> Peers::keeper(const PoolName &pool, TimePoint now) const
 {
     std::optional<PeerInfo> best;
-    std::uint64_t bestScore = score(pool, m_self.instance);
-    for (const PeerInfo &peer : live(now)) {
-        const std::uint64_t one = score(pool, peer.instance);
-        if (one > bestScore || (m_isDraining && !best)) {
-            best = peer;
+    std::uint64_t bestScore = m_keepsQueues ? score(pool, m_self.instance) : 0;
+    for (const auto &[instance, peer] : m_peers) {
+        if (!peer.keepsQueues || peer.draining || !isLive(instance, now)) {
+            continue;
+        }
+        const std::uint64_t one = score(pool, instance);
+        if (one > bestScore) {
+            best = peer.info;
             bestScore = one;
         }
     }
--- a/src/bergamottide/serving/peers.h
+++ b/src/bergamottide/serving/peers.h
@@ -47,6 +47,8 @@
     std::uint64_t incarnation{};
     /*! @brief It takes no new work. */
     bool draining{};
+    /*! @brief It knows what is served and by whom, and can keep queues. */
+    bool keepsQueues{};
     /*! @brief Version of the configuration that it has in force. */
     std::uint64_t version{};
     /*! @brief Peers that it has heard of lately. */
@@ -80,8 +82,8 @@
     /*! @brief Takes what a peer told, as a question or an answer. */
     void heard(const Heartbeat &heartbeat, TimePoint now);
 
-    /*! @brief Notes that this process takes no new work: it keeps no queue any more while a peer can. */
-    void drain() noexcept;
+    /*! @brief Sets whether this process can keep queues; it keeps them all the same while no peer can. */
+    void setKeepsQueues(bool keepsQueues) noexcept;
 
     /*! @brief Notes that a call to a peer has failed: it counts as gone until it is heard again. */
     void unreached(const InstanceName &peer);
@@ -125,6 +127,7 @@
         std::uint64_t incarnation{};
         TimePoint heardAt{};
         bool draining{};
+        bool keepsQueues{};
         bool isUnreached{};
         std::vector<PoolWait> waits;
         std::vector<PoolWork> upcoming;
@@ -133,7 +136,7 @@
     void forgetGone(TimePoint now);
 
     PeerInfo m_self;
-    bool m_isDraining{};
+    bool m_keepsQueues{};
     std::set<std::string> m_seeds;
     /*! @brief Addresses to ask, and when each was asked last. */
     std::map<std::string, TimePoint> m_askedAt;
--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -91,6 +91,17 @@
     bool begun{};
     EventSplitter events;
 
+    /*! @brief Tells if results that a further run would need have been given up. */
+    [[nodiscard]] bool lacksResults() const noexcept
+    {
+        for (std::size_t stage = 0; stage < stages.size(); ++stage) {
+            if (route->stages[stage].isLeaf && stages[stage].pieces != 0 && stages[stage].isReleased) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /*! @brief Returns the time past the objective that was forecast on arrival; zero if none. */
     [[nodiscard]] Duration lateness() const noexcept
     {
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -101,7 +101,7 @@
  */
 void ServingReducer::handOverQueues()
 {
-    m_peers.drain();
+    m_peers.setKeepsQueues(false);
     if (m_peers.live(m_now).empty()) {
         return;
     }
@@ -119,6 +119,10 @@
 
 void ServingReducer::on(const PeerTaskArrived &event)
 {
+    if (!canServe()) {
+        m_effects.emplace_back(AnswerPeerTask{event.number, {}});
+        return;
+    }
     StageTask task = event.task;
     task.id = StageTaskId{firstPeerTask + m_nextTask++};
     m_peerTasks[task.id] = {event.number, task.pieces, {}};
@@ -234,6 +238,7 @@
     heartbeat.from = m_peers.self();
     heartbeat.incarnation = m_incarnation;
     heartbeat.draining = m_draining;
+    heartbeat.keepsQueues = canServe();
     heartbeat.version = m_catalog ? m_catalog->version : 0;
     heartbeat.peers = m_peers.live(now);
     if (m_catalog) {
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -89,6 +89,7 @@
 void ServingReducer::on(const CatalogChanged &event)
 {
     m_catalog = event.catalog;
+    m_peers.setKeepsQueues(canServe());
     m_effects.emplace_back(Observe{Metric::ConfigurationsTotal, {}, 1.0});
     m_effects.emplace_back(Observe{Metric::ConfigVersion, {}, static_cast<double>(m_catalog->version)});
     m_effects.emplace_back(
@@ -101,6 +102,7 @@
 void ServingReducer::on(const EndpointsChanged &event)
 {
     m_endpoints.update(*event.endpoints, m_effects);
+    m_peers.setKeepsQueues(canServe());
 }
 
 void ServingReducer::on(const DrainRequested &)
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -113,6 +113,8 @@
     void take(const StageOutcome &outcome, std::uint64_t scheduler);
     void takeForPeer(StageTaskId id, const StageOutcome &outcome);
     void stageFailed(Request &request, PieceFailure failure);
+    [[nodiscard]] static bool mayRestartStages(const Request &request);
+    void restartStages(Request &request);
     void release(StageProgress &stage);
     void releaseAll(Request &request);
     [[nodiscard]] TimePoint inputsLapse(const Request &request, const std::vector<std::uint32_t> &stages) const;
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -133,11 +133,10 @@
     }
     std::string events = request->events.take(event.bytes);
     if (!events.empty()) {
-        if (!request->route->isResumable) {
-            // The engine has fetched its inputs by now.
-            for (StageProgress &stage : request->stages) {
-                release(stage);
-            }
+        // The engine has fetched its inputs by now. A stream that breaks off later has them made again: that is rare,
+        // while the room of the pools is what binds under a burst.
+        for (StageProgress &stage : request->stages) {
+            release(stage);
         }
         m_effects.emplace_back(StreamEvents{request->in->call, std::move(events)});
     }
@@ -227,8 +226,14 @@
         && m_budget.take(request.pool, m_now)) {
         log(request, "A request is sent again.",
             {{"may_have_run", mayHaveRun ? "yes" : "no"}, {"endpoint", request.endpoint.text()}}, Severity::Warning);
-        startRun(request);
-        return;
+        if (!request.lacksResults()) {
+            startRun(request);
+            return;
+        }
+        if (mayRestartStages(request)) {
+            restartStages(request);
+            return;
+        }
     }
     if (request.begun) {
         m_effects.emplace_back(AbortStream{request.in->call});
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -233,13 +233,23 @@
 {
     log(request, "A stage has failed.",
         {{"reason", std::string{enumName(failure)}}, {"level", absl::StrCat(request.level)}}, Severity::Warning);
-    const bool again = failure == PieceFailure::InputGone && request.stageRestarts < mostStageRestarts
-        && m_budget.take(request.pool, m_now);
+    const bool again =
+        failure == PieceFailure::InputGone && mayRestartStages(request) && m_budget.take(request.pool, m_now);
     if (!again) {
         refuse(request, request.mayHaveRun ? AnswerKind::BadGateway : AnswerKind::Unavailable,
                absl::StrCat("stage failed: ", std::string{enumName(failure)}));
         return;
     }
+    restartStages(request);
+}
+
+bool ServingReducer::mayRestartStages(const Request &request)
+{
+    return request.stageRestarts < mostStageRestarts;
+}
+
+void ServingReducer::restartStages(Request &request)
+{
     ++request.stageRestarts;
     releaseAll(request);
     for (StageProgress &stage : request.stages) {
--- a/test/bergamottide/serving/peers.cpp
+++ b/test/bergamottide/serving/peers.cpp
@@ -20,6 +20,11 @@
     CPPUNIT_TEST(drainingPeerKeepsNoQueue);
     CPPUNIT_TEST(addressesOfPeersAreLearntFromPeers);
     CPPUNIT_TEST(addressOfAPeerThatIsLongGoneIsNotAskedAnyMore);
+    CPPUNIT_TEST(peerThatKnowsNoConfigurationKeepsNoQueue);
+    CPPUNIT_TEST(processWithoutConfigurationSendsTasksBack);
+    CPPUNIT_TEST(drainingProcessHandsItsQueueOver);
+    CPPUNIT_TEST(taskTellsOfResultsThatAnotherKeeperHadMade);
+    CPPUNIT_TEST(workOnItsWayToAPoolIsTold);
     CPPUNIT_TEST(taskOfALostKeeperIsDoneHere);
     CPPUNIT_TEST(resultsForAPeerThatLeftAreFreed);
     CPPUNIT_TEST(endpointThatVanishesWithTheListIsKeptForAWhile);
@@ -36,6 +41,8 @@
     {
         Peers one{{InstanceName{"a"}, "a:1"}, {}};
         Peers other{{InstanceName{"b"}, "b:1"}, {}};
+        one.setKeepsQueues(true);
+        other.setKeepsQueues(true);
         one.heard(heartbeat("b"), m_now);
         other.heard(heartbeat("a"), m_now);
         for (const char *pool : {"p1", "p2", "p3", "p4"}) {
@@ -86,6 +93,84 @@
         CPPUNIT_ASSERT((peers.due(m_now + std::chrono::seconds{61}) == std::vector<std::string>{"b:1"}));
     }
 
+    void peerThatKnowsNoConfigurationKeepsNoQueue()
+    {
+        Peers peers{{InstanceName{"a"}, "a:1"}, {}};
+        Heartbeat starting = heartbeat("b");
+        starting.keepsQueues = false;
+        peers.heard(starting, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peers.live(m_now).size());
+        for (const char *pool : {"p1", "p2", "p3", "p4", "p5", "p6"}) {
+            CPPUNIT_ASSERT(!peers.keeper(PoolName{pool}, m_now));
+        }
+    }
+
+    void processWithoutConfigurationSendsTasksBack()
+    {
+        ServingOptions options;
+        options.self = {InstanceName{"new"}, "10.0.0.9:1"};
+        ServingReducer reducer{options};
+        StageTask task;
+        task.pool = PoolName{"encoders"};
+        task.pieces = 1;
+        task.zone = ZoneName{"a"};
+        task.due = m_now + std::chrono::seconds{1};
+        const Effects effects = reducer.apply(PeerTaskArrived{PeerTaskNumber{1}, task}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, effects.size());
+        CPPUNIT_ASSERT(std::get<AnswerPeerTask>(effects.front()).outcomes.empty());
+        const TimePoint later = m_now + std::chrono::seconds{1};
+        static_cast<void>(reducer.apply(Tick{}, later));
+        // A wakeup that is due at once after a tick would never let the process rest.
+        CPPUNIT_ASSERT(reducer.nextWakeup().value() > later);
+    }
+
+    void drainingProcessHandsItsQueueOver()
+    {
+        m_fixture.apply(PeerTaskArrived{PeerTaskNumber{1}, encoderTask("first", 8)});
+        m_fixture.apply(PeerTaskArrived{PeerTaskNumber{2}, encoderTask("second", 8)});
+        CPPUNIT_ASSERT(m_fixture.effect<StartStageCall>() == nullptr);
+        m_fixture.apply(HeartbeatHeard{heartbeat("b")});
+        m_fixture.apply(DrainRequested{});
+        const auto *moved = m_fixture.effect<AnswerPeerTask>();
+        CPPUNIT_ASSERT(moved != nullptr);
+        CPPUNIT_ASSERT(moved->number == PeerTaskNumber{2});
+        CPPUNIT_ASSERT(moved->outcomes.empty());
+    }
+
+    void taskTellsOfResultsThatAnotherKeeperHadMade()
+    {
+        RequestArrived arrival = m_fixture.arrival("/draft/1");
+        arrival.request.pieces = {2};
+        m_fixture.apply(arrival);
+        const auto *call = m_fixture.effect<StartStageCall>();
+        m_fixture.apply(StageCallEnded{call->call, StageCallEnd::Answered, {{"h-1", {}}, {"h-2", {}}}});
+        Heartbeat keeper = heartbeat(findKeeper().text());
+        keeper.incarnation = 7;
+        m_fixture.apply(HeartbeatHeard{keeper});
+        arrival = m_fixture.arrival("/draft/2", 2);
+        arrival.request.pieces = {1};
+        m_fixture.apply(arrival);
+        const auto *handed = m_fixture.effect<HandTask>();
+        CPPUNIT_ASSERT(handed != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, handed->task.held.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2000}, handed->task.held.front().bytes);
+    }
+
+    void workOnItsWayToAPoolIsTold()
+    {
+        RequestArrived arrival = m_fixture.arrival("/report/1");
+        arrival.request.pieces = {1, 6};
+        m_fixture.apply(arrival);
+        const Heartbeat told = m_fixture.reducer().heartbeat(m_fixture.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.upcoming.size());
+        CPPUNIT_ASSERT(told.upcoming.front().pool == PoolName{"rerankers"});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, told.upcoming.front().pieces);
+        Peers peers{{InstanceName{"a"}, "a:1"}, {}};
+        peers.heard(told, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, peers.upcoming(PoolName{"rerankers"}, 0, m_now));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, peers.upcoming(PoolName{"encoders"}, 0, m_now));
+    }
+
     void taskOfALostKeeperIsDoneHere()
     {
         const InstanceName keeper = findKeeper();
@@ -209,9 +294,22 @@
     {
         Heartbeat out;
         out.from = {InstanceName{name}, name + ":1"};
+        out.keepsQueues = true;
         return out;
     }
 
+    [[nodiscard]] StageTask encoderTask(const std::string &attempt, std::uint32_t pieces) const
+    {
+        StageTask task;
+        task.pool = PoolName{"encoders"};
+        task.attempt = attempt;
+        task.pieces = pieces;
+        task.due = m_now + std::chrono::seconds{1};
+        task.deadline = m_now + std::chrono::seconds{5};
+        task.resultBytes = 1000;
+        return task;
+    }
+
     [[nodiscard]] static EndpointRecord record(const std::string &name, bool draining = false)
     {
         return {InstanceName{name}, PoolName{"pool"}, "10.0.0.1:1", ZoneName{"a"}, 1, draining};
@@ -223,6 +321,7 @@
         for (int number = 2;; ++number) {
             const std::string name = "entry-" + std::to_string(number);
             Peers peers{{InstanceName{"entry-1"}, "10.0.0.9:1"}, {}};
+            peers.setKeepsQueues(true);
             peers.heard(heartbeat(name), m_now);
             if (peers.keeper(PoolName{"encoders"}, m_now)) {
                 return InstanceName{name};
--- a/test/bergamottide/serving/servingfixture.h
+++ b/test/bergamottide/serving/servingfixture.h
@@ -35,9 +35,15 @@
         out->routes.back().maxAttempts = 2;
         out->routes.push_back(route("draft", "/draft/", RouteKind::Streaming, "engines"));
         out->routes.back().stages.push_back({PoolName{"encoders"}, {}, 1000});
+        out->routes.push_back(route("report", "/report/", RouteKind::Streaming, "engines"));
+        out->routes.back().isResumable = true;
+        out->routes.back().maxAttempts = 2;
+        out->routes.back().stages.push_back({PoolName{"encoders"}, {}, 1000});
+        out->routes.back().stages.push_back({PoolName{"rerankers"}, {0}, 100});
         out->pools["desk"] = Pool{PoolName{"desk"}, 100, {}, {}};
         out->pools["engines"] = Pool{PoolName{"engines"}, 100, {}, EngineSpec{8, 100'000}};
         out->pools["encoders"] = Pool{PoolName{"encoders"}, 100, batch(), {}};
+        out->pools["rerankers"] = Pool{PoolName{"rerankers"}, 100, batch(), {}};
         out->index();
         return out;
     }
@@ -54,7 +60,8 @@
                                                                                          {"desk-2", "desk"},
                                                                                          {"engine-1", "engines"},
                                                                                          {"engine-2", "engines"},
-                                                                                         {"encoder-1", "encoders"}}) {
+                                                                                         {"encoder-1", "encoders"},
+                                                                                         {"reranker-1", "rerankers"}}) {
             list->push_back({InstanceName{name}, PoolName{pool}, "10.0.0.1:1", ZoneName{"a"}, 4, false});
         }
         return list;
--- a/test/bergamottide/serving/servingreducer.cpp
+++ b/test/bergamottide/serving/servingreducer.cpp
@@ -27,9 +27,46 @@
     CPPUNIT_TEST(callerThatLeavesCancelsItsRun);
     CPPUNIT_TEST(drainTakesRequestsOnlyAtItsBeginning);
     CPPUNIT_TEST(stagesAreMadeBeforeTheRunAndFreedAtItsFirstEvent);
+    CPPUNIT_TEST(brokenStreamHasItsStagesMadeAgainBeforeItGoesOn);
+    CPPUNIT_TEST(requestThatCannotBeOnTimeIsRefusedAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void brokenStreamHasItsStagesMadeAgainBeforeItGoesOn()
+    {
+        RequestArrived arrival = m_fixture.arrival("/report/1");
+        arrival.request.pieces = {1, 1};
+        m_fixture.apply(arrival);
+        const RunNumber first = makeStages(2);
+        m_fixture.apply(RunAnswered{first, ServingFixture::head()});
+        m_fixture.apply(RunReceived{first, "id: 0\ndata: a\n\n"});
+        CPPUNIT_ASSERT(m_fixture.effect<FreeResults>() != nullptr);
+        m_fixture.apply(RunFailed{first, RunFailure::Broken});
+        CPPUNIT_ASSERT(m_fixture.effect<StartStageCall>() != nullptr);
+        makeStages(2);
+        const auto *start = m_fixture.effect<StartRun>();
+        CPPUNIT_ASSERT(start != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::string{"0"}, start->lastEvent);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, start->inputs.size());
+    }
+
+    /*! @brief The keeper of a queue tells of a wait that leaves no time; then of one that leaves enough. */
+    void requestThatCannotBeOnTimeIsRefusedAtOnce()
+    {
+        RequestArrived arrival = m_fixture.arrival("/report/1");
+        arrival.request.pieces = {1, 1};
+        m_fixture.apply(HeartbeatHeard{keeperWith(std::chrono::milliseconds{1400})});
+        m_fixture.apply(arrival);
+        CPPUNIT_ASSERT(refusal() == AnswerKind::Unavailable);
+        // It comes back when the wait is over, but not later than a third of its time.
+        CPPUNIT_ASSERT(m_fixture.effect<RefuseCaller>()->retryAfter > std::chrono::milliseconds{500});
+        CPPUNIT_ASSERT(m_fixture.effect<RefuseCaller>()->retryAfter <= std::chrono::milliseconds{1000});
+        m_fixture.apply(HeartbeatHeard{keeperWith(std::chrono::milliseconds{100})});
+        arrival.request.call = CallId{2};
+        m_fixture.apply(arrival);
+        CPPUNIT_ASSERT(m_fixture.effect<RefuseCaller>() == nullptr);
+    }
+
     void plainAnswerIsPassedOnUnchanged()
     {
         const RunNumber run = send("/order/1");
@@ -235,6 +272,40 @@
         return start->run;
     }
 
+    /*! @brief Answers the stage calls of the only request, one stage after the other; returns the run that follows. */
+    RunNumber makeStages(int stages)
+    {
+        for (int stage = 0; stage < stages; ++stage) {
+            const auto *call = m_fixture.effect<StartStageCall>();
+            CPPUNIT_ASSERT(call != nullptr);
+            StageCallEnded ended{call->call, StageCallEnd::Answered, {}};
+            for (std::size_t item = 0; item < call->items.size(); ++item) {
+                ended.results.push_back({"h-" + std::to_string(item), PieceFailure::None});
+            }
+            m_fixture.apply(ended);
+        }
+        const auto *start = m_fixture.effect<StartRun>();
+        CPPUNIT_ASSERT(start != nullptr);
+        return start->run;
+    }
+
+    /*! @brief A peer that keeps the queue of the encoders, where new work waits for some time. */
+    [[nodiscard]] Heartbeat keeperWith(Duration wait) const
+    {
+        Heartbeat out;
+        out.keepsQueues = true;
+        out.waits.push_back({PoolName{"encoders"}, 0, wait, std::chrono::milliseconds{20}, 4.0});
+        for (int number = 2;; ++number) {
+            out.from = {InstanceName{"entry-" + std::to_string(number)}, "10.0.0.8:1"};
+            Peers peers{{InstanceName{"entry-1"}, "10.0.0.9:1"}, {}};
+            peers.setKeepsQueues(true);
+            peers.heard(out, m_fixture.now());
+            if (peers.keeper(PoolName{"encoders"}, m_fixture.now())) {
+                return out;
+            }
+        }
+    }
+
     [[nodiscard]] std::optional<AnswerKind> refusal() const
     {
         const auto *refused = m_fixture.effect<RefuseCaller>();
