Inputs of a stage are given up once they have been fetched, where room is scarce

A call fetches its inputs before it works. Ruled out: too few calls (17 of at most 18 a second), zones (the same fill without preference of a zone). Change: the scheduler gives inputs up some time after the call has begun, and tells whoever accounts for the room. A call that fails afterwards costs the chain a new start, so it is done only while the makers' room is more than 60% taken; heartbeats tell that share. The scheduler that has had results used gives them up, not the process that asked.

--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -56,7 +56,8 @@
                                 {"rank", wait.rank},
                                 {"wait", wait.wait.count()},
                                 {"perPiece", wait.perPiece.count()},
-                                {"items", wait.items}});
+                                {"items", wait.items},
+                                {"roomTaken", wait.roomTaken}});
     }
     out["upcoming"] = json::array();
     for (const PoolWork &work : heartbeat.upcoming) {
@@ -81,7 +82,7 @@
             heartbeat.waits.push_back({PoolName{wait.at("pool").get<std::string>()}, wait.at("rank").get<int>(),
                                        Duration{wait.at("wait").get<std::int64_t>()},
                                        Duration{wait.at("perPiece").get<std::int64_t>()},
-                                       wait.at("items").get<double>()});
+                                       wait.at("items").get<double>(), wait.at("roomTaken").get<double>()});
         }
         for (const json &work : value.at("upcoming")) {
             heartbeat.upcoming.push_back({PoolName{work.at("pool").get<std::string>()}, work.at("rank").get<int>(),
@@ -93,6 +94,13 @@
 
 std::string write(const StageTask &task, TimePoint now)
 {
+    json inputs = json::array();
+    for (const KeptResult &input : task.inputs) {
+        inputs.push_back({{"handle", input.handle},
+                          {"endpoint", input.endpoint.text()},
+                          {"address", input.address},
+                          {"bytes", input.bytes}});
+    }
     json held = json::array();
     for (const HeldResults &one : task.held) {
         held.push_back({{"endpoint", one.endpoint.text()}, {"bytes", one.bytes}});
@@ -106,7 +114,7 @@
                  {"stage", task.stage},
                  {"pieces", task.pieces},
                  {"key", task.key},
-                 {"inputs", task.inputs},
+                 {"inputs", std::move(inputs)},
                  {"bytes", task.resultBytes},
                  {"zone", task.zone.text()},
                  {"held", std::move(held)}});
@@ -125,7 +133,11 @@
         task.stage = value.at("stage").get<std::uint32_t>();
         task.pieces = value.at("pieces").get<std::uint32_t>();
         task.key = value.at("key").get<std::string>();
-        task.inputs = value.at("inputs").get<std::vector<std::string>>();
+        for (const json &input : value.at("inputs")) {
+            task.inputs.push_back({input.at("handle").get<std::string>(),
+                                   InstanceName{input.at("endpoint").get<std::string>()},
+                                   input.at("address").get<std::string>(), input.at("bytes").get<std::uint64_t>()});
+        }
         task.resultBytes = value.at("bytes").get<std::uint64_t>();
         task.zone = ZoneName{value.at("zone").get<std::string>()};
         for (const json &one : value.at("held")) {
--- a/src/bergamottide/serving/catalog.h
+++ b/src/bergamottide/serving/catalog.h
@@ -91,6 +91,8 @@
     std::uint64_t resultRoom{};
     /*! @brief Time for which a result is kept. */
     Duration resultTtl{};
+    /*! @brief Bytes a second at which an endpoint fetches inputs; zero if not known. */
+    double fetchRate{};
 };
 
 /*! @brief How the engines of a model pool work. */
--- a/src/bergamottide/serving/peers.h
+++ b/src/bergamottide/serving/peers.h
@@ -30,6 +30,8 @@
     Duration perPiece{};
     /*! @brief Typical number of items of a call, which last together. */
     double items{1.0};
+    /*! @brief Share of the endpoints' memory for results that is taken, from 0 to 1. */
+    double roomTaken{};
 };
 
 /*! @brief Pieces of admitted requests that have yet to reach a stage pool. */
--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -15,17 +15,6 @@
 
 namespace bergamottide::serving {
 
-/*! @brief A result that waits for its use. */
-struct KeptResult
-{
-    std::string handle;
-    InstanceName endpoint;
-    std::string address;
-    std::uint64_t bytes{};
-    /*! @brief Incarnation of the process whose scheduler has had it made. */
-    std::uint64_t scheduler{};
-};
-
 /*! @brief Progress of one stage of a request. */
 struct StageProgress
 {
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -203,6 +203,7 @@
         out.wait = wait->wait;
         out.perPiece = wait->perPiece;
         out.items = wait->items;
+        out.roomTaken = wait->roomTaken;
     }
     out.upcoming = m_peers.upcoming(pool, rank, m_now);
     for (const auto &[key, pieces] : ownUpcoming()) {
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -42,7 +42,7 @@
 
 ServingReducer::ServingReducer(const ServingOptions &options)
     : m_budget{options.retries}
-    , m_stages{m_endpoints, m_budget}
+    , m_stages{m_endpoints, m_budget, [this](const KeptResult &result) { return isShortOfRoom(result); }}
     , m_peers{options.self, options.seeds}
     , m_incarnation{options.incarnation}
 {
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -118,8 +118,10 @@
     void release(StageProgress &stage);
     void releaseAll(Request &request);
     [[nodiscard]] TimePoint inputsLapse(const Request &request, const std::vector<std::uint32_t> &stages) const;
-    [[nodiscard]] std::vector<std::string> inputsOf(const Request &request,
-                                                    const std::vector<std::uint32_t> &stages) const;
+    [[nodiscard]] std::vector<KeptResult> inputsOf(const Request &request,
+                                                   const std::vector<std::uint32_t> &stages) const;
+    void giveUp(const std::vector<KeptResult> &results);
+    [[nodiscard]] bool isShortOfRoom(const KeptResult &result);
 
     // Runs.
     void startRun(Request &request);
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -50,7 +50,9 @@
             leaves.push_back(stage);
         }
     }
-    start.inputs = inputsOf(request, leaves);
+    for (const KeptResult &input : inputsOf(request, leaves)) {
+        start.inputs.push_back(input.handle);
+    }
     if (const auto last = request.events.last(); last && request.begun) {
         start.lastEvent = absl::StrCat(*last);
     } else {
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -21,6 +21,8 @@
 /*! @brief Differences below this are not worth a wakeup. */
 constexpr Duration shortestDelay = std::chrono::milliseconds{20};
 
+/*! @brief Share of a pool's memory for results above which room counts as scarce: a full call takes a third of it. */
+constexpr double scarceRoom = 0.6;
 /*! @brief Part of the time for which a result is kept that is not counted on: it began when the result was made, not
  * when it was heard of. */
 constexpr Duration lapseMargin = std::chrono::milliseconds{300};
@@ -121,19 +123,19 @@
     place(std::move(task));
 }
 
-std::vector<std::string> ServingReducer::inputsOf(const Request &request,
-                                                  const std::vector<std::uint32_t> &stages) const
+std::vector<KeptResult> ServingReducer::inputsOf(const Request &request,
+                                                 const std::vector<std::uint32_t> &stages) const
 {
-    std::vector<std::string> handles;
+    std::vector<KeptResult> inputs;
     for (const std::uint32_t stage : stages) {
         if (stage >= request.stages.size()) {
             continue;
         }
         for (const KeptResult &result : request.stages[stage].results) {
-            handles.push_back(result.handle);
+            inputs.push_back(result);
         }
     }
-    return handles;
+    return inputs;
 }
 
 /*
@@ -189,6 +191,7 @@
         take(outcome, m_incarnation);
     }
     m_stages.dispatch(*m_catalog, m_now, m_effects);
+    giveUp(m_stages.takeUsedInputs());
 }
 
 void ServingReducer::take(const StageOutcome &outcome, std::uint64_t scheduler)
@@ -223,7 +226,8 @@
     m_tasks.erase(found);
     for (const std::uint32_t before : request->route->stages[stage].after) {
         if (before < request->stages.size()) {
-            release(request->stages[before]);
+            // The scheduler that has had the results made of them has given them up.
+            request->stages[before].isReleased = true;
         }
     }
     advance(*request);
@@ -266,19 +270,36 @@
         return;
     }
     stage.isReleased = true;
+    giveUp(stage.results);
+}
+
+bool ServingReducer::isShortOfRoom(const KeptResult &result)
+{
+    const Endpoint *endpoint = m_endpoints.find(result.endpoint);
+    const auto found = endpoint == nullptr ? std::nullopt : outlook(endpoint->record.pool, 0);
+    return found && found->roomTaken > scarceRoom;
+}
+
+/*! @brief Gives results up at their endpoints, and tells the peers that account for the room there. */
+void ServingReducer::giveUp(const std::vector<KeptResult> &results)
+{
     std::map<std::string, std::vector<std::string>> byAddress;
-    for (const KeptResult &result : stage.results) {
+    std::map<InstanceName, TellReleased> byKeeper;
+    for (const KeptResult &result : results) {
         if (result.handle.empty()) {
             continue;
         }
         m_stages.released(result.handle);
         byAddress[result.address].push_back(result.handle);
-    }
-    if (const auto keeper = m_peers.keeper(stage.pool, m_now); keeper && !byAddress.empty()) {
-        TellReleased tell{*keeper, {}};
-        for (const auto &[address, handles] : byAddress) {
-            tell.handles.insert(tell.handles.end(), handles.begin(), handles.end());
+        const Endpoint *endpoint = m_endpoints.find(result.endpoint);
+        const auto keeper = endpoint == nullptr ? std::nullopt : m_peers.keeper(endpoint->record.pool, m_now);
+        if (keeper) {
+            TellReleased &tell = byKeeper[keeper->instance];
+            tell.peer = *keeper;
+            tell.handles.push_back(result.handle);
         }
+    }
+    for (auto &[instance, tell] : byKeeper) {
         m_effects.emplace_back(std::move(tell));
     }
     for (auto &[address, handles] : byAddress) {
--- a/src/bergamottide/serving/stageforecast.h
+++ b/src/bergamottide/serving/stageforecast.h
@@ -22,6 +22,8 @@
     std::uint64_t upcoming{};
     /*! @brief Typical number of items of a call; those of other requests prolong it. */
     double items{1.0};
+    /*! @brief Share of the endpoints' memory for results that is taken. */
+    double roomTaken{};
 };
 
 /*! @brief Tells the outlook at a pool for a rank; nothing if no endpoint takes work there. */
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -32,6 +32,10 @@
 /*! @brief Longest wait of a late task behind all others: its result is worth little, and its caller may come back
  * sooner. */
 constexpr Duration longestLateWait = std::chrono::milliseconds{700};
+/*! @brief Inputs count as fetched after this many times the time that the links need, plus the allowance: a call carries
+ * some tasks, both ends share their links, and the request is on its way for some milliseconds. */
+constexpr int fetchTimeFactor = 6;
+constexpr Duration fetchAllowance = std::chrono::milliseconds{60};
 /*! @brief Share of a pool that more urgent work is taken to fill at most, in the forecast of a wait behind it. */
 constexpr double mostUrgentShare = 0.8;
 /*!
@@ -70,6 +74,26 @@
     return Duration{static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor)};
 }
 
+/*! @brief Time in which an endpoint fetches the inputs of all pieces of a task; each piece fetches them all. */
+Duration fetchTime(const BatchSpec &spec, const StageTask &task)
+{
+    double bytes = 0.0;
+    for (const KeptResult &input : task.inputs) {
+        bytes += static_cast<double>(input.bytes) * task.pieces;
+    }
+    const double seconds = spec.fetchRate > 0.0 ? bytes / spec.fetchRate : 0.0;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+std::vector<std::string> handlesOf(const std::vector<KeptResult> &results)
+{
+    std::vector<std::string> handles;
+    for (const KeptResult &result : results) {
+        handles.push_back(result.handle);
+    }
+    return handles;
+}
+
 Duration expectedTime(const BatchSpec &spec, std::size_t items)
 {
     return spec.callTime + spec.itemTime * static_cast<std::int64_t>(items);
@@ -92,9 +116,10 @@
 
 } // namespace
 
-StageScheduler::StageScheduler(EndpointBoard &endpoints, RetryBudget &budget)
+StageScheduler::StageScheduler(EndpointBoard &endpoints, RetryBudget &budget, ShortOfRoom shortOfRoom)
     : m_endpoints{endpoints}
     , m_budget{budget}
+    , m_shortOfRoom{std::move(shortOfRoom)}
     , m_room{endpoints}
 {
 }
@@ -223,6 +248,17 @@
     return remaining;
 }
 
+double StageScheduler::roomTaken(const Pool &pool, TimePoint now)
+{
+    const std::vector<Endpoint *> usable = m_endpoints.usable(pool.name, now);
+    const double room = static_cast<double>(pool.batch->resultRoom) * static_cast<double>(usable.size());
+    double taken = 0.0;
+    for (const Endpoint *endpoint : usable) {
+        taken += static_cast<double>(endpoint->takenBytes());
+    }
+    return room > 0.0 ? taken / room : 0.0;
+}
+
 /*! @brief Returns how many endpoints of the expected speed the pool's slots amount to, at least one. */
 double StageScheduler::capacity(const Pool &pool, TimePoint now)
 {
@@ -382,11 +418,12 @@
         Pending &pending = m_tasks.at(item.task);
         const StageTask &task = pending.task;
         const Duration left = task.deadline - now;
-        start.items.push_back({task.attempt, task.stage, item.piece, left, task.key, task.inputs});
+        start.items.push_back({task.attempt, task.stage, item.piece, left, task.key, handlesOf(task.inputs)});
         start.deadline = std::max(start.deadline, left);
         std::erase(pending.waiting, item.piece);
         if (pending.waiting.empty()) {
             queue.erase(orderOf(pending));
+            pending.fetchedAt = now + fetchTime(*pool.batch, task) * fetchTimeFactor + fetchAllowance;
         }
         endpoint.resultBytes += item.bytes;
     }
@@ -467,6 +504,7 @@
         m_room.keep(result.handle, call.endpoint, item.bytes, now + call.resultTtl);
         m_outcomes.push_back({item.task, item.piece, result, call.endpoint, call.address});
         if (--found->second.open == 0) {
+            giveUpInputs(found->second);
             m_tasks.erase(found);
         }
     }
@@ -540,6 +578,11 @@
         fail(pending, PieceFailure::Error);
         return;
     }
+    if (pending.isFetched && !pending.task.inputs.empty()) {
+        fail(pending, PieceFailure::InputGone);
+        return;
+    }
+    pending.fetchedAt.reset();
     pending.waiting.push_back(item.piece);
     m_queues[pending.task.pool].insert(orderOf(pending));
 }
@@ -552,9 +595,48 @@
     m_tasks.erase(id);
 }
 
+/*
+ * Answers a chain of stages whose first ones have little room for results: inputs that stay until the call that takes
+ * them has ended are there for a quarter of a second longer than they are of use. A call that fails after its inputs
+ * are given up costs its request a new start of the chain, which is rare.
+ */
+void StageScheduler::giveUpFetched(TimePoint now)
+{
+    for (auto &[id, pending] : m_tasks) {
+        if (!pending.fetchedAt || *pending.fetchedAt > now) {
+            continue;
+        }
+        pending.fetchedAt.reset();
+        if (isWorthGivingUp(pending)) {
+            giveUpInputs(pending);
+        }
+    }
+}
+
+bool StageScheduler::isWorthGivingUp(const Pending &pending) const
+{
+    const std::vector<KeptResult> &inputs = pending.task.inputs;
+    return std::any_of(inputs.begin(), inputs.end(), m_shortOfRoom);
+}
+
+void StageScheduler::giveUpInputs(Pending &pending)
+{
+    if (std::exchange(pending.isFetched, true)) {
+        return;
+    }
+    const std::vector<KeptResult> &inputs = pending.task.inputs;
+    m_usedInputs.insert(m_usedInputs.end(), inputs.begin(), inputs.end());
+}
+
+std::vector<KeptResult> StageScheduler::takeUsedInputs()
+{
+    return std::exchange(m_usedInputs, {});
+}
+
 void StageScheduler::expire(TimePoint now, Effects &effects)
 {
     m_room.expire(now);
+    giveUpFetched(now);
     std::vector<StageCallNumber> expired;
     for (const auto &[number, call] : m_calls) {
         if (call.expiry <= now) {
@@ -625,6 +707,7 @@
     out.rank = rank;
     out.perPiece = timePerPiece(*spec, now);
     out.items = m_loads[pool].items();
+    out.roomTaken = roomTaken(*spec, now);
     // More urgent work that arrives meanwhile goes first as well.
     const double urgent = m_loads[pool].urgentRate(rank, now) * std::chrono::duration<double>(out.perPiece).count();
     out.wait = scaled(waitBehind(*spec, ahead, remainingTime(pool, now), now),
@@ -640,6 +723,11 @@
             first = call.expiry;
         }
     }
+    for (const auto &[id, pending] : m_tasks) {
+        if (pending.fetchedAt && (!first || *pending.fetchedAt < *first)) {
+            first = pending.fetchedAt;
+        }
+    }
     for (const auto &[pool, queue] : m_queues) {
         for (const Order &order : queue) {
             const TimePoint until = m_tasks.at(std::get<StageTaskId>(order)).patientUntil;
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -12,6 +12,7 @@
 #include "bergamottide/serving/stagetask.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -32,12 +33,16 @@
 class StageScheduler
 {
 public:
+    /*! @brief Tells if the pool that has made a result is short of room for more. */
+    using ShortOfRoom = std::function<bool(const KeptResult &result)>;
+
     /**
      * @brief Creates a scheduler without tasks.
      * @param endpoints Endpoints; outlive the scheduler.
      * @param budget Bounds repeated work; outlives the scheduler.
+     * @param shortOfRoom Tells which inputs are worth to be given up before their task has ended.
      */
-    StageScheduler(EndpointBoard &endpoints, RetryBudget &budget);
+    StageScheduler(EndpointBoard &endpoints, RetryBudget &budget, ShortOfRoom shortOfRoom);
 
     /**
      * @brief Adds a task.
@@ -90,6 +95,9 @@
      */
     void released(const std::string &handle);
 
+    /*! @brief Returns the inputs of tasks that no call needs any more, since the last call; they are to be given up. */
+    [[nodiscard]] std::vector<KeptResult> takeUsedInputs();
+
     /*! @brief Returns the waits at the pools that have tasks, for each rank in their queues. */
     [[nodiscard]] std::vector<PoolWait> waits(const Catalog &catalog, TimePoint now);
 
@@ -120,6 +128,10 @@
         TimePoint lateSince{};
         /*! @brief Until then only endpoints of its zone take it. */
         TimePoint patientUntil{};
+        /*! @brief When the calls with its pieces have fetched their inputs; set once all pieces are in calls. */
+        std::optional<TimePoint> fetchedAt;
+        /*! @brief Its inputs have been given up. */
+        bool isFetched{};
     };
 
     struct CallItem
@@ -159,6 +171,7 @@
     void markLate(const Pool &pool, std::set<Order> &queue, TimePoint now);
     void shedLate(const Pool &pool, const std::set<Order> &queue, std::size_t ahead, Duration busy, TimePoint now);
     [[nodiscard]] Duration remainingTime(const PoolName &pool, TimePoint now) const;
+    [[nodiscard]] double roomTaken(const Pool &pool, TimePoint now);
     [[nodiscard]] double capacity(const Pool &pool, TimePoint now);
     [[nodiscard]] Duration waitBehind(const Pool &pool, std::size_t pieces, Duration busy, TimePoint now);
     [[nodiscard]] Duration timePerPiece(const Pool &pool, TimePoint now);
@@ -174,16 +187,21 @@
     static void logFailures(const StageCallEnded &event, const Call &call, Effects &effects);
     void giveBack(const Call &call, bool failed, TimePoint now, Effects &effects);
     void requeue(const CallItem &item, bool failed);
+    void giveUpInputs(Pending &pending);
+    [[nodiscard]] bool isWorthGivingUp(const Pending &pending) const;
+    void giveUpFetched(TimePoint now);
     void fail(Pending &pending, PieceFailure failure);
     void noteSpeed(const Call &call, TimePoint now);
 
     EndpointBoard &m_endpoints;
     RetryBudget &m_budget;
+    ShortOfRoom m_shortOfRoom;
     std::map<StageTaskId, Pending> m_tasks;
     std::map<PoolName, std::set<Order>> m_queues;
     std::map<StageCallNumber, Call> m_calls;
     ResultRoom m_room;
     std::vector<StageOutcome> m_outcomes;
+    std::vector<KeptResult> m_usedInputs;
     std::map<PoolName, PoolLoad> m_loads;
     TimePoint m_dispatchedAt{};
     std::uint64_t m_nextCall{1};
--- a/src/bergamottide/serving/stagetask.h
+++ b/src/bergamottide/serving/stagetask.h
@@ -19,6 +19,18 @@
     std::uint64_t bytes{};
 };
 
+/*! @brief A result that waits for its use. */
+struct KeptResult
+{
+    std::string handle;
+    /*! @brief Endpoint that keeps it, and its address. */
+    InstanceName endpoint;
+    std::string address;
+    std::uint64_t bytes{};
+    /*! @brief Incarnation of the process whose scheduler has had it made. */
+    std::uint64_t scheduler{};
+};
+
 /*! @brief One stage of one request, as handed to a scheduler. */
 enum class StageTaskId : std::uint64_t
 {
@@ -40,7 +52,8 @@
     std::uint32_t stage{};
     std::uint32_t pieces{};
     std::string key;
-    std::vector<std::string> inputs;
+    /*! @brief Results that each piece takes. Once the task has succeeded, its scheduler has given them up. */
+    std::vector<KeptResult> inputs;
     std::uint64_t resultBytes{};
     /*! @brief Zone in which making it moves the fewest bytes between zones; empty if that does not matter. */
     ZoneName zone;
--- a/test/bergamottide/serving/stagescheduler.cpp
+++ b/test/bergamottide/serving/stagescheduler.cpp
@@ -24,6 +24,9 @@
     CPPUNIT_TEST(endpointWithoutRoomGetsAPause);
     CPPUNIT_TEST(resultsOfALostCallStayAccountedUntilTheyLapse);
     CPPUNIT_TEST(resultsForACancelledTaskAreFreed);
+    CPPUNIT_TEST(fetchedInputsAreGivenUpWhereRoomIsScarce);
+    CPPUNIT_TEST(taskWhoseInputsAreGivenUpIsNotMadeAgain);
+    CPPUNIT_TEST(resultsToldByAProcessTakeUpRoom);
     CPPUNIT_TEST(callThatTakesTooLongIsMadeElsewhere);
     CPPUNIT_TEST(repeatsEndWithTheBudget);
     CPPUNIT_TEST(taskWaitsAWhileForAnEndpointOfItsZone);
@@ -139,6 +142,52 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, m_endpoints.find(InstanceName{"encoder-1"})->resultBytes);
     }
 
+    void fetchedInputsAreGivenUpWhereRoomIsScarce()
+    {
+        m_inputs.push_back({"h-1", InstanceName{"other"}, "10.0.0.2:1", 100, 0});
+        submit(1, 1);
+        const auto first = dispatch();
+        m_now += std::chrono::milliseconds{100};
+        m_scheduler.expire(m_now, m_effects);
+        // Without need, the inputs stay until the task has succeeded.
+        CPPUNIT_ASSERT(m_scheduler.takeUsedInputs().empty());
+        answer(first.front());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_scheduler.takeUsedInputs().size());
+        m_isShort = true;
+        submit(2, 1);
+        const auto second = dispatch();
+        m_now += std::chrono::milliseconds{100};
+        m_scheduler.expire(m_now, m_effects);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_scheduler.takeUsedInputs().size());
+        answer(second.front());
+        CPPUNIT_ASSERT(m_scheduler.takeUsedInputs().empty());
+    }
+
+    void taskWhoseInputsAreGivenUpIsNotMadeAgain()
+    {
+        m_isShort = true;
+        m_inputs.push_back({"h-1", InstanceName{"other"}, "10.0.0.2:1", 100, 0});
+        submit(1, 1);
+        const auto first = dispatch();
+        m_now += std::chrono::milliseconds{100};
+        m_scheduler.expire(m_now, m_effects);
+        m_scheduler.ended({first.front().call, StageCallEnd::Broken, {}}, m_now, m_effects);
+        const auto outcomes = m_scheduler.takeOutcomes();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outcomes.size());
+        CPPUNIT_ASSERT(outcomes.front().result.failure == PieceFailure::InputGone);
+    }
+
+    void resultsToldByAProcessTakeUpRoom()
+    {
+        constexpr std::uint64_t most = 20'000;
+        m_held.push_back({InstanceName{"encoder-1"}, most});
+        submit(1, 1);
+        CPPUNIT_ASSERT(dispatch().empty());
+        m_held.clear();
+        submit(2, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dispatch().size());
+    }
+
     void callThatTakesTooLongIsMadeElsewhere()
     {
         m_endpoints.update({endpoint("encoder-1"), endpoint("encoder-2")}, m_effects);
@@ -254,6 +303,8 @@
         task.key = "input";
         task.resultBytes = bytes;
         task.zone = m_zone;
+        task.inputs = m_inputs;
+        task.held = m_held;
         m_scheduler.submit(std::move(task), m_now);
     }
 
@@ -296,8 +347,11 @@
     std::shared_ptr<const Catalog> m_catalog{ServingFixture::catalog()};
     EndpointBoard m_endpoints;
     RetryBudget m_budget{{.ratio = 0.0, .slack = 3.0, .window = std::chrono::seconds{10}, .sharers = 1}};
-    StageScheduler m_scheduler{m_endpoints, m_budget};
+    StageScheduler m_scheduler{m_endpoints, m_budget, [this](const KeptResult &) { return m_isShort; }};
+    bool m_isShort{};
     ZoneName m_zone;
+    std::vector<KeptResult> m_inputs;
+    std::vector<HeldResults> m_held;
     Effects m_effects;
 };
 
