Hubs: heartbeats that do not grow with the fleet, queues on the strongest instances; placement by parts that are not too hot

Every process exchanged heartbeats with all others, five times a second: 0.051 of 0.09 cores on average. 2. The queues of the stage pools were drawn to instances with 10 Mbit/s, whose links carried 50 calls of 16 KB a second. 3. A process of a large fleet rarely sees two requests of one session, so prompts were placed by their first part: four engines of 56 got all requests of the largest kind, and one waited up to 6 s for a first event. Change: up to sixteen of the strongest processes are hubs; all others exchange heartbeats with two of them, rosters travel only when they changed, hubs relay waits and sum up upcoming work. Keepers are hubs. Strength comes from the settings (processorShare, linkMbps). A prompt is placed by the deepest part that comes again and does not come more often than one engine can take.

--- a/src/bergamottide/app/peerport.cpp
+++ b/src/bergamottide/app/peerport.cpp
@@ -53,11 +53,10 @@
 
 } // namespace
 
-PeerPort::PeerPort(Loop &loop, PeerInfo self, PeerPortHooks hooks)
+PeerPort::PeerPort(Loop &loop, const std::string &address, PeerPortHooks hooks)
     : m_loop{loop}
-    , m_self{std::move(self)}
     , m_hooks{std::move(hooks)}
-    , m_server{loop, serverOptions(m_self.address),
+    , m_server{loop, serverOptions(address),
                [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
                    handle(request, responder);
                }}
@@ -74,8 +73,9 @@
 void PeerPort::handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
     if (request.path == heartbeatPath) {
-        takeHeartbeat(request.body);
-        responder->answer({200, {}, peerwire::write(m_hooks.heartbeat())});
+        const auto from = takeHeartbeat(request.body);
+        responder->answer(from.ok() ? HttpAnswer{200, {}, peerwire::write(m_hooks.heartbeat(*from))}
+                                    : HttpAnswer{400, {}, {}});
         return;
     }
     if (request.path == taskPath) {
@@ -142,14 +142,17 @@
     m_hooks.submit(PeerTaskArrived{number, *std::move(task)});
 }
 
-void PeerPort::takeHeartbeat(const std::string &text)
+/*! @brief Takes a heartbeat, and returns the address of its sender. */
+absl::StatusOr<std::string> PeerPort::takeHeartbeat(const std::string &text)
 {
     auto heartbeat = peerwire::readHeartbeat(text);
     if (!heartbeat.ok()) {
         logUnreadable(heartbeat.status());
-        return;
+        return heartbeat.status();
     }
+    std::string address = heartbeat->from.address;
     m_hooks.submit(HeartbeatHeard{*std::move(heartbeat)});
+    return address;
 }
 
 void PeerPort::carryOut(const SendHeartbeat &effect)
@@ -157,13 +160,14 @@
     HttpCallHooks hooks;
     hooks.done = [this](const HttpAnswer &answer) {
         if (answer.status == 200) {
-            takeHeartbeat(answer.body);
+            // An unreadable one is logged there.
+            static_cast<void>(takeHeartbeat(answer.body));
         }
     };
     // A peer that does not answer is told by its silence.
     hooks.failed = [](HttpFailure) {
     };
-    m_heartbeats.call(effect.address, post(heartbeatPath, peerwire::write(m_hooks.heartbeat())), std::move(hooks));
+    m_heartbeats.call(effect.address, post(heartbeatPath, peerwire::write(m_hooks.heartbeat(effect.address))), std::move(hooks));
 }
 
 void PeerPort::carryOut(const HandTask &effect)
--- a/src/bergamottide/app/peerport.h
+++ b/src/bergamottide/app/peerport.h
@@ -6,6 +6,7 @@
 #include "bergamottide/serving/events.h"
 
 #include <absl/status/status.h>
+#include <absl/status/statusor.h>
 
 #include <cstdint>
 #include <functional>
@@ -21,8 +22,8 @@
 {
     /*! @brief Takes an event that comes from a peer. */
     std::function<void(serving::Event event)> submit;
-    /*! @brief Returns what this process tells its peers. */
-    std::function<serving::Heartbeat()> heartbeat;
+    /*! @brief Returns what this process tells the peer at an address. */
+    std::function<serving::Heartbeat(const std::string &to)> heartbeat;
     std::function<void(const LogLine &line)> log;
 };
 
@@ -38,10 +39,10 @@
     /**
      * @brief Creates a port that does not listen yet.
      * @param loop Loop it runs on; outlives the port.
-     * @param self This process; its address is listened on.
+     * @param address Address to listen on.
      * @param hooks What the port asks of its process.
      */
-    PeerPort(Loop &loop, serving::PeerInfo self, PeerPortHooks hooks);
+    PeerPort(Loop &loop, const std::string &address, PeerPortHooks hooks);
 
     /*! @brief Starts to listen. */
     [[nodiscard]] absl::Status listen();
@@ -62,12 +63,11 @@
 private:
     void handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
     void takeTask(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
-    void takeHeartbeat(const std::string &text);
+    [[nodiscard]] absl::StatusOr<std::string> takeHeartbeat(const std::string &text);
     void handedEnded(serving::StageTaskId task, const InstanceName &peer, const HttpAnswer &answer);
     void logUnreadable(const absl::Status &status);
 
     Loop &m_loop;
-    serving::PeerInfo m_self;
     PeerPortHooks m_hooks;
     std::function<std::optional<std::string>(const std::string &query)> m_published;
     HttpServer m_server;
--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -18,12 +18,33 @@
 
 json infoOf(const PeerInfo &peer)
 {
-    return {{"instance", peer.instance.text()}, {"address", peer.address}};
+    return {{"instance", peer.instance.text()}, {"address", peer.address}, {"strength", peer.strength}};
 }
 
 PeerInfo peerOf(const json &value)
 {
-    return {InstanceName{value.at("instance").get<std::string>()}, value.at("address").get<std::string>()};
+    return {InstanceName{value.at("instance").get<std::string>()}, value.at("address").get<std::string>(),
+            value.at("strength").get<double>()};
+}
+
+json rosterOf(const std::vector<RosterEntry> &roster)
+{
+    json out = json::array();
+    for (const RosterEntry &entry : roster) {
+        json one = infoOf(entry.peer);
+        one["keepsQueues"] = entry.keepsQueues;
+        out.push_back(std::move(one));
+    }
+    return out;
+}
+
+std::vector<RosterEntry> readRoster(const json &value)
+{
+    std::vector<RosterEntry> out;
+    for (const json &one : value) {
+        out.push_back({peerOf(one), one.at("keepsQueues").get<bool>()});
+    }
+    return out;
 }
 
 /*! @brief Reads a message; whatever is wrong with it becomes a typed error. */
@@ -46,9 +67,11 @@
     out["draining"] = heartbeat.draining;
     out["keepsQueues"] = heartbeat.keepsQueues;
     out["version"] = heartbeat.version;
-    out["peers"] = json::array();
-    for (const PeerInfo &peer : heartbeat.peers) {
-        out["peers"].push_back(infoOf(peer));
+    out["isHub"] = heartbeat.isHub;
+    out["rosterDigest"] = heartbeat.rosterDigest;
+    out["knownDigest"] = heartbeat.knownDigest;
+    if (heartbeat.roster) {
+        out["roster"] = rosterOf(*heartbeat.roster);
     }
     out["waits"] = json::array();
     for (const PoolWait &wait : heartbeat.waits) {
@@ -75,8 +98,11 @@
         heartbeat.draining = value.at("draining").get<bool>();
         heartbeat.keepsQueues = value.at("keepsQueues").get<bool>();
         heartbeat.version = value.at("version").get<std::uint64_t>();
-        for (const json &peer : value.at("peers")) {
-            heartbeat.peers.push_back(peerOf(peer));
+        heartbeat.isHub = value.at("isHub").get<bool>();
+        heartbeat.rosterDigest = value.at("rosterDigest").get<std::uint64_t>();
+        heartbeat.knownDigest = value.at("knownDigest").get<std::uint64_t>();
+        if (const auto roster = value.find("roster"); roster != value.end()) {
+            heartbeat.roster = readRoster(*roster);
         }
         for (const json &wait : value.at("waits")) {
             heartbeat.waits.push_back({PoolName{wait.at("pool").get<std::string>()}, wait.at("rank").get<int>(),
--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -70,7 +70,7 @@
 ServingOptions servingOptions(const ServingSettings &settings, Incarnation incarnation)
 {
     ServingOptions options;
-    options.self = {settings.instance, settings.peersAddress};
+    options.self = {settings.instance, settings.peersAddress, settings.strength()};
     options.seeds = settings.seeds;
     options.incarnation = static_cast<std::uint64_t>(incarnation);
     options.retries.ratio = settings.retryRatio;
@@ -94,7 +94,7 @@
                     carryOut(std::move(effect));
                 }}
     , m_endpoints{loop, endpointOptions()}
-    , m_peers{loop, PeerInfo{settings.instance, settings.peersAddress}, peerHooks()}
+    , m_peers{loop, settings.peersAddress, peerHooks()}
     , m_callersServer{loop, callersOptions(settings),
                       [this](HttpRequest request, const std::shared_ptr<HttpResponder> &responder) {
                           handle(std::move(request), responder);
@@ -234,8 +234,8 @@
     hooks.submit = [this](Event event) {
         m_reactor.submit(std::move(event));
     };
-    hooks.heartbeat = [this] {
-        return m_reducer.heartbeat(m_loop.now());
+    hooks.heartbeat = [this](const std::string &to) {
+        return m_reducer.heartbeat(to, m_loop.now());
     };
     hooks.log = [this](const LogLine &line) {
         log(line);
--- a/src/bergamottide/serving/peers.cpp
+++ b/src/bergamottide/serving/peers.cpp
@@ -1,8 +1,10 @@
 #include "bergamottide/serving/peers.h"
 
+#include <absl/strings/str_cat.h>
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace bergamottide::serving {
 
@@ -13,17 +15,43 @@
 constexpr Duration silence = std::chrono::milliseconds{900};
 /*! @brief Period in which peers that are gone, and seeds that never answered, are asked again. */
 constexpr Duration seedPeriod = std::chrono::milliseconds{500};
+/*! @brief Addresses that are tried at once in that period: enough to meet again soon, few at any size of the fleet. */
+constexpr std::size_t mostTrials = 4;
 /*! @brief Ticks come a little early or late; a heartbeat due within this time goes with the present one. */
 constexpr Duration tolerance = std::chrono::milliseconds{20};
 /*! @brief Silence after which a peer is forgotten altogether. */
 constexpr Duration forgetting = std::chrono::seconds{60};
+/*! @brief Hubs at most: each exchanges heartbeats with all others, five times a second. */
+constexpr std::size_t mostHubs = 16;
+/*! @brief Hubs that a process exchanges heartbeats with: the second one is there when the first is lost. */
+constexpr std::size_t hubsOfOne = 2;
+/*! @brief Share of the strongest process's strength that a hub has at least: it keeps queues for the whole fleet. */
+constexpr double hubStrength = 0.5;
 
-std::uint64_t score(const PoolName &pool, const InstanceName &instance)
+std::uint64_t score(std::string_view key, const InstanceName &instance)
 {
-    const std::string &key = pool.text();
     return XXH3_64bits_withSeed(instance.text().data(), instance.text().size(), XXH3_64bits(key.data(), key.size()));
 }
 
+/*! @brief Keeps the names that rendezvous hashing prefers for a key, the best first. */
+void keepBest(std::vector<InstanceName> &names, std::string_view key, std::size_t most)
+{
+    std::sort(names.begin(), names.end(), [key](const InstanceName &left, const InstanceName &right) {
+        return score(key, left) > score(key, right);
+    });
+    names.resize(std::min(names.size(), most));
+}
+
+std::uint64_t digestOf(const std::vector<RosterEntry> &roster)
+{
+    std::string text;
+    for (const RosterEntry &entry : roster) {
+        absl::StrAppend(&text, entry.peer.instance.text(), " ", entry.peer.address, " ", entry.peer.strength, " ",
+                        entry.keepsQueues ? 1 : 0, "\n");
+    }
+    return XXH3_64bits(text.data(), text.size());
+}
+
 } // namespace
 
 Peers::Peers(PeerInfo self, const std::vector<std::string> &seeds)
@@ -48,13 +76,33 @@
     peer.heardAt = now;
     peer.draining = heartbeat.draining;
     peer.keepsQueues = heartbeat.keepsQueues;
-    peer.isUnreached = false;
+    peer.isHub = heartbeat.isHub;
+    peer.unreachedUntil = {};
+    peer.knownDigest = heartbeat.knownDigest;
     peer.waits = heartbeat.waits;
     peer.upcoming = heartbeat.upcoming;
     m_askedAt.try_emplace(heartbeat.from.address, TimePoint{});
-    for (const PeerInfo &other : heartbeat.peers) {
-        if (other.instance != m_self.instance) {
-            m_askedAt.try_emplace(other.address, TimePoint{});
+    if (heartbeat.roster) {
+        takeRoster(heartbeat, peer, now);
+    }
+}
+
+void Peers::takeRoster(const Heartbeat &heartbeat, Peer &teller, TimePoint now)
+{
+    teller.roster.clear();
+    teller.rosterDigest = heartbeat.rosterDigest;
+    for (const RosterEntry &entry : *heartbeat.roster) {
+        if (entry.peer.instance == m_self.instance) {
+            continue;
+        }
+        teller.roster.insert(entry.peer.instance);
+        m_askedAt.try_emplace(entry.peer.address, TimePoint{});
+        const auto [found, isNew] = m_peers.try_emplace(entry.peer.instance);
+        Peer &peer = found->second;
+        // What a peer tells itself goes before what others tell of it, as long as it is heard.
+        if (isNew || !isHeard(peer, now)) {
+            peer.info = entry.peer;
+            peer.keepsQueues = entry.keepsQueues;
         }
     }
 }
@@ -64,48 +112,136 @@
     m_keepsQueues = keepsQueues;
 }
 
-void Peers::unreached(const InstanceName &peer)
+void Peers::unreached(const InstanceName &peer, TimePoint now)
 {
     const auto found = m_peers.find(peer);
     if (found != m_peers.end()) {
-        found->second.isUnreached = true;
+        found->second.unreachedUntil = now + silence;
     }
 }
 
 void Peers::forgetGone(TimePoint now)
 {
     for (auto next = m_peers.begin(); next != m_peers.end();) {
-        const Peer &peer = next->second;
-        if (now - peer.heardAt <= forgetting) {
-            ++next;
+        const auto present = next++;
+        const Peer &peer = present->second;
+        if (now - peer.heardAt <= forgetting || isLive(present->first, now)) {
             continue;
         }
         if (!m_seeds.contains(peer.info.address)) {
             m_askedAt.erase(peer.info.address);
         }
-        next = m_peers.erase(next);
+        m_peers.erase(present);
     }
 }
 
 std::vector<std::string> Peers::due(TimePoint now)
 {
     forgetGone(now);
-    std::map<std::string, bool> lively;
-    for (const auto &[instance, peer] : m_peers) {
-        lively[peer.info.address] = now - peer.heardAt < silence;
-    }
     std::vector<std::string> addresses;
-    for (auto &[address, askedAt] : m_askedAt) {
-        const auto found = lively.find(address);
-        const Duration pause = found != lively.end() && found->second ? heartbeatPeriod - tolerance : seedPeriod;
-        if (askedAt == TimePoint{} || now - askedAt >= pause) {
+    for (const InstanceName &partner : partners(now)) {
+        const std::string &address = m_peers.at(partner).info.address;
+        TimePoint &askedAt = m_askedAt[address];
+        if (askedAt == TimePoint{} || now - askedAt >= heartbeatPeriod - tolerance) {
             askedAt = now;
             addresses.push_back(address);
         }
     }
+    if (m_triedAt != TimePoint{} && now - m_triedAt < seedPeriod) {
+        return addresses;
+    }
+    m_triedAt = now;
+    std::vector<std::pair<TimePoint, std::string>> trials;
+    for (const auto &[address, askedAt] : m_askedAt) {
+        const Peer *peer = atAddress(address);
+        if (peer == nullptr || !isLive(peer->info.instance, now)) {
+            trials.emplace_back(askedAt, address);
+        }
+    }
+    std::sort(trials.begin(), trials.end());
+    trials.resize(std::min(trials.size(), mostTrials));
+    for (const auto &[askedAt, address] : trials) {
+        m_askedAt[address] = now;
+        addresses.push_back(address);
+    }
     return addresses;
 }
 
+void Peers::complete(Heartbeat &heartbeat, const std::string &to, TimePoint now) const
+{
+    const Peer *receiver = atAddress(to);
+    const std::vector<RosterEntry> roster = rosterFor(receiver, now);
+    heartbeat.from = m_self;
+    heartbeat.isHub = isHub(now);
+    heartbeat.rosterDigest = digestOf(roster);
+    heartbeat.knownDigest = receiver == nullptr ? 0 : receiver->rosterDigest;
+    if (receiver == nullptr || receiver->knownDigest != heartbeat.rosterDigest) {
+        heartbeat.roster = roster;
+    }
+    if (!heartbeat.isHub) {
+        // The second hub would count the same work once more.
+        const std::vector<InstanceName> hubsOfThis = partners(now);
+        if (receiver != nullptr && !hubsOfThis.empty() && hubsOfThis.front() != receiver->info.instance) {
+            heartbeat.upcoming.clear();
+        }
+        return;
+    }
+    const bool toHub = receiver != nullptr && receiver->isHub;
+    for (const auto &[instance, peer] : m_peers) {
+        if (!isHeard(peer, now) || &peer == receiver || (toHub && peer.isHub)) {
+            continue;
+        }
+        heartbeat.upcoming.insert(heartbeat.upcoming.end(), peer.upcoming.begin(), peer.upcoming.end());
+        if (peer.isHub) {
+            heartbeat.waits.insert(heartbeat.waits.end(), peer.waits.begin(), peer.waits.end());
+        }
+    }
+}
+
+/*! @brief Hubs tell each other only of processes that they hear themselves: none lives on in what others tell. */
+std::vector<RosterEntry> Peers::rosterFor(const Peer *receiver, TimePoint now) const
+{
+    const bool toHub = receiver != nullptr && receiver->isHub && isHub(now);
+    std::vector<RosterEntry> roster;
+    for (const auto &[instance, peer] : m_peers) {
+        const bool isTold = toHub ? isHeard(peer, now) : isLive(instance, now);
+        if (isTold && !peer.draining && &peer != receiver) {
+            roster.push_back({peer.info, peer.keepsQueues});
+        }
+    }
+    return roster;
+}
+
+const Peers::Peer *Peers::atAddress(const std::string &address) const
+{
+    const Peer *last = nullptr;
+    for (const auto &[instance, peer] : m_peers) {
+        if (peer.info.address == address && (last == nullptr || peer.heardAt > last->heardAt)) {
+            last = &peer;
+        }
+    }
+    return last;
+}
+
+bool Peers::isHeard(const Peer &peer, TimePoint now) const
+{
+    return now >= peer.unreachedUntil && peer.heardAt != TimePoint{} && now - peer.heardAt < silence;
+}
+
+bool Peers::isLive(const InstanceName &peer, TimePoint now) const
+{
+    const auto found = m_peers.find(peer);
+    if (found == m_peers.end() || now < found->second.unreachedUntil) {
+        return false;
+    }
+    if (isHeard(found->second, now)) {
+        return true;
+    }
+    return std::any_of(m_peers.begin(), m_peers.end(), [&peer, now, this](const auto &entry) {
+        return entry.second.isHub && isHeard(entry.second, now) && entry.second.roster.contains(peer);
+    });
+}
+
 std::vector<PeerInfo> Peers::live(TimePoint now) const
 {
     std::vector<PeerInfo> out;
@@ -117,21 +253,60 @@
     return out;
 }
 
+std::vector<InstanceName> Peers::hubs(TimePoint now) const
+{
+    const std::vector<PeerInfo> others = live(now);
+    double strongest = m_self.strength;
+    for (const PeerInfo &peer : others) {
+        strongest = std::max(strongest, peer.strength);
+    }
+    std::vector<InstanceName> out;
+    if (m_self.strength >= strongest * hubStrength) {
+        out.push_back(m_self.instance);
+    }
+    for (const PeerInfo &peer : others) {
+        if (peer.strength >= strongest * hubStrength) {
+            out.push_back(peer.instance);
+        }
+    }
+    keepBest(out, "hub", mostHubs);
+    return out;
+}
+
+bool Peers::isHub(TimePoint now) const
+{
+    const std::vector<InstanceName> all = hubs(now);
+    return std::find(all.begin(), all.end(), m_self.instance) != all.end();
+}
+
+/*! @brief Returns the peers that this process exchanges heartbeats with on its own account. */
+std::vector<InstanceName> Peers::partners(TimePoint now) const
+{
+    std::vector<InstanceName> out = hubs(now);
+    const auto self = std::find(out.begin(), out.end(), m_self.instance);
+    if (self != out.end()) {
+        out.erase(self);
+        return out;
+    }
+    keepBest(out, m_self.instance.text(), hubsOfOne);
+    return out;
+}
+
 std::optional<PeerInfo> Peers::keeper(const PoolName &pool, TimePoint now) const
 {
     std::optional<PeerInfo> best;
-    std::uint64_t bestScore = m_keepsQueues ? score(pool, m_self.instance) : 0;
-    for (const auto &[instance, peer] : m_peers) {
-        if (!peer.keepsQueues || peer.draining || !isLive(instance, now)) {
-            continue;
-        }
-        const std::uint64_t one = score(pool, instance);
-        if (one > bestScore) {
-            best = peer.info;
+    std::uint64_t bestScore = 0;
+    bool isSelf = false;
+    for (const InstanceName &hub : hubs(now)) {
+        const bool self = hub == m_self.instance;
+        const std::uint64_t one = score(pool.text(), hub);
+        if ((self ? m_keepsQueues : m_peers.at(hub).keepsQueues) && one > bestScore) {
             bestScore = one;
+            isSelf = self;
+            best = self ? std::nullopt : std::optional{m_peers.at(hub).info};
         }
     }
-    return best;
+    return isSelf ? std::nullopt : best;
 }
 
 std::uint64_t Peers::incarnationOf(const InstanceName &peer) const
@@ -140,37 +315,46 @@
     return found == m_peers.end() ? 0 : found->second.incarnation;
 }
 
-bool Peers::isLive(const InstanceName &peer, TimePoint now) const
-{
-    const auto found = m_peers.find(peer);
-    return found != m_peers.end() && !found->second.isUnreached && now - found->second.heardAt < silence;
-}
-
-std::optional<PoolWait> Peers::toldWait(const InstanceName &peer, const PoolName &pool, int rank) const
+std::optional<PoolWait> Peers::toldWait(const InstanceName &peer, const PoolName &pool, int rank, TimePoint now) const
 {
     const auto found = m_peers.find(peer);
     if (found == m_peers.end()) {
         return std::nullopt;
     }
     std::optional<PoolWait> longest;
-    for (const PoolWait &wait : found->second.waits) {
-        if (wait.pool == pool && wait.rank <= rank && (!longest || wait.wait > longest->wait)) {
-            longest = wait;
+    const auto look = [&longest, &pool, rank](const Peer &teller) {
+        for (const PoolWait &wait : teller.waits) {
+            if (wait.pool == pool && wait.rank <= rank && (!longest || wait.wait > longest->wait)) {
+                longest = wait;
+            }
+        }
+    };
+    if (isHeard(found->second, now)) {
+        look(found->second);
+        return longest;
+    }
+    for (const auto &[instance, teller] : m_peers) {
+        if (teller.isHub && isHeard(teller, now)) {
+            look(teller);
         }
     }
     return longest;
 }
 
-std::uint64_t Peers::upcoming(const PoolName &pool, int rank, TimePoint now) const
+std::uint64_t Peers::upcoming(const PoolName &pool, int rank, std::uint64_t own, TimePoint now) const
 {
-    std::uint64_t sum = 0;
+    const bool isHubHere = isHub(now);
+    std::uint64_t sum = own;
     for (const auto &[instance, peer] : m_peers) {
-        if (!isLive(instance, now)) {
+        if (!isHeard(peer, now)) {
             continue;
         }
+        std::uint64_t told = 0;
         for (const PoolWork &work : peer.upcoming) {
-            sum += work.pool == pool && work.rank <= rank ? work.pieces : 0;
+            told += work.pool == pool && work.rank <= rank ? work.pieces : 0;
         }
+        // A hub tells the others of the whole fleet, so that what two hubs tell must not be added.
+        sum = isHubHere ? sum + told : std::max(sum, told);
     }
     return sum;
 }
--- a/src/bergamottide/serving/peers.h
+++ b/src/bergamottide/serving/peers.h
@@ -18,6 +18,16 @@
     InstanceName instance;
     /*! @brief Where it listens for its peers. */
     std::string address;
+    /*! @brief What its instance can carry, in cores: its processor share, or what its link allows if that is less. */
+    double strength{1.0};
+};
+
+/*! @brief A peer as others tell of it. */
+struct RosterEntry
+{
+    PeerInfo peer;
+    /*! @brief It knows what is served and by whom, and can keep queues. */
+    bool keepsQueues{};
 };
 
 /*! @brief Wait that new work of a rank, or a more urgent one, finds at a stage pool. */
@@ -42,7 +52,7 @@
     std::uint64_t pieces{};
 };
 
-/*! @brief What a process tells its peers several times a second. */
+/*! @brief What a process tells a peer several times a second. */
 struct Heartbeat
 {
     PeerInfo from;
@@ -51,13 +61,18 @@
     bool draining{};
     /*! @brief It knows what is served and by whom, and can keep queues. */
     bool keepsQueues{};
+    /*! @brief It takes itself for a hub. */
+    bool isHub{};
     /*! @brief Version of the configuration that it has in force. */
     std::uint64_t version{};
-    /*! @brief Peers that it has heard of lately. */
-    std::vector<PeerInfo> peers;
-    /*! @brief Waits at the pools whose queue it keeps. */
+    /*! @brief Digest of the roster that it has for the receiver, and of the one that it last got from it. */
+    std::uint64_t rosterDigest{};
+    std::uint64_t knownDigest{};
+    /*! @brief Peers that it has heard of lately; left out while the receiver has the same. */
+    std::optional<std::vector<RosterEntry>> roster;
+    /*! @brief Waits at the pools whose queue it keeps, or, to a process that is no hub, of all that it knows. */
     std::vector<PoolWait> waits;
-    /*! @brief Work of its own requests that is on its way to the pools. */
+    /*! @brief Work that is on its way to the pools: of its own requests, and of what it was told by others. */
     std::vector<PoolWork> upcoming;
 };
 
@@ -67,9 +82,13 @@
 /**
  * @brief Peers that are alive, learnt from a few seeds and from each other, and which of them keeps which queue.
  *
- * The queue of a stage pool has one keeper among the live peers, drawn by rendezvous hashing: processes that see the
- * same peers agree without talking. While they do not, two keepers send work to the same endpoints, which costs time
- * but breaks nothing.
+ * Up to sixteen of the strongest processes are hubs: they exchange heartbeats with each other, and every other process
+ * exchanges them with two hubs of its own. So the heartbeats of a process do not grow with the fleet, and those of a hub
+ * grow by one sixteenth of it. Who is a hub follows from the peers that are alive; processes that see the same peers
+ * agree without talking.
+ *
+ * The queue of a stage pool has one keeper among the hubs, drawn by rendezvous hashing. While processes see different
+ * peers, two keepers send work to the same endpoints, which costs time but breaks nothing.
  */
 class Peers
 {
@@ -87,8 +106,9 @@
     /*! @brief Sets whether this process can keep queues; it keeps them all the same while no peer can. */
     void setKeepsQueues(bool keepsQueues) noexcept;
 
-    /*! @brief Notes that a call to a peer has failed: it counts as gone until it is heard again. */
-    void unreached(const InstanceName &peer);
+    /*! @brief Notes that a call to a peer has failed: it counts as gone until it is heard again, or for a while if
+     * only others tell of it. */
+    void unreached(const InstanceName &peer, TimePoint now);
 
     /**
      * @brief Returns the addresses that are due for a heartbeat.
@@ -96,9 +116,20 @@
      */
     [[nodiscard]] std::vector<std::string> due(TimePoint now);
 
+    /**
+     * @brief Fills in what a heartbeat tells of peers, their waits and their upcoming work.
+     * @param heartbeat Heartbeat with what the process tells of itself.
+     * @param to Address of the receiver.
+     * @param now Present time.
+     */
+    void complete(Heartbeat &heartbeat, const std::string &to, TimePoint now) const;
+
     /*! @brief Returns the peers that are alive and take work, without this process. */
     [[nodiscard]] std::vector<PeerInfo> live(TimePoint now) const;
 
+    /*! @brief Tells if this process is a hub. */
+    [[nodiscard]] bool isHub(TimePoint now) const;
+
     /**
      * @brief Returns the keeper of a pool's queue.
      * @param pool Pool.
@@ -114,10 +145,14 @@
     [[nodiscard]] bool isLive(const InstanceName &peer, TimePoint now) const;
 
     /*! @brief Returns the wait that a keeper told for a pool and rank: the longest of the ranks up to it. */
-    [[nodiscard]] std::optional<PoolWait> toldWait(const InstanceName &peer, const PoolName &pool, int rank) const;
+    [[nodiscard]] std::optional<PoolWait> toldWait(const InstanceName &peer, const PoolName &pool, int rank,
+                                                   TimePoint now) const;
 
-    /*! @brief Returns the pieces of a rank or a more urgent one that live peers told to be on their way to a pool. */
-    [[nodiscard]] std::uint64_t upcoming(const PoolName &pool, int rank, TimePoint now) const;
+    /**
+     * @brief Returns the pieces of a rank or a more urgent one that are on their way to a pool.
+     * @param own Pieces of this process.
+     */
+    [[nodiscard]] std::uint64_t upcoming(const PoolName &pool, int rank, std::uint64_t own, TimePoint now) const;
 
     /*! @brief Returns this process. */
     [[nodiscard]] const PeerInfo &self() const noexcept;
@@ -127,21 +162,37 @@
     {
         PeerInfo info;
         std::uint64_t incarnation{};
+        /*! @brief When it was heard itself; the epoch if it is known from others only. */
         TimePoint heardAt{};
         bool draining{};
         bool keepsQueues{};
-        bool isUnreached{};
+        bool isHub{};
+        /*! @brief A call to it has failed; it counts as gone until then. */
+        TimePoint unreachedUntil{};
+        /*! @brief Peers that it told of, and the digest that it told with them. */
+        std::set<InstanceName> roster;
+        std::uint64_t rosterDigest{};
+        /*! @brief Digest of the roster that it last got from here. */
+        std::uint64_t knownDigest{};
         std::vector<PoolWait> waits;
         std::vector<PoolWork> upcoming;
     };
 
+    void takeRoster(const Heartbeat &heartbeat, Peer &teller, TimePoint now);
     void forgetGone(TimePoint now);
+    [[nodiscard]] bool isHeard(const Peer &peer, TimePoint now) const;
+    [[nodiscard]] const Peer *atAddress(const std::string &address) const;
+    [[nodiscard]] std::vector<InstanceName> hubs(TimePoint now) const;
+    [[nodiscard]] std::vector<InstanceName> partners(TimePoint now) const;
+    [[nodiscard]] std::vector<RosterEntry> rosterFor(const Peer *receiver, TimePoint now) const;
 
     PeerInfo m_self;
     bool m_keepsQueues{};
     std::set<std::string> m_seeds;
     /*! @brief Addresses to ask, and when each was asked last. */
     std::map<std::string, TimePoint> m_askedAt;
+    /*! @brief When addresses of peers that are not alive were tried last. */
+    TimePoint m_triedAt{};
     std::map<InstanceName, Peer> m_peers;
 };
 
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -66,7 +66,7 @@
     StageTask task = std::move(found->second.second);
     m_handed.erase(found);
     if (event.outcomes.empty()) {
-        m_peers.unreached(event.peer);
+        m_peers.unreached(event.peer, m_now);
         m_effects.emplace_back(
             LogLine{Severity::Warning,
                     Part::Membership,
@@ -196,7 +196,7 @@
         return std::nullopt;
     }
     const auto keeper = m_peers.keeper(pool, m_now);
-    const auto wait = keeper ? m_peers.toldWait(keeper->instance, pool, rank)
+    const auto wait = keeper ? m_peers.toldWait(keeper->instance, pool, rank, m_now)
                              : m_stages.expectedWait(pool, rank, *m_catalog, m_now);
     PoolOutlook out;
     if (wait) {
@@ -205,10 +205,11 @@
         out.items = wait->items;
         out.roomTaken = wait->roomTaken;
     }
-    out.upcoming = m_peers.upcoming(pool, rank, m_now);
+    std::uint64_t own = 0;
     for (const auto &[key, pieces] : ownUpcoming()) {
-        out.upcoming += key.first == pool && key.second <= rank ? pieces : 0;
+        own += key.first == pool && key.second <= rank ? pieces : 0;
     }
+    out.upcoming = m_peers.upcoming(pool, rank, own, m_now);
     return out;
 }
 
@@ -233,21 +234,20 @@
     return m_peers.live(now);
 }
 
-Heartbeat ServingReducer::heartbeat(TimePoint now)
+Heartbeat ServingReducer::heartbeat(const std::string &to, TimePoint now)
 {
     Heartbeat heartbeat;
-    heartbeat.from = m_peers.self();
     heartbeat.incarnation = m_incarnation;
     heartbeat.draining = m_draining;
     heartbeat.keepsQueues = canServe();
     heartbeat.version = m_catalog ? m_catalog->version : 0;
-    heartbeat.peers = m_peers.live(now);
     if (m_catalog) {
         heartbeat.waits = m_stages.waits(*m_catalog, now);
     }
     for (const auto &[key, pieces] : ownUpcoming()) {
         heartbeat.upcoming.push_back({key.first, key.second, pieces});
     }
+    m_peers.complete(heartbeat, to, now);
     return heartbeat;
 }
 
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -22,6 +22,10 @@
  * any limit. */
 constexpr Duration longestRequest = std::chrono::seconds{60};
 
+/*! @brief Share of an engine's time that requests with one part of a prompt may take. */
+constexpr double mostEngineShare = 0.5;
+/*! @brief Time of an engine that a request takes at least before its first event. */
+constexpr double shortestPrefillSeconds = 0.02;
 /*! @brief Part of the caller's time that its request and the answer spend on the way; an answer after it reaches
  * nobody. */
 constexpr Duration answerMargin = std::chrono::milliseconds{25};
@@ -196,7 +200,8 @@
     request.objective = m_now + route->objective;
     request.expected = m_now;
     request.pool = drawPool(*route, request.in->attempt);
-    const std::string_view part = m_prompts.note(route->name, request.in->prompt, m_now);
+    const std::string_view part =
+        m_prompts.note(route->name, request.in->prompt, mostSharersPerSecond(request.pool), m_now);
     request.placementKey = part.empty() ? std::string_view{request.in->attempt} : part;
     if (!m_endpoints.serves(request.pool)) {
         return AnswerKind::Unavailable;
@@ -264,6 +269,14 @@
     return m_now + *stages + m_firstEvents.typical(request.pool);
 }
 
+/*! @brief Returns the requests a second of this process that may share one engine, if all processes send as many. */
+double ServingReducer::mostSharersPerSecond(const PoolName &pool) const
+{
+    const double processes = static_cast<double>(m_peers.live(m_now).size() + 1);
+    const double seconds = std::chrono::duration<double>(m_firstEvents.typical(pool)).count();
+    return mostEngineShare / (std::max(seconds, shortestPrefillSeconds) * processes);
+}
+
 PoolName ServingReducer::drawPool(const Route &route, const std::string &attempt) const
 {
     std::uint64_t sum = 0;
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -61,8 +61,12 @@
     /*! @brief Returns the peers that are alive. */
     [[nodiscard]] std::vector<PeerInfo> livePeers(TimePoint now) const;
 
-    /*! @brief Returns what this process tells its peers. */
-    [[nodiscard]] Heartbeat heartbeat(TimePoint now);
+    /**
+     * @brief Returns what this process tells a peer.
+     * @param to Address of the peer.
+     * @param now Present time.
+     */
+    [[nodiscard]] Heartbeat heartbeat(const std::string &to, TimePoint now);
 
     /*! @brief Tells if a request could be served now. */
     [[nodiscard]] bool canServe() const;
@@ -92,6 +96,7 @@
     [[nodiscard]] StageForecast forecast(const Catalog &catalog);
     [[nodiscard]] std::optional<TimePoint> expectedAnswer(const Request &request);
     [[nodiscard]] bool isHopeless(Request &request);
+    [[nodiscard]] double mostSharersPerSecond(const PoolName &pool) const;
     [[nodiscard]] PoolName drawPool(const Route &route, const std::string &attempt) const;
 
     // Queues kept by peers.
--- a/src/bergamottide/serving/servingsettings.cpp
+++ b/src/bergamottide/serving/servingsettings.cpp
@@ -1,5 +1,6 @@
 #include "bergamottide/serving/servingsettings.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bergamottide::serving {
@@ -11,6 +12,11 @@
 constexpr Duration longestGrace = std::chrono::minutes{10};
 constexpr Duration longestWindow = std::chrono::minutes{10};
 constexpr double mostSlack = 1e6;
+constexpr double mostCores = 1024.0;
+constexpr double mostMbps = 1e6;
+/*! @brief Bandwidth that goes with a core: a keeper of queues sends calls of some kilobytes, each for a millisecond of
+ * work. An estimate. */
+constexpr double mbpsOfCore = 200.0;
 
 } // namespace
 
@@ -41,11 +47,20 @@
                     "Repeats that all processes may send in any window."),
         scalarField("retryWindow", &S::retryWindow, durationType(std::chrono::seconds{1}, longestWindow), optional,
                     "Window of the two bounds."),
+        scalarField("processorShare", &S::processorShare, numberType(0.0, mostCores), optional,
+                    "Share of a core that the instance has, in cores."),
+        scalarField("linkMbps", &S::linkMbps, numberType(0.0, mostMbps), optional,
+                    "Bandwidth of the instance's link, in Mbit/s."),
         scalarField("logLevel", &S::logLevel, choiceType<Severity>(), optional, "Lowest severity that is logged."),
     };
     return table;
 }
 
+double ServingSettings::strength() const noexcept
+{
+    return std::min(processorShare, linkMbps / mbpsOfCore);
+}
+
 ServingSettingsResult parseServingSettings(std::string_view yaml)
 {
     IssueList issues;
--- a/src/bergamottide/serving/servingsettings.h
+++ b/src/bergamottide/serving/servingsettings.h
@@ -37,7 +37,14 @@
     double retryRatio{0.2};
     double retrySlack{50.0};
     Duration retryWindow{std::chrono::seconds{10}};
+    /*! @brief Share of a core that the instance has. */
+    double processorShare{1.0};
+    /*! @brief Bandwidth of the instance's link, in Mbit/s. */
+    double linkMbps{1000.0};
     Severity logLevel{Severity::Info};
+
+    /*! @brief Returns what the instance can carry, in cores: its share, or what its link allows if that is less. */
+    [[nodiscard]] double strength() const noexcept;
 };
 
 /*! @brief Outcome of reading settings: the settings, or every error. */
--- /dev/null
+++ b/test/bergamottide/serving/peerfleet.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "bergamottide/serving/peers.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <limits>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bergamottide::test {
+
+/*! @brief Views of many processes that exchange heartbeats without delay, under a virtual clock. */
+class PeerFleet
+{
+public:
+    /**
+     * @brief Starts processes that know three seeds, one of which does not exist; every fourth is strong.
+     * @param size Number of processes.
+     * @param now Time of their start.
+     */
+    PeerFleet(std::size_t size, TimePoint now)
+        : m_now{now}
+    {
+        for (std::size_t index = 0; index < size; ++index) {
+            const std::string name = "entry-" + std::to_string(index);
+            const serving::PeerInfo self{InstanceName{name}, name + ":1", index % 4 == 0 ? 0.5 : 0.1};
+            m_views.emplace(name + ":1", serving::Peers{self, {"entry-0:1", "entry-1:1", "gone:1"}});
+            m_views.at(name + ":1").setKeepsQueues(true);
+        }
+    }
+
+    /*! @brief Lets time pass, in ticks of 50 ms. */
+    void run(Duration time)
+    {
+        constexpr Duration tick = std::chrono::milliseconds{50};
+        for (const TimePoint end = m_now + time; m_now < end; m_now += tick) {
+            for (auto &[address, view] : m_views) {
+                for (const std::string &to : view.due(m_now)) {
+                    exchange(address, to);
+                }
+            }
+        }
+    }
+
+    /*! @brief Ends a process. */
+    void stop(const InstanceName &instance)
+    {
+        m_views.erase(instance.text() + ":1");
+    }
+
+    /*! @brief Returns the number of heartbeats sent, answers not counted. */
+    [[nodiscard]] std::size_t sent() const noexcept
+    {
+        return m_sent;
+    }
+
+    /*! @brief Returns the processes that any process takes for the keeper of a pool's queue. */
+    [[nodiscard]] std::set<InstanceName> keepersOf(const PoolName &pool) const
+    {
+        std::set<InstanceName> out;
+        for (const auto &[address, view] : m_views) {
+            const auto keeper = view.keeper(pool, m_now);
+            out.insert(keeper ? keeper->instance : view.self().instance);
+        }
+        return out;
+    }
+
+    /*! @brief Returns the smallest number of peers that a process takes for alive. */
+    [[nodiscard]] std::size_t fewestLive() const
+    {
+        std::size_t fewest = std::numeric_limits<std::size_t>::max();
+        for (const auto &[address, view] : m_views) {
+            fewest = std::min(fewest, view.live(m_now).size());
+        }
+        return fewest;
+    }
+
+private:
+    void exchange(const std::string &from, const std::string &to)
+    {
+        ++m_sent;
+        const auto receiver = m_views.find(to);
+        if (receiver == m_views.end()) {
+            return;
+        }
+        receiver->second.heard(heartbeat(from, to), m_now);
+        m_views.at(from).heard(heartbeat(to, from), m_now);
+    }
+
+    [[nodiscard]] serving::Heartbeat heartbeat(const std::string &from, const std::string &to) const
+    {
+        serving::Heartbeat out;
+        out.keepsQueues = true;
+        m_views.at(from).complete(out, to, m_now);
+        return out;
+    }
+
+    TimePoint m_now;
+    std::map<std::string, serving::Peers> m_views;
+    std::size_t m_sent{};
+};
+
+} // namespace bergamottide::test
--- a/test/bergamottide/serving/peers.cpp
+++ b/test/bergamottide/serving/peers.cpp
@@ -1,3 +1,4 @@
+#include "peerfleet.h"
 #include "servingfixture.h"
 
 #include "bergamottide/serving/endpointdirectory.h"
@@ -10,6 +11,7 @@
 using namespace bergamottide;
 using namespace bergamottide::serving;
 using bergamottide::test::ServingFixture;
+using Fleet = bergamottide::test::PeerFleet;
 
 /*! @brief What processes know of each other, and what becomes of work handed to one that is lost. */
 class ServingPeersTest : public CppUnit::TestFixture
@@ -34,6 +36,12 @@
     CPPUNIT_TEST(splitterKeepsUnfinishedEventsBack);
     CPPUNIT_TEST(splitterDropsWhatWasPassedOnAndSeesGaps);
     CPPUNIT_TEST(promptsArePlacedByThePartThatComesAgain);
+    CPPUNIT_TEST(promptsAreNotPlacedByAPartThatComesTooOften);
+    CPPUNIT_TEST(strongestProcessesAreHubsAndKeepTheQueues);
+    CPPUNIT_TEST(heartbeatsOfAProcessDoNotGrowWithTheFleet);
+    CPPUNIT_TEST(fleetOfAnySizeAgreesOnKeepers);
+    CPPUNIT_TEST(processThatIsLostIsGoneEverywhereSoon);
+    CPPUNIT_TEST(unreachedKeeperIsTriedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -58,7 +66,7 @@
         peers.heard(heartbeat("b"), m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peers.live(m_now).size());
         CPPUNIT_ASSERT(peers.live(m_now + std::chrono::seconds{1}).empty());
-        peers.unreached(InstanceName{"b"});
+        peers.unreached(InstanceName{"b"}, m_now);
         CPPUNIT_ASSERT(peers.live(m_now).empty());
         peers.heard(heartbeat("b"), m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peers.live(m_now).size());
@@ -79,7 +87,8 @@
         Peers peers{{InstanceName{"a"}, "a:1"}, {"b:1", "a:1"}};
         CPPUNIT_ASSERT((peers.due(m_now) == std::vector<std::string>{"b:1"}));
         Heartbeat told = heartbeat("b");
-        told.peers = {{InstanceName{"c"}, "c:1"}, {InstanceName{"a"}, "a:1"}};
+        told.roster = {{{InstanceName{"c"}, "c:1"}, true}, {{InstanceName{"a"}, "a:1"}, true}};
+        told.isHub = true;
         peers.heard(told, m_now);
         CPPUNIT_ASSERT((peers.due(m_now) == std::vector<std::string>{"c:1"}));
     }
@@ -161,14 +170,14 @@
         RequestArrived arrival = m_fixture.arrival("/report/1");
         arrival.request.pieces = {1, 6};
         m_fixture.apply(arrival);
-        const Heartbeat told = m_fixture.reducer().heartbeat(m_fixture.now());
+        const Heartbeat told = m_fixture.reducer().heartbeat("b:1", m_fixture.now());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.upcoming.size());
         CPPUNIT_ASSERT(told.upcoming.front().pool == PoolName{"rerankers"});
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, told.upcoming.front().pieces);
         Peers peers{{InstanceName{"a"}, "a:1"}, {}};
         peers.heard(told, m_now);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, peers.upcoming(PoolName{"rerankers"}, 0, m_now));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, peers.upcoming(PoolName{"encoders"}, 0, m_now));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, peers.upcoming(PoolName{"rerankers"}, 0, 0, m_now));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, peers.upcoming(PoolName{"encoders"}, 0, 0, m_now));
     }
 
     void taskOfALostKeeperIsDoneHere()
@@ -278,17 +287,93 @@
         std::string key;
         for (int request = 0; request < 40; ++request) {
             const std::string session = "session-" + std::to_string(request % 8);
-            key =
-                history.note("route", {{"system", 100}, {session, 50}, {"own-" + std::to_string(request), 10}}, m_now);
+            key = history.note("route", {{"system", 100}, {session, 50}, {"own-" + std::to_string(request), 10}}, 100.0,
+                               m_now);
         }
         CPPUNIT_ASSERT_EQUAL(std::string{"session-7"}, key);
         for (int request = 0; request < 40; ++request) {
             const std::string session = "session-" + std::to_string(request % 8);
-            key = history.note("sessions", {{"system", 100}, {session, 50}}, m_now);
+            key = history.note("sessions", {{"system", 100}, {session, 50}}, 100.0, m_now);
         }
         CPPUNIT_ASSERT_EQUAL(std::string{"session-7"}, key);
     }
 
+    void promptsAreNotPlacedByAPartThatComesTooOften()
+    {
+        PromptHistory history;
+        std::string key;
+        // A process of a large fleet: each session is seen once here, the system's part with every request.
+        for (int request = 0; request < 40; ++request) {
+            const std::string own = std::to_string(request);
+            key = history.note("route", {{"system", 100}, {"session-" + own, 50}, {"own-" + own, 10}}, 1.0, m_now);
+            m_now += std::chrono::milliseconds{100};
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string{"session-39"}, key);
+    }
+
+    void strongestProcessesAreHubsAndKeepTheQueues()
+    {
+        Peers weak{{InstanceName{"weak"}, "weak:1", 0.05}, {}};
+        weak.setKeepsQueues(true);
+        CPPUNIT_ASSERT(weak.isHub(m_now));
+        Heartbeat strong = heartbeat("strong");
+        strong.from.strength = 0.5;
+        weak.heard(strong, m_now);
+        CPPUNIT_ASSERT(!weak.isHub(m_now));
+        for (const char *pool : {"p1", "p2", "p3", "p4", "p5", "p6"}) {
+            CPPUNIT_ASSERT(weak.keeper(PoolName{pool}, m_now).value().instance == InstanceName{"strong"});
+        }
+    }
+
+    void heartbeatsOfAProcessDoNotGrowWithTheFleet()
+    {
+        Fleet fleet{120, m_now};
+        fleet.run(std::chrono::seconds{4});
+        const std::size_t before = fleet.sent();
+        fleet.run(std::chrono::seconds{1});
+        // Each process asks two hubs five times a second, each hub the fifteen others; trials add a few.
+        const std::size_t most = 120 * 2 * 5 + 16 * 15 * 5;
+        CPPUNIT_ASSERT(fleet.sent() - before <= most * 12 / 10);
+    }
+
+    void fleetOfAnySizeAgreesOnKeepers()
+    {
+        for (const std::size_t size : {2, 5, 31, 120}) {
+            Fleet fleet{size, m_now};
+            fleet.run(std::chrono::seconds{4});
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.keepersOf(PoolName{"p1"}).size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.keepersOf(PoolName{"p2"}).size());
+            CPPUNIT_ASSERT_EQUAL(size - 1, fleet.fewestLive());
+        }
+    }
+
+    void processThatIsLostIsGoneEverywhereSoon()
+    {
+        Fleet fleet{31, m_now};
+        fleet.run(std::chrono::seconds{4});
+        const InstanceName keeper = *fleet.keepersOf(PoolName{"p1"}).begin();
+        fleet.stop(keeper);
+        // The silence of 0.9 s, then one heartbeat between hubs and one to every other process.
+        fleet.run(std::chrono::milliseconds{1600});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.keepersOf(PoolName{"p1"}).size());
+        CPPUNIT_ASSERT(*fleet.keepersOf(PoolName{"p1"}).begin() != keeper);
+    }
+
+    void unreachedKeeperIsTriedAgain()
+    {
+        Peers peers{{InstanceName{"weak"}, "weak:1", 0.1}, {}};
+        Heartbeat hub = heartbeat("hub");
+        hub.isHub = true;
+        hub.roster = {{{InstanceName{"keeper"}, "keeper:1"}, true}};
+        peers.heard(hub, m_now);
+        CPPUNIT_ASSERT(peers.isLive(InstanceName{"keeper"}, m_now));
+        peers.unreached(InstanceName{"keeper"}, m_now);
+        CPPUNIT_ASSERT(!peers.isLive(InstanceName{"keeper"}, m_now));
+        m_now += std::chrono::seconds{1};
+        peers.heard(hub, m_now);
+        CPPUNIT_ASSERT(peers.isLive(InstanceName{"keeper"}, m_now));
+    }
+
 private:
     [[nodiscard]] static Heartbeat heartbeat(const std::string &name)
     {
