Limits of the configuration, settings that change while the process runs, shares of the retry budget after a start and a cut

Cause: limits on callers' heads and bodies were read but fixed ones were applied; a changed settings file counted from the next start; a process that had just started, or was cut off from its peers, took itself for the only one and might spend the whole fleet's slack of repeats (five processes five times the slack).

--- /dev/null
+++ b/src/bergamottide/app/filewatch.cpp
@@ -0,0 +1,59 @@
+#include "bergamottide/app/filewatch.h"
+
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+namespace bergamottide {
+
+namespace {
+
+/*! @brief Period in which a file is read: settings change a few times a day, and take effect within seconds. */
+constexpr Duration period = std::chrono::seconds{2};
+
+} // namespace
+
+bool readFile(const std::string &path, std::string &text)
+{
+    std::ifstream file{path, std::ios::binary};
+    if (!file) {
+        return false;
+    }
+    text.assign(std::istreambuf_iterator<char>{file}, {});
+    return true;
+}
+
+FileWatch::FileWatch(Loop &loop, std::string path, std::string text,
+                     std::function<void(const std::string &text)> changed)
+    : m_loop{loop}
+    , m_path{std::move(path)}
+    , m_text{std::move(text)}
+    , m_changed{std::move(changed)}
+{
+    arm();
+}
+
+FileWatch::~FileWatch()
+{
+    m_loop.cancel(m_timer);
+}
+
+void FileWatch::look()
+{
+    std::string text;
+    if (!readFile(m_path, text) || text == m_text) {
+        return;
+    }
+    m_text = text;
+    m_changed(text);
+}
+
+void FileWatch::arm()
+{
+    m_timer = m_loop.at(m_loop.now() + period, [this] {
+        look();
+        arm();
+    });
+}
+
+} // namespace bergamottide
--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -15,8 +15,11 @@
 
 using namespace serving;
 
-/*! @brief Largest body of a caller read at all. */
+/*! @brief Largest body of a caller that is read before a configuration tells the limit. */
 constexpr std::size_t maxBodyBytes = 16U << 20U;
+/*! @brief Colon, space and line end of a header line. */
+constexpr std::size_t headerLineExtra = 4;
+constexpr int statusHeadTooLarge = 431;
 /*! @brief Time for which a caller's connection may be idle: above the limit that callers are told. */
 constexpr Duration callersIdleTimeout = std::chrono::seconds{60};
 /*! @brief A caller that left is noticed this late at most, so that its endpoint stops within half a second. */
@@ -67,15 +70,22 @@
     return options;
 }
 
+RetryBudgetOptions retryOptions(const ServingSettings &settings)
+{
+    RetryBudgetOptions options;
+    options.ratio = settings.retryRatio;
+    options.slack = settings.retrySlack;
+    options.window = settings.retryWindow;
+    return options;
+}
+
 ServingOptions servingOptions(const ServingSettings &settings, Incarnation incarnation)
 {
     ServingOptions options;
     options.self = {settings.instance, settings.peersAddress, settings.strength()};
     options.seeds = settings.seeds;
     options.incarnation = static_cast<std::uint64_t>(incarnation);
-    options.retries.ratio = settings.retryRatio;
-    options.retries.slack = settings.retrySlack;
-    options.retries.window = settings.retryWindow;
+    options.retries = retryOptions(settings);
     return options;
 }
 
@@ -144,12 +154,30 @@
     m_reactor.submit(DrainRequested{});
 }
 
+void ServingApp::reload(const ServingSettings &settings)
+{
+    const bool needsRestart = settings.callersAddress != m_settings.callersAddress
+        || settings.readyAddress != m_settings.readyAddress || settings.peersAddress != m_settings.peersAddress
+        || settings.storeAddress != m_settings.storeAddress || settings.metricsAddress != m_settings.metricsAddress
+        || settings.instance != m_settings.instance || settings.logLevel != m_settings.logLevel;
+    log({needsRestart ? Severity::Warning : Severity::Info,
+         Part::Entry,
+         "The settings have changed.",
+         {{"seeds", absl::StrCat(settings.seeds.size())},
+          {"grace_ms", absl::StrCat(settings.gracePeriod / std::chrono::milliseconds{1})},
+          {"needs_restart", needsRestart ? "yes" : "no"}}});
+    m_settings.gracePeriod = settings.gracePeriod;
+    m_reactor.submit(SettingsChanged{settings.seeds, retryOptions(settings)});
+}
+
 void ServingApp::setCatalog(std::shared_ptr<const Catalog> catalog)
 {
     if (catalog->version <= m_catalogVersion) {
         return;
     }
     m_catalogVersion = catalog->version;
+    m_limits = catalog->limits;
+    m_callersServer.setMaxBodyBytes(m_limits.maxBodyBytes);
     m_reactor.submit(CatalogChanged{std::move(catalog)});
 }
 
@@ -209,6 +237,9 @@
 
 void ServingApp::handle(HttpRequest request, const std::shared_ptr<HttpResponder> &responder)
 {
+    if (!isWithinLimits(request, *responder)) {
+        return;
+    }
     const CallId call{++m_lastCall};
     auto read = m_codec.readRequest(call, std::move(request));
     if (!read.ok()) {
@@ -228,6 +259,24 @@
     m_reactor.submit(RequestArrived{*std::move(read)});
 }
 
+/*! @brief Answers a request whose head is larger than the configuration allows; the body is bounded as it is read. */
+bool ServingApp::isWithinLimits(const HttpRequest &request, HttpResponder &responder)
+{
+    std::size_t bytes = request.method.size() + request.path.size() + request.query.size();
+    for (const auto &[name, value] : request.headers) {
+        bytes += name.size() + value.size() + headerLineExtra;
+    }
+    if (bytes <= m_limits.maxHeadBytes) {
+        return true;
+    }
+    log({Severity::Info,
+         Part::Net,
+         "A request's head is too large.",
+         {{"bytes", absl::StrCat(bytes)}, {"most", absl::StrCat(m_limits.maxHeadBytes)}}});
+    responder.answer({statusHeadTooLarge, {}, {}});
+    return false;
+}
+
 PeerPortHooks ServingApp::peerHooks()
 {
     PeerPortHooks hooks;
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -64,6 +64,12 @@
     /*! @brief Begins a graceful shutdown. */
     void drain();
 
+    /**
+     * @brief Takes over changed settings: seeds, bounds of repeats, grace period. Others hold until a restart.
+     * @param settings Settings.
+     */
+    void reload(const serving::ServingSettings &settings);
+
     /**
      * @brief Puts a version of what is served in force, unless a newer one is.
      * @param catalog Version to take over.
@@ -139,6 +145,7 @@
     void failRun(serving::RunNumber run, HttpFailure failure);
     void finishDrain();
     void watchDirectory();
+    [[nodiscard]] bool isWithinLimits(const HttpRequest &request, HttpResponder &responder);
     void countLoss();
 
     Loop &m_loop;
@@ -161,6 +168,7 @@
     std::uint64_t m_lastCall{};
     std::uint64_t m_countedLoss{};
     std::uint64_t m_catalogVersion{};
+    serving::CallerLimits m_limits;
     TimePoint m_drainSince{};
     bool m_draining{};
     bool m_ending{};
--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -392,6 +392,11 @@
     return m_state->address;
 }
 
+void HttpServer::setMaxBodyBytes(std::size_t bytes)
+{
+    m_state->config.max_request_entity_size = bytes;
+}
+
 void HttpServer::closeAfterAnswers()
 {
     m_state->closes = true;
--- a/src/bergamottide/net/httpserver.h
+++ b/src/bergamottide/net/httpserver.h
@@ -111,6 +111,9 @@
     /*! @brief Returns the address listened on, with the port that the kernel chose. */
     [[nodiscard]] std::string address() const;
 
+    /*! @brief Sets the largest body, for requests whose body is yet to be read. */
+    void setMaxBodyBytes(std::size_t bytes);
+
     /*! @brief Closes each connection after its present or next answer, and says so in that; goes on accepting. */
     void closeAfterAnswers();
 
--- a/src/bergamottide/serving/events.h
+++ b/src/bergamottide/serving/events.h
@@ -6,6 +6,7 @@
 #include "bergamottide/net/http.h"
 #include "bergamottide/serving/catalog.h"
 #include "bergamottide/serving/peers.h"
+#include "bergamottide/serving/retrybudget.h"
 #include "bergamottide/serving/stagetask.h"
 #include "bergamottide/telemetry/logline.h"
 #include "bergamottide/telemetry/metric.h"
@@ -221,6 +222,14 @@
     std::vector<std::string> handles;
 };
 
+/*! @brief Event: settings that may change while the process runs have changed. */
+struct SettingsChanged
+{
+    /*! @brief Addresses of some peers. */
+    std::vector<std::string> seeds;
+    RetryBudgetOptions retries;
+};
+
 /*! @brief Event: the process is to end once it has no requests. */
 struct DrainRequested
 {
@@ -233,7 +242,7 @@
 
 using Event = std::variant<RequestArrived, CallerLeft, RunAnswered, RunReceived, RunEnded, RunFailed, StageCallEnded,
                            CatalogChanged, EndpointsChanged, PeerTaskArrived, PeerTaskGone, HandedTaskEnded,
-                           HeartbeatHeard, PeerReleased, DrainRequested, Tick>;
+                           HeartbeatHeard, PeerReleased, SettingsChanged, DrainRequested, Tick>;
 
 /*! @brief What an answer made here says. */
 enum class AnswerKind : std::uint8_t
--- a/src/bergamottide/serving/peers.cpp
+++ b/src/bergamottide/serving/peers.cpp
@@ -56,11 +56,16 @@
 
 Peers::Peers(PeerInfo self, const std::vector<std::string> &seeds)
     : m_self{std::move(self)}
+{
+    addSeeds(seeds);
+}
+
+void Peers::addSeeds(const std::vector<std::string> &seeds)
 {
     for (const std::string &seed : seeds) {
         if (seed != m_self.address) {
             m_seeds.insert(seed);
-            m_askedAt.emplace(seed, TimePoint{});
+            m_askedAt.try_emplace(seed, TimePoint{});
         }
     }
 }
--- a/src/bergamottide/serving/peers.h
+++ b/src/bergamottide/serving/peers.h
@@ -100,6 +100,9 @@
      */
     Peers(PeerInfo self, const std::vector<std::string> &seeds);
 
+    /*! @brief Adds addresses to ask; those known before stay. */
+    void addSeeds(const std::vector<std::string> &seeds);
+
     /*! @brief Takes what a peer told, as a question or an answer. */
     void heard(const Heartbeat &heartbeat, TimePoint now);
 
--- a/src/bergamottide/serving/retrybudget.cpp
+++ b/src/bergamottide/serving/retrybudget.cpp
@@ -18,7 +18,7 @@
 bool RetryBudget::take(const PoolName &pool, TimePoint now)
 {
     Ledger &ledger = pruned(pool, now);
-    const double share = m_options.slack / m_options.sharers;
+    const double share = m_options.slack / sharers(now);
     const double allowed = std::floor(m_options.ratio * static_cast<double>(ledger.sent.size()) + share);
     if (static_cast<double>(ledger.repeats.size()) + 1.0 > allowed) {
         return false;
@@ -27,9 +27,33 @@
     return true;
 }
 
-void RetryBudget::setSharers(std::uint32_t sharers)
+void RetryBudget::setSharers(std::uint32_t sharers, TimePoint now)
 {
-    m_options.sharers = std::max<std::uint32_t>(sharers, 1);
+    if (m_startedAt == TimePoint{}) {
+        m_startedAt = now;
+    }
+    sharers = std::max<std::uint32_t>(sharers, 1);
+    while (!m_sharers.empty() && m_sharers.back().second <= sharers) {
+        m_sharers.pop_back();
+    }
+    m_sharers.emplace_back(now, sharers);
+}
+
+std::uint32_t RetryBudget::sharers(TimePoint now)
+{
+    const TimePoint oldest = now - m_options.window;
+    // A number counts until a window after the next smaller one was set.
+    while (m_sharers.size() > 1 && m_sharers[1].first <= oldest) {
+        m_sharers.pop_front();
+    }
+    const std::uint32_t largest = m_sharers.empty() ? 1 : m_sharers.front().second;
+    const bool isNew = m_startedAt == TimePoint{} || m_startedAt > oldest;
+    return isNew ? std::max(largest, m_options.sharers) : largest;
+}
+
+void RetryBudget::setOptions(const RetryBudgetOptions &options)
+{
+    m_options = options;
 }
 
 RetryBudget::Ledger &RetryBudget::pruned(const PoolName &pool, TimePoint now)
--- a/src/bergamottide/serving/retrybudget.h
+++ b/src/bergamottide/serving/retrybudget.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <utility>
 
 namespace bergamottide::serving {
 
@@ -17,8 +18,9 @@
     /*! @brief Repeats allowed in a window whatever the number of requests, over all processes. */
     double slack{50.0};
     Duration window{std::chrono::seconds{10}};
-    /*! @brief Processes that share the slack. */
-    std::uint32_t sharers{8};
+    /*! @brief Processes that are taken to share the slack until a window has passed: a process that has just started
+     * does not know them all. */
+    std::uint32_t sharers{16};
 };
 
 /**
@@ -44,8 +46,16 @@
      */
     [[nodiscard]] bool take(const PoolName &pool, TimePoint now);
 
-    /*! @brief Sets the number of processes that share the slack, at least one. */
-    void setSharers(std::uint32_t sharers);
+    /**
+     * @brief Sets the number of processes that share the slack, at least one.
+     *
+     * The largest number of the last window counts: those that are no longer seen may have spent their share, or be
+     * behind a partition and spend it now.
+     */
+    void setSharers(std::uint32_t sharers, TimePoint now);
+
+    /*! @brief Takes over other bounds; what is spent stays spent. */
+    void setOptions(const RetryBudgetOptions &options);
 
 private:
     struct Ledger
@@ -54,9 +64,14 @@
         std::deque<TimePoint> repeats;
     };
 
+    [[nodiscard]] std::uint32_t sharers(TimePoint now);
     Ledger &pruned(const PoolName &pool, TimePoint now);
 
     RetryBudgetOptions m_options;
+    /*! @brief Numbers of sharers with the times at which they were set, each smaller than the one before. */
+    std::deque<std::pair<TimePoint, std::uint32_t>> m_sharers;
+    /*! @brief When the first number of sharers was set. */
+    TimePoint m_startedAt{};
     std::map<PoolName, Ledger> m_ledgers;
 };
 
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -164,7 +164,7 @@
     const auto before = m_peers.live(m_now).size();
     m_peers.heard(event.heartbeat, m_now);
     const auto after = m_peers.live(m_now).size();
-    m_budget.setSharers(static_cast<std::uint32_t>(after + 1));
+    m_budget.setSharers(static_cast<std::uint32_t>(after + 1), m_now);
     if (before != after) {
         m_effects.emplace_back(Observe{Metric::PeersLive, {}, static_cast<double>(after)});
         m_effects.emplace_back(
@@ -175,6 +175,12 @@
     }
 }
 
+void ServingReducer::on(const SettingsChanged &event)
+{
+    m_peers.addSeeds(event.seeds);
+    m_budget.setOptions(event.retries);
+}
+
 void ServingReducer::on(const PeerReleased &event)
 {
     for (const std::string &handle : event.handles) {
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -86,6 +86,7 @@
     void on(const HandedTaskEnded &event);
     void on(const HeartbeatHeard &event);
     void on(const PeerReleased &event);
+    void on(const SettingsChanged &event);
     void on(const DrainRequested &event);
     void on(const Tick &event);
 
