Scheduler of stages split: planner of calls, speed of endpoints, pending tasks

Change: CallPlanner chooses the next call, endpointspeed knows how slow an endpoint is, pendingtask.h holds the types of the queue. Behaviour as before. An equal number of sharers keeps its time.

--- a/src/bergamottide/serving/peers.h
+++ b/src/bergamottide/serving/peers.h
@@ -83,9 +83,9 @@
  * @brief Peers that are alive, learnt from a few seeds and from each other, and which of them keeps which queue.
  *
  * Up to sixteen of the strongest processes are hubs: they exchange heartbeats with each other, and every other process
- * exchanges them with two hubs of its own. So the heartbeats of a process do not grow with the fleet, and those of a hub
- * grow by one sixteenth of it. Who is a hub follows from the peers that are alive; processes that see the same peers
- * agree without talking.
+ * exchanges them with two hubs of its own. So the heartbeats of a process do not grow with the fleet, and those of a
+ * hub grow by one sixteenth of it. Who is a hub follows from the peers that are alive; processes that see the same
+ * peers agree without talking.
  *
  * The queue of a stage pool has one keeper among the hubs, drawn by rendezvous hashing. While processes see different
  * peers, two keepers send work to the same endpoints, which costs time but breaks nothing.
--- a/src/bergamottide/serving/resultroom.h
+++ b/src/bergamottide/serving/resultroom.h
@@ -18,8 +18,9 @@
  * @brief Accounts for the memory that results take up at the endpoints of stage pools.
  *
  * Room is taken from the sending of a call until its result is given up or has lapsed. A result that may exist although
- * its call was lost counts until it would have lapsed. Results that another scheduler has had made, before it stopped or
- * its queue was taken over, are known only to the processes that hold them: these tell of them with their next tasks.
+ * its call was lost counts until it would have lapsed. Results that another scheduler has had made, before it stopped
+ * or its queue was taken over, are known only to the processes that hold them: these tell of them with their next
+ * tasks.
  */
 class ResultRoom
 {
--- a/src/bergamottide/serving/retrybudget.cpp
+++ b/src/bergamottide/serving/retrybudget.cpp
@@ -33,10 +33,12 @@
         m_startedAt = now;
     }
     sharers = std::max<std::uint32_t>(sharers, 1);
-    while (!m_sharers.empty() && m_sharers.back().second <= sharers) {
+    while (!m_sharers.empty() && m_sharers.back().second < sharers) {
         m_sharers.pop_back();
     }
-    m_sharers.emplace_back(now, sharers);
+    if (m_sharers.empty() || m_sharers.back().second != sharers) {
+        m_sharers.emplace_back(now, sharers);
+    }
 }
 
 std::uint32_t RetryBudget::sharers(TimePoint now)
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -46,7 +46,10 @@
 
 ServingReducer::ServingReducer(const ServingOptions &options)
     : m_budget{options.retries}
-    , m_stages{m_endpoints, m_budget, [this](const KeptResult &result) { return isShortOfRoom(result); }}
+    , m_stages{m_endpoints, m_budget,
+               [this](const KeptResult &result) {
+                   return isShortOfRoom(result);
+               }}
     , m_peers{options.self, options.seeds}
     , m_incarnation{options.incarnation}
 {
@@ -252,7 +255,9 @@
 
 StageForecast ServingReducer::forecast(const Catalog &catalog)
 {
-    return StageForecast{catalog, [this](const PoolName &pool, int rank) { return outlook(pool, rank); }};
+    return StageForecast{catalog, [this](const PoolName &pool, int rank) {
+                             return outlook(pool, rank);
+                         }};
 }
 
 /*! @brief Forecasts the answer, or its first event, of a request whose stages have not begun. */
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -123,8 +123,7 @@
     place(std::move(task));
 }
 
-std::vector<KeptResult> ServingReducer::inputsOf(const Request &request,
-                                                 const std::vector<std::uint32_t> &stages) const
+std::vector<KeptResult> ServingReducer::inputsOf(const Request &request, const std::vector<std::uint32_t> &stages) const
 {
     std::vector<KeptResult> inputs;
     for (const std::uint32_t stage : stages) {
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -1,5 +1,7 @@
 #include "bergamottide/serving/stagescheduler.h"
 
+#include "bergamottide/serving/endpointspeed.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -15,25 +17,14 @@
 /*! @brief A call is given up after this many times its expected time, plus the allowance for the network. */
 constexpr int expiryFactor = 3;
 constexpr Duration expiryAllowance = std::chrono::milliseconds{200};
-/*! @brief Weight of the newest call in an endpoint's slowness: one slow call of five times the time lifts it to 2.6. */
-constexpr double slownessWeight = 0.4;
-/*! @brief An endpoint slower than the fastest of its pool by this factor gets no work. */
-constexpr double slownessBound = 2.2;
-/*! @brief Time constant with which slowness is forgotten, so that a slow endpoint is tried again about every 2 s. */
-constexpr double slownessMemorySeconds = 2.0;
-/*! @brief Share of a full call, or of all that waits, below which a call waits for room at its endpoint. */
-constexpr double leastFill = 0.6;
-/*! @brief Share of the room that results of late requests may take: they wait longest, and would keep it from the
- * others. */
-constexpr double lateRoomShare = 0.75;
 /*! @brief Time by which a task may be expected to miss its due before it is taken as late: estimates are no better than
  * that. */
 constexpr Duration lateTolerance = std::chrono::milliseconds{50};
 /*! @brief Longest wait of a late task behind all others: its result is worth little, and its caller may come back
  * sooner. */
 constexpr Duration longestLateWait = std::chrono::milliseconds{700};
-/*! @brief Inputs count as fetched after this many times the time that the links need, plus the allowance: a call carries
- * some tasks, both ends share their links, and the request is on its way for some milliseconds. */
+/*! @brief Inputs count as fetched after this many times the time that the links need, plus the allowance: a call
+ * carries some tasks, both ends share their links, and the request is on its way for some milliseconds. */
 constexpr int fetchTimeFactor = 6;
 constexpr Duration fetchAllowance = std::chrono::milliseconds{60};
 /*! @brief Share of a pool that more urgent work is taken to fill at most, in the forecast of a wait behind it. */
@@ -53,22 +44,6 @@
 /*! @brief Time for which an endpoint that rejected a call gets none: another process works with it, or it leaves. */
 constexpr Duration rejectionPause = std::chrono::milliseconds{60};
 
-double presentSlowness(const Endpoint &endpoint, TimePoint now)
-{
-    const double age = std::chrono::duration<double>(now - endpoint.slownessAt).count();
-    return 1.0 + (endpoint.slowness - 1.0) * std::exp(-age / slownessMemorySeconds);
-}
-
-/*! @brief Returns the slowness of the fastest endpoint; infinite without endpoints. */
-double fastestOf(const std::vector<Endpoint *> &endpoints, TimePoint now)
-{
-    double fastest = std::numeric_limits<double>::max();
-    for (const Endpoint *endpoint : endpoints) {
-        fastest = std::min(fastest, presentSlowness(*endpoint, now));
-    }
-    return fastest;
-}
-
 Duration scaled(Duration duration, double factor)
 {
     return Duration{static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor)};
@@ -121,18 +96,14 @@
     , m_budget{budget}
     , m_shortOfRoom{std::move(shortOfRoom)}
     , m_room{endpoints}
+    , m_planner{endpoints, m_tasks}
 {
 }
 
-StageScheduler::Order StageScheduler::orderOf(const Pending &pending)
-{
-    return {pending.isLate, pending.task.rank, pending.task.due, pending.task.id};
-}
-
 void StageScheduler::submit(StageTask task, TimePoint now)
 {
     const StageTaskId id = task.id;
-    Pending pending;
+    PendingTask pending;
     for (std::uint32_t piece = 0; piece < task.pieces; ++piece) {
         pending.waiting.push_back(piece);
     }
@@ -185,16 +156,16 @@
  * Answers a backlog in which the oldest can no longer be on time: served first, they would make the next ones late as
  * well. Whoever cannot be on time behind those that go before it is marked at once, and goes behind all that can.
  */
-void StageScheduler::markLate(const Pool &pool, std::set<Order> &queue, TimePoint now)
+void StageScheduler::markLate(const Pool &pool, StageQueue &queue, TimePoint now)
 {
     const Duration busy = remainingTime(pool.name, now);
     std::size_t ahead = 0;
     std::vector<StageTaskId> late;
-    for (const Order &order : queue) {
+    for (const StageOrder &order : queue) {
         if (std::get<bool>(order)) {
             break;
         }
-        const Pending &pending = m_tasks.at(std::get<StageTaskId>(order));
+        const PendingTask &pending = m_tasks.at(std::get<StageTaskId>(order));
         if (now + waitBehind(pool, ahead, busy, now) > pending.task.due + lateTolerance) {
             late.push_back(pending.task.id);
             continue;
@@ -202,7 +173,7 @@
         ahead += pending.waiting.size();
     }
     for (const StageTaskId task : late) {
-        Pending &pending = m_tasks.at(task);
+        PendingTask &pending = m_tasks.at(task);
         queue.erase(orderOf(pending));
         pending.isLate = true;
         pending.lateSince = now;
@@ -215,15 +186,15 @@
  * Answers saturation that outlasts the backlog: late tasks are served from what the others leave. Those that would wait
  * longer than their bound are given up at once, so that their callers are not held for nothing and can come back.
  */
-void StageScheduler::shedLate(const Pool &pool, const std::set<Order> &queue, std::size_t ahead, Duration busy,
+void StageScheduler::shedLate(const Pool &pool, const StageQueue &queue, std::size_t ahead, Duration busy,
                               TimePoint now)
 {
     std::vector<StageTaskId> hopeless;
-    for (const Order &order : queue) {
+    for (const StageOrder &order : queue) {
         if (!std::get<bool>(order)) {
             continue;
         }
-        const Pending &pending = m_tasks.at(std::get<StageTaskId>(order));
+        const PendingTask &pending = m_tasks.at(std::get<StageTaskId>(order));
         const Duration wait = std::max(waitBehind(pool, ahead, busy, now), now - pending.lateSince);
         const bool inCall = pending.waiting.size() < pending.open;
         if (!inCall && (wait > longestLateWait || now + wait + expectedTime(*pool.batch, 1) > pending.task.deadline)) {
@@ -287,127 +258,20 @@
     return scaled(pool.batch->itemTime + scaled(pool.batch->callTime, 1.0 / fill), 1.0 / capacity(pool, now));
 }
 
-void StageScheduler::dispatchPool(const Pool &pool, std::set<Order> &queue, TimePoint now, Effects &effects)
+void StageScheduler::dispatchPool(const Pool &pool, StageQueue &queue, TimePoint now, Effects &effects)
 {
     markLate(pool, queue, now);
-    std::set<ZoneName> zones;
-    for (const Endpoint *endpoint : m_endpoints.usable(pool.name, now)) {
-        zones.insert(endpoint->record.zone);
-    }
     while (!queue.empty()) {
-        Endpoint *best = nullptr;
-        Choice chosen;
-        for (Endpoint *endpoint : freeEndpoints(pool, now)) {
-            Choice choice = choose(pool, *endpoint, queue, zones, now);
-            if (!choice.items.empty() && (best == nullptr || isBetter(choice, *endpoint, chosen, *best, now))) {
-                best = endpoint;
-                chosen = std::move(choice);
-            }
-        }
-        if (best == nullptr) {
-            return;
-        }
-        std::size_t waiting = 0;
-        for (const Order &order : queue) {
-            waiting += m_tasks.at(std::get<StageTaskId>(order)).waiting.size();
-        }
-        const std::size_t wanted = std::min<std::size_t>(waiting, pool.batch->batch);
-        // Room comes back with every result that is used; a call that carries little would keep the endpoint from it.
-        if (best->takenBytes() != 0
-            && static_cast<double>(chosen.items.size()) < leastFill * static_cast<double>(wanted)) {
-            return;
-        }
-        m_loads[pool.name].noteCall(*pool.batch, chosen.items.size(), waiting);
-        send(pool, *best, std::move(chosen.items), queue, now, effects);
-    }
-}
-
-std::vector<Endpoint *> StageScheduler::freeEndpoints(const Pool &pool, TimePoint now)
-{
-    const std::vector<Endpoint *> usable = m_endpoints.usable(pool.name, now);
-    const double fastest = fastestOf(usable, now);
-    std::vector<Endpoint *> out;
-    for (Endpoint *endpoint : usable) {
-        const bool slow = presentSlowness(*endpoint, now) > fastest * slownessBound;
-        if (endpoint->inFlight < pool.batch->slots && endpoint->pausedUntil <= now && !slow) {
-            out.push_back(endpoint);
-        }
-    }
-    return out;
-}
-
-bool StageScheduler::isBetter(const Choice &one, const Endpoint &endpoint, const Choice &other, const Endpoint &rival,
-                              TimePoint now)
-{
-    if (one.items.size() != other.items.size()) {
-        return one.items.size() > other.items.size();
-    }
-    if (one.local != other.local) {
-        return one.local > other.local;
-    }
-    return presentSlowness(endpoint, now) < presentSlowness(rival, now);
-}
-
-/*
- * Large inputs and results are best kept within a zone. Tasks of other zones that are no more urgent than the first
- * wait for the endpoints there as long as the call fills without them.
- */
-StageScheduler::Choice StageScheduler::choose(const Pool &pool, const Endpoint &endpoint, const std::set<Order> &queue,
-                                              const std::set<ZoneName> &zones, TimePoint now) const
-{
-    Choice choice;
-    choice.bytes = endpoint.takenBytes();
-    const Order &first = *queue.begin();
-    for (const Order &order : queue) {
-        const Pending &pending = m_tasks.at(std::get<StageTaskId>(order));
-        const bool asUrgent =
-            std::get<bool>(order) == std::get<bool>(first) && std::get<int>(order) == std::get<int>(first);
-        const bool fits = pending.task.zone.empty() || pending.task.zone == endpoint.record.zone;
-        if (fits && asUrgent) {
-            take(pool, pending, choice);
-        }
-    }
-    for (const Order &order : queue) {
-        const Pending &pending = m_tasks.at(std::get<StageTaskId>(order));
-        const bool fits = pending.task.zone == endpoint.record.zone || !zones.contains(pending.task.zone);
-        if (fits || pending.patientUntil <= now) {
-            take(pool, pending, choice);
-        }
-    }
-    for (const CallItem &item : choice.items) {
-        choice.local += m_tasks.at(item.task).task.zone == endpoint.record.zone ? 1 : 0;
-    }
-    return choice;
-}
-
-void StageScheduler::take(const Pool &pool, const Pending &pending, Choice &choice) const
-{
-    if (choice.items.size() >= pool.batch->batch || choice.tasks.contains(pending.task.id)) {
-        return;
-    }
-    const double share = pending.isLate ? lateRoomShare : 1.0;
-    const auto room = static_cast<std::uint64_t>(share * static_cast<double>(pool.batch->resultRoom));
-    const std::size_t rest = pending.waiting.size();
-    const bool isWhole =
-        choice.items.size() + rest <= pool.batch->batch && choice.bytes + rest * pending.task.resultBytes <= room;
-    // A request goes on when its last piece is made; the results of one that is spread over calls wait in scarce room.
-    // The first in the queue is spread all the same, or one with many pieces would wait for ever.
-    if (!isWhole && !choice.items.empty()) {
-        return;
-    }
-    choice.tasks.insert(pending.task.id);
-    for (const std::uint32_t piece : pending.waiting) {
-        // The first result is always taken, or one larger than the room would wait for ever.
-        const bool hasRoom = choice.bytes == 0 || choice.bytes + pending.task.resultBytes <= room;
-        if (choice.items.size() >= pool.batch->batch || !hasRoom) {
+        auto planned = m_planner.next(pool, queue, now);
+        if (!planned) {
             return;
         }
-        choice.bytes += pending.task.resultBytes;
-        choice.items.push_back({pending.task.id, piece, pending.task.resultBytes});
+        m_loads[pool.name].noteCall(*pool.batch, planned->items.size(), waitingPieces(queue, m_tasks));
+        send(pool, *planned->endpoint, std::move(planned->items), queue, now, effects);
     }
 }
 
-void StageScheduler::send(const Pool &pool, Endpoint &endpoint, std::vector<CallItem> items, std::set<Order> &queue,
+void StageScheduler::send(const Pool &pool, Endpoint &endpoint, std::vector<CallItem> items, StageQueue &queue,
                           TimePoint now, Effects &effects)
 {
     StartStageCall start;
@@ -415,7 +279,7 @@
     start.instance = endpoint.record.instance;
     start.address = endpoint.record.address;
     for (const CallItem &item : items) {
-        Pending &pending = m_tasks.at(item.task);
+        PendingTask &pending = m_tasks.at(item.task);
         const StageTask &task = pending.task;
         const Duration left = task.deadline - now;
         start.items.push_back({task.attempt, task.stage, item.piece, left, task.key, handlesOf(task.inputs)});
@@ -572,7 +436,7 @@
     if (found == m_tasks.end()) {
         return;
     }
-    Pending &pending = found->second;
+    PendingTask &pending = found->second;
     pending.failures += failed ? 1 : 0;
     if (pending.failures > mostFailures * pending.task.pieces) {
         fail(pending, PieceFailure::Error);
@@ -587,7 +451,7 @@
     m_queues[pending.task.pool].insert(orderOf(pending));
 }
 
-void StageScheduler::fail(Pending &pending, PieceFailure failure)
+void StageScheduler::fail(PendingTask &pending, PieceFailure failure)
 {
     const StageTaskId id = pending.task.id;
     m_queues[pending.task.pool].erase(orderOf(pending));
@@ -613,13 +477,13 @@
     }
 }
 
-bool StageScheduler::isWorthGivingUp(const Pending &pending) const
+bool StageScheduler::isWorthGivingUp(const PendingTask &pending) const
 {
     const std::vector<KeptResult> &inputs = pending.task.inputs;
     return std::any_of(inputs.begin(), inputs.end(), m_shortOfRoom);
 }
 
-void StageScheduler::giveUpInputs(Pending &pending)
+void StageScheduler::giveUpInputs(PendingTask &pending)
 {
     if (std::exchange(pending.isFetched, true)) {
         return;
@@ -674,7 +538,7 @@
     std::vector<PoolWait> out;
     for (const auto &[pool, queue] : m_queues) {
         std::set<int> ranks{0};
-        for (const Order &order : queue) {
+        for (const StageOrder &order : queue) {
             ranks.insert(std::get<int>(order));
         }
         for (const int rank : ranks) {
@@ -696,7 +560,7 @@
     }
     std::size_t ahead = 0;
     if (const auto queue = m_queues.find(pool); queue != m_queues.end()) {
-        for (const Order &order : queue->second) {
+        for (const StageOrder &order : queue->second) {
             if (!std::get<bool>(order) && std::get<int>(order) <= rank) {
                 ahead += m_tasks.at(std::get<StageTaskId>(order)).waiting.size();
             }
@@ -729,7 +593,7 @@
         }
     }
     for (const auto &[pool, queue] : m_queues) {
-        for (const Order &order : queue) {
+        for (const StageOrder &order : queue) {
             const TimePoint until = m_tasks.at(std::get<StageTaskId>(order)).patientUntil;
             if (until > m_dispatchedAt && (!first || until < *first)) {
                 first = until;
@@ -746,9 +610,7 @@
         return;
     }
     const double ratio = static_cast<double>((now - call.started).count()) / static_cast<double>(call.expected.count());
-    const double known = presentSlowness(*endpoint, now);
-    endpoint->slowness = known + slownessWeight * (ratio - known);
-    endpoint->slownessAt = now;
+    serving::noteSpeed(*endpoint, ratio, now);
 }
 
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -2,10 +2,12 @@
 
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
+#include "bergamottide/serving/callplanner.h"
 #include "bergamottide/serving/catalog.h"
 #include "bergamottide/serving/endpointboard.h"
 #include "bergamottide/serving/events.h"
 #include "bergamottide/serving/peers.h"
+#include "bergamottide/serving/pendingtask.h"
 #include "bergamottide/serving/poolload.h"
 #include "bergamottide/serving/resultroom.h"
 #include "bergamottide/serving/retrybudget.h"
@@ -116,31 +118,6 @@
     [[nodiscard]] std::optional<TimePoint> nextWakeup() const;
 
 private:
-    struct Pending
-    {
-        StageTask task;
-        /*! @brief Pieces not in a call at present. */
-        std::vector<std::uint32_t> waiting;
-        std::uint32_t open{};
-        std::uint32_t failures{};
-        /*! @brief Its request cannot be on time any more. */
-        bool isLate{};
-        TimePoint lateSince{};
-        /*! @brief Until then only endpoints of its zone take it. */
-        TimePoint patientUntil{};
-        /*! @brief When the calls with its pieces have fetched their inputs; set once all pieces are in calls. */
-        std::optional<TimePoint> fetchedAt;
-        /*! @brief Its inputs have been given up. */
-        bool isFetched{};
-    };
-
-    struct CallItem
-    {
-        StageTaskId task{};
-        std::uint32_t piece{};
-        std::uint64_t bytes{};
-    };
-
     struct Call
     {
         PoolName pool;
@@ -153,53 +130,33 @@
         TimePoint expiry{};
     };
 
-    /*! @brief What a call to one endpoint would carry. */
-    struct Choice
-    {
-        std::vector<CallItem> items;
-        std::set<StageTaskId> tasks;
-        /*! @brief Bytes in the endpoint's memory with it. */
-        std::uint64_t bytes{};
-        /*! @brief Items that prefer the endpoint's zone. */
-        std::size_t local{};
-    };
-
-    /*! @brief Order in which the tasks of a pool are served. */
-    using Order = std::tuple<bool, int, TimePoint, StageTaskId>;
-
-    [[nodiscard]] static Order orderOf(const Pending &pending);
-    void markLate(const Pool &pool, std::set<Order> &queue, TimePoint now);
-    void shedLate(const Pool &pool, const std::set<Order> &queue, std::size_t ahead, Duration busy, TimePoint now);
+    void markLate(const Pool &pool, StageQueue &queue, TimePoint now);
+    void shedLate(const Pool &pool, const StageQueue &queue, std::size_t ahead, Duration busy, TimePoint now);
     [[nodiscard]] Duration remainingTime(const PoolName &pool, TimePoint now) const;
     [[nodiscard]] double roomTaken(const Pool &pool, TimePoint now);
     [[nodiscard]] double capacity(const Pool &pool, TimePoint now);
     [[nodiscard]] Duration waitBehind(const Pool &pool, std::size_t pieces, Duration busy, TimePoint now);
     [[nodiscard]] Duration timePerPiece(const Pool &pool, TimePoint now);
-    [[nodiscard]] std::vector<Endpoint *> freeEndpoints(const Pool &pool, TimePoint now);
-    [[nodiscard]] Choice choose(const Pool &pool, const Endpoint &endpoint, const std::set<Order> &queue,
-                                const std::set<ZoneName> &zones, TimePoint now) const;
-    void take(const Pool &pool, const Pending &pending, Choice &choice) const;
-    [[nodiscard]] static bool isBetter(const Choice &one, const Endpoint &endpoint, const Choice &other,
-                                       const Endpoint &rival, TimePoint now);
-    void dispatchPool(const Pool &pool, std::set<Order> &queue, TimePoint now, Effects &effects);
-    void send(const Pool &pool, Endpoint &endpoint, std::vector<CallItem> items, std::set<Order> &queue, TimePoint now,
+    void dispatchPool(const Pool &pool, StageQueue &queue, TimePoint now, Effects &effects);
+    void send(const Pool &pool, Endpoint &endpoint, std::vector<CallItem> items, StageQueue &queue, TimePoint now,
               Effects &effects);
     static void logFailures(const StageCallEnded &event, const Call &call, Effects &effects);
     void giveBack(const Call &call, bool failed, TimePoint now, Effects &effects);
     void requeue(const CallItem &item, bool failed);
-    void giveUpInputs(Pending &pending);
-    [[nodiscard]] bool isWorthGivingUp(const Pending &pending) const;
+    void giveUpInputs(PendingTask &pending);
+    [[nodiscard]] bool isWorthGivingUp(const PendingTask &pending) const;
     void giveUpFetched(TimePoint now);
-    void fail(Pending &pending, PieceFailure failure);
+    void fail(PendingTask &pending, PieceFailure failure);
     void noteSpeed(const Call &call, TimePoint now);
 
     EndpointBoard &m_endpoints;
     RetryBudget &m_budget;
     ShortOfRoom m_shortOfRoom;
-    std::map<StageTaskId, Pending> m_tasks;
-    std::map<PoolName, std::set<Order>> m_queues;
+    PendingTasks m_tasks;
+    std::map<PoolName, StageQueue> m_queues;
     std::map<StageCallNumber, Call> m_calls;
     ResultRoom m_room;
+    CallPlanner m_planner;
     std::vector<StageOutcome> m_outcomes;
     std::vector<KeptResult> m_usedInputs;
     std::map<PoolName, PoolLoad> m_loads;
