--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(readsAConfiguration);
     CPPUNIT_TEST(configurationOfTheWrongTypesIsATypedError);
     CPPUNIT_TEST(readsPagesAndWritesThemForPeers);
+    CPPUNIT_TEST(pageForAPeerLeavesOutWhatItKnows);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -221,6 +222,20 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{13}, again->revision);
     }
 
+    void pageForAPeerLeavesOutWhatItKnows()
+    {
+        platform::StorePage page;
+        page.revision = 9;
+        page.items = {{"op/config", "large", 4, false, true}, {"servers/i-1", "new", 8, false, false}};
+        const std::string text = platform::writePage(page);
+        CPPUNIT_ASSERT(text.find("bGFyZ2U") == std::string::npos);
+        const auto read = platform::readPage(text);
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT(read->items[0].isUnchanged);
+        CPPUNIT_ASSERT(!read->items[1].isUnchanged);
+        CPPUNIT_ASSERT_EQUAL(std::string{"new"}, read->items[1].value);
+    }
+
 private:
     static serving::StartRun run(const HttpRequest &request)
     {
