Whole path of a process on the platform in a test: store, endpoints and caller as stand-ins

Change: test/platform/standins stand in for the store (lists, watches, refusals) and for endpoints (plain, stage, engine; full, foreign, unsigned).

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -143,6 +143,16 @@
     return status;
 }
 
+std::string ServingApp::callersAddress() const
+{
+    return m_callersServer.address();
+}
+
+bool ServingApp::canServe() const
+{
+    return m_reducer.canServe();
+}
+
 void ServingApp::drain()
 {
     if (std::exchange(m_draining, true)) {
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -61,6 +61,12 @@
     /*! @brief Starts to listen. */
     [[nodiscard]] absl::Status start();
 
+    /*! @brief Returns the address on which callers are listened for, with the port that the kernel chose. */
+    [[nodiscard]] std::string callersAddress() const;
+
+    /*! @brief Tells if a request could be served now. */
+    [[nodiscard]] bool canServe() const;
+
     /*! @brief Begins a graceful shutdown. */
     void drain();
 
--- /dev/null
+++ b/test/platform/standins.cpp
@@ -0,0 +1,175 @@
+#include "standins.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace bergamottide::test {
+
+namespace {
+
+using nlohmann::json;
+
+HttpServerOptions serverOptions()
+{
+    HttpServerOptions options;
+    options.listen = "127.0.0.1:0";
+    return options;
+}
+
+constexpr int statusBusy = 503;
+constexpr int statusOtherInstance = 421;
+
+} // namespace
+
+StoreStandIn::StoreStandIn(Loop &loop)
+    : m_server{loop, serverOptions(),
+               [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+                   handle(request, responder);
+               }}
+{
+    static_cast<void>(m_server.listen());
+}
+
+std::string StoreStandIn::address() const
+{
+    return m_server.address();
+}
+
+void StoreStandIn::publish(const std::string &key, const std::string &value)
+{
+    m_items[key] = {value, ++m_revision};
+    for (const Watch &watch : std::exchange(m_watches, {})) {
+        watch.responder->answer({200, {}, page("events", watch.after)});
+    }
+}
+
+void StoreStandIn::setDown(bool down)
+{
+    m_down = down;
+    for (const Watch &watch : std::exchange(m_watches, {})) {
+        watch.responder->answer({down ? statusBusy : 200, {}, page("events", watch.after)});
+    }
+}
+
+std::size_t StoreStandIn::calls() const noexcept
+{
+    return m_calls;
+}
+
+void StoreStandIn::handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
+{
+    ++m_calls;
+    if (m_down) {
+        responder->answer({statusBusy, {}, {}});
+        return;
+    }
+    if (request.path == "/bergamottide/kv-range") {
+        responder->answer({200, {}, page("items", 0)});
+        return;
+    }
+    const std::uint64_t after = std::stoull(std::string{queryValue(request.query, "after")});
+    if (after < m_revision) {
+        responder->answer({200, {}, page("events", after)});
+        return;
+    }
+    m_watches.push_back({responder, after});
+}
+
+std::string StoreStandIn::page(const std::string &field, std::uint64_t after) const
+{
+    json items = json::array();
+    for (const auto &[key, item] : m_items) {
+        if (item.revision > after) {
+            items.push_back({{"key", key}, {"value", absl::Base64Escape(item.value)}, {"revision", item.revision}});
+        }
+    }
+    return json{{field, std::move(items)}, {"storeRevision", m_revision}}.dump();
+}
+
+EndpointStandIn::EndpointStandIn(Loop &loop, std::string instance)
+    : m_instance{std::move(instance)}
+    , m_server{loop, serverOptions(),
+               [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+                   handle(request, responder);
+               }}
+{
+    static_cast<void>(m_server.listen());
+}
+
+std::string EndpointStandIn::address() const
+{
+    return m_server.address();
+}
+
+void EndpointStandIn::setMood(EndpointMood mood)
+{
+    m_mood = mood;
+}
+
+const std::vector<HttpRequest> &EndpointStandIn::runs() const noexcept
+{
+    return m_runs;
+}
+
+const std::vector<std::string> &EndpointStandIn::freed() const noexcept
+{
+    return m_freed;
+}
+
+void EndpointStandIn::handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
+{
+    if (request.path == "/bergamottide/stage-free") {
+        const json body = json::parse(request.body);
+        for (const json &handle : body.at("handles")) {
+            m_freed.push_back(handle.get<std::string>());
+        }
+        responder->answer({200, {}, {}});
+        return;
+    }
+    if (headerValue(request.headers, "expect-instance") != m_instance) {
+        responder->answer({statusOtherInstance, {}, {}});
+        return;
+    }
+    if (m_mood == EndpointMood::Full) {
+        responder->answer({statusBusy, {{"not-executed", "1"}}, {}});
+        return;
+    }
+    if (request.path == "/bergamottide/stage-run") {
+        makePieces(request, *responder);
+        return;
+    }
+    run(request, *responder);
+}
+
+void EndpointStandIn::makePieces(const HttpRequest &request, HttpResponder &responder)
+{
+    json items = json::array();
+    for (std::size_t item = 0; item < json::parse(request.body).at("items").size(); ++item) {
+        items.push_back({{"handle", absl::StrCat(address(), "/piece-", ++m_pieces)}});
+    }
+    responder.answer({200, {}, json{{"items", std::move(items)}}.dump()});
+}
+
+void EndpointStandIn::run(const HttpRequest &request, HttpResponder &responder)
+{
+    m_runs.push_back(request);
+    const std::string attempt{headerValue(request.headers, "attempt-id")};
+    HttpHeaders headers{{"attempt-id", m_mood == EndpointMood::Foreign ? "another" : attempt}};
+    if (m_mood != EndpointMood::Unsigned) {
+        headers.emplace_back("response-seal", "seal");
+    }
+    if (headerValue(request.headers, "model").empty()) {
+        responder.answer({200, headers, "the endpoint's bytes"});
+        return;
+    }
+    headers.emplace_back("content-type", "text/event-stream");
+    responder.begin(200, headers);
+    responder.send("id: 0\ndata: a\n\n");
+    responder.send("id: 1\ndata: b\n\n");
+    responder.finish();
+}
+
+} // namespace bergamottide::test
