--- a/src/bergamottide/app/peerport.cpp
+++ b/src/bergamottide/app/peerport.cpp
@@ -167,7 +167,8 @@
     // A peer that does not answer is told by its silence.
     hooks.failed = [](HttpFailure) {
     };
-    m_heartbeats.call(effect.address, post(heartbeatPath, peerwire::write(m_hooks.heartbeat(effect.address))), std::move(hooks));
+    m_heartbeats.call(effect.address, post(heartbeatPath, peerwire::write(m_hooks.heartbeat(effect.address))),
+                      std::move(hooks));
 }
 
 void PeerPort::carryOut(const HandTask &effect)
@@ -183,9 +184,8 @@
             m_hooks.submit(HandedTaskEnded{task, peer, {}});
         }
     };
-    m_handed[task] =
-        m_client.call(effect.peer.address, post(taskPath, peerwire::write(effect.task, m_loop.now())),
-                      std::move(hooks));
+    m_handed[task] = m_client.call(effect.peer.address, post(taskPath, peerwire::write(effect.task, m_loop.now())),
+                                   std::move(hooks));
 }
 
 void PeerPort::handedEnded(StageTaskId task, const InstanceName &peer, const HttpAnswer &answer)
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -51,6 +51,7 @@
         }
     }
     std::vector<HeldResults> out;
+    out.reserve(bytes.size());
     for (const auto &[endpoint, sum] : bytes) {
         out.push_back({endpoint, sum});
     }
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -63,6 +63,7 @@
 std::vector<std::string> handlesOf(const std::vector<KeptResult> &results)
 {
     std::vector<std::string> handles;
+    handles.reserve(results.size());
     for (const KeptResult &result : results) {
         handles.push_back(result.handle);
     }
--- a/test/bergamottide/serving/retrybudget.cpp
+++ b/test/bergamottide/serving/retrybudget.cpp
@@ -29,7 +29,8 @@
         CPPUNIT_ASSERT_EQUAL(3, spend(budget));
     }
 
-    /*! @brief Five processes on both sides of a partition would spend five times the slack, each taking itself alone. */
+    /*! @brief Five processes on both sides of a partition would spend five times the slack, each taking itself alone.
+     */
     void shareDoesNotGrowWhenPeersAreNoLongerSeen()
     {
         RetryBudget budget = settled(5);
--- a/test/bergamottide/serving/stagescheduler.cpp
+++ b/test/bergamottide/serving/stagescheduler.cpp
@@ -347,7 +347,9 @@
     std::shared_ptr<const Catalog> m_catalog{ServingFixture::catalog()};
     EndpointBoard m_endpoints;
     RetryBudget m_budget{{.ratio = 0.0, .slack = 3.0, .window = std::chrono::seconds{10}, .sharers = 1}};
-    StageScheduler m_scheduler{m_endpoints, m_budget, [this](const KeptResult &) { return m_isShort; }};
+    StageScheduler m_scheduler{m_endpoints, m_budget, [this](const KeptResult &) {
+                                   return m_isShort;
+                               }};
     bool m_isShort{};
     ZoneName m_zone;
     std::vector<KeptResult> m_inputs;
