--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -322,7 +322,9 @@
     log(request, "A request is refused.",
         {{"answer", std::string{enumName(kind)}},
          {"reason", reason},
-         {"route", request.route == nullptr ? "" : request.route->name}},
+         {"route", request.route == nullptr ? "" : request.route->name},
+         {"expected_ms", milliseconds(request.expected - request.arrived)},
+         {"objective_ms", milliseconds(request.objective - request.arrived)}},
         kind == AnswerKind::NoRoute || kind == AnswerKind::UnknownKey ? Severity::Info : Severity::Warning);
     finish(request, enumName(kind));
 }
