The keeper of a pool is looked up once when results are given up; a flag that said what the result says is gone

Cause: read again, the change looked the keeper up for each result, and each look-up goes over all live peers; a flag in Peers::keeper repeated what an empty result already means. Change: one look-up for a pool; the flag is removed. Behaviour is the same.

--- a/src/bergamottide/serving/peers.cpp
+++ b/src/bergamottide/serving/peers.cpp
@@ -301,17 +301,15 @@
 {
     std::optional<PeerInfo> best;
     std::uint64_t bestScore = 0;
-    bool isSelf = false;
     for (const InstanceName &hub : hubs(now)) {
         const bool self = hub == m_self.instance;
         const std::uint64_t one = score(pool.text(), hub);
         if ((self ? m_keepsQueues : m_peers.at(hub).keepsQueues) && one > bestScore) {
             bestScore = one;
-            isSelf = self;
             best = self ? std::nullopt : std::optional{m_peers.at(hub).info};
         }
     }
-    return isSelf ? std::nullopt : best;
+    return best;
 }
 
 std::uint64_t Peers::incarnationOf(const InstanceName &peer) const
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -284,6 +284,7 @@
 {
     std::map<std::string, std::vector<std::string>> byAddress;
     std::map<InstanceName, TellReleased> byKeeper;
+    std::map<PoolName, std::optional<PeerInfo>> keepers;
     for (const KeptResult &result : results) {
         if (result.handle.empty()) {
             continue;
@@ -291,8 +292,15 @@
         m_stages.released(result.handle);
         byAddress[result.address].push_back(result.handle);
         const Endpoint *endpoint = m_endpoints.find(result.endpoint);
-        const auto keeper = endpoint == nullptr ? std::nullopt : m_peers.keeper(endpoint->record.pool, m_now);
-        if (keeper) {
+        if (endpoint == nullptr) {
+            continue;
+        }
+        const PoolName &pool = endpoint->record.pool;
+        if (!keepers.contains(pool)) {
+            // Who keeps a queue follows from all live peers, so it is looked up once for a pool, not for each result.
+            keepers.emplace(pool, m_peers.keeper(pool, m_now));
+        }
+        if (const auto &keeper = keepers.at(pool)) {
             TellReleased &tell = byKeeper[keeper->instance];
             tell.peer = *keeper;
             tell.handles.push_back(result.handle);
