Generations go to the engine with the least expected cost; processes tell each other of theirs

Change: module engines: parts that each engine keeps (by use, bounded by its memory), tokens that it has yet to read, times to first events learnt as a line over tokens, slowness of each engine; the engine with the least expected time plus the time that reading takes from others is chosen; parts that another engine has read are fetched from it where that is cheaper. Heartbeats carry what each process has placed in the last 450 ms and what is unread; hubs pass it on. An engine that starts anew under its name is known by its incarnation and keeps nothing.

--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -47,6 +47,50 @@
     return out;
 }
 
+json enginesOf(const std::vector<engines::EngineReport> &reports)
+{
+    json out = json::array();
+    for (const engines::EngineReport &report : reports) {
+        json work = json::array();
+        for (const engines::EngineWork &one : report.work) {
+            work.push_back({one.engine.text(), one.tokens});
+        }
+        json placed = json::array();
+        for (const engines::PlacedPrompt &one : report.placed) {
+            json chain = json::array();
+            for (const engines::ChainLink &link : one.chain) {
+                chain.push_back({link.digest, link.tokens});
+            }
+            placed.push_back({one.engine.text(), one.readIn.count(), std::move(chain)});
+        }
+        out.push_back({{"origin", report.origin.text()},
+                       {"sequence", report.sequence},
+                       {"work", std::move(work)},
+                       {"placed", std::move(placed)}});
+    }
+    return out;
+}
+
+engines::EngineReport reportOf(const json &value)
+{
+    engines::EngineReport report;
+    report.origin = InstanceName{value.at("origin").get<std::string>()};
+    report.sequence = value.at("sequence").get<std::uint64_t>();
+    for (const json &one : value.at("work")) {
+        report.work.push_back({InstanceName{one.at(0).get<std::string>()}, one.at(1).get<std::uint64_t>()});
+    }
+    for (const json &one : value.at("placed")) {
+        engines::PlacedPrompt placed;
+        placed.engine = InstanceName{one.at(0).get<std::string>()};
+        placed.readIn = Duration{one.at(1).get<std::int64_t>()};
+        for (const json &link : one.at(2)) {
+            placed.chain.push_back({link.at(0).get<std::uint64_t>(), link.at(1).get<std::uint64_t>()});
+        }
+        report.placed.push_back(std::move(placed));
+    }
+    return report;
+}
+
 /*! @brief Reads a message; whatever is wrong with it becomes a typed error. */
 template <typename Decode>
 auto read(const std::string &text, Decode decode) -> absl::StatusOr<decltype(decode(json{}))>
@@ -86,6 +130,7 @@
     for (const PoolWork &work : heartbeat.upcoming) {
         out["upcoming"].push_back({{"pool", work.pool.text()}, {"rank", work.rank}, {"pieces", work.pieces}});
     }
+    out["engines"] = enginesOf(heartbeat.engines);
     return dump(out);
 }
 
@@ -114,6 +159,9 @@
             heartbeat.upcoming.push_back({PoolName{work.at("pool").get<std::string>()}, work.at("rank").get<int>(),
                                           work.at("pieces").get<std::uint64_t>()});
         }
+        for (const json &report : value.value("engines", json::array())) {
+            heartbeat.engines.push_back(reportOf(report));
+        }
         return heartbeat;
     });
 }
--- a/src/bergamottide/serving/catalog.h
+++ b/src/bergamottide/serving/catalog.h
@@ -100,6 +100,8 @@
 {
     std::uint32_t slots{1};
     std::uint64_t cacheTokens{};
+    /*! @brief Speed at which engines fetch prompts from each other, in tokens a second; zero if they cannot. */
+    double fetchRate{};
 };
 
 /*! @brief A pool of endpoints. */
--- a/src/bergamottide/serving/endpointboard.cpp
+++ b/src/bergamottide/serving/endpointboard.cpp
@@ -154,6 +154,17 @@
     }
 }
 
+std::vector<EndpointRecord> EndpointBoard::records() const
+{
+    std::vector<EndpointRecord> out;
+    for (const auto &[instance, endpoint] : m_endpoints) {
+        if (!endpoint.gone) {
+            out.push_back(endpoint.record);
+        }
+    }
+    return out;
+}
+
 std::size_t EndpointBoard::size() const noexcept
 {
     return m_endpoints.size();
--- a/src/bergamottide/serving/endpointboard.h
+++ b/src/bergamottide/serving/endpointboard.h
@@ -128,6 +128,9 @@
     /*! @brief Notes the load that an endpoint told. */
     void told(const InstanceName &instance, const EndpointLoad &load, TimePoint now);
 
+    /*! @brief Returns the endpoints that are listed. */
+    [[nodiscard]] std::vector<EndpointRecord> records() const;
+
     /*! @brief Returns the number of endpoints listed. */
     [[nodiscard]] std::size_t size() const noexcept;
 
--- a/src/bergamottide/serving/events.h
+++ b/src/bergamottide/serving/events.h
@@ -3,6 +3,7 @@
 #include "bergamottide/core/enumnames.h"
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
+#include "bergamottide/engines/promptchain.h"
 #include "bergamottide/net/http.h"
 #include "bergamottide/serving/catalog.h"
 #include "bergamottide/serving/peers.h"
@@ -30,12 +31,7 @@
 {
 };
 
-/*! @brief One part of a prompt that requests share, in the order in which it is read. */
-struct PromptPart
-{
-    std::string id;
-    std::uint64_t tokens{};
-};
+using engines::PromptPart;
 
 /*! @brief A caller's request, decoded. */
 struct CallerRequest
@@ -55,6 +51,8 @@
     /*! @brief Time that the caller will wait, from arrival. */
     std::optional<Duration> deadline;
     std::string key;
+    /*! @brief Model that is to generate; empty if the request names none. */
+    std::string model;
     /*! @brief Length of the whole prompt, and the most that may be generated. */
     std::uint64_t promptTokens{};
     std::uint64_t outputTokens{};
@@ -77,6 +75,8 @@
     std::uint32_t slots{1};
     /*! @brief Takes no new work. */
     bool draining{};
+    /*! @brief Sets one start of the instance apart from the next; zero if the platform does not tell. */
+    std::uint64_t incarnation{};
 };
 
 using EndpointList = std::vector<EndpointRecord>;
@@ -316,6 +316,8 @@
     int urgency{-1};
     /*! @brief Results that the engine fetches. */
     std::vector<std::string> inputs;
+    /*! @brief Address of an engine from which it fetches parts of the prompt; empty for none. */
+    std::string fetchFrom;
     std::string lastEvent;
     bool mayRunTwice{};
     std::shared_ptr<const CallerRequest> request;
--- a/src/bergamottide/serving/peers.cpp
+++ b/src/bergamottide/serving/peers.cpp
@@ -28,6 +28,13 @@
 /*! @brief Share of the strongest process's strength that a hub has at least: it keeps queues for the whole fleet. */
 constexpr double hubStrength = 0.5;
 
+/*! @brief Age up to which a hub passes on what a process told of its generations: two heartbeats. */
+constexpr Duration reportTime = std::chrono::milliseconds{450};
+/*! @brief Reports and prompts of others in one heartbeat at most, some 20 KB. In a larger fleet each process knows a
+ * part of the others' generations only; prompts then meet at their home engine. */
+constexpr std::size_t mostReports = 32;
+constexpr std::size_t mostPrompts = 128;
+
 std::uint64_t score(std::string_view key, const InstanceName &instance)
 {
     return XXH3_64bits_withSeed(instance.text().data(), instance.text().size(), XXH3_64bits(key.data(), key.size()));
@@ -86,6 +93,12 @@
     peer.knownDigest = heartbeat.knownDigest;
     peer.waits = heartbeat.waits;
     peer.upcoming = heartbeat.upcoming;
+    peer.engines.reset();
+    for (const engines::EngineReport &report : heartbeat.engines) {
+        if (report.origin == heartbeat.from.instance) {
+            peer.engines = report;
+        }
+    }
     m_askedAt.try_emplace(heartbeat.from.address, TimePoint{});
     if (heartbeat.roster) {
         takeRoster(heartbeat, peer, now);
@@ -201,6 +214,30 @@
             heartbeat.waits.insert(heartbeat.waits.end(), peer.waits.begin(), peer.waits.end());
         }
     }
+    passOnEngines(heartbeat, receiver, now);
+}
+
+/*! @brief Adds what others have told this hub of their generations; what they told long ago is left out. */
+void Peers::passOnEngines(Heartbeat &heartbeat, const Peer *receiver, TimePoint now) const
+{
+    const bool toHub = receiver != nullptr && receiver->isHub;
+    std::size_t prompts = 0;
+    for (const auto &[instance, peer] : m_peers) {
+        const bool isNews = peer.engines && now - peer.heardAt < reportTime && isHeard(peer, now);
+        if (!isNews || &peer == receiver || (toHub && peer.isHub)) {
+            continue;
+        }
+        if (heartbeat.engines.size() >= mostReports || prompts >= mostPrompts) {
+            return;
+        }
+        engines::EngineReport report = *peer.engines;
+        const Duration age = now - peer.heardAt;
+        for (engines::PlacedPrompt &placed : report.placed) {
+            placed.readIn = std::max(placed.readIn - age, Duration::zero());
+        }
+        prompts += report.placed.size();
+        heartbeat.engines.push_back(std::move(report));
+    }
 }
 
 /*! @brief Hubs tell each other only of processes that they hear themselves: none lives on in what others tell. */
--- a/src/bergamottide/serving/peers.h
+++ b/src/bergamottide/serving/peers.h
@@ -2,6 +2,7 @@
 
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
+#include "bergamottide/engines/enginereport.h"
 
 #include <cstdint>
 #include <map>
@@ -74,6 +75,8 @@
     std::vector<PoolWait> waits;
     /*! @brief Work that is on its way to the pools: of its own requests, and of what it was told by others. */
     std::vector<PoolWork> upcoming;
+    /*! @brief Generations of the process, and, from a hub, what others have told it of theirs. */
+    std::vector<engines::EngineReport> engines;
 };
 
 /*! @brief Period of heartbeats: four of them fit into the silence after which a peer counts as gone. */
@@ -179,8 +182,11 @@
         std::uint64_t knownDigest{};
         std::vector<PoolWait> waits;
         std::vector<PoolWork> upcoming;
+        /*! @brief What it told of its own generations. */
+        std::optional<engines::EngineReport> engines;
     };
 
+    void passOnEngines(Heartbeat &heartbeat, const Peer *receiver, TimePoint now) const;
     void takeRoster(const Heartbeat &heartbeat, Peer &teller, TimePoint now);
     void forgetGone(TimePoint now);
     [[nodiscard]] bool isHeard(const Peer &peer, TimePoint now) const;
--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -58,8 +58,8 @@
 
     /*! @brief Pool drawn for it. */
     PoolName pool;
-    /*! @brief Requests with the same one are best run at the same engine. */
-    std::string placementKey;
+    /*! @brief Parts of its prompt; empty for a plain call. */
+    engines::PromptChain prompt;
     std::optional<RunNumber> run;
     TimePoint runStarted{};
     /*! @brief Its run was taken as silent. */
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -164,6 +164,11 @@
 {
     const auto before = m_peers.live(m_now).size();
     m_peers.heard(event.heartbeat, m_now);
+    for (const engines::EngineReport &report : event.heartbeat.engines) {
+        if (report.origin != m_peers.self().instance) {
+            m_engines.told(report, m_now);
+        }
+    }
     const auto after = m_peers.live(m_now).size();
     m_budget.setSharers(static_cast<std::uint32_t>(after + 1), m_now);
     if (before != after) {
@@ -254,6 +259,7 @@
     for (const auto &[key, pieces] : ownUpcoming()) {
         heartbeat.upcoming.push_back({key.first, key.second, pieces});
     }
+    heartbeat.engines.push_back(m_engines.report(m_peers.self().instance, now));
     m_peers.complete(heartbeat, to, now);
     return heartbeat;
 }
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -22,10 +22,6 @@
  * any limit. */
 constexpr Duration longestRequest = std::chrono::seconds{60};
 
-/*! @brief Share of an engine's time that requests with one part of a prompt may take. */
-constexpr double mostEngineShare = 0.5;
-/*! @brief Time of an engine that a request takes at least before its first event. */
-constexpr double shortestPrefillSeconds = 0.02;
 /*! @brief Part of the caller's time that its request and the answer spend on the way; an answer after it reaches
  * nobody. */
 constexpr Duration answerMargin = std::chrono::milliseconds{25};
@@ -96,6 +92,7 @@
 void ServingReducer::on(const CatalogChanged &event)
 {
     m_catalog = event.catalog;
+    listEngines();
     m_peers.setKeepsQueues(canServe());
     m_effects.emplace_back(Observe{Metric::ConfigurationsTotal, {}, 1.0});
     m_effects.emplace_back(Observe{Metric::ConfigVersion, {}, static_cast<double>(m_catalog->version)});
@@ -109,6 +106,7 @@
 void ServingReducer::on(const EndpointsChanged &event)
 {
     m_endpoints.update(*event.endpoints, m_effects);
+    listEngines();
     m_peers.setKeepsQueues(canServe());
 }
 
@@ -203,9 +201,7 @@
     request.objective = m_now + route->objective;
     request.expected = m_now;
     request.pool = drawPool(*route, request.in->attempt);
-    const std::string_view part =
-        m_prompts.note(route->name, request.in->prompt, mostSharersPerSecond(request.pool), m_now);
-    request.placementKey = part.empty() ? std::string_view{request.in->attempt} : part;
+    request.prompt = engines::chainOf(request.in->model, request.in->prompt);
     if (!m_endpoints.serves(request.pool)) {
         return AnswerKind::Unavailable;
     }
@@ -274,14 +270,6 @@
     return m_now + *stages + m_firstEvents.typical(request.pool);
 }
 
-/*! @brief Returns the requests a second of this process that may share one engine, if all processes send as many. */
-double ServingReducer::mostSharersPerSecond(const PoolName &pool) const
-{
-    const double processes = static_cast<double>(m_peers.live(m_now).size() + 1);
-    const double seconds = std::chrono::duration<double>(m_firstEvents.typical(pool)).count();
-    return mostEngineShare / (std::max(seconds, shortestPrefillSeconds) * processes);
-}
-
 PoolName ServingReducer::drawPool(const Route &route, const std::string &attempt) const
 {
     std::uint64_t sum = 0;
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -2,11 +2,12 @@
 
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
+#include "bergamottide/engines/engineplacement.h"
+#include "bergamottide/engines/enginetable.h"
 #include "bergamottide/serving/endpointboard.h"
 #include "bergamottide/serving/events.h"
 #include "bergamottide/serving/firsteventtimes.h"
 #include "bergamottide/serving/peers.h"
-#include "bergamottide/serving/prompthistory.h"
 #include "bergamottide/serving/request.h"
 #include "bergamottide/serving/retrybudget.h"
 #include "bergamottide/serving/stageforecast.h"
@@ -97,7 +98,6 @@
     [[nodiscard]] StageForecast forecast(const Catalog &catalog);
     [[nodiscard]] std::optional<TimePoint> expectedAnswer(const Request &request);
     [[nodiscard]] bool isHopeless(Request &request);
-    [[nodiscard]] double mostSharersPerSecond(const PoolName &pool) const;
     [[nodiscard]] PoolName drawPool(const Route &route, const std::string &attempt) const;
 
     // Queues kept by peers.
@@ -129,6 +129,10 @@
     void giveUp(const std::vector<KeptResult> &results);
     [[nodiscard]] bool isShortOfRoom(const KeptResult &result);
 
+    // Engines.
+    void listEngines();
+    [[nodiscard]] std::optional<engines::EngineChoice> chooseEngine(const Request &request);
+
     // Runs.
     void startRun(Request &request);
     void retryOrGiveUp(Request &request, bool mayHaveRun, AnswerKind otherwise);
@@ -165,7 +169,7 @@
     RetryBudget m_budget;
     StageScheduler m_stages;
     Peers m_peers;
-    PromptHistory m_prompts;
+    engines::EngineTable m_engines;
     FirstEventTimes m_firstEvents;
     std::uint64_t m_incarnation;
     std::map<CallId, Request> m_requests;
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/engineplacement.h"
+#include "bergamottide/serving/plainplacement.h"
 #include "bergamottide/serving/servingreducer.h"
 
 #include <absl/strings/str_cat.h>
@@ -18,6 +18,11 @@
 constexpr int silenceFactor = 6;
 constexpr Duration shortestSilence = std::chrono::milliseconds{1000};
 
+engines::GenerationNumber generationOf(RunNumber run)
+{
+    return engines::GenerationNumber{static_cast<std::uint64_t>(run)};
+}
+
 bool isSuccess(int status)
 {
     constexpr int firstSuccess = 200;
@@ -27,12 +32,62 @@
 
 } // namespace
 
+void ServingReducer::listEngines()
+{
+    std::vector<engines::EngineListing> list;
+    for (const EndpointRecord &record : m_endpoints.records()) {
+        const Pool *pool = m_catalog ? m_catalog->pool(record.pool) : nullptr;
+        if (pool != nullptr && pool->engine) {
+            list.push_back({record.instance, record.pool, record.incarnation, pool->engine->cacheTokens});
+        }
+    }
+    m_engines.setEngines(list);
+}
+
+std::optional<engines::EngineChoice> ServingReducer::chooseEngine(const Request &request)
+{
+    std::vector<engines::EngineCandidate> candidates;
+    for (const Endpoint *endpoint : m_endpoints.usable(request.pool, m_now)) {
+        const EndpointRecord &record = endpoint->record;
+        const bool isTried =
+            std::find(request.tried.begin(), request.tried.end(), record.instance) != request.tried.end();
+        candidates.push_back({record.instance, record.zone, loadOf(*endpoint), isTried});
+    }
+    engines::GenerationNeeds needs{request.pool, request.prompt, request.in->attempt, {}, 0, 0.0};
+    const Pool *pool = request.catalog->pool(request.pool);
+    if (pool != nullptr && pool->engine) {
+        needs.fetchRate = pool->engine->fetchRate;
+    }
+    std::map<ZoneName, std::uint64_t> bytes;
+    for (std::size_t stage = 0; stage < request.stages.size(); ++stage) {
+        if (!request.route->stages[stage].isLeaf) {
+            continue;
+        }
+        for (const KeptResult &result : request.stages[stage].results) {
+            if (const Endpoint *maker = m_endpoints.find(result.endpoint); maker != nullptr) {
+                bytes[maker->record.zone] += result.bytes;
+            }
+        }
+    }
+    for (const auto &[zone, sum] : bytes) {
+        if (sum > needs.inputBytes) {
+            needs.inputZone = zone;
+            needs.inputBytes = sum;
+        }
+    }
+    return engines::pickEngine(m_engines, candidates, needs, m_now);
+}
+
 void ServingReducer::startRun(Request &request)
 {
     const bool isGeneration = request.route->kind == RouteKind::Streaming;
-    const std::vector<Endpoint *> usable = m_endpoints.usable(request.pool, m_now);
-    Endpoint *endpoint = isGeneration ? pickEngine(usable, request.tried, request.placementKey)
-                                      : pickLeastLoaded(usable, request.tried, request.in->attempt);
+    const auto choice = isGeneration ? chooseEngine(request) : std::nullopt;
+    Endpoint *endpoint = nullptr;
+    if (choice) {
+        endpoint = m_endpoints.find(choice->engine);
+    } else if (!isGeneration) {
+        endpoint = pickLeastLoaded(m_endpoints.usable(request.pool, m_now), request.tried, request.in->attempt);
+    }
     if (endpoint == nullptr) {
         refuse(request, request.mayHaveRun ? AnswerKind::BadGateway : AnswerKind::Unavailable, "no endpoint is left");
         return;
@@ -58,6 +113,14 @@
     } else {
         start.lastEvent = request.in->lastEvent;
     }
+    if (choice) {
+        if (const Endpoint *source = m_endpoints.find(choice->fetchFrom); source != nullptr) {
+            start.fetchFrom = source->record.address;
+        }
+        m_engines.sent(
+            {generationOf(start.run), choice->engine, request.prompt, choice->toRead, choice->ahead, choice->expected},
+            m_now);
+    }
     start.mayRunTwice = request.route->mayRunTwice();
     start.request = request.in;
     request.run = start.run;
@@ -74,6 +137,10 @@
          {"endpoint", start.instance.text()},
          {"address", start.address},
          {"in_flight", absl::StrCat(endpoint->inFlight)},
+         {"to_read", absl::StrCat(choice ? choice->toRead : 0)},
+         {"ahead", absl::StrCat(choice ? static_cast<std::uint64_t>(choice->ahead) : 0)},
+         {"expected_ms", absl::StrCat(choice ? choice->expected.count() / 1000 : 0)},
+         {"fetch_from", start.fetchFrom},
          {"sends", absl::StrCat(request.tried.size())}});
     m_effects.emplace_back(std::move(start));
 }
@@ -105,6 +172,7 @@
     if (request->route->kind != RouteKind::Streaming || !isSuccess(event.head.status)) {
         return;
     }
+    m_engines.began(generationOf(event.run), m_now);
     if (!request->begun) {
         m_effects.emplace_back(Observe{Metric::FirstEventSeconds,
                                        {request->pool.text()},
@@ -290,6 +358,7 @@
         return;
     }
     m_runs.erase(*request.run);
+    m_engines.ended(generationOf(*request.run), m_now);
     request.run.reset();
     m_endpoints.ended(request.endpoint, sign, m_now, m_effects);
 }
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -1,4 +1,3 @@
-#include "bergamottide/serving/engineplacement.h"
 #include "bergamottide/serving/servingreducer.h"
 
 #include <absl/strings/str_cat.h>
@@ -157,7 +156,8 @@
         }
     }
     if (spec.isLeaf) {
-        const Endpoint *engine = pickEngine(m_endpoints.usable(request.pool, m_now), {}, request.placementKey);
+        const auto choice = chooseEngine(request);
+        const Endpoint *engine = choice ? m_endpoints.find(choice->engine) : nullptr;
         bytes[engine == nullptr ? ZoneName{} : engine->record.zone] += spec.resultBytes * pieces;
     }
     const auto most = std::max_element(bytes.begin(), bytes.end(),
