An endpoint that starts anew under its name is taken for a new one; entries of other writers name none

Cause: the platform's pages now let an engine start again under the name it had, and let entries of other writers stand among those of engines. A draining state, a load, an ejection, room and kept results outlived such a start here; an entry that had become unreadable left the earlier one in force; one item without a key made a whole page unreadable. Change: an entry's start sets incarnations apart: directory and board forget what they believed of the former one, room taken in it is not given back in the next. An entry needs service, address, zone, slots and a known state, each of its type, or its endpoint is taken out at once. A run whose inputs are gone has its stages made again, where it was sent to another engine that found them gone too.

--- a/src/bergamottide/serving/endpointboard.cpp
+++ b/src/bergamottide/serving/endpointboard.cpp
@@ -44,6 +44,9 @@
         listed.insert(record.instance);
         const auto [found, isNew] = m_endpoints.try_emplace(record.instance);
         Endpoint &endpoint = found->second;
+        if (!isNew && endpoint.record.incarnation != record.incarnation) {
+            restart(endpoint, effects);
+        }
         const bool drains = record.draining && !endpoint.record.draining;
         endpoint.record = record;
         endpoint.gone = false;
@@ -64,6 +67,15 @@
     }
 }
 
+/*! @brief Forgets what was believed of an endpoint that has started anew; work in progress there ends by itself. */
+void EndpointBoard::restart(Endpoint &endpoint, Effects &effects)
+{
+    const std::uint32_t inFlight = endpoint.inFlight;
+    endpoint = Endpoint{.record = endpoint.record, .inFlight = inFlight};
+    endpoint.record.draining = false;
+    log(effects, "An endpoint has started anew.", endpoint, "another incarnation");
+}
+
 Endpoint *EndpointBoard::find(const InstanceName &instance)
 {
     const auto found = m_endpoints.find(instance);
--- a/src/bergamottide/serving/endpointboard.h
+++ b/src/bergamottide/serving/endpointboard.h
@@ -135,6 +135,7 @@
     [[nodiscard]] std::size_t size() const noexcept;
 
 private:
+    static void restart(Endpoint &endpoint, Effects &effects);
     void judge(Endpoint &endpoint, TimePoint now, Effects &effects);
     void forgetIfIdle(const InstanceName &instance);
     [[nodiscard]] double failureShareOfOthers(const Endpoint &endpoint) const;
--- a/src/bergamottide/serving/endpointdirectory.cpp
+++ b/src/bergamottide/serving/endpointdirectory.cpp
@@ -45,8 +45,9 @@
     m_missing.erase(record.instance);
     const auto [found, isNew] = m_endpoints.try_emplace(record.instance, record);
     EndpointRecord &known = found->second;
-    const bool draining = record.draining || (!isNew && known.draining);
-    if (isNew || known.draining != draining || known.address != record.address || known.pool != record.pool
+    const bool isAnew = isNew || known.incarnation != record.incarnation;
+    const bool draining = record.draining || (!isAnew && known.draining);
+    if (isAnew || known.draining != draining || known.address != record.address || known.pool != record.pool
         || known.slots != record.slots) {
         m_changed = true;
     }
@@ -64,9 +65,13 @@
         m_missing.try_emplace(instance, now + renewal);
         return;
     }
+    discard(instance);
+}
+
+void EndpointDirectory::discard(const InstanceName &instance)
+{
     m_missing.erase(instance);
-    m_endpoints.erase(found);
-    m_changed = true;
+    m_changed = m_endpoints.erase(instance) != 0 || m_changed;
 }
 
 void EndpointDirectory::lost(TimePoint now)
--- a/src/bergamottide/serving/endpointdirectory.h
+++ b/src/bergamottide/serving/endpointdirectory.h
@@ -23,12 +23,15 @@
     /*! @brief Takes the whole list as of now. */
     void replace(const EndpointList &list, TimePoint now);
 
-    /*! @brief Takes the new state of one endpoint. */
+    /*! @brief Takes the new state of one endpoint. One that has started anew under its name no longer drains. */
     void put(const EndpointRecord &record);
 
     /*! @brief Takes the removal of one endpoint. */
     void remove(const InstanceName &instance, TimePoint now);
 
+    /*! @brief Takes out an endpoint whose entry does not name one any more: it has not merely lapsed. */
+    void discard(const InstanceName &instance);
+
     /*! @brief Notes that the list cannot be read any more. */
     void lost(TimePoint now);
 
--- a/src/bergamottide/serving/events.h
+++ b/src/bergamottide/serving/events.h
@@ -97,6 +97,8 @@
     HttpHeaders headers;
     /*! @brief The endpoint states that it did not run the request. */
     bool notExecuted{};
+    /*! @brief It did not run since results that it was to fetch are gone; another endpoint would find them gone too. */
+    bool inputsGone{};
     /*! @brief The answer names another request. */
     bool foreign{};
     /*! @brief Signed by the endpoint and without an encoding of its own: a success may be passed on. */
--- a/src/bergamottide/serving/resultroom.cpp
+++ b/src/bergamottide/serving/resultroom.cpp
@@ -19,22 +19,23 @@
 {
 }
 
-void ResultRoom::giveBack(const InstanceName &endpoint, std::uint64_t bytes)
+void ResultRoom::giveBack(const RoomShare &share)
 {
-    if (Endpoint *found = m_endpoints.find(endpoint); found != nullptr) {
-        found->resultBytes -= std::min(found->resultBytes, bytes);
+    Endpoint *found = m_endpoints.find(share.endpoint);
+    if (found != nullptr && found->record.incarnation == share.incarnation) {
+        found->resultBytes -= std::min(found->resultBytes, share.bytes);
     }
 }
 
-void ResultRoom::keep(const std::string &handle, const InstanceName &endpoint, std::uint64_t bytes, TimePoint lapse)
+void ResultRoom::keep(const std::string &handle, const RoomShare &share, TimePoint lapse)
 {
-    m_results[handle] = {endpoint, bytes, lapse};
+    m_results[handle] = {share, lapse};
     m_lapses.emplace(lapse, handle);
 }
 
-void ResultRoom::keepLost(const InstanceName &endpoint, std::uint64_t bytes, TimePoint lapse)
+void ResultRoom::keepLost(const RoomShare &share, TimePoint lapse)
 {
-    keep(absl::StrCat("lost/", m_nextLost++), endpoint, bytes, lapse);
+    keep(absl::StrCat("lost/", m_nextLost++), share, lapse);
 }
 
 void ResultRoom::release(const std::string &handle)
@@ -43,7 +44,7 @@
     if (found == m_results.end()) {
         return;
     }
-    giveBack(found->second.endpoint, found->second.bytes);
+    giveBack(found->second.share);
     m_lapses.erase({found->second.lapse, handle});
     m_results.erase(found);
 }
--- a/src/bergamottide/serving/resultroom.h
+++ b/src/bergamottide/serving/resultroom.h
@@ -14,6 +14,15 @@
 
 namespace bergamottide::serving {
 
+/*! @brief Room for one result at one endpoint. */
+struct RoomShare
+{
+    InstanceName endpoint;
+    /*! @brief Start of the endpoint in which the room was taken; the next one has all its room again. */
+    std::uint64_t incarnation{};
+    std::uint64_t bytes{};
+};
+
 /**
  * @brief Accounts for the memory that results take up at the endpoints of stage pools.
  *
@@ -32,19 +41,18 @@
     explicit ResultRoom(EndpointBoard &endpoints);
 
     /*! @brief Gives back room that was taken for a result that was not made. */
-    void giveBack(const InstanceName &endpoint, std::uint64_t bytes);
+    void giveBack(const RoomShare &share);
 
     /**
      * @brief Notes a result that was made in room taken before.
      * @param handle Result.
-     * @param endpoint Endpoint that keeps it.
-     * @param bytes Its size.
+     * @param share Room that it takes.
      * @param lapse Time at which the endpoint has dropped it.
      */
-    void keep(const std::string &handle, const InstanceName &endpoint, std::uint64_t bytes, TimePoint lapse);
+    void keep(const std::string &handle, const RoomShare &share, TimePoint lapse);
 
     /*! @brief Notes that a result may have been made by a call whose answer never came. */
-    void keepLost(const InstanceName &endpoint, std::uint64_t bytes, TimePoint lapse);
+    void keepLost(const RoomShare &share, TimePoint lapse);
 
     /*! @brief Notes that a result was given up; one that is not known is ignored. */
     void release(const std::string &handle);
@@ -62,8 +70,7 @@
 private:
     struct Result
     {
-        InstanceName endpoint;
-        std::uint64_t bytes{};
+        RoomShare share;
         TimePoint lapse{};
     };
 
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -165,6 +165,11 @@
     if (event.head.notExecuted) {
         m_effects.emplace_back(CancelRun{event.run});
         endRun(*request, EndpointSign::Rejected);
+        if (event.head.inputsGone) {
+            for (StageProgress &stage : request->stages) {
+                release(stage);
+            }
+        }
         retryOrGiveUp(*request, false, AnswerKind::Unavailable);
         return;
     }
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -295,6 +295,7 @@
     Call call;
     call.pool = pool.name;
     call.endpoint = start.instance;
+    call.incarnation = endpoint.record.incarnation;
     call.address = start.address;
     call.started = now;
     call.expected = expectedTime(*pool.batch, items.size());
@@ -347,14 +348,14 @@
         const PieceResult &result = event.results[index];
         const auto found = m_tasks.find(item.task);
         if (found == m_tasks.end()) {
-            m_room.giveBack(call.endpoint, item.bytes);
+            m_room.giveBack(shareOf(call, item));
             if (!result.handle.empty()) {
                 orphans.push_back(result.handle);
             }
             continue;
         }
         if (result.handle.empty()) {
-            m_room.giveBack(call.endpoint, item.bytes);
+            m_room.giveBack(shareOf(call, item));
             if (result.failure == PieceFailure::Late || result.failure == PieceFailure::InputGone) {
                 fail(found->second, result.failure);
             } else {
@@ -366,7 +367,7 @@
             }
             continue;
         }
-        m_room.keep(result.handle, call.endpoint, item.bytes, now + call.resultTtl);
+        m_room.keep(result.handle, shareOf(call, item), now + call.resultTtl);
         m_outcomes.push_back({item.task, item.piece, result, call.endpoint, call.address});
         if (--found->second.open == 0) {
             giveUpInputs(found->second);
@@ -378,6 +379,11 @@
     }
 }
 
+RoomShare StageScheduler::shareOf(const Call &call, const CallItem &item)
+{
+    return {call.endpoint, call.incarnation, item.bytes};
+}
+
 void StageScheduler::logFailures(const StageCallEnded &event, const Call &call, Effects &effects)
 {
     std::map<PieceFailure, std::size_t> failures;
@@ -404,9 +410,9 @@
     std::set<StageTaskId> seen;
     for (const CallItem &item : call.items) {
         if (failed) {
-            m_room.keepLost(call.endpoint, item.bytes, now + call.resultTtl);
+            m_room.keepLost(shareOf(call, item), now + call.resultTtl);
         } else {
-            m_room.giveBack(call.endpoint, item.bytes);
+            m_room.giveBack(shareOf(call, item));
         }
         if (!m_tasks.contains(item.task)) {
             continue;
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -122,6 +122,7 @@
     {
         PoolName pool;
         InstanceName endpoint;
+        std::uint64_t incarnation{};
         std::string address;
         std::vector<CallItem> items;
         TimePoint started{};
@@ -140,6 +141,7 @@
     void dispatchPool(const Pool &pool, StageQueue &queue, TimePoint now, Effects &effects);
     void send(const Pool &pool, Endpoint &endpoint, std::vector<CallItem> items, StageQueue &queue, TimePoint now,
               Effects &effects);
+    [[nodiscard]] static RoomShare shareOf(const Call &call, const CallItem &item);
     static void logFailures(const StageCallEnded &event, const Call &call, Effects &effects);
     void giveBack(const Call &call, bool failed, TimePoint now, Effects &effects);
     void requeue(const CallItem &item, bool failed);
--- a/test/bergamottide/serving/peers.cpp
+++ b/test/bergamottide/serving/peers.cpp
@@ -1,6 +1,7 @@
 #include "peerfleet.h"
 #include "servingfixture.h"
 
+#include "bergamottide/serving/endpointboard.h"
 #include "bergamottide/serving/endpointdirectory.h"
 #include "bergamottide/serving/eventsplitter.h"
 #include "bergamottide/serving/peers.h"
@@ -32,6 +33,9 @@
     CPPUNIT_TEST(endpointThatVanishesAfterTheListsReturnIsGone);
     CPPUNIT_TEST(endpointThatDrainsIsNotKept);
     CPPUNIT_TEST(endpointRemovedInCalmTimesIsGoneAtOnce);
+    CPPUNIT_TEST(endpointThatStartsAnewUnderItsNameDrainsNoMore);
+    CPPUNIT_TEST(entryThatCannotBeReadIsNotKept);
+    CPPUNIT_TEST(endpointThatStartsAnewIsJudgedAnew);
     CPPUNIT_TEST(splitterKeepsUnfinishedEventsBack);
     CPPUNIT_TEST(splitterDropsWhatWasPassedOnAndSeesGaps);
     CPPUNIT_TEST(strongestProcessesAreHubsAndKeepTheQueues);
@@ -260,6 +264,53 @@
         CPPUNIT_ASSERT(directory.takeChange(m_now)->empty());
     }
 
+    void endpointThatStartsAnewUnderItsNameDrainsNoMore()
+    {
+        EndpointDirectory directory;
+        EndpointRecord record{InstanceName{"a"}, PoolName{"p"}, "a:1", ZoneName{"z"}, 1, true, 1};
+        directory.put(record);
+        static_cast<void>(directory.takeChange(m_now));
+        record.draining = false;
+        directory.put(record);
+        CPPUNIT_ASSERT(directory.takeChange(m_now) == nullptr);
+        record.incarnation = 2;
+        directory.put(record);
+        const auto list = directory.takeChange(m_now);
+        CPPUNIT_ASSERT(list != nullptr);
+        CPPUNIT_ASSERT(!list->front().draining);
+    }
+
+    void entryThatCannotBeReadIsNotKept()
+    {
+        EndpointDirectory directory;
+        directory.put({InstanceName{"a"}, PoolName{"p"}, "a:1", ZoneName{"z"}, 1, false, 1});
+        directory.lost(m_now);
+        static_cast<void>(directory.takeChange(m_now));
+        directory.discard(InstanceName{"a"});
+        CPPUNIT_ASSERT(directory.takeChange(m_now)->empty());
+    }
+
+    void endpointThatStartsAnewIsJudgedAnew()
+    {
+        EndpointBoard board;
+        Effects effects;
+        const EndpointRecord record{InstanceName{"a"}, PoolName{"p"}, "a:1", ZoneName{"z"}, 1, false, 1};
+        board.update({record}, effects);
+        board.started(record.instance);
+        board.told(record.instance, {5, 5, 4}, m_now);
+        board.find(record.instance)->resultBytes = 100;
+        board.find(record.instance)->slowness = 4.0;
+        EndpointRecord anew = record;
+        anew.incarnation = 2;
+        board.update({anew}, effects);
+        const Endpoint &endpoint = *board.find(record.instance);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, endpoint.takenBytes());
+        CPPUNIT_ASSERT_EQUAL(1.0, endpoint.slowness);
+        CPPUNIT_ASSERT_EQUAL(0U, endpoint.load.running);
+        // The run is in progress until its connection breaks.
+        CPPUNIT_ASSERT_EQUAL(1U, endpoint.inFlight);
+    }
+
     void splitterKeepsUnfinishedEventsBack()
     {
         EventSplitter splitter;
--- a/test/bergamottide/serving/servingreducer.cpp
+++ b/test/bergamottide/serving/servingreducer.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(stagesAreMadeBeforeTheRunAndFreedAtItsFirstEvent);
     CPPUNIT_TEST(brokenStreamHasItsStagesMadeAgainBeforeItGoesOn);
     CPPUNIT_TEST(requestThatCannotBeOnTimeIsRefusedAtOnce);
+    CPPUNIT_TEST(runWhoseInputsAreGoneHasItsStagesMadeAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -67,6 +68,20 @@
         CPPUNIT_ASSERT(m_fixture.effect<RefuseCaller>() == nullptr);
     }
 
+    void runWhoseInputsAreGoneHasItsStagesMadeAgain()
+    {
+        RequestArrived arrival = m_fixture.arrival("/report/1");
+        arrival.request.pieces = {1, 1};
+        m_fixture.apply(arrival);
+        const RunNumber first = makeStages(2);
+        EndpointAnswerHead head = ServingFixture::head(409);
+        head.notExecuted = true;
+        head.inputsGone = true;
+        m_fixture.apply(RunAnswered{first, head});
+        CPPUNIT_ASSERT(m_fixture.effect<StartRun>() == nullptr);
+        CPPUNIT_ASSERT(m_fixture.effect<StartStageCall>() != nullptr);
+    }
+
     void plainAnswerIsPassedOnUnchanged()
     {
         const RunNumber run = send("/order/1");
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -2,6 +2,7 @@
 #include "stagecodec.h"
 #include "storecodec.h"
 
+#include <absl/strings/escaping.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace bergamottide;
@@ -44,6 +45,9 @@
     CPPUNIT_TEST(answerWithTheWrongNumberOfItemsIsBroken);
     CPPUNIT_TEST(readsAConfiguration);
     CPPUNIT_TEST(configurationOfTheWrongTypesIsATypedError);
+    CPPUNIT_TEST(entryOfAnotherWriterNamesNoEndpoint);
+    CPPUNIT_TEST(itemThatCannotBeReadLeavesTheOthers);
+    CPPUNIT_TEST(runWhoseInputsAreGoneIsTold);
     CPPUNIT_TEST(readsPagesAndWritesThemForPeers);
     CPPUNIT_TEST(pageForAPeerLeavesOutWhatItKnows);
     CPPUNIT_TEST_SUITE_END();
@@ -209,10 +213,60 @@
         CPPUNIT_ASSERT(!platform::readEndpoint("i", R"({"service":["x"]})").ok());
     }
 
-    void readsPagesAndWritesThemForPeers()
+    void entryOfAnotherWriterNamesNoEndpoint()
+    {
+        const std::string good = R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready",)"
+                                 R"("born":1764729600000})";
+        CPPUNIT_ASSERT(platform::readEndpoint("i", good).ok());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1764729600000}, platform::readEndpoint("i", good)->incarnation);
+        for (const char *bad : {
+                 R"({})",
+                 R"([1])",
+                 R"({"address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready"})",
+                 R"({"service":"s","zone":"a","slots":4,"state":"ready"})",
+                 R"({"service":"s","address":"10.0.0.1","zone":"a","slots":4,"state":"ready"})",
+                 R"({"service":"s","address":"10.0.0.1:80","slots":4,"state":"ready"})",
+                 R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready"})",
+                 R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":"4","state":"ready"})",
+                 R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":4})",
+                 R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"resting"})",
+                 R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready","born":"1"})",
+                 R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready","born":1.5})",
+                 R"({"service":7,"address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready"})",
+                 "\xff\xfe\x00",
+             }) {
+            CPPUNIT_ASSERT_MESSAGE(bad, !platform::readEndpoint("i", bad).ok());
+        }
+    }
+
+    void itemThatCannotBeReadLeavesTheOthers()
     {
         const auto page = platform::readPage(
-            R"({"items":[{"key":"servers/i-1","value":"eyJzdGF0ZSI6ImRyYWluaW5nIn0=","revision":12}],"hasMore":true,"storeRevision":13})");
+            R"({"items":[{"key":"servers/i-1","value":7,"revision":1},{"key":["x"],"value":"","revision":1},9,)"
+            R"({"key":"servers/i-2","value":"***","revision":2},{"key":"servers/i-3","value":"e30=","revision":3}],)"
+            R"("storeRevision":3})");
+        CPPUNIT_ASSERT(page.ok());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, page->items.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{}, page->items[0].value);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, page->items[1].value);
+        CPPUNIT_ASSERT_EQUAL(std::string{"{}"}, page->items[2].value);
+    }
+
+    void runWhoseInputsAreGoneIsTold()
+    {
+        const serving::CallerRequest request = *platform::readRequest(CallId{1}, HttpRequest{});
+        CPPUNIT_ASSERT(platform::readAnswerHead(request, 409, {{"not-executed", "1"}}).inputsGone);
+        CPPUNIT_ASSERT(!platform::readAnswerHead(request, 409, {}).inputsGone);
+        CPPUNIT_ASSERT(!platform::readAnswerHead(request, 503, {{"not-executed", "1"}}).inputsGone);
+    }
+
+    void readsPagesAndWritesThemForPeers()
+    {
+        const std::string draining =
+            R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"draining"})";
+        const auto page =
+            platform::readPage(R"({"items":[{"key":"servers/i-1","value":")" + absl::Base64Escape(draining)
+                               + R"(","revision":12}],"hasMore":true,"storeRevision":13})");
         CPPUNIT_ASSERT(page.ok());
         CPPUNIT_ASSERT(page->hasMore);
         CPPUNIT_ASSERT(platform::readEndpoint("i-1", page->items[0].value)->draining);
