Inputs of a generation are given up once its engine has fetched them, where room is scarce

Cause: large results stayed in their makers' memory until the first event of the generation that took them, for longer than it took to make them: in bursts of drafts the room of that pool binds, and after all processes were killed it is full of results that nobody gives up.

--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -62,6 +62,8 @@
     engines::PromptChain prompt;
     std::optional<RunNumber> run;
     TimePoint runStarted{};
+    /*! @brief When the engine of its run has fetched the inputs, as far as can be expected. */
+    std::optional<TimePoint> inputsFetchedAt;
     /*! @brief Its run was taken as silent. */
     bool isSuspected{};
     /*! @brief When the first event of a stream came. */
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -76,6 +76,10 @@
         const TimePoint first = std::get<TimePoint>(*m_starts.begin());
         next = next ? std::min(*next, first) : first;
     }
+    if (!m_fetches.empty()) {
+        const TimePoint first = m_fetches.begin()->first;
+        next = next ? std::min(*next, first) : first;
+    }
     return next ? std::min(*next, m_heartbeatAt) : m_heartbeatAt;
 }
 
@@ -123,6 +127,7 @@
 {
     expire();
     startDelayed();
+    giveUpFetchedInputs();
     reviewSilentRuns();
     m_stages.expire(m_now, m_effects);
     reclaimTasks();
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -131,6 +131,8 @@
 
     // Engines.
     void listEngines();
+    void awaitFetch(Request &request, const engines::EngineChoice &choice);
+    void giveUpFetchedInputs();
     [[nodiscard]] std::optional<engines::EngineChoice> chooseEngine(const Request &request);
 
     // Runs.
@@ -183,6 +185,8 @@
     std::set<std::pair<TimePoint, CallId>> m_limits;
     /*! @brief Stages whose start is put off. */
     std::set<std::tuple<TimePoint, CallId, std::uint32_t>> m_starts;
+    /*! @brief Runs whose engine will have fetched their inputs. */
+    std::set<std::pair<TimePoint, CallId>> m_fetches;
     TimePoint m_heartbeatAt{};
     std::uint64_t m_nextRun{1};
     std::uint64_t m_nextTask{1};
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -17,6 +17,10 @@
  */
 constexpr int silenceFactor = 6;
 constexpr Duration shortestSilence = std::chrono::milliseconds{1000};
+/*! @brief Inputs count as fetched after this many times what is expected, plus the allowance for the network: the
+ * engine's other work is known only roughly, and inputs given up too soon cost a whole chain of stages. */
+constexpr double fetchTimeFactor = 2.0;
+constexpr Duration fetchAllowance = std::chrono::milliseconds{100};
 
 engines::GenerationNumber generationOf(RunNumber run)
 {
@@ -78,6 +82,45 @@
     return engines::pickEngine(m_engines, candidates, needs, m_now);
 }
 
+/*! @brief Notes when the engine of a run will have fetched its inputs: before it begins to read the prompt. */
+void ServingReducer::awaitFetch(Request &request, const engines::EngineChoice &choice)
+{
+    double seconds = 0.0;
+    for (std::size_t stage = 0; stage < request.stages.size(); ++stage) {
+        const StageSpec &spec = request.route->stages[stage];
+        const Pool *pool = request.catalog->pool(spec.pool);
+        if (spec.isLeaf && pool != nullptr && pool->batch && pool->batch->fetchRate > 0.0) {
+            const std::uint64_t bytes = spec.resultBytes * request.stages[stage].pieces;
+            seconds += static_cast<double>(bytes) / pool->batch->fetchRate;
+        }
+    }
+    seconds += choice.ahead / m_engines.model(request.pool).tokensPerSecond();
+    request.inputsFetchedAt = m_now + fetchAllowance
+        + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds * fetchTimeFactor));
+    m_fetches.emplace(*request.inputsFetchedAt, request.in->call);
+}
+
+/*
+ * Answers a burst of requests with large inputs: these would stay in the scarce memory of their makers until the first
+ * event, twice as long as it takes to make them, and keep others from being made.
+ */
+void ServingReducer::giveUpFetchedInputs()
+{
+    while (!m_fetches.empty() && m_fetches.begin()->first <= m_now) {
+        const auto [due, call] = *m_fetches.begin();
+        m_fetches.erase(m_fetches.begin());
+        Request *request = find(call);
+        if (request == nullptr || !request->run || request->inputsFetchedAt != due) {
+            continue;
+        }
+        for (StageProgress &stage : request->stages) {
+            if (!stage.results.empty() && isShortOfRoom(stage.results.front())) {
+                release(stage);
+            }
+        }
+    }
+}
+
 void ServingReducer::startRun(Request &request)
 {
     const bool isGeneration = request.route->kind == RouteKind::Streaming;
@@ -120,6 +163,7 @@
         m_engines.sent(
             {generationOf(start.run), choice->engine, request.prompt, choice->toRead, choice->ahead, choice->expected},
             m_now);
+        awaitFetch(request, *choice);
     }
     start.mayRunTwice = request.route->mayRunTwice();
     start.request = request.in;
