Stages are due by what the own prompt takes the engine

Cause: the latest start of a stage was reckoned with the pool's typical time to a first event, whatever the prompt: long prompts left the stages as late as short ones and were late by the difference (error of the forecast p90 +681 ms). Change: the time of the run is expected on arrival from the prompt and the engines, and kept with the request.

--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -47,6 +47,8 @@
     TimePoint limit{};
     /*! @brief Time by which the answer, or its first event, is on time. */
     TimePoint objective{};
+    /*! @brief Time from the sending to the answer, or to its first event, as expected on arrival. */
+    Duration runTime{};
     /*! @brief Time of its answer, or of its first event, as forecast on arrival. */
     TimePoint expected{};
 
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -215,6 +215,7 @@
         request.stages[stage].pieces = stage < request.in->pieces.size() ? request.in->pieces[stage] : 0;
     }
     request.level = route->topLevel() + 1;
+    request.runTime = expectedRunTime(request);
     if (!route->stages.empty() && isHopeless(request)) {
         return AnswerKind::Unavailable;
     }
@@ -235,6 +236,16 @@
     return *answer > request.limit || request.lateness() > mostLateness;
 }
 
+/*
+ * Answers prompts of very different lengths behind the same stages: one that takes the engine a second has to leave the
+ * stages earlier than one that takes it a tenth of that.
+ */
+Duration ServingReducer::expectedRunTime(const Request &request)
+{
+    const auto choice = request.prompt.empty() ? std::nullopt : chooseEngine(request);
+    return choice ? choice->expected : m_firstEvents.typical(request.pool);
+}
+
 Duration ServingReducer::shortestStageTime(const Request &request, std::uint32_t belowLevel) const
 {
     std::map<std::uint32_t, Duration> ofLevel;
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -97,6 +97,7 @@
     [[nodiscard]] Duration shortestStageTime(const Request &request, std::uint32_t belowLevel) const;
     [[nodiscard]] StageForecast forecast(const Catalog &catalog);
     [[nodiscard]] std::optional<TimePoint> expectedAnswer(const Request &request);
+    [[nodiscard]] Duration expectedRunTime(const Request &request);
     [[nodiscard]] bool isHopeless(Request &request);
     [[nodiscard]] PoolName drawPool(const Route &route, const std::string &attempt) const;
 
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -104,7 +104,7 @@
     task.pool = spec.pool;
     task.rank = request.rank;
     task.deadline = inputsLapse(request, spec.after);
-    task.due = request.objective - m_firstEvents.typical(request.pool) - shortestStageTime(request, spec.level + 1);
+    task.due = request.objective - request.runTime - shortestStageTime(request, spec.level + 1);
     task.attempt = request.in->attempt;
     task.stage = stage;
     task.pieces = progress.pieces;
