Tests of queues that change hands; a test whose first call showed nothing of the endpoint

Change: the test lets one call end first; what it asserts is unchanged. New: inputs stay where another scheduler has calls; a queue goes to its new keeper after two heartbeats; a task given back is no silence.

--- a/test/bergamottide/serving/peers.cpp
+++ b/test/bergamottide/serving/peers.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(peerThatKnowsNoConfigurationKeepsNoQueue);
     CPPUNIT_TEST(processWithoutConfigurationSendsTasksBack);
     CPPUNIT_TEST(drainingProcessHandsItsQueueOver);
+    CPPUNIT_TEST(queueIsHandedOverWhenAnotherKeepsIt);
+    CPPUNIT_TEST(taskGivenBackByAFormerKeeperIsNoSilence);
     CPPUNIT_TEST(taskTellsOfResultsThatAnotherKeeperHadMade);
     CPPUNIT_TEST(workOnItsWayToAPoolIsTold);
     CPPUNIT_TEST(taskOfALostKeeperIsDoneHere);
@@ -148,6 +150,41 @@
         CPPUNIT_ASSERT(moved->outcomes.empty());
     }
 
+    void queueIsHandedOverWhenAnotherKeepsIt()
+    {
+        const Heartbeat keeper = heartbeat(findKeeper().text());
+        // The pieces of the second task wait, since the only encoder takes one call at a time.
+        m_fixture.apply(PeerTaskArrived{PeerTaskNumber{1}, encoderTask("first", 8)});
+        m_fixture.apply(PeerTaskArrived{PeerTaskNumber{2}, encoderTask("second", 8)});
+        m_fixture.apply(HeartbeatHeard{keeper});
+        m_fixture.pass(std::chrono::milliseconds{200});
+        m_fixture.apply(HeartbeatHeard{keeper});
+        // Not all processes have heard of the other yet.
+        CPPUNIT_ASSERT(m_fixture.effect<AnswerPeerTask>() == nullptr);
+        m_fixture.pass(std::chrono::milliseconds{400});
+        const auto *moved = m_fixture.effect<AnswerPeerTask>();
+        CPPUNIT_ASSERT(moved != nullptr);
+        CPPUNIT_ASSERT(moved->number == PeerTaskNumber{2});
+        CPPUNIT_ASSERT(moved->outcomes.empty());
+    }
+
+    void taskGivenBackByAFormerKeeperIsNoSilence()
+    {
+        const Heartbeat keeper = heartbeat(findKeeper().text());
+        m_fixture.apply(HeartbeatHeard{keeper});
+        RequestArrived arrival = m_fixture.arrival("/draft/1");
+        arrival.request.pieces = {1};
+        m_fixture.apply(arrival);
+        const StageTaskId task = m_fixture.effect<HandTask>()->task.id;
+        Heartbeat leaves = keeper;
+        leaves.keepsQueues = false;
+        m_fixture.apply(HeartbeatHeard{leaves});
+        m_fixture.apply(HandedTaskEnded{task, keeper.from.instance, {}, true});
+        // It is done here, and the peer still counts as alive.
+        CPPUNIT_ASSERT(m_fixture.effect<StartStageCall>() != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.reducer().livePeers(m_fixture.now()).size());
+    }
+
     void taskTellsOfResultsThatAnotherKeeperHadMade()
     {
         RequestArrived arrival = m_fixture.arrival("/draft/1");
--- a/test/bergamottide/serving/stagescheduler.cpp
+++ b/test/bergamottide/serving/stagescheduler.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(resultsForACancelledTaskAreFreed);
     CPPUNIT_TEST(fetchedInputsAreGivenUpWhereRoomIsScarce);
     CPPUNIT_TEST(taskWhoseInputsAreGivenUpIsNotMadeAgain);
+    CPPUNIT_TEST(inputsStayWhereAnotherSchedulerHasCalls);
     CPPUNIT_TEST(resultsToldByAProcessTakeUpRoom);
     CPPUNIT_TEST(callThatTakesTooLongIsMadeElsewhere);
     CPPUNIT_TEST(repeatsEndWithTheBudget);
@@ -165,6 +166,10 @@
 
     void taskWhoseInputsAreGivenUpIsNotMadeAgain()
     {
+        // A call that has ended shows that nobody else has calls at the endpoint.
+        submit(2, 1);
+        answer(dispatch().front());
+        static_cast<void>(m_scheduler.takeOutcomes());
         m_isShort = true;
         m_inputs.push_back({"h-1", InstanceName{"other"}, "10.0.0.2:1", 100, 0});
         submit(1, 1);
@@ -177,6 +182,21 @@
         CPPUNIT_ASSERT(outcomes.front().result.failure == PieceFailure::InputGone);
     }
 
+    void inputsStayWhereAnotherSchedulerHasCalls()
+    {
+        m_isShort = true;
+        submit(1, 1);
+        const auto first = dispatch();
+        m_scheduler.ended({first.front().call, StageCallEnd::Answered, {{"h-0", {}}}, EndpointLoad{1, 0, 1}}, m_now,
+                          m_effects);
+        m_inputs.push_back({"h-1", InstanceName{"other"}, "10.0.0.2:1", 100, 0});
+        submit(2, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dispatch().size());
+        m_now += std::chrono::milliseconds{100};
+        m_scheduler.expire(m_now, m_effects);
+        CPPUNIT_ASSERT(m_scheduler.takeUsedInputs().empty());
+    }
+
     void resultsToldByAProcessTakeUpRoom()
     {
         constexpr std::uint64_t most = 20'000;
