--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -135,6 +135,7 @@
 
     // Engines.
     void listEngines();
+    [[nodiscard]] std::map<ZoneName, std::uint64_t> inputBytesByZone(const Request &request);
     void awaitFetch(Request &request, const engines::EngineChoice &choice);
     void giveUpFetchedInputs();
     [[nodiscard]] std::optional<engines::EngineChoice> chooseEngine(const Request &request);
