What a heartbeat passes on of generations does not grow with the fleet

Cause: a hub passed on up to 32 reports with 128 prompts, measured 14.3 KB a heartbeat and 343 us to read: at 350 processes that is 140 KB/s for each, fourteen times what control may take. Change: the bounds shrink in proportion above 32 processes, and who is told of takes turns. Tests of the messages.

--- a/src/bergamottide/serving/peers.cpp
+++ b/src/bergamottide/serving/peers.cpp
@@ -30,8 +30,8 @@
 
 /*! @brief Age up to which a hub passes on what a process told of its generations: two heartbeats. */
 constexpr Duration reportTime = std::chrono::milliseconds{450};
-/*! @brief Reports and prompts of others in one heartbeat at most, some 20 KB. In a larger fleet each process knows a
- * part of the others' generations only; prompts then meet at their home engine. */
+/*! @brief Reports and prompts of others in one heartbeat at most. In a larger fleet each process knows a part of the
+ * others' generations only; prompts then meet at their home engine. */
 constexpr std::size_t mostReports = 32;
 constexpr std::size_t mostPrompts = 128;
 
@@ -49,6 +49,15 @@
     names.resize(std::min(names.size(), most));
 }
 
+/*! @brief Returns a report as it reads some time after it was made. */
+engines::EngineReport agedReport(engines::EngineReport report, Duration age)
+{
+    for (engines::PlacedPrompt &placed : report.placed) {
+        placed.readIn = std::max(placed.readIn - age, Duration::zero());
+    }
+    return report;
+}
+
 std::uint64_t digestOf(const std::vector<RosterEntry> &roster)
 {
     std::string text;
@@ -216,26 +225,33 @@
     passOnEngines(heartbeat, receiver, now);
 }
 
-/*! @brief Adds what others have told this hub of their generations; what they told long ago is left out. */
+/*
+ * Adds what others have told this hub of their generations; what they told long ago is left out. A heartbeat to a fleet
+ * of up to 32 processes carries all of it, some 14 KB at most; to larger ones less in proportion, so that what a
+ * process hears does not grow with the fleet. Who is told of changes with each heartbeat then.
+ */
 void Peers::passOnEngines(Heartbeat &heartbeat, const Peer *receiver, TimePoint now) const
 {
     const bool toHub = receiver != nullptr && receiver->isHub;
-    std::size_t prompts = 0;
+    std::vector<const Peer *> tellers;
     for (const auto &[instance, peer] : m_peers) {
         const bool isNews = peer.engines && now - peer.heardAt < reportTime && isHeard(peer, now);
-        if (!isNews || &peer == receiver || (toHub && peer.isHub)) {
-            continue;
-        }
-        if (heartbeat.engines.size() >= mostReports || prompts >= mostPrompts) {
-            return;
-        }
-        engines::EngineReport report = *peer.engines;
-        const Duration age = now - peer.heardAt;
-        for (engines::PlacedPrompt &placed : report.placed) {
-            placed.readIn = std::max(placed.readIn - age, Duration::zero());
+        if (isNews && &peer != receiver && !(toHub && peer.isHub)) {
+            tellers.push_back(&peer);
         }
-        prompts += report.placed.size();
-        heartbeat.engines.push_back(std::move(report));
+    }
+    if (tellers.empty()) {
+        return;
+    }
+    const std::size_t fleet = std::max(m_peers.size() + 1, mostReports);
+    const std::size_t reports = std::max<std::size_t>(mostReports * mostReports / fleet, 1);
+    const std::size_t prompts = mostPrompts * mostReports / fleet;
+    const auto turn = static_cast<std::size_t>(now.time_since_epoch() / heartbeatPeriod);
+    std::size_t told = 0;
+    for (std::size_t index = 0; index < std::min(reports, tellers.size()) && told < prompts; ++index) {
+        const Peer &peer = *tellers[(turn * reports + index) % tellers.size()];
+        heartbeat.engines.push_back(agedReport(*peer.engines, now - peer.heardAt));
+        told += peer.engines->placed.size();
     }
 }
 
--- a/test/bergamottide/serving/peers.cpp
+++ b/test/bergamottide/serving/peers.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(strongestProcessesAreHubsAndKeepTheQueues);
     CPPUNIT_TEST(heartbeatsOfAProcessDoNotGrowWithTheFleet);
     CPPUNIT_TEST(fleetOfAnySizeAgreesOnKeepers);
+    CPPUNIT_TEST(generationsToldDoNotGrowWithTheFleet);
     CPPUNIT_TEST(processThatIsLostIsGoneEverywhereSoon);
     CPPUNIT_TEST(fleetAgreesOnKeepersAfterARollingRestart);
     CPPUNIT_TEST(unreachedKeeperIsTriedAgain);
@@ -415,6 +416,26 @@
         CPPUNIT_ASSERT(*fleet.keepersOf(PoolName{"p1"}).begin() != keeper);
     }
 
+    void generationsToldDoNotGrowWithTheFleet()
+    {
+        std::map<int, std::size_t> told;
+        for (const int size : {16, 32, 350}) {
+            Peers hub{{InstanceName{"hub"}, "hub:1"}, {}};
+            for (int number = 0; number < size; ++number) {
+                Heartbeat other = heartbeat("entry-" + std::to_string(number));
+                other.from.strength = 0.1;
+                other.engines.push_back({other.from.instance, 1, {}, {{InstanceName{"engine"}, {}, {}}}});
+                hub.heard(other, m_now);
+            }
+            Heartbeat out;
+            hub.complete(out, "entry-0:1", m_now);
+            told[size] = out.engines.size();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{15}, told[16]);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{31}, told[32]);
+        CPPUNIT_ASSERT(told[350] <= 4);
+    }
+
     void fleetAgreesOnKeepersAfterARollingRestart()
     {
         Fleet fleet{24, m_now};
