Reports of a process that has started anew are heard again

Cause: reports of generations are ordered by a sequence that starts anew with the process; after a restart under the same name the others passed its reports over until it had counted past its former number, some thirty seconds. Change: a report carries the incarnation; the sequence counts within it only. The new test fails without it.

--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -64,6 +64,7 @@
             placed.push_back({one.engine.text(), one.readIn.count(), std::move(chain)});
         }
         out.push_back({{"origin", report.origin.text()},
+                       {"incarnation", report.incarnation},
                        {"sequence", report.sequence},
                        {"work", std::move(work)},
                        {"placed", std::move(placed)}});
@@ -75,6 +76,7 @@
 {
     engines::EngineReport report;
     report.origin = InstanceName{value.at("origin").get<std::string>()};
+    report.incarnation = value.at("incarnation").get<std::uint64_t>();
     report.sequence = value.at("sequence").get<std::uint64_t>();
     for (const json &one : value.at("work")) {
         report.work.push_back({InstanceName{one.at(0).get<std::string>()}, one.at(1).get<std::uint64_t>()});
--- a/src/bergamottide/engines/enginereport.h
+++ b/src/bergamottide/engines/enginereport.h
@@ -30,6 +30,8 @@
 {
     /*! @brief Process that tells it; others may pass it on. */
     InstanceName origin;
+    /*! @brief Sets one start of the process apart from the next, which counts its reports anew. */
+    std::uint64_t incarnation{};
     /*! @brief Grows with each report of the process; the highest holds. */
     std::uint64_t sequence{};
     /*! @brief Engines that have something to read for the process; no others. */
--- a/src/bergamottide/engines/enginetable.cpp
+++ b/src/bergamottide/engines/enginetable.cpp
@@ -95,11 +95,13 @@
 
 void EngineTable::told(const EngineReport &report, TimePoint now)
 {
-    const auto [heard, isNew] = m_heard.try_emplace(report.origin, report.sequence);
-    if (!isNew && heard->second >= report.sequence) {
+    const std::pair position{report.incarnation, report.sequence};
+    const auto [heard, isNew] = m_heard.try_emplace(report.origin, position);
+    const auto &[incarnation, sequence] = heard->second;
+    if (!isNew && incarnation == report.incarnation && sequence >= report.sequence) {
         return;
     }
-    heard->second = report.sequence;
+    heard->second = position;
     takeWork(report, now);
     for (const PlacedPrompt &placed : report.placed) {
         if (const auto engine = m_engines.find(placed.engine); engine != m_engines.end()) {
@@ -127,13 +129,14 @@
     }
 }
 
-EngineReport EngineTable::report(const InstanceName &self, TimePoint now)
+EngineReport EngineTable::report(const InstanceName &self, std::uint64_t incarnation, TimePoint now)
 {
     while (!m_news.empty() && (now - m_news.front().sentAt > newsTime || m_news.size() > mostNews)) {
         m_news.pop_front();
     }
     EngineReport out;
     out.origin = self;
+    out.incarnation = incarnation;
     out.sequence = ++m_sequence;
     for (const auto &[name, engine] : m_engines) {
         const double tokens = engine.backlog.own(model(engine.listing.pool).tokensPerSecond(), now);
--- a/src/bergamottide/engines/enginetable.h
+++ b/src/bergamottide/engines/enginetable.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace bergamottide::engines {
@@ -86,9 +87,10 @@
     /**
      * @brief Returns what this process tells its peers.
      * @param self This process.
+     * @param incarnation Sets this start of it apart.
      * @param now Present time.
      */
-    [[nodiscard]] EngineReport report(const InstanceName &self, TimePoint now);
+    [[nodiscard]] EngineReport report(const InstanceName &self, std::uint64_t incarnation, TimePoint now);
 
     /*! @brief Returns what is believed of an engine, or null if nothing is known. */
     [[nodiscard]] const EngineState *find(const InstanceName &engine) const;
@@ -120,8 +122,8 @@
     std::map<PoolName, FirstEventModel> m_models;
     std::map<GenerationNumber, Waiting> m_waiting;
     std::deque<News> m_news;
-    /*! @brief Highest sequence heard of each process, and the engines that it has work at. */
-    std::map<InstanceName, std::uint64_t> m_heard;
+    /*! @brief Incarnation and highest sequence heard of each process, and the engines that it has work at. */
+    std::map<InstanceName, std::pair<std::uint64_t, std::uint64_t>> m_heard;
     std::map<InstanceName, std::set<InstanceName>> m_workOf;
     std::uint64_t m_sequence{};
 };
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -291,7 +291,7 @@
     for (const auto &[key, pieces] : ownUpcoming()) {
         heartbeat.upcoming.push_back({key.first, key.second, pieces});
     }
-    heartbeat.engines.push_back(m_engines.report(m_peers.self().instance, now));
+    heartbeat.engines.push_back(m_engines.report(m_peers.self().instance, m_incarnation, now));
     m_peers.complete(heartbeat, to, now);
     return heartbeat;
 }
--- a/test/bergamottide/app/peerwire.cpp
+++ b/test/bergamottide/app/peerwire.cpp
@@ -22,6 +22,7 @@
         Heartbeat heartbeat;
         heartbeat.from = {InstanceName{"a"}, "a:1", 0.5};
         heartbeat.engines.push_back({InstanceName{"b"},
+                                     3,
                                      7,
                                      {{InstanceName{"engine-1"}, 1000}},
                                      {{InstanceName{"engine-2"}, {{digest, 13'300}, {2, 40}}, milliseconds{300}}}});
@@ -29,6 +30,7 @@
         CPPUNIT_ASSERT(read.ok());
         const engines::EngineReport &report = read->engines.at(0);
         CPPUNIT_ASSERT_EQUAL(std::string{"b"}, report.origin.text());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, report.incarnation);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, report.sequence);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1000}, report.work.at(0).tokens);
         CPPUNIT_ASSERT_EQUAL(digest, report.placed.at(0).chain.at(0).digest);
--- a/test/bergamottide/engines/enginetable.cpp
+++ b/test/bergamottide/engines/enginetable.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(backlogShrinksWhileThePromptInFrontIsRead);
     CPPUNIT_TEST(toldWorkIsReplacedByTheNextReport);
     CPPUNIT_TEST(olderReportThatComesLaterIsPassedOver);
+    CPPUNIT_TEST(peerThatStartsAnewIsHeardAgain);
     CPPUNIT_TEST(engineThatStartsAnewKeepsNothing);
     CPPUNIT_TEST(engineThatIsNoLongerListedIsForgotten);
     CPPUNIT_TEST(promptGoesWhereItsPartsAreKept);
@@ -73,16 +74,23 @@
 
     void toldWorkIsReplacedByTheNextReport()
     {
-        m_table.told({InstanceName{"peer"}, 1, {{InstanceName{"a"}, 1000}}, {}}, m_now);
+        m_table.told({InstanceName{"peer"}, 1, 1, {{InstanceName{"a"}, 1000}}, {}}, m_now);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1000.0, m_table.find(InstanceName{"a"})->backlog.all(1.0, m_now), 1.0);
-        m_table.told({InstanceName{"peer"}, 2, {{InstanceName{"b"}, 10}}, {}}, m_now);
+        m_table.told({InstanceName{"peer"}, 1, 2, {{InstanceName{"b"}, 10}}, {}}, m_now);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, m_table.find(InstanceName{"a"})->backlog.all(1.0, m_now), 1.0);
     }
 
     void olderReportThatComesLaterIsPassedOver()
     {
-        m_table.told({InstanceName{"peer"}, 2, {{InstanceName{"a"}, 1000}}, {}}, m_now);
-        m_table.told({InstanceName{"peer"}, 1, {}, {}}, m_now);
+        m_table.told({InstanceName{"peer"}, 1, 2, {{InstanceName{"a"}, 1000}}, {}}, m_now);
+        m_table.told({InstanceName{"peer"}, 1, 1, {}, {}}, m_now);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1000.0, m_table.find(InstanceName{"a"})->backlog.all(1.0, m_now), 1.0);
+    }
+
+    void peerThatStartsAnewIsHeardAgain()
+    {
+        m_table.told({InstanceName{"peer"}, 1, 900, {}, {}}, m_now);
+        m_table.told({InstanceName{"peer"}, 2, 1, {{InstanceName{"a"}, 1000}}, {}}, m_now);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1000.0, m_table.find(InstanceName{"a"})->backlog.all(1.0, m_now), 1.0);
     }
 
@@ -99,7 +107,7 @@
     {
         m_table.setEngines({listing("b", 1)});
         CPPUNIT_ASSERT(m_table.find(InstanceName{"a"}) == nullptr);
-        m_table.told({InstanceName{"peer"}, 1, {{InstanceName{"a"}, 1000}}, {{InstanceName{"a"}, chain({"s"}), {}}}},
+        m_table.told({InstanceName{"peer"}, 1, 1, {{InstanceName{"a"}, 1000}}, {{InstanceName{"a"}, chain({"s"}), {}}}},
                      m_now);
         CPPUNIT_ASSERT(m_table.find(InstanceName{"a"}) == nullptr);
     }
@@ -123,7 +131,7 @@
     {
         send("a", chainOf("m", {{"s", 10'000}, {"x", 100}}));
         m_table.began(GenerationNumber{1}, m_now);
-        m_table.told({InstanceName{"peer"}, 1, {{InstanceName{"a"}, 200'000}}, {}}, m_now);
+        m_table.told({InstanceName{"peer"}, 1, 1, {{InstanceName{"a"}, 200'000}}, {}}, m_now);
         const auto reading = pick(chainOf("m", {{"s", 10'000}, {"y", 100}}));
         CPPUNIT_ASSERT_EQUAL(std::string{"b"}, reading->engine.text());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{10'100}, reading->toRead);
--- a/test/bergamottide/serving/peers.cpp
+++ b/test/bergamottide/serving/peers.cpp
@@ -424,7 +424,7 @@
             for (int number = 0; number < size; ++number) {
                 Heartbeat other = heartbeat("entry-" + std::to_string(number));
                 other.from.strength = 0.1;
-                other.engines.push_back({other.from.instance, 1, {}, {{InstanceName{"engine"}, {}, {}}}});
+                other.engines.push_back({other.from.instance, 1, 1, {}, {{InstanceName{"engine"}, {}, {}}}});
                 hub.heard(other, m_now);
             }
             Heartbeat out;
--- a/test/support/engineload.cpp
+++ b/test/support/engineload.cpp
@@ -145,7 +145,7 @@
         return;
     }
     for (std::size_t from = 0; from < m_tables.size(); ++from) {
-        const EngineReport report = m_tables[from].report(InstanceName{"process-" + std::to_string(from)}, m_now);
+        const EngineReport report = m_tables[from].report(InstanceName{"process-" + std::to_string(from)}, 1, m_now);
         for (std::size_t to = 0; to < m_tables.size(); ++to) {
             if (to != from) {
                 m_tables[to].told(report, m_now);
