Findings of the linter: a use after a move, a reversed view, a list without its capacity

Cause: the linter's front end reads no reversed views of this library; a key was read from an object that the same call moved from. Change: reversed copy; key taken first; capacity reserved. No behaviour changed.

--- a/src/bergamottide/engines/enginetable.cpp
+++ b/src/bergamottide/engines/enginetable.cpp
@@ -47,7 +47,8 @@
     state.kept.note(generation.chain, state.listing.capacity, now + generation.expected);
     state.backlog.sent(generation.number, generation.toRead, now);
     m_news.push_back({generation.engine, generation.chain, now + generation.expected, now});
-    m_waiting.insert_or_assign(generation.number, Waiting{std::move(generation), now});
+    const GenerationNumber number = generation.number;
+    m_waiting.insert_or_assign(number, Waiting{std::move(generation), now});
 }
 
 void EngineTable::began(GenerationNumber number, TimePoint now)
--- a/src/bergamottide/engines/keptparts.cpp
+++ b/src/bergamottide/engines/keptparts.cpp
@@ -1,7 +1,6 @@
 #include "bergamottide/engines/keptparts.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace bergamottide::engines {
 
@@ -15,7 +14,8 @@
 void KeptParts::note(const PromptChain &chain, std::uint64_t capacity, TimePoint readAt)
 {
     // From the last to the first: a part is of no use without those before it, so these are dropped after it.
-    for (const ChainLink &link : std::views::reverse(chain)) {
+    const PromptChain fromTheLast{chain.rbegin(), chain.rend()};
+    for (const ChainLink &link : fromTheLast) {
         const auto [place, isNew] = m_places.try_emplace(link.digest);
         TimePoint earliest = readAt;
         if (isNew) {
--- a/test/bergamottide/engines/enginetable.cpp
+++ b/test/bergamottide/engines/enginetable.cpp
@@ -171,6 +171,7 @@
     static PromptChain chain(const std::vector<std::string> &ids)
     {
         std::vector<PromptPart> parts;
+        parts.reserve(ids.size());
         for (const std::string &id : ids) {
             parts.push_back({id, 100});
         }
