--- a/test/platform/standins.cpp
+++ b/test/platform/standins.cpp
@@ -59,7 +59,13 @@
 
 void StoreStandIn::keepOldList()
 {
-    m_oldList = page("items", 0);
+    m_oldItems = m_items;
+    m_oldRevision = m_revision;
+}
+
+void StoreStandIn::serveOldPagesAfter(const std::string &key)
+{
+    m_splitAfter = key;
 }
 
 void StoreStandIn::forgetHistory()
@@ -80,8 +86,8 @@
         return;
     }
     if (request.path == "/bergamottide/kv-range") {
-        const bool isOld = queryValue(request.query, "allowStale") == "1" && !m_oldList.empty();
-        responder->answer({200, {}, isOld ? m_oldList : page("items", 0)});
+        const bool isOld = queryValue(request.query, "allowStale") == "1" && !m_oldItems.empty();
+        responder->answer({200, {}, isOld ? oldPage(queryValue(request.query, "after")) : page("items", 0)});
         return;
     }
     const std::uint64_t after = std::stoull(std::string{queryValue(request.query, "after")});
@@ -119,6 +125,22 @@
     return json{{field, std::move(items)}, {"storeRevision", m_revision}}.dump();
 }
 
+/*! @brief Returns a page of a list that may be old, behind a key. */
+std::string StoreStandIn::oldPage(std::string_view after) const
+{
+    const bool isFirstOfTwo = !m_splitAfter.empty() && after.empty();
+    json items = json::array();
+    for (const auto &[key, item] : isFirstOfTwo ? m_items : m_oldItems) {
+        if (key > after && (!isFirstOfTwo || key <= m_splitAfter)) {
+            items.push_back({{"key", key}, {"value", absl::Base64Escape(item.value)}, {"revision", item.revision}});
+        }
+    }
+    return json{{"items", std::move(items)},
+                {"hasMore", isFirstOfTwo},
+                {"storeRevision", isFirstOfTwo ? m_revision : m_oldRevision}}
+        .dump();
+}
+
 EndpointStandIn::EndpointStandIn(Loop &loop, std::string instance)
     : m_instance{std::move(instance)}
     , m_server{loop, serverOptions(),
--- a/test/platform/standins.h
+++ b/test/platform/standins.h
@@ -28,6 +28,9 @@
     /*! @brief Answers lists that may be old with what is published now, whatever is published later. */
     void keepOldList();
 
+    /*! @brief Splits lists that may be old behind a key: the first page tells what is published, the second is old. */
+    void serveOldPagesAfter(const std::string &key);
+
     /*! @brief Forgets how things came to be as they are. */
     void forgetHistory();
 
@@ -50,13 +53,17 @@
     void handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
     void expire(const std::shared_ptr<HttpResponder> &responder);
     [[nodiscard]] std::string page(const std::string &field, std::uint64_t after) const;
+    [[nodiscard]] std::string oldPage(std::string_view after) const;
 
     Loop &m_loop;
     HttpServer m_server;
     std::map<std::string, Item> m_items;
     std::vector<Watch> m_watches;
-    /*! @brief Answer to lists that may be old; empty while it is no older than others. */
-    std::string m_oldList;
+    /*! @brief Items and revision that lists which may be old tell; none while they are no older than others. */
+    std::map<std::string, Item> m_oldItems;
+    std::uint64_t m_oldRevision{};
+    /*! @brief Last key of the first page of such a list; empty if it has one page. */
+    std::string m_splitAfter;
     /*! @brief Revision behind which the history is there. */
     std::uint64_t m_historyBegin{};
     std::uint64_t m_revision{7};
--- a/test/platform/storewatch.cpp
+++ b/test/platform/storewatch.cpp
@@ -87,6 +87,8 @@
         };
         out.regained = [] {
         };
+        out.caughtUp = [](std::uint64_t, const StorePage &) {
+        };
         out.readers = [this] {
             return m_readers;
         };
@@ -133,6 +135,7 @@
     CPPUNIT_TEST(followerOfAReaderThatCannotReadTurnsToTheStore);
     CPPUNIT_TEST(largeValueComesFromTheStore);
     CPPUNIT_TEST(oldListIsBroughtUpToDateBeforeItIsUsed);
+    CPPUNIT_TEST(pagesOfDifferentAgeAreBroughtUpToDate);
     CPPUNIT_TEST(listOlderThanTheHistoryIsReadAnew);
     CPPUNIT_TEST(logTellsChangesOnce);
     CPPUNIT_TEST(logTellsOfWhatANewListLacks);
@@ -230,6 +233,21 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"3"}, m_reader.value("servers/b"));
     }
 
+    void pagesOfDifferentAgeAreBroughtUpToDate()
+    {
+        m_store.publish("servers/a", "1");
+        m_store.publish("servers/b", "1");
+        m_store.keepOldList();
+        m_store.publish("servers/b", "2");
+        m_store.publish("servers/a", "2");
+        // The first page is new, the second one old: what lies between is no news behind the first.
+        m_store.serveOldPagesAfter("servers/a");
+        m_reader.start();
+        until([this] { return !m_reader.value("servers/b").empty(); });
+        CPPUNIT_ASSERT_EQUAL(std::string{"2"}, m_reader.value("servers/a"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"2"}, m_reader.value("servers/b"));
+    }
+
     void listOlderThanTheHistoryIsReadAnew()
     {
         m_store.publish("servers/a", "1");
