--- a/test/bergamottide/serving/largefleet.cpp
+++ b/test/bergamottide/serving/largefleet.cpp
@@ -173,11 +173,7 @@
 
     void queueIsReviewedOnlyWhenItHasChanged()
     {
-        list({"encoder-1"});
-        submit(1);
-        dispatch();
-        submit(2);
-        dispatch();
+        queueBehindABusyEndpoint();
         const std::size_t before = m_scheduler.reviews();
         for (int event = 0; event < 1000; ++event) {
             m_now += std::chrono::microseconds{5};
@@ -191,11 +187,7 @@
 
     void queueIsReviewedWhenRoomComesBack()
     {
-        list({"encoder-1"});
-        submit(1);
-        dispatch();
-        submit(2);
-        dispatch();
+        queueBehindABusyEndpoint();
         const std::size_t before = m_scheduler.reviews();
         m_scheduler.released("some result");
         dispatch();
@@ -270,6 +262,16 @@
         m_scheduler.submit(std::move(task), m_now);
     }
 
+    /*! @brief Has the only endpoint take a call, and a task wait behind it that was reviewed just now. */
+    void queueBehindABusyEndpoint()
+    {
+        list({"encoder-1"});
+        submit(1);
+        dispatch();
+        submit(2);
+        dispatch();
+    }
+
     /*! @brief Dispatches, and returns the number of calls that were sent. */
     std::size_t dispatch()
     {
