Zones that are evacuated get no new work; cold endpoints get a bounded share; regions of routes and workspaces bind

Ruled out: a bound of each process's own on cold endpoints, as a share by the number of alive processes: with more processes than requests it gives each less than one request, and what all may send at once is not bounded. Change: evacuations come with the same watch and readers as all else and mark the endpoints of their zone; requests, repeats, resumed streams, stage calls and fetches of prompts leave them out from the same moment. The requests that a cold endpoint bears are dealt among the processes, those lately lost included, by rendezvous hashing; a process that does not know the fleet yet has no share. Endpoints of a restored zone, restarted ones and those that could not be reached count as cold for the time that the pool's endpoints need. Regions of route and workspace bind requests, from the zones of the settings.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -84,6 +84,7 @@
     ServingOptions options;
     options.self = {settings.instance, settings.peersAddress, settings.strength()};
     options.seeds = settings.seeds;
+    options.regions = settings.zones;
     options.incarnation = static_cast<std::uint64_t>(incarnation);
     options.retries = retryOptions(settings);
     return options;
--- a/src/bergamottide/config/fieldtable.h
+++ b/src/bergamottide/config/fieldtable.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -163,6 +164,54 @@
     return {std::move(info), read, write};
 }
 
+/**
+ * @brief Makes a field of a map from scalars to scalars.
+ * @param name Name in the file.
+ * @param member Member that holds the map.
+ * @param keyType How a key is read.
+ * @param type How a value is read.
+ * @param most Largest map.
+ * @param doc One sentence for the reference page.
+ */
+template <typename Record, typename Key, typename Value>
+[[nodiscard]] Field<Record> mapField(std::string name, std::map<Key, Value> Record::*member, ValueType<Key> keyType,
+                                     ValueType<Value> type, std::size_t most, std::string doc)
+{
+    FieldInfo info{std::move(name),
+                   "map of " + type.name,
+                   type.range + "; at most " + std::to_string(most),
+                   Presence::Optional,
+                   "{}",
+                   std::move(doc)};
+    const auto read = [member, keyType, type, most](const YamlNode &node, const std::string &path, Record &record,
+                                                    IssueList &issues) {
+        if (node.kind != YamlKind::Map) {
+            issues.add(node.line, path, IssueKind::WrongType, "A map is expected.");
+            return;
+        }
+        if (node.entries.size() > most) {
+            issues.add(node.line, path, IssueKind::OutOfRange,
+                       "The map has more than " + std::to_string(most) + " entries.");
+        }
+        for (const YamlEntry &entry : node.entries) {
+            const std::string entryPath = joinPath(path, entry.key.text);
+            auto key = readValue(entry.key, entryPath, keyType, issues);
+            auto value = readValue(entry.value, entryPath, type, issues);
+            if (key && value) {
+                (record.*member).insert_or_assign(std::move(*key), std::move(*value));
+            }
+        }
+    };
+    const auto write = [member, keyType, type](const Record &record) {
+        std::string text;
+        for (const auto &[key, value] : record.*member) {
+            text += (text.empty() ? "" : ", ") + keyType.write(key) + ": " + type.write(value);
+        }
+        return '{' + text + '}';
+    };
+    return {std::move(info), read, write};
+}
+
 /**
  * @brief Reads the fields of a map into a record.
  * @param node Node to read.
--- a/src/bergamottide/serving/callplanner.cpp
+++ b/src/bergamottide/serving/callplanner.cpp
@@ -17,9 +17,10 @@
 
 } // namespace
 
-CallPlanner::CallPlanner(EndpointBoard &endpoints, const PendingTasks &tasks)
+CallPlanner::CallPlanner(EndpointBoard &endpoints, const PendingTasks &tasks, const WarmupLimiter &warmup)
     : m_endpoints{endpoints}
     , m_tasks{tasks}
+    , m_warmup{warmup}
 {
 }
 
@@ -56,7 +57,8 @@
     std::vector<Endpoint *> out;
     for (Endpoint *endpoint : usable) {
         const bool slow = presentSlowness(*endpoint, now) > fastest * slownessBound;
-        if (endpoint->inFlight < pool.batch->slots && endpoint->pausedUntil <= now && !slow) {
+        if (endpoint->inFlight < pool.batch->slots && endpoint->pausedUntil <= now && !slow
+            && m_warmup.admits(pool, *endpoint, now)) {
             out.push_back(endpoint);
         }
     }
--- a/src/bergamottide/serving/callplanner.h
+++ b/src/bergamottide/serving/callplanner.h
@@ -5,6 +5,7 @@
 #include "bergamottide/serving/catalog.h"
 #include "bergamottide/serving/endpointboard.h"
 #include "bergamottide/serving/pendingtask.h"
+#include "bergamottide/serving/warmuplimiter.h"
 
 #include <cstdint>
 #include <optional>
@@ -44,8 +45,9 @@
      * @brief Creates a planner.
      * @param endpoints Endpoints; outlive the planner.
      * @param tasks Tasks that the queues refer to; outlive the planner.
+     * @param warmup Bound on calls to cold endpoints; outlives the planner.
      */
-    CallPlanner(EndpointBoard &endpoints, const PendingTasks &tasks);
+    CallPlanner(EndpointBoard &endpoints, const PendingTasks &tasks, const WarmupLimiter &warmup);
 
     /**
      * @brief Chooses the next call.
@@ -66,6 +68,7 @@
 
     EndpointBoard &m_endpoints;
     const PendingTasks &m_tasks;
+    const WarmupLimiter &m_warmup;
 };
 
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/catalog.h
+++ b/src/bergamottide/serving/catalog.h
@@ -67,6 +67,8 @@
     bool isPublic{};
     /*! @brief A stream may go on at another endpoint behind the last event. */
     bool isResumable{};
+    /*! @brief Regions whose endpoints may run it; empty for any. */
+    std::vector<RegionName> regions;
 
     [[nodiscard]] bool mayRunTwice() const noexcept
     {
@@ -104,6 +106,15 @@
     double fetchRate{};
 };
 
+/*! @brief How the endpoints of a pool behave after their start. */
+struct WarmupSpec
+{
+    /*! @brief Time for which an endpoint is cold. */
+    Duration time{};
+    /*! @brief Requests a second that a cold endpoint bears, from the whole fleet; well above that it crashes. */
+    double perSecond{};
+};
+
 /*! @brief A pool of endpoints. */
 struct Pool
 {
@@ -111,6 +122,8 @@
     std::uint32_t maxConnections{};
     std::optional<BatchSpec> batch;
     std::optional<EngineSpec> engine;
+    /*! @brief Nothing if its endpoints take any load at once. */
+    std::optional<WarmupSpec> warmup;
 };
 
 /*! @brief A workspace, as found by a key. */
@@ -119,6 +132,8 @@
     WorkspaceName name;
     /*! @brief Rank that goes before the route's; zero is the most urgent. */
     int priority{};
+    /*! @brief Regions whose endpoints may run its requests; empty for any. */
+    std::vector<RegionName> regions;
 };
 
 /*! @brief Limits on callers' connections. */
--- a/src/bergamottide/serving/endpointboard.cpp
+++ b/src/bergamottide/serving/endpointboard.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace bergamottide::serving {
 
@@ -37,7 +38,7 @@
 
 } // namespace
 
-void EndpointBoard::update(const EndpointList &list, Effects &effects)
+void EndpointBoard::update(const EndpointList &list, TimePoint now, Effects &effects)
 {
     std::set<InstanceName> listed;
     for (const EndpointRecord &record : list) {
@@ -45,16 +46,13 @@
         const auto [found, isNew] = m_endpoints.try_emplace(record.instance);
         Endpoint &endpoint = found->second;
         if (!isNew && endpoint.record.incarnation != record.incarnation) {
-            restart(endpoint, effects);
+            restart(endpoint, now, effects);
         }
-        const bool drains = record.draining && !endpoint.record.draining;
-        endpoint.record = record;
-        endpoint.gone = false;
         if (isNew) {
+            endpoint.record = record;
             log(effects, "An endpoint is listed.", endpoint, record.draining ? "draining" : "ready");
-        } else if (drains) {
-            log(effects, "An endpoint takes no new work.", endpoint, "draining");
         }
+        takeRecord(endpoint, record, now, effects);
     }
     for (auto next = m_endpoints.begin(); next != m_endpoints.end();) {
         const auto present = next++;
@@ -68,6 +66,31 @@
     indexPools();
 }
 
+/*! @brief Takes what is listed of an endpoint that is known. */
+void EndpointBoard::takeRecord(Endpoint &endpoint, const EndpointRecord &record, TimePoint now, Effects &effects)
+{
+    const EndpointRecord before = std::exchange(endpoint.record, record);
+    endpoint.gone = false;
+    if (record.draining && !before.draining) {
+        log(effects, "An endpoint takes no new work.", endpoint, "draining");
+    }
+    if (record.isEvacuated && !before.isEvacuated) {
+        log(effects, "An endpoint takes no new work.", endpoint, "its zone is evacuated");
+    }
+    if (before.isEvacuated && !record.isEvacuated) {
+        // Endpoints may have been restarted meanwhile, and what is listed of that may be seconds old.
+        endpoint.mayHaveStartedAt = now;
+        log(effects, "An endpoint takes work again.", endpoint, "its zone is restored");
+    }
+    if (record.coldUntil > endpoint.coldUntil) {
+        if (endpoint.coldUntil <= now) {
+            log(effects, "An endpoint is cold.", endpoint,
+                absl::StrCat("ms ", (record.coldUntil - now).count() / 1000));
+        }
+        endpoint.coldUntil = record.coldUntil;
+    }
+}
+
 void EndpointBoard::indexPools()
 {
     m_pools.clear();
@@ -84,11 +107,12 @@
 }
 
 /*! @brief Forgets what was believed of an endpoint that has started anew; work in progress there ends by itself. */
-void EndpointBoard::restart(Endpoint &endpoint, Effects &effects)
+void EndpointBoard::restart(Endpoint &endpoint, TimePoint now, Effects &effects)
 {
     const std::uint32_t inFlight = endpoint.inFlight;
     endpoint = Endpoint{.record = endpoint.record, .inFlight = inFlight};
     endpoint.record.draining = false;
+    endpoint.mayHaveStartedAt = now;
     log(effects, "An endpoint has started anew.", endpoint, "another incarnation");
 }
 
@@ -144,6 +168,8 @@
             endpoint->ejections = 0;
         }
         if (*sign == EndpointSign::Unreached) {
+            // If it is being restarted, that shows in the list seconds after it takes work again.
+            endpoint->mayHaveStartedAt = now + firstEjection;
             endpoint->failureShare = std::max(endpoint->failureShare, leastFailureShare + failureDistance);
             endpoint->samples = trustedSamples;
         }
@@ -159,6 +185,13 @@
     }
 }
 
+void EndpointBoard::toldCold(const InstanceName &instance, Duration left, TimePoint now)
+{
+    if (Endpoint *endpoint = find(instance); endpoint != nullptr) {
+        endpoint->coldUntil = std::max(endpoint->coldUntil, now + left);
+    }
+}
+
 void EndpointBoard::suspect(const InstanceName &instance, TimePoint since, TimePoint now, Effects &effects)
 {
     Endpoint *endpoint = find(instance);
--- a/src/bergamottide/serving/endpointboard.h
+++ b/src/bergamottide/serving/endpointboard.h
@@ -53,6 +53,13 @@
     TimePoint aloneAt{};
     /*! @brief Gets no stage call before this time. */
     TimePoint pausedUntil{};
+    /*! @brief When it is warm, as far as the platform or itself told. */
+    TimePoint coldUntil{};
+    /*! @brief Latest time at which it may have started anew without telling: its zone was restored, or no connection to
+     * it came about; the epoch if there is none. */
+    TimePoint mayHaveStartedAt{};
+    /*! @brief When it was sent its last requests, as far as they count for the bound on cold endpoints. */
+    std::vector<TimePoint> sentAt;
     /*! @brief Bytes of results that are in its memory or being made, as far as they were asked for here. */
     std::uint64_t resultBytes{};
     /*! @brief Bytes of results there that another scheduler has had made. */
@@ -66,7 +73,7 @@
 
     [[nodiscard]] bool takesWork() const noexcept
     {
-        return !gone && !record.draining;
+        return !gone && record.takesWork();
     }
 };
 
@@ -83,9 +90,10 @@
     /**
      * @brief Takes over the platform's list.
      * @param list All endpoints listed.
+     * @param now Present time.
      * @param effects Receives a log line for each change.
      */
-    void update(const EndpointList &list, Effects &effects);
+    void update(const EndpointList &list, TimePoint now, Effects &effects);
 
     /*! @brief Returns an endpoint, or null. */
     [[nodiscard]] Endpoint *find(const InstanceName &instance);
@@ -127,6 +135,9 @@
      */
     void suspect(const InstanceName &instance, TimePoint since, TimePoint now, Effects &effects);
 
+    /*! @brief Notes that an endpoint told that it stays cold for a while. */
+    void toldCold(const InstanceName &instance, Duration left, TimePoint now);
+
     /*! @brief Notes the load that an endpoint told. */
     void told(const InstanceName &instance, const EndpointLoad &load, TimePoint now);
 
@@ -137,7 +148,8 @@
     [[nodiscard]] std::size_t size() const noexcept;
 
 private:
-    static void restart(Endpoint &endpoint, Effects &effects);
+    static void restart(Endpoint &endpoint, TimePoint now, Effects &effects);
+    static void takeRecord(Endpoint &endpoint, const EndpointRecord &record, TimePoint now, Effects &effects);
     void judge(Endpoint &endpoint, TimePoint now, Effects &effects);
     void forgetIfIdle(const InstanceName &instance);
     void indexPools();
--- a/src/bergamottide/serving/endpointdirectory.cpp
+++ b/src/bergamottide/serving/endpointdirectory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace bergamottide::serving {
 
@@ -27,7 +28,7 @@
     std::set<InstanceName> listed;
     for (const EndpointRecord &record : list) {
         listed.insert(record.instance);
-        put(record);
+        put(record, now);
     }
     std::vector<InstanceName> absent;
     for (const auto &[instance, record] : m_endpoints) {
@@ -40,19 +41,21 @@
     }
 }
 
-void EndpointDirectory::put(const EndpointRecord &record)
+void EndpointDirectory::put(const EndpointRecord &record, TimePoint now)
 {
     m_missing.erase(record.instance);
     const auto [found, isNew] = m_endpoints.try_emplace(record.instance, record);
     EndpointRecord &known = found->second;
     const bool isAnew = isNew || known.incarnation != record.incarnation;
     const bool draining = record.draining || (!isAnew && known.draining);
+    const TimePoint coldUntil = record.coldLeft > Duration::zero() ? now + record.coldLeft : TimePoint{};
     if (isAnew || known.draining != draining || known.address != record.address || known.pool != record.pool
-        || known.slots != record.slots) {
+        || known.slots != record.slots || coldUntil != TimePoint{}) {
         m_changed = true;
     }
     known = record;
     known.draining = draining;
+    known.coldUntil = coldUntil;
 }
 
 void EndpointDirectory::remove(const InstanceName &instance, TimePoint now)
@@ -74,6 +77,17 @@
     m_changed = m_endpoints.erase(instance) != 0 || m_changed;
 }
 
+void EndpointDirectory::setEvacuated(std::set<ZoneName> zones)
+{
+    m_changed = m_changed || zones != m_evacuated;
+    m_evacuated = std::move(zones);
+}
+
+const std::set<ZoneName> &EndpointDirectory::evacuated() const noexcept
+{
+    return m_evacuated;
+}
+
 void EndpointDirectory::lost(TimePoint now)
 {
     if (!m_isLost) {
@@ -119,6 +133,7 @@
     auto list = std::make_shared<EndpointList>();
     for (const auto &[instance, record] : m_endpoints) {
         list->push_back(record);
+        list->back().isEvacuated = m_evacuated.contains(record.zone);
     }
     return list;
 }
--- a/src/bergamottide/serving/endpointdirectory.h
+++ b/src/bergamottide/serving/endpointdirectory.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace bergamottide::serving {
 
@@ -24,7 +25,7 @@
     void replace(const EndpointList &list, TimePoint now);
 
     /*! @brief Takes the new state of one endpoint. One that has started anew under its name no longer drains. */
-    void put(const EndpointRecord &record);
+    void put(const EndpointRecord &record, TimePoint now);
 
     /*! @brief Takes the removal of one endpoint. */
     void remove(const InstanceName &instance, TimePoint now);
@@ -32,6 +33,16 @@
     /*! @brief Takes out an endpoint whose entry does not name one any more: it has not merely lapsed. */
     void discard(const InstanceName &instance);
 
+    /**
+     * @brief Sets the zones that are evacuated: none of their endpoints takes new work until the zone is restored.
+     *
+     * Holds also while the list cannot be read, and for endpoints that are listed later.
+     */
+    void setEvacuated(std::set<ZoneName> zones);
+
+    /*! @brief Returns the zones that are evacuated. */
+    [[nodiscard]] const std::set<ZoneName> &evacuated() const noexcept;
+
     /*! @brief Notes that the list cannot be read any more. */
     void lost(TimePoint now);
 
@@ -51,6 +62,7 @@
     [[nodiscard]] bool isForgiving(TimePoint now) const;
 
     std::map<InstanceName, EndpointRecord> m_endpoints;
+    std::set<ZoneName> m_evacuated;
     /*! @brief Endpoints whose entry is missing, and when they are taken as gone. */
     std::map<InstanceName, TimePoint> m_missing;
     bool m_isLost{};
--- a/src/bergamottide/serving/events.h
+++ b/src/bergamottide/serving/events.h
@@ -77,6 +77,18 @@
     bool draining{};
     /*! @brief Sets one start of the instance apart from the next; zero if the platform does not tell. */
     std::uint64_t incarnation{};
+    /*! @brief How much longer it stays cold, from the writing of its entry; zero if it is warm. */
+    Duration coldLeft{};
+    /*! @brief When it is warm, by the clock of this process; set by the directory. */
+    TimePoint coldUntil{};
+    /*! @brief Its zone is evacuated, so that it takes no new work; set by the directory. */
+    bool isEvacuated{};
+
+    /*! @brief Tells if new work may go there. */
+    [[nodiscard]] bool takesWork() const noexcept
+    {
+        return !draining && !isEvacuated;
+    }
 };
 
 using EndpointList = std::vector<EndpointRecord>;
@@ -104,6 +116,8 @@
     /*! @brief Signed by the endpoint and without an encoding of its own: a success may be passed on. */
     bool sealed{};
     std::optional<EndpointLoad> load;
+    /*! @brief How much longer the endpoint stays cold, if it tells. */
+    Duration coldLeft{};
 };
 
 /*! @brief Why a run ended without a whole answer. */
--- a/src/bergamottide/serving/peers.cpp
+++ b/src/bergamottide/serving/peers.cpp
@@ -24,6 +24,9 @@
 constexpr Duration tolerance = std::chrono::milliseconds{20};
 /*! @brief Silence after which a peer is forgotten altogether. */
 constexpr Duration forgetting = std::chrono::seconds{60};
+/*! @brief Time after the first word of a peer in which a process does not know all others yet; fleets of hundreds that
+ * start together meet in two seconds. */
+constexpr Duration meetingTime = std::chrono::seconds{3};
 /*! @brief Hubs at most: each exchanges heartbeats with all others, five times a second. */
 constexpr std::size_t mostHubs = 16;
 /*! @brief Hubs that a process exchanges heartbeats with: the second one is there when the first is lost. */
@@ -100,6 +103,9 @@
     if (heartbeat.from.instance == m_self.instance) {
         return;
     }
+    if (m_metAt == TimePoint{}) {
+        m_metAt = now;
+    }
     const auto [found, isNew] = m_peers.try_emplace(heartbeat.from.instance);
     Peer &peer = found->second;
     const bool isChanged = isNew || !isHeard(peer, now) || peer.info != heartbeat.from
@@ -550,6 +556,39 @@
     return best;
 }
 
+std::uint32_t Peers::share(const std::string &key, std::uint32_t units, TimePoint now) const
+{
+    if (m_metAt == TimePoint{} && m_seeds.empty()) {
+        return units;
+    }
+    if (m_metAt == TimePoint{} || now - m_metAt < meetingTime) {
+        return 0;
+    }
+    auto &shares = survey(now).shares;
+    const auto [found, isNew] = shares.try_emplace({key, units});
+    if (isNew) {
+        found->second = deal(key, units);
+    }
+    return found->second;
+}
+
+std::uint32_t Peers::deal(const std::string &key, std::uint32_t units) const
+{
+    const auto processes = static_cast<std::uint32_t>(m_peers.size() + 1);
+    if (processes <= units) {
+        return units / processes;
+    }
+    const std::uint64_t own = score(key, m_self.instance);
+    std::uint32_t before = 0;
+    for (const auto &[instance, peer] : m_peers) {
+        before += score(key, instance) > own ? 1 : 0;
+        if (before >= units) {
+            return 0;
+        }
+    }
+    return 1;
+}
+
 std::uint64_t Peers::incarnationOf(const InstanceName &peer) const
 {
     const auto found = m_peers.find(peer);
--- a/src/bergamottide/serving/peers.h
+++ b/src/bergamottide/serving/peers.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bergamottide::serving {
@@ -169,6 +170,18 @@
      */
     [[nodiscard]] std::vector<std::string> readers(TimePoint now) const;
 
+    /**
+     * @brief Deals units of something scarce among the processes of the fleet, and returns the share of this one.
+     *
+     * Processes that have not been alive lately keep their shares, so that parts of a partitioned fleet, which deal
+     * apart, never give out more than there is. A process that has just started has no share: it does not know the
+     * others yet.
+     * @param key What is dealt; each key has other holders where there are fewer units than processes.
+     * @param units Number of units.
+     * @param now Present time.
+     */
+    [[nodiscard]] std::uint32_t share(const std::string &key, std::uint32_t units, TimePoint now) const;
+
     /*! @brief Returns the incarnation that a peer told; zero if it is not known. */
     [[nodiscard]] std::uint64_t incarnationOf(const InstanceName &peer) const;
 
@@ -253,6 +266,8 @@
         /*! @brief Digests of the rosters of all that are alive, and of those that are heard here. */
         std::uint64_t liveDigest{};
         std::uint64_t heardDigest{};
+        /*! @brief Shares that were dealt, by key and units. */
+        std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> shares;
         /*! @brief Keepers that were looked up. */
         std::map<PoolName, std::optional<PeerInfo>> keepers;
     };
@@ -271,6 +286,7 @@
     [[nodiscard]] static bool isHeard(const Peer &peer, TimePoint now);
     [[nodiscard]] static TimePoint changesAt(const Peer &peer, TimePoint now);
     [[nodiscard]] const Peer *atAddress(const std::string &address, TimePoint now) const;
+    [[nodiscard]] std::uint32_t deal(const std::string &key, std::uint32_t units) const;
     [[nodiscard]] std::optional<PeerInfo> drawKeeper(const PoolName &pool, const Survey &survey) const;
     void tellRoster(Heartbeat &heartbeat, const Peer *receiver, TimePoint now) const;
 
@@ -282,6 +298,8 @@
     /*! @brief When addresses of peers that are not alive were tried last. */
     TimePoint m_triedAt{};
     std::map<InstanceName, Peer> m_peers;
+    /*! @brief When a peer was heard for the first time; the epoch if none was. */
+    TimePoint m_metAt{};
     /*! @brief Nothing after a change of what it follows from. */
     mutable std::unique_ptr<Survey> m_survey;
     mutable std::size_t m_surveys{};
--- a/src/bergamottide/serving/servingengines.cpp
+++ b/src/bergamottide/serving/servingengines.cpp
@@ -29,12 +29,12 @@
 
 std::optional<engines::EngineChoice> ServingReducer::chooseEngine(const Request &request)
 {
-    std::vector<engines::EngineCandidate> candidates;
-    for (const Endpoint *endpoint : m_endpoints.usable(request.pool, m_now)) {
+    std::vector<engines::EngineCandidate> engines;
+    for (const Endpoint *endpoint : candidates(request)) {
         const EndpointRecord &record = endpoint->record;
         const bool isTried =
             std::find(request.tried.begin(), request.tried.end(), record.instance) != request.tried.end();
-        candidates.push_back({record.instance, record.zone, loadOf(*endpoint), isTried});
+        engines.push_back({record.instance, record.zone, loadOf(*endpoint), isTried});
     }
     engines::GenerationNeeds needs{request.pool, request.prompt, request.in->attempt, {}, 0, 0.0};
     const Pool *pool = request.catalog->pool(request.pool);
@@ -47,7 +47,7 @@
             needs.inputBytes = bytes;
         }
     }
-    return engines::pickEngine(m_engines, candidates, needs, m_now);
+    return engines::pickEngine(m_engines, engines, needs, m_now);
 }
 
 /*! @brief Returns the bytes of the results that a generation takes, by the zone in which they lie. */
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -42,11 +42,15 @@
 
 ServingReducer::ServingReducer(const ServingOptions &options)
     : m_budget{options.retries}
-    , m_stages{m_endpoints, m_budget,
+    , m_regions{options.regions}
+    , m_peers{options.self, options.seeds}
+    , m_warmup{[this](const InstanceName &endpoint, std::uint32_t requests, TimePoint now) {
+        return m_peers.share(endpoint.text(), requests, now);
+    }}
+    , m_stages{m_endpoints, m_budget, m_warmup,
                [this](const KeptResult &result) {
                    return isShortOfRoom(result);
                }}
-    , m_peers{options.self, options.seeds}
     , m_incarnation{options.incarnation}
 {
 }
@@ -110,7 +114,7 @@
 
 void ServingReducer::on(const EndpointsChanged &event)
 {
-    m_endpoints.update(*event.endpoints, m_effects);
+    m_endpoints.update(*event.endpoints, m_now, m_effects);
     m_stages.reviewAll();
     listEngines();
     m_peers.setKeepsQueues(canServe());
@@ -211,7 +215,7 @@
     request.expected = m_now;
     request.pool = drawPool(*route, request.in->attempt);
     request.prompt = engines::chainOf(request.in->model, request.in->prompt);
-    if (!m_endpoints.serves(request.pool)) {
+    if (!isServed(request)) {
         return AnswerKind::Unavailable;
     }
     request.stages.resize(route->stages.size());
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -8,10 +8,12 @@
 #include "bergamottide/serving/events.h"
 #include "bergamottide/serving/firsteventtimes.h"
 #include "bergamottide/serving/peers.h"
+#include "bergamottide/serving/regionrule.h"
 #include "bergamottide/serving/request.h"
 #include "bergamottide/serving/retrybudget.h"
 #include "bergamottide/serving/stageforecast.h"
 #include "bergamottide/serving/stagescheduler.h"
+#include "bergamottide/serving/warmuplimiter.h"
 
 #include <cstdint>
 #include <functional>
@@ -33,6 +35,8 @@
     /*! @brief Addresses of some peers. */
     std::vector<std::string> seeds;
     std::uint64_t incarnation{};
+    /*! @brief Region of each availability zone. */
+    std::map<ZoneName, RegionName> regions;
 };
 
 /**
@@ -145,6 +149,9 @@
 
     // Runs.
     void startRun(Request &request);
+    [[nodiscard]] bool mayRunAt(const Request &request, const Endpoint &endpoint) const;
+    [[nodiscard]] bool isServed(const Request &request) const;
+    [[nodiscard]] std::vector<Endpoint *> candidates(const Request &request) const;
     void retryOrGiveUp(Request &request, bool mayHaveRun, AnswerKind otherwise);
     void reviewSilentRuns();
     [[nodiscard]] bool isSilent(const Request &request) const;
@@ -177,8 +184,10 @@
     std::shared_ptr<const Catalog> m_catalog;
     EndpointBoard m_endpoints;
     RetryBudget m_budget;
-    StageScheduler m_stages;
+    RegionRule m_regions;
     Peers m_peers;
+    WarmupLimiter m_warmup;
+    StageScheduler m_stages;
     engines::EngineTable m_engines;
     FirstEventTimes m_firstEvents;
     std::uint64_t m_incarnation;
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -32,6 +32,30 @@
 
 } // namespace
 
+/*! @brief Tells if an endpoint lies where the request may run. */
+bool ServingReducer::mayRunAt(const Request &request, const Endpoint &endpoint) const
+{
+    return m_regions.allows(*request.route, request.workspace, endpoint.record.zone);
+}
+
+/*! @brief Tells if any endpoint of the request's pool takes its work. */
+bool ServingReducer::isServed(const Request &request) const
+{
+    return std::ranges::any_of(m_endpoints.usable(request.pool, m_now),
+                               [this, &request](const Endpoint *endpoint) { return mayRunAt(request, *endpoint); });
+}
+
+/*! @brief Returns the endpoints to which a request may be sent now. */
+std::vector<Endpoint *> ServingReducer::candidates(const Request &request) const
+{
+    std::vector<Endpoint *> out = m_endpoints.usable(request.pool, m_now);
+    const Pool *pool = request.catalog->pool(request.pool);
+    std::erase_if(out, [this, &request, pool](const Endpoint *endpoint) {
+        return !mayRunAt(request, *endpoint) || (pool != nullptr && !m_warmup.admits(*pool, *endpoint, m_now));
+    });
+    return out;
+}
+
 void ServingReducer::startRun(Request &request)
 {
     const bool isGeneration = request.route->kind == RouteKind::Streaming;
@@ -40,7 +64,7 @@
     if (choice) {
         endpoint = m_endpoints.find(choice->engine);
     } else if (!isGeneration) {
-        endpoint = pickLeastLoaded(m_endpoints.usable(request.pool, m_now), request.tried, request.in->attempt);
+        endpoint = pickLeastLoaded(candidates(request), request.tried, request.in->attempt);
     }
     if (endpoint == nullptr) {
         refuse(request, request.mayHaveRun ? AnswerKind::BadGateway : AnswerKind::Unavailable, "no endpoint is left");
@@ -87,6 +111,9 @@
     request.body.clear();
     m_runs.emplace(start.run, request.in->call);
     m_endpoints.started(start.instance);
+    if (const Pool *pool = request.catalog->pool(request.pool); pool != nullptr) {
+        WarmupLimiter::noteSent(*pool, *endpoint, m_now);
+    }
     log(request, "A request is sent to an endpoint.",
         {{"route", request.route->name},
          {"endpoint", start.instance.text()},
@@ -111,6 +138,9 @@
     if (event.head.load) {
         m_endpoints.told(request->endpoint, *event.head.load, m_now);
     }
+    if (event.head.coldLeft > Duration::zero()) {
+        m_endpoints.toldCold(request->endpoint, event.head.coldLeft, m_now);
+    }
     if (event.head.foreign || (isSuccess(event.head.status) && !event.head.sealed)) {
         m_effects.emplace_back(CancelRun{event.run});
         runBroke(*request, event.head.foreign ? "the answer names another request" : "the success is not signed");
--- a/src/bergamottide/serving/servingsettings.cpp
+++ b/src/bergamottide/serving/servingsettings.cpp
@@ -9,6 +9,7 @@
 
 constexpr YamlLimits settingsLimits{.bytes = 1U << 16U, .depth = 4, .nodes = 1000};
 constexpr std::size_t mostSeeds = 16;
+constexpr std::size_t mostZones = 200;
 constexpr Duration longestGrace = std::chrono::minutes{10};
 constexpr Duration longestWindow = std::chrono::minutes{10};
 constexpr double mostSlack = 1e6;
@@ -29,6 +30,8 @@
         scalarField("instance", &S::instance, nameType<InstanceName>(), required, "Name of the instance."),
         scalarField("zone", &S::zone, nameType<ZoneName>(), required, "Availability zone of the instance."),
         scalarField("region", &S::region, nameType<RegionName>(), required, "Region of the instance."),
+        mapField("zones", &S::zones, nameType<ZoneName>(), nameType<RegionName>(), mostZones,
+                 "Region of each availability zone."),
         scalarField("callersAddress", &S::callersAddress, addressType(), required, "Where callers are listened for."),
         scalarField("readyAddress", &S::readyAddress, addressType(), required,
                     "Where the balancer asks for readiness."),
--- a/src/bergamottide/serving/servingsettings.h
+++ b/src/bergamottide/serving/servingsettings.h
@@ -7,6 +7,7 @@
 #include "bergamottide/telemetry/logline.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,6 +21,8 @@
     InstanceName instance;
     ZoneName zone;
     RegionName region;
+    /*! @brief Region of each availability zone; binds requests that may run in some regions only. */
+    std::map<ZoneName, RegionName> zones;
     std::string callersAddress;
     /*! @brief Where the balancer asks whether new connections may come. */
     std::string readyAddress;
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -104,12 +104,13 @@
 
 } // namespace
 
-StageScheduler::StageScheduler(EndpointBoard &endpoints, RetryBudget &budget, ShortOfRoom shortOfRoom)
+StageScheduler::StageScheduler(EndpointBoard &endpoints, RetryBudget &budget, const WarmupLimiter &warmup,
+                               ShortOfRoom shortOfRoom)
     : m_endpoints{endpoints}
     , m_budget{budget}
     , m_shortOfRoom{std::move(shortOfRoom)}
     , m_room{endpoints}
-    , m_planner{endpoints, m_tasks}
+    , m_planner{endpoints, m_tasks, warmup}
 {
 }
 
@@ -331,6 +332,7 @@
                                   {"slowness", absl::StrCat(presentSlowness(endpoint, now))}}});
     effects.emplace_back(Observe{Metric::StageCallItems, {pool.name.text()}, static_cast<double>(call.items.size())});
     m_endpoints.started(call.endpoint);
+    WarmupLimiter::noteSent(pool, endpoint, now);
     m_expiries.emplace(call.expiry, start.call);
     m_calls.emplace(start.call, std::move(call));
     effects.emplace_back(std::move(start));
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -43,9 +43,10 @@
      * @brief Creates a scheduler without tasks.
      * @param endpoints Endpoints; outlive the scheduler.
      * @param budget Bounds repeated work; outlives the scheduler.
+     * @param warmup Bound on calls to cold endpoints; outlives the scheduler.
      * @param shortOfRoom Tells which inputs are worth to be given up before their task has ended.
      */
-    StageScheduler(EndpointBoard &endpoints, RetryBudget &budget, ShortOfRoom shortOfRoom);
+    StageScheduler(EndpointBoard &endpoints, RetryBudget &budget, const WarmupLimiter &warmup, ShortOfRoom shortOfRoom);
 
     /**
      * @brief Adds a task.
--- a/test/bergamottide/serving/largefleet.cpp
+++ b/test/bergamottide/serving/largefleet.cpp
@@ -246,7 +246,7 @@
             out.push_back({InstanceName{name}, PoolName{"encoders"}, "10.0.0.1:1", ZoneName{"a"}, 1, false});
         }
         Effects ignored;
-        m_endpoints.update(out, ignored);
+        m_endpoints.update(out, m_now, ignored);
     }
 
     void submit(std::uint64_t id)
@@ -287,7 +287,10 @@
     TimePoint m_now{std::chrono::seconds{100}};
     EndpointBoard m_endpoints;
     RetryBudget m_budget{RetryBudgetOptions{}};
-    StageScheduler m_scheduler{m_endpoints, m_budget, [](const KeptResult &) {
+    WarmupLimiter m_warmup{[](const InstanceName &, std::uint32_t, TimePoint) {
+        return 0U;
+    }};
+    StageScheduler m_scheduler{m_endpoints, m_budget, m_warmup, [](const KeptResult &) {
                                    return false;
                                }};
 };
--- a/test/bergamottide/serving/peerfleet.h
+++ b/test/bergamottide/serving/peerfleet.h
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <set>
@@ -64,6 +66,28 @@
         m_views.erase(instance.text() + ":1");
     }
 
+    /*! @brief Keeps a process from all others, both ways, until it is joined again. */
+    void cutOff(const InstanceName &instance)
+    {
+        m_cutOff.insert(instance);
+    }
+
+    /*! @brief Returns the units of something that the processes hold together. */
+    [[nodiscard]] std::uint32_t dealt(const std::string &key, std::uint32_t units) const
+    {
+        std::uint32_t sum = 0;
+        for (const auto &[address, view] : m_views) {
+            sum += view.share(key, units, m_now);
+        }
+        return sum;
+    }
+
+    /*! @brief Returns the units of something that one process holds, by its place in the order of addresses. */
+    [[nodiscard]] std::uint32_t shareOf(std::size_t place, const std::string &key, std::uint32_t units) const
+    {
+        return std::next(m_views.begin(), static_cast<std::ptrdiff_t>(place))->second.share(key, units, m_now);
+    }
+
     /*! @brief Returns the number of heartbeats sent, answers not counted. */
     [[nodiscard]] std::size_t sent() const noexcept
     {
@@ -129,7 +153,8 @@
     {
         ++m_sent;
         const auto receiver = m_views.find(to);
-        if (receiver == m_views.end()) {
+        if (receiver == m_views.end() || m_cutOff.contains(m_views.at(from).self().instance)
+            || m_cutOff.contains(receiver->second.self().instance)) {
             return;
         }
         receiver->second.heard(heartbeat(from, to), m_now);
@@ -148,6 +173,7 @@
     TimePoint m_now;
     std::map<std::string, serving::Peers> m_views;
     std::set<InstanceName> m_draining;
+    std::set<InstanceName> m_cutOff;
     std::size_t m_sent{};
 };
 
--- a/test/bergamottide/serving/peers.cpp
+++ b/test/bergamottide/serving/peers.cpp
@@ -257,7 +257,7 @@
     void endpointThatVanishesWithTheListIsKeptForAWhile()
     {
         EndpointDirectory directory;
-        directory.put(record("e"));
+        directory.put(record("e"), m_now);
         static_cast<void>(directory.takeChange(m_now));
         directory.lost(m_now);
         m_now += std::chrono::seconds{5};
@@ -273,7 +273,7 @@
     void endpointThatVanishesAfterTheListsReturnIsGone()
     {
         EndpointDirectory directory;
-        directory.put(record("e"));
+        directory.put(record("e"), m_now);
         directory.lost(m_now);
         m_now += std::chrono::seconds{9};
         directory.regained(m_now);
@@ -285,11 +285,11 @@
     void endpointThatDrainsIsNotKept()
     {
         EndpointDirectory directory;
-        directory.put(record("e", true));
+        directory.put(record("e", true), m_now);
         directory.lost(m_now);
         m_now += std::chrono::seconds{5};
         directory.regained(m_now);
-        directory.put(record("e", false));
+        directory.put(record("e", false), m_now);
         CPPUNIT_ASSERT(directory.takeChange(m_now)->front().draining);
         directory.remove(InstanceName{"e"}, m_now);
         CPPUNIT_ASSERT(directory.takeChange(m_now)->empty());
@@ -298,7 +298,7 @@
     void endpointRemovedInCalmTimesIsGoneAtOnce()
     {
         EndpointDirectory directory;
-        directory.put(record("e"));
+        directory.put(record("e"), m_now);
         directory.remove(InstanceName{"e"}, m_now);
         CPPUNIT_ASSERT(directory.takeChange(m_now)->empty());
     }
@@ -307,13 +307,13 @@
     {
         EndpointDirectory directory;
         EndpointRecord record{InstanceName{"a"}, PoolName{"p"}, "a:1", ZoneName{"z"}, 1, true, 1};
-        directory.put(record);
+        directory.put(record, m_now);
         static_cast<void>(directory.takeChange(m_now));
         record.draining = false;
-        directory.put(record);
+        directory.put(record, m_now);
         CPPUNIT_ASSERT(directory.takeChange(m_now) == nullptr);
         record.incarnation = 2;
-        directory.put(record);
+        directory.put(record, m_now);
         const auto list = directory.takeChange(m_now);
         CPPUNIT_ASSERT(list != nullptr);
         CPPUNIT_ASSERT(!list->front().draining);
@@ -322,7 +322,7 @@
     void entryThatCannotBeReadIsNotKept()
     {
         EndpointDirectory directory;
-        directory.put({InstanceName{"a"}, PoolName{"p"}, "a:1", ZoneName{"z"}, 1, false, 1});
+        directory.put({InstanceName{"a"}, PoolName{"p"}, "a:1", ZoneName{"z"}, 1, false, 1}, m_now);
         directory.lost(m_now);
         static_cast<void>(directory.takeChange(m_now));
         directory.discard(InstanceName{"a"});
@@ -334,14 +334,14 @@
         EndpointBoard board;
         Effects effects;
         const EndpointRecord record{InstanceName{"a"}, PoolName{"p"}, "a:1", ZoneName{"z"}, 1, false, 1};
-        board.update({record}, effects);
+        board.update({record}, m_now, effects);
         board.started(record.instance);
         board.told(record.instance, {5, 5, 4}, m_now);
         board.find(record.instance)->resultBytes = 100;
         board.find(record.instance)->slowness = 4.0;
         EndpointRecord anew = record;
         anew.incarnation = 2;
-        board.update({anew}, effects);
+        board.update({anew}, m_now, effects);
         const Endpoint &endpoint = *board.find(record.instance);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, endpoint.takenBytes());
         CPPUNIT_ASSERT_EQUAL(1.0, endpoint.slowness);
--- a/test/bergamottide/serving/servingfixture.h
+++ b/test/bergamottide/serving/servingfixture.h
@@ -13,10 +13,10 @@
 class ServingFixture
 {
 public:
-    ServingFixture()
+    explicit ServingFixture(std::shared_ptr<const serving::EndpointList> list = endpoints())
     {
         apply(serving::CatalogChanged{catalog()});
-        apply(serving::EndpointsChanged{endpoints()});
+        apply(serving::EndpointsChanged{std::move(list)});
     }
 
     [[nodiscard]] static std::shared_ptr<const serving::Catalog> catalog()
--- a/test/bergamottide/serving/stagescheduler.cpp
+++ b/test/bergamottide/serving/stagescheduler.cpp
@@ -39,7 +39,7 @@
     void setUp() override
     {
         Effects ignored;
-        m_endpoints.update({endpoint("encoder-1")}, ignored);
+        m_endpoints.update({endpoint("encoder-1")}, m_now, ignored);
     }
 
     void waitingTasksShareTheNextCall()
@@ -210,7 +210,7 @@
 
     void callThatTakesTooLongIsMadeElsewhere()
     {
-        m_endpoints.update({endpoint("encoder-1"), endpoint("encoder-2")}, m_effects);
+        m_endpoints.update({endpoint("encoder-1"), endpoint("encoder-2")}, m_now, m_effects);
         submit(1, 1, 0, std::chrono::seconds{3});
         const auto first = dispatch();
         m_now += std::chrono::milliseconds{800};
@@ -239,7 +239,7 @@
 
     void taskWaitsAWhileForAnEndpointOfItsZone()
     {
-        m_endpoints.update({endpoint("encoder-1", "a"), endpoint("encoder-2", "b")}, m_effects);
+        m_endpoints.update({endpoint("encoder-1", "a"), endpoint("encoder-2", "b")}, m_now, m_effects);
         submit(1, 1);
         submit(2, 1);
         m_zone = ZoneName{"a"};
@@ -265,7 +265,7 @@
     /*! @brief Somewhat more load than calls of one request each could carry, for six seconds, with scarce room. */
     void burstIsServedOnTimeWhereSingleCallsAreNot()
     {
-        m_endpoints.update({endpoint("encoder-1"), endpoint("encoder-2"), endpoint("encoder-3")}, m_effects);
+        m_endpoints.update({endpoint("encoder-1"), endpoint("encoder-2"), endpoint("encoder-3")}, m_now, m_effects);
         constexpr Duration step = std::chrono::milliseconds{10};
         constexpr int steps = 600;
         constexpr int stepsPerRequest = 5;
@@ -367,7 +367,10 @@
     std::shared_ptr<const Catalog> m_catalog{ServingFixture::catalog()};
     EndpointBoard m_endpoints;
     RetryBudget m_budget{{.ratio = 0.0, .slack = 3.0, .window = std::chrono::seconds{10}, .sharers = 1}};
-    StageScheduler m_scheduler{m_endpoints, m_budget, [this](const KeptResult &) {
+    WarmupLimiter m_warmup{[](const InstanceName &, std::uint32_t, TimePoint) {
+        return 0U;
+    }};
+    StageScheduler m_scheduler{m_endpoints, m_budget, m_warmup, [this](const KeptResult &) {
                                    return m_isShort;
                                }};
     bool m_isShort{};
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -189,9 +189,9 @@
             {"name":"r1","host":"Example","pathPrefix":"/a/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":1000,"priority":1,
              "trafficSplit":[{"service":"m1","weight":90},{"service":"m2","weight":10}],"maxAttempts":2,"resumable":true,
              "stages":[{"service":"e","after":[],"bytes":8000},{"service":"f","after":[0],"bytes":60000}]},
-            {"name":"r2","host":"example","pathPrefix":"/a/b/","kind":"unsafe","service":"d","public":true}],
-            "services":[{"name":"e","maxConnections":370,"pieces":{"slots":1,"batch":8,"callMs":150.0,"itemMs":16.0,"headroomMb":45.0,"handleS":4.0}}],
-            "tenants":[{"name":"north","apiKeys":["k1","k2"],"priority":1}]})");
+            {"name":"r2","host":"example","pathPrefix":"/a/b/","kind":"unsafe","service":"d","public":true,"allowedRegions":["north"]}],
+            "services":[{"name":"e","maxConnections":370,"coldStartS":3.0,"coldPerS":11.0,"pieces":{"slots":1,"batch":8,"callMs":150.0,"itemMs":16.0,"headroomMb":45.0,"handleS":4.0}}],
+            "tenants":[{"name":"north","apiKeys":["k1","k2"],"priority":1,"allowedRegions":["south","north"]}]})");
         CPPUNIT_ASSERT(catalog.ok());
         const serving::Route *route = catalog->find("example", "/a/x");
         CPPUNIT_ASSERT(route != nullptr);
@@ -203,6 +203,10 @@
         CPPUNIT_ASSERT(catalog->find("example", "/b/") == nullptr);
         CPPUNIT_ASSERT(catalog->pool(PoolName{"e"})->batch->itemTime == std::chrono::milliseconds{16});
         CPPUNIT_ASSERT_EQUAL(std::string{"north"}, catalog->workspaceOfKey.at("k2").name.text());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, catalog->workspaceOfKey.at("k2").regions.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"north"}, catalog->find("example", "/a/b/x")->regions.at(0).text());
+        CPPUNIT_ASSERT(catalog->pool(PoolName{"e"})->warmup->time == std::chrono::seconds{3});
+        CPPUNIT_ASSERT_EQUAL(11.0, catalog->pool(PoolName{"e"})->warmup->perSecond);
     }
 
     void configurationOfTheWrongTypesIsATypedError()
@@ -219,6 +223,9 @@
                                  R"("born":1764729600000})";
         CPPUNIT_ASSERT(platform::readEndpoint("i", good).ok());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1764729600000}, platform::readEndpoint("i", good)->incarnation);
+        const std::string cold = R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready",)"
+                                 R"("coldLeftMs":1500})";
+        CPPUNIT_ASSERT(platform::readEndpoint("i", cold)->coldLeft == std::chrono::milliseconds{1500});
         for (const char *bad : {
                  R"({})",
                  R"([1])",
@@ -232,6 +239,7 @@
                  R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"resting"})",
                  R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready","born":"1"})",
                  R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready","born":1.5})",
+                 R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready","coldLeftMs":"1"})",
                  R"({"service":7,"address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready"})",
                  "\xff\xfe\x00",
              }) {
--- a/test/platform/standins.cpp
+++ b/test/platform/standins.cpp
@@ -44,16 +44,25 @@
 void StoreStandIn::publish(const std::string &key, const std::string &value)
 {
     m_items[key] = {value, ++m_revision};
-    for (const Watch &watch : std::exchange(m_watches, {})) {
-        watch.responder->answer({200, {}, page("events", watch.after)});
-    }
+    answerWatches(200);
+}
+
+void StoreStandIn::remove(const std::string &key)
+{
+    m_items[key] = {{}, ++m_revision, true};
+    answerWatches(200);
 }
 
 void StoreStandIn::setDown(bool down)
 {
     m_down = down;
+    answerWatches(down ? statusBusy : 200);
+}
+
+void StoreStandIn::answerWatches(int status)
+{
     for (const Watch &watch : std::exchange(m_watches, {})) {
-        watch.responder->answer({down ? statusBusy : 200, {}, page("events", watch.after)});
+        watch.responder->answer({status, {}, page("events", watch.after)});
     }
 }
 
@@ -118,8 +127,14 @@
 {
     json items = json::array();
     for (const auto &[key, item] : m_items) {
-        if (item.revision > after) {
-            items.push_back({{"key", key}, {"value", absl::Base64Escape(item.value)}, {"revision", item.revision}});
+        if (item.revision <= after || (item.isRemoved && after == 0)) {
+            continue;
+        }
+        items.push_back({{"key", key}, {"revision", item.revision}});
+        if (item.isRemoved) {
+            items.back()["tombstone"] = true;
+        } else {
+            items.back()["value"] = absl::Base64Escape(item.value);
         }
     }
     return json{{field, std::move(items)}, {"storeRevision", m_revision}}.dump();
--- a/test/platform/standins.h
+++ b/test/platform/standins.h
@@ -22,6 +22,9 @@
     /*! @brief Writes an item; watches that wait are answered. */
     void publish(const std::string &key, const std::string &value);
 
+    /*! @brief Removes an item; watches that wait are answered. */
+    void remove(const std::string &key);
+
     /*! @brief Turns every caller away from now on, or serves again. */
     void setDown(bool down);
 
@@ -42,6 +45,7 @@
     {
         std::string value;
         std::uint64_t revision{};
+        bool isRemoved{};
     };
 
     struct Watch
@@ -51,6 +55,7 @@
     };
 
     void handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
+    void answerWatches(int status);
     void expire(const std::shared_ptr<HttpResponder> &responder);
     [[nodiscard]] std::string page(const std::string &field, std::uint64_t after) const;
     [[nodiscard]] std::string oldPage(std::string_view after) const;
--- a/test/platform/wholepath.cpp
+++ b/test/platform/wholepath.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(headersOfTheSystemDoNotPassThrough);
     CPPUNIT_TEST(limitsOfTheConfigurationHold);
     CPPUNIT_TEST(olderConfigurationIsNotTakenBack);
+    CPPUNIT_TEST(evacuatedZoneGetsNothingUntilItIsRestored);
+    CPPUNIT_TEST(processThatStartsKnowsOfAnEvacuationBeforeItServes);
     CPPUNIT_TEST(storeThatIsDownLeavesWhatIsKnownInForce);
     CPPUNIT_TEST_SUITE_END();
 
@@ -111,6 +113,27 @@
         }
     }
 
+    void evacuatedZoneGetsNothingUntilItIsRestored()
+    {
+        m_world->publishAll();
+        m_world->publishAndWait("op/evacuate/a", "{}");
+        CPPUNIT_ASSERT_EQUAL(503, m_world->ask(plainCall()).status);
+        CPPUNIT_ASSERT_EQUAL(503, m_world->ask(generation()).status);
+        CPPUNIT_ASSERT(m_world->desk.runs().empty());
+        const std::size_t calls = m_world->store.calls();
+        m_world->store.remove("op/evacuate/a");
+        CPPUNIT_ASSERT(m_world->until([this, calls] { return m_world->store.calls() > calls; }));
+        CPPUNIT_ASSERT_EQUAL(200, m_world->ask(plainCall()).status);
+    }
+
+    void processThatStartsKnowsOfAnEvacuationBeforeItServes()
+    {
+        m_world->store.publish("op/evacuate/a", "{}");
+        m_world->publishAll();
+        CPPUNIT_ASSERT_EQUAL(503, m_world->ask(plainCall()).status);
+        CPPUNIT_ASSERT(m_world->desk.runs().empty());
+    }
+
     void headersOfTheSystemDoNotPassThrough()
     {
         m_world->publishAll();
