News stay within zones: relays, partners and readers are drawn by zone; relays pass on the generations of all

Each process had its news twice, from two relays of any zone, and the changes of the store, some 1,000 after the loss of a zone, from a reader of any zone. Change: relays and readers are drawn evenly by zone; a process has its news from a relay of its zone and asks readers of its zone first; the second relay, of another zone, only shows that it is there, every 400 ms. Relays pass on what other relays tell of their processes' generations, so that all are known.

--- a/bench/stagequeue.cpp
+++ b/bench/stagequeue.cpp
@@ -11,7 +11,7 @@
 
 /**
  * @file
- * @brief Processor time of the process that keeps the queue of a stage pool, and of a hub, in a fleet of hundreds.
+ * @brief Processor time of the process that keeps the queue of a stage pool, and of a relay, in a fleet of hundreds.
  *
  * Figures are seconds of processor time for a second of the load: the share of a core that the work takes.
  */
@@ -25,10 +25,10 @@
 constexpr std::uint32_t piecesOfTask = 16;
 
 /*! @brief A pool of stage endpoints, beside the engines and other pools that a large deployment has. */
-class KeeperLoad
+class OwnerLoad
 {
 public:
-    KeeperLoad(std::uint32_t endpoints, std::uint32_t others)
+    OwnerLoad(std::uint32_t endpoints, std::uint32_t others)
         : m_catalog{catalog()}
         , m_reducer{options()}
     {
@@ -155,11 +155,11 @@
     std::uint64_t m_answered{};
 };
 
-/*! @brief A second of tasks at the keeper of a queue: arguments are tasks a second and stage endpoints. */
+/*! @brief A second of tasks at the owner of a queue: arguments are tasks a second and stage endpoints. */
 void keepQueue(benchmark::State &state)
 {
     const auto tasksPerSecond = static_cast<double>(state.range(0));
-    KeeperLoad load{static_cast<std::uint32_t>(state.range(1)), 265};
+    OwnerLoad load{static_cast<std::uint32_t>(state.range(1)), 265};
     for (auto round : state) {
         for (int count = 0; count < 1000; ++count) {
             load.pass(tasksPerSecond / 1000.0);
@@ -176,25 +176,25 @@
     ->Iterations(4)
     ->MeasureProcessCPUTime();
 
-Heartbeat heartbeatOf(std::size_t number, bool isHub)
+Heartbeat heartbeatOf(std::size_t number, bool isRelay)
 {
     Heartbeat heartbeat;
     const std::string name = "entry-" + std::to_string(number);
-    heartbeat.from = {InstanceName{name}, name + ":1", isHub ? 0.5 : 0.1};
+    heartbeat.from = {InstanceName{name}, name + ":1", isRelay ? 0.5 : 0.1};
     heartbeat.incarnation = 1;
-    heartbeat.keepsQueues = true;
-    heartbeat.isHub = isHub;
+    heartbeat.ownsQueues = true;
+    heartbeat.isRelay = isRelay;
     heartbeat.upcoming = {{PoolName{"encoders"}, 0, 4}, {PoolName{"rerankers"}, 2, 8}};
     heartbeat.engines.push_back({heartbeat.from.instance, 1, 1, {{InstanceName{"engine-1"}, 400}}, {}});
     return heartbeat;
 }
 
-/*! @brief A second of heartbeats at a hub: the argument is the number of processes, every seventh of them a hub. */
+/*! @brief A second of heartbeats at a relay: the argument is the number of processes, every seventh of them a relay. */
 void answerHeartbeats(benchmark::State &state)
 {
     const auto fleet = static_cast<std::size_t>(state.range(0));
     Peers peers{{InstanceName{"entry-0"}, "entry-0:1", 0.5}, {}};
-    peers.setKeepsQueues(true);
+    peers.setOwnsQueues(true);
     TimePoint now{std::chrono::seconds{100}};
     for (std::size_t number = 1; number < fleet; ++number) {
         peers.heard(heartbeatOf(number, number % 7 == 0), now);
--- a/src/bergamottide/app/peerport.cpp
+++ b/src/bergamottide/app/peerport.cpp
@@ -227,7 +227,7 @@
     HttpCallHooks hooks;
     hooks.done = [](const HttpAnswer &) {
     };
-    // The keeper drops its record of the results when they lapse.
+    // The owner drops its record of the results when they lapse.
     hooks.failed = [](HttpFailure) {
     };
     m_client.call(effect.peer.address, post(releasedPath, peerwire::writeHandles(effect.handles)), std::move(hooks));
--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -18,13 +18,16 @@
 
 json infoOf(const PeerInfo &peer)
 {
-    return {{"instance", peer.instance.text()}, {"address", peer.address}, {"strength", peer.strength}};
+    return {{"instance", peer.instance.text()},
+            {"address", peer.address},
+            {"strength", peer.strength},
+            {"zone", peer.zone.text()}};
 }
 
 PeerInfo peerOf(const json &value)
 {
     return {InstanceName{value.at("instance").get<std::string>()}, value.at("address").get<std::string>(),
-            value.at("strength").get<double>()};
+            value.at("strength").get<double>(), ZoneName{value.at("zone").get<std::string>()}};
 }
 
 json rosterOf(const std::vector<RosterEntry> &roster)
@@ -32,7 +35,7 @@
     json out = json::array();
     for (const RosterEntry &entry : roster) {
         json one = infoOf(entry.peer);
-        one["keepsQueues"] = entry.keepsQueues;
+        one["ownsQueues"] = entry.ownsQueues;
         out.push_back(std::move(one));
     }
     return out;
@@ -42,7 +45,7 @@
 {
     std::vector<RosterEntry> out;
     for (const json &one : value) {
-        out.push_back({peerOf(one), one.at("keepsQueues").get<bool>()});
+        out.push_back({peerOf(one), one.at("ownsQueues").get<bool>()});
     }
     return out;
 }
@@ -111,9 +114,9 @@
     json out = infoOf(heartbeat.from);
     out["incarnation"] = heartbeat.incarnation;
     out["draining"] = heartbeat.draining;
-    out["keepsQueues"] = heartbeat.keepsQueues;
+    out["ownsQueues"] = heartbeat.ownsQueues;
     out["version"] = heartbeat.version;
-    out["isHub"] = heartbeat.isHub;
+    out["isRelay"] = heartbeat.isRelay;
     out["rosterDigest"] = heartbeat.rosterDigest;
     out["knownDigest"] = heartbeat.knownDigest;
     if (heartbeat.roster) {
@@ -143,9 +146,9 @@
         heartbeat.from = peerOf(value);
         heartbeat.incarnation = value.at("incarnation").get<std::uint64_t>();
         heartbeat.draining = value.at("draining").get<bool>();
-        heartbeat.keepsQueues = value.at("keepsQueues").get<bool>();
+        heartbeat.ownsQueues = value.at("ownsQueues").get<bool>();
         heartbeat.version = value.at("version").get<std::uint64_t>();
-        heartbeat.isHub = value.at("isHub").get<bool>();
+        heartbeat.isRelay = value.at("isRelay").get<bool>();
         heartbeat.rosterDigest = value.at("rosterDigest").get<std::uint64_t>();
         heartbeat.knownDigest = value.at("knownDigest").get<std::uint64_t>();
         if (const auto roster = value.find("roster"); roster != value.end()) {
--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -82,7 +82,7 @@
 ServingOptions servingOptions(const ServingSettings &settings, Incarnation incarnation)
 {
     ServingOptions options;
-    options.self = {settings.instance, settings.peersAddress, settings.strength()};
+    options.self = {settings.instance, settings.peersAddress, settings.strength(), settings.zone};
     options.seeds = settings.seeds;
     options.regions = settings.zones;
     options.incarnation = static_cast<std::uint64_t>(incarnation);
--- a/src/bergamottide/serving/poolload.h
+++ b/src/bergamottide/serving/poolload.h
@@ -10,7 +10,7 @@
 namespace bergamottide::serving {
 
 /**
- * @brief What the keeper of a stage pool's queue has measured of its load: how full calls are, and which work arrives.
+ * @brief What the owner of a stage pool's queue has measured of its load: how full calls are, and which work arrives.
  */
 class PoolLoad
 {
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -27,15 +27,15 @@
         m_heldBack.emplace(task.id, std::move(task));
         return;
     }
-    const auto keeper = m_peers.keeper(task.pool, m_now);
+    const auto owner = m_peers.owner(task.pool, m_now);
     task.from = m_peers.self().instance;
-    task.held = heldOfOthers(task.pool, keeper ? m_peers.incarnationOf(keeper->instance) : m_incarnation);
-    if (!keeper) {
+    task.held = heldOfOthers(task.pool, owner ? m_peers.incarnationOf(owner->instance) : m_incarnation);
+    if (!owner) {
         m_stages.submit(std::move(task), m_now);
         return;
     }
-    m_handed[task.id] = {keeper->instance, task};
-    m_effects.emplace_back(HandTask{*keeper, std::move(task)});
+    m_handed[task.id] = {owner->instance, task};
+    m_effects.emplace_back(HandTask{*owner, std::move(task)});
 }
 
 /*
@@ -88,7 +88,7 @@
     }
     StageTask task = std::move(found->second.second);
     m_handed.erase(found);
-    if (event.isGivenBack && !isKeeper(event.peer, task.pool)) {
+    if (event.isGivenBack && !isOwner(event.peer, task.pool)) {
         place(std::move(task));
         return;
     }
@@ -108,10 +108,10 @@
 }
 
 /*! @brief Tells if a peer keeps the queue of a pool, as far as is known here. */
-bool ServingReducer::isKeeper(const InstanceName &peer, const PoolName &pool) const
+bool ServingReducer::isOwner(const InstanceName &peer, const PoolName &pool) const
 {
-    const auto keeper = m_peers.keeper(pool, m_now);
-    return keeper && keeper->instance == peer;
+    const auto owner = m_peers.owner(pool, m_now);
+    return owner && owner->instance == peer;
 }
 
 void ServingReducer::reclaimTasks()
@@ -155,7 +155,7 @@
 {
     std::set<PoolName> takenOver;
     for (const PoolName &pool : m_stages.pools()) {
-        if (!m_peers.keeper(pool, m_now)) {
+        if (!m_peers.owner(pool, m_now)) {
             m_lostQueues.erase(pool);
             continue;
         }
@@ -258,9 +258,9 @@
     if (!m_endpoints.serves(pool)) {
         return std::nullopt;
     }
-    const auto keeper = m_peers.keeper(pool, m_now);
-    const auto wait = keeper ? m_peers.toldWait(keeper->instance, pool, rank, m_now)
-                             : m_stages.expectedWait(pool, rank, *m_catalog, m_now);
+    const auto owner = m_peers.owner(pool, m_now);
+    const auto wait = owner ? m_peers.toldWait(owner->instance, pool, rank, m_now)
+                            : m_stages.expectedWait(pool, rank, *m_catalog, m_now);
     PoolOutlook out;
     if (wait) {
         out.wait = wait->wait;
@@ -307,7 +307,7 @@
     Heartbeat heartbeat;
     heartbeat.incarnation = m_incarnation;
     heartbeat.draining = m_draining;
-    heartbeat.keepsQueues = canServe();
+    heartbeat.ownsQueues = canServe();
     heartbeat.version = m_catalog ? m_catalog->version : 0;
     if (m_catalog) {
         heartbeat.waits = m_stages.waits(*m_catalog, now);
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -110,7 +110,7 @@
     m_catalog = event.catalog;
     m_stages.reviewAll();
     listEngines();
-    m_peers.setKeepsQueues(canServe());
+    m_peers.setOwnsQueues(canServe());
     m_effects.emplace_back(Observe{Metric::ConfigurationsTotal, {}, 1.0});
     m_effects.emplace_back(Observe{Metric::ConfigVersion, {}, static_cast<double>(m_catalog->version)});
     m_effects.emplace_back(
@@ -125,15 +125,15 @@
     m_endpoints.update(*event.endpoints, m_now, m_effects);
     m_stages.reviewAll();
     listEngines();
-    m_peers.setKeepsQueues(canServe());
+    m_peers.setOwnsQueues(canServe());
 }
 
 void ServingReducer::on(const DrainRequested &)
 {
     m_draining = true;
     m_refusingFrom = m_now + drainIntake;
-    m_peers.setKeepsQueues(false);
-    handOverQueues([this](const PoolName &pool) { return m_peers.keeper(pool, m_now).has_value(); });
+    m_peers.setOwnsQueues(false);
+    handOverQueues([this](const PoolName &pool) { return m_peers.owner(pool, m_now).has_value(); });
     m_effects.emplace_back(
         LogLine{Severity::Info, Part::Entry, "The process drains.", {{"requests", absl::StrCat(m_requests.size())}}});
 }
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -114,7 +114,7 @@
     [[nodiscard]] std::vector<HeldResults> heldOfOthers(const PoolName &pool, std::uint64_t scheduler) const;
     void placeHeldBack();
     void reclaimTasks();
-    [[nodiscard]] bool isKeeper(const InstanceName &peer, const PoolName &pool) const;
+    [[nodiscard]] bool isOwner(const InstanceName &peer, const PoolName &pool) const;
     void handOverQueues(const std::function<bool(const PoolName &pool)> &isTakenOver);
     void handOverLostQueues();
     void sendHeartbeats();
--- a/src/bergamottide/serving/servingsettings.cpp
+++ b/src/bergamottide/serving/servingsettings.cpp
@@ -15,7 +15,7 @@
 constexpr double mostSlack = 1e6;
 constexpr double mostCores = 1024.0;
 constexpr double mostMbps = 1e6;
-/*! @brief Bandwidth that goes with a core: a keeper of queues sends calls of some kilobytes, each for a millisecond of
+/*! @brief Bandwidth that goes with a core: an owner of queues sends calls of some kilobytes, each for a millisecond of
  * work. An estimate. */
 constexpr double mbpsOfCore = 200.0;
 
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -283,8 +283,8 @@
 void ServingReducer::giveUp(const std::vector<KeptResult> &results)
 {
     std::map<std::string, std::vector<std::string>> byAddress;
-    std::map<InstanceName, TellReleased> byKeeper;
-    std::map<PoolName, std::optional<PeerInfo>> keepers;
+    std::map<InstanceName, TellReleased> byOwner;
+    std::map<PoolName, std::optional<PeerInfo>> owners;
     for (const KeptResult &result : results) {
         if (result.handle.empty()) {
             continue;
@@ -296,17 +296,17 @@
             continue;
         }
         const PoolName &pool = endpoint->record.pool;
-        if (!keepers.contains(pool)) {
+        if (!owners.contains(pool)) {
             // Who keeps a queue follows from all live peers, so it is looked up once for a pool, not for each result.
-            keepers.emplace(pool, m_peers.keeper(pool, m_now));
+            owners.emplace(pool, m_peers.owner(pool, m_now));
         }
-        if (const auto &keeper = keepers.at(pool)) {
-            TellReleased &tell = byKeeper[keeper->instance];
-            tell.peer = *keeper;
+        if (const auto &owner = owners.at(pool)) {
+            TellReleased &tell = byOwner[owner->instance];
+            tell.peer = *owner;
             tell.handles.push_back(result.handle);
         }
     }
-    for (auto &[instance, tell] : byKeeper) {
+    for (auto &[instance, tell] : byOwner) {
         m_effects.emplace_back(std::move(tell));
     }
     for (auto &[address, handles] : byAddress) {
--- a/test/bergamottide/serving/fleetstart.cpp
+++ b/test/bergamottide/serving/fleetstart.cpp
@@ -77,8 +77,8 @@
     {
         Heartbeat out;
         out.from = {InstanceName{"strong"}, "10.0.0.8:1", 8.0};
-        out.keepsQueues = true;
-        out.isHub = true;
+        out.ownsQueues = true;
+        out.isRelay = true;
         return out;
     }
 
--- a/test/bergamottide/serving/largefleet.cpp
+++ b/test/bergamottide/serving/largefleet.cpp
@@ -20,14 +20,17 @@
 class LargeFleetTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(LargeFleetTest);
-    CPPUNIT_TEST(fleetIsSurveyedOnlyWhenSomebodyCountsDifferently);
-    CPPUNIT_TEST(surveyEndsWithTheSilenceOfAPeer);
-    CPPUNIT_TEST(surveyFollowsWhatAPeerTells);
-    CPPUNIT_TEST(workToldByAHubDoesNotGrowWithTheFleet);
+    CPPUNIT_TEST(viewIsBuiltOnlyWhenSomebodyCountsDifferently);
+    CPPUNIT_TEST(viewEndsWithTheSilenceOfAPeer);
+    CPPUNIT_TEST(viewFollowsWhatAPeerTells);
+    CPPUNIT_TEST(workToldByARelayDoesNotGrowWithTheFleet);
     CPPUNIT_TEST(workOfTheWholeFleetIsAddedUp);
     CPPUNIT_TEST(rosterIsToldOnceToEachPeer);
     CPPUNIT_TEST(fleetOfHundredsMeets);
     CPPUNIT_TEST(fewProcessesReadThePlatformForAll);
+    CPPUNIT_TEST(processAsksItsOwnZoneFirst);
+    CPPUNIT_TEST(heartbeatsOfALargeFleetStayWithinZonesAndSmallLinks);
+    CPPUNIT_TEST(generationsOfAllAreKnownInAFleetOfSomeDozens);
     CPPUNIT_TEST(smallFleetReadsThePlatformItself);
     CPPUNIT_TEST(lostReaderIsReplaced);
     CPPUNIT_TEST(queueIsReviewedOnlyWhenItHasChanged);
@@ -37,20 +40,20 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void fleetIsSurveyedOnlyWhenSomebodyCountsDifferently()
+    void viewIsBuiltOnlyWhenSomebodyCountsDifferently()
     {
         constexpr std::size_t processes = 150;
         PeerFleet fleet{processes, m_now};
         fleet.run(std::chrono::seconds{3});
-        const std::size_t before = fleet.surveys();
+        const std::size_t before = fleet.viewsBuilt();
         const std::size_t sent = fleet.sent();
         fleet.run(std::chrono::seconds{2});
         // Each process asks for it at least twice for each heartbeat that it sends or answers.
-        CPPUNIT_ASSERT(fleet.surveys() - before <= processes * 6);
+        CPPUNIT_ASSERT(fleet.viewsBuilt() - before <= processes * 6);
         CPPUNIT_ASSERT(fleet.sent() - sent >= 3000);
     }
 
-    void surveyEndsWithTheSilenceOfAPeer()
+    void viewEndsWithTheSilenceOfAPeer()
     {
         Peers peers{{InstanceName{"a"}, "a:1"}, {}};
         peers.heard(heartbeat("b"), m_now);
@@ -60,16 +63,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, peers.liveCount(m_now + std::chrono::milliseconds{1400}));
     }
 
-    void surveyFollowsWhatAPeerTells()
+    void viewFollowsWhatAPeerTells()
     {
         Peers peers{{InstanceName{"a"}, "a:1"}, {}};
         Heartbeat other = heartbeat("b");
         peers.heard(other, m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peers.liveCount(m_now));
-        CPPUNIT_ASSERT(peers.keeper(PoolName{"pool"}, m_now).has_value());
-        other.keepsQueues = false;
+        CPPUNIT_ASSERT(peers.owner(PoolName{"pool"}, m_now).has_value());
+        other.ownsQueues = false;
         peers.heard(other, m_now);
-        CPPUNIT_ASSERT(!peers.keeper(PoolName{"pool"}, m_now));
+        CPPUNIT_ASSERT(!peers.owner(PoolName{"pool"}, m_now));
         other.draining = true;
         peers.heard(other, m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, peers.liveCount(m_now));
@@ -78,44 +81,78 @@
         CPPUNIT_ASSERT(!peers.isLive(InstanceName{"b"}, m_now));
     }
 
-    void workToldByAHubDoesNotGrowWithTheFleet()
+    void processAsksItsOwnZoneFirst()
     {
-        Peers hub{{InstanceName{"hub"}, "hub:1", 0.5}, {}};
+        for (const std::size_t size : {26U, 300U}) {
+            PeerFleet fleet{size, m_now};
+            fleet.run(std::chrono::seconds{4});
+            for (const std::string &address : fleet.addresses()) {
+                CPPUNIT_ASSERT(fleet.asksItsOwnZoneFirst(address));
+            }
+        }
+    }
+
+    /*! @brief Entries have links of 10 Mbit/s, of which heartbeats may take half; bytes between zones are paid for. */
+    void heartbeatsOfALargeFleetStayWithinZonesAndSmallLinks()
+    {
+        constexpr std::size_t mostBytesASecond = 600'000;
+        constexpr std::size_t mostBetweenZonesASecond = 4'000'000;
+        PeerFleet fleet{300, m_now};
+        fleet.run(std::chrono::seconds{4});
+        fleet.weigh();
+        fleet.run(std::chrono::seconds{1});
+        CPPUNIT_ASSERT(fleet.mostBytes() < mostBytesASecond);
+        CPPUNIT_ASSERT(fleet.bytesBetweenZones() < mostBetweenZonesASecond);
+    }
+
+    void generationsOfAllAreKnownInAFleetOfSomeDozens()
+    {
+        constexpr std::size_t processes = 26;
+        PeerFleet fleet{processes, m_now};
+        fleet.run(std::chrono::seconds{3});
+        fleet.weigh();
+        fleet.run(std::chrono::seconds{1});
+        CPPUNIT_ASSERT_EQUAL(processes - 1, fleet.fewestOrigins());
+    }
+
+    void workToldByARelayDoesNotGrowWithTheFleet()
+    {
+        Peers relay{{InstanceName{"relay"}, "relay:1", 0.5}, {}};
         for (int number = 0; number < 103; ++number) {
             Heartbeat other = heartbeat("entry-" + std::to_string(number));
             other.from.strength = number % 7 == 0 ? 0.5 : 0.1;
-            other.isHub = number % 7 == 0;
+            other.isRelay = number % 7 == 0;
             for (const int rank : {0, 1, 2}) {
                 other.upcoming.push_back({PoolName{"encoders"}, rank, 4});
                 other.upcoming.push_back({PoolName{"rerankers"}, rank, 8});
             }
-            hub.heard(other, m_now);
+            relay.heard(other, m_now);
         }
         Heartbeat out;
-        hub.complete(out, "entry-1:1", m_now);
+        relay.complete(out, "entry-1:1", m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{6}, out.upcoming.size());
     }
 
     void workOfTheWholeFleetIsAddedUp()
     {
-        Peers hub{{InstanceName{"hub"}, "hub:1", 0.5}, {}};
+        Peers relay{{InstanceName{"relay"}, "relay:1", 0.5}, {}};
         Heartbeat leaf = heartbeat("leaf");
         leaf.from.strength = 0.1;
         leaf.upcoming.push_back({PoolName{"encoders"}, 1, 4});
         Heartbeat other = heartbeat("other");
         other.from.strength = 0.5;
-        other.isHub = true;
+        other.isRelay = true;
         other.upcoming.push_back({PoolName{"encoders"}, 1, 30});
-        hub.heard(leaf, m_now);
-        hub.heard(other, m_now);
+        relay.heard(leaf, m_now);
+        relay.heard(other, m_now);
         Heartbeat toLeaf;
         toLeaf.upcoming.push_back({PoolName{"encoders"}, 1, 500});
-        hub.complete(toLeaf, "leaf:1", m_now);
+        relay.complete(toLeaf, "leaf:1", m_now);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{530}, toLeaf.upcoming.front().pieces);
-        // The other hub is not told again what it has told itself.
-        Heartbeat toHub;
-        hub.complete(toHub, "other:1", m_now);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, toHub.upcoming.front().pieces);
+        // The other relay is not told again what it has told itself.
+        Heartbeat toRelay;
+        relay.complete(toRelay, "other:1", m_now);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, toRelay.upcoming.front().pieces);
     }
 
     void rosterIsToldOnceToEachPeer()
@@ -137,7 +174,7 @@
         PeerFleet fleet{350, m_now};
         fleet.run(std::chrono::seconds{3});
         CPPUNIT_ASSERT_EQUAL(std::size_t{349}, fleet.fewestLive());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.keepersOf(PoolName{"pool"}).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.ownersOf(PoolName{"pool"}).size());
     }
 
     void fewProcessesReadThePlatformForAll()
@@ -226,7 +263,7 @@
     {
         Heartbeat out;
         out.from = {InstanceName{name}, name + ":1", 0.5};
-        out.keepsQueues = true;
+        out.ownsQueues = true;
         return out;
     }
 
--- a/test/bergamottide/serving/peerfleet.h
+++ b/test/bergamottide/serving/peerfleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bergamottide/app/peerwire.h"
 #include "bergamottide/serving/peers.h"
 
 #include <algorithm>
@@ -8,6 +9,7 @@
 #include <iterator>
 #include <limits>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -28,9 +30,10 @@
     {
         for (std::size_t index = 0; index < size; ++index) {
             const std::string name = "entry-" + std::to_string(index);
-            const serving::PeerInfo self{InstanceName{name}, name + ":1", index % 4 == 0 ? 0.5 : 0.1};
+            const serving::PeerInfo self{InstanceName{name}, name + ":1", index % 4 == 0 ? 0.5 : 0.1,
+                                         ZoneName{"zone-" + std::to_string(index % 3)}};
             m_views.emplace(name + ":1", serving::Peers{self, {"entry-0:1", "entry-1:1", "gone:1"}});
-            m_views.at(name + ":1").setKeepsQueues(true);
+            m_views.at(name + ":1").setOwnsQueues(true);
         }
     }
 
@@ -57,7 +60,7 @@
         stop(instance);
         run(down);
         m_views.emplace(self.address, serving::Peers{self, {"entry-0:1", "entry-1:1", "gone:1"}});
-        m_views.at(self.address).setKeepsQueues(true);
+        m_views.at(self.address).setOwnsQueues(true);
     }
 
     /*! @brief Ends a process. */
@@ -66,6 +69,56 @@
         m_views.erase(instance.text() + ":1");
     }
 
+    /*! @brief Has each process report two generations with each heartbeat, and weighs what is sent from now on. */
+    void weigh()
+    {
+        m_bytes.emplace();
+    }
+
+    /*! @brief Returns the bytes that the busiest process has sent since they are weighed. */
+    [[nodiscard]] std::size_t mostBytes() const
+    {
+        std::size_t most = 0;
+        for (const auto &[address, bytes] : *m_bytes) {
+            most = std::max(most, bytes);
+        }
+        return most;
+    }
+
+    /*! @brief Returns the bytes that have crossed zones since they are weighed. */
+    [[nodiscard]] std::size_t bytesBetweenZones() const noexcept
+    {
+        return m_bytesBetweenZones;
+    }
+
+    /*! @brief Returns how many origins of reports have reached a process, at least, since they are weighed. */
+    [[nodiscard]] std::size_t fewestOrigins() const
+    {
+        std::size_t fewest = std::numeric_limits<std::size_t>::max();
+        for (const auto &[address, origins] : m_origins) {
+            fewest = std::min(fewest, origins.size());
+        }
+        return fewest;
+    }
+
+    /*! @brief Tells if the processes that read the platform for a process, or its relay, are first of its own zone. */
+    [[nodiscard]] bool asksItsOwnZoneFirst(const std::string &address) const
+    {
+        const serving::Peers &view = m_views.at(address);
+        const std::vector<std::string> readers = view.readers(m_now);
+        return readers.empty() || m_views.at(readers.front()).self().zone == view.self().zone;
+    }
+
+    /*! @brief Returns the addresses of all processes. */
+    [[nodiscard]] std::vector<std::string> addresses() const
+    {
+        std::vector<std::string> out;
+        for (const auto &[address, view] : m_views) {
+            out.push_back(address);
+        }
+        return out;
+    }
+
     /*! @brief Keeps a process from all others, both ways, until it is joined again. */
     void cutOff(const InstanceName &instance)
     {
@@ -95,11 +148,11 @@
     }
 
     /*! @brief Returns how often the processes have worked out their view of the fleet, added up. */
-    [[nodiscard]] std::size_t surveys() const
+    [[nodiscard]] std::size_t viewsBuilt() const
     {
         std::size_t sum = 0;
         for (const auto &[address, view] : m_views) {
-            sum += view.surveys();
+            sum += view.viewsBuilt();
         }
         return sum;
     }
@@ -127,13 +180,13 @@
         return out;
     }
 
-    /*! @brief Returns the processes that any process takes for the keeper of a pool's queue. */
-    [[nodiscard]] std::set<InstanceName> keepersOf(const PoolName &pool) const
+    /*! @brief Returns the processes that any process takes for the owner of a pool's queue. */
+    [[nodiscard]] std::set<InstanceName> ownersOf(const PoolName &pool) const
     {
         std::set<InstanceName> out;
         for (const auto &[address, view] : m_views) {
-            const auto keeper = view.keeper(pool, m_now);
-            out.insert(keeper ? keeper->instance : view.self().instance);
+            const auto owner = view.owner(pool, m_now);
+            out.insert(owner ? owner->instance : view.self().instance);
         }
         return out;
     }
@@ -157,20 +210,53 @@
             || m_cutOff.contains(receiver->second.self().instance)) {
             return;
         }
-        receiver->second.heard(heartbeat(from, to), m_now);
-        m_views.at(from).heard(heartbeat(to, from), m_now);
+        deliver(from, to);
+        deliver(to, from);
+    }
+
+    void deliver(const std::string &from, const std::string &to)
+    {
+        const serving::Heartbeat told = heartbeat(from, to);
+        m_views.at(to).heard(told, m_now);
+        if (!m_bytes) {
+            return;
+        }
+        for (const engines::EngineReport &report : told.engines) {
+            m_origins[to].insert(report.origin);
+        }
+        constexpr std::size_t headBytes = 200;
+        const std::size_t bytes = peerwire::write(told).size() + headBytes;
+        (*m_bytes)[from] += bytes;
+        const bool crosses = m_views.at(from).self().zone != m_views.at(to).self().zone;
+        m_bytesBetweenZones += crosses ? bytes : 0;
     }
 
     [[nodiscard]] serving::Heartbeat heartbeat(const std::string &from, const std::string &to) const
     {
         serving::Heartbeat out;
         out.draining = m_draining.contains(m_views.at(from).self().instance);
-        out.keepsQueues = !out.draining;
+        out.ownsQueues = !out.draining;
+        if (m_bytes) {
+            out.engines.push_back(report(m_views.at(from).self().instance));
+        }
         m_views.at(from).complete(out, to, m_now);
         return out;
     }
 
+    [[nodiscard]] engines::EngineReport report(const InstanceName &origin) const
+    {
+        const engines::PromptChain chain{
+            {1234567890123456789ULL, 6000}, {2345678901234567890ULL, 300}, {3456789012345678901ULL, 2800}};
+        const auto sequence = static_cast<std::uint64_t>(m_now.time_since_epoch().count());
+        const InstanceName engine{"i-0123456789"};
+        return {origin, 1, sequence, {{engine, 3000}}, {{engine, chain, {}}, {engine, chain, {}}}};
+    }
+
     TimePoint m_now;
+    /*! @brief Bytes that each process has sent; nothing unless they are weighed. */
+    std::optional<std::map<std::string, std::size_t>> m_bytes;
+    std::size_t m_bytesBetweenZones{};
+    std::map<std::string, std::set<InstanceName>> m_origins;
     std::map<std::string, serving::Peers> m_views;
     std::set<InstanceName> m_draining;
     std::set<InstanceName> m_cutOff;
--- a/test/bergamottide/serving/peers.cpp
+++ b/test/bergamottide/serving/peers.cpp
@@ -17,7 +17,7 @@
 class ServingPeersTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ServingPeersTest);
-    CPPUNIT_TEST(processesThatSeeTheSamePeersAgreeOnTheKeeper);
+    CPPUNIT_TEST(processesThatSeeTheSamePeersAgreeOnTheOwner);
     CPPUNIT_TEST(silentPeerKeepsNoQueue);
     CPPUNIT_TEST(drainingPeerKeepsNoQueue);
     CPPUNIT_TEST(addressesOfPeersAreLearntFromPeers);
@@ -26,10 +26,10 @@
     CPPUNIT_TEST(processWithoutConfigurationSendsTasksBack);
     CPPUNIT_TEST(drainingProcessHandsItsQueueOver);
     CPPUNIT_TEST(queueIsHandedOverWhenAnotherKeepsIt);
-    CPPUNIT_TEST(taskGivenBackByAFormerKeeperIsNoSilence);
-    CPPUNIT_TEST(taskTellsOfResultsThatAnotherKeeperHadMade);
+    CPPUNIT_TEST(taskGivenBackByAFormerOwnerIsNoSilence);
+    CPPUNIT_TEST(taskTellsOfResultsThatAnotherOwnerHadMade);
     CPPUNIT_TEST(workOnItsWayToAPoolIsTold);
-    CPPUNIT_TEST(taskOfALostKeeperIsDoneHere);
+    CPPUNIT_TEST(taskOfALostOwnerIsDoneHere);
     CPPUNIT_TEST(resultsForAPeerThatLeftAreFreed);
     CPPUNIT_TEST(endpointThatVanishesWithTheListIsKeptForAWhile);
     CPPUNIT_TEST(endpointThatVanishesAfterTheListsReturnIsGone);
@@ -40,27 +40,27 @@
     CPPUNIT_TEST(endpointThatStartsAnewIsJudgedAnew);
     CPPUNIT_TEST(splitterKeepsUnfinishedEventsBack);
     CPPUNIT_TEST(splitterDropsWhatWasPassedOnAndSeesGaps);
-    CPPUNIT_TEST(strongestProcessesAreHubsAndKeepTheQueues);
+    CPPUNIT_TEST(strongestProcessesAreRelaysAndOwnTheQueues);
     CPPUNIT_TEST(heartbeatsOfAProcessDoNotGrowWithTheFleet);
-    CPPUNIT_TEST(fleetOfAnySizeAgreesOnKeepers);
+    CPPUNIT_TEST(fleetOfAnySizeAgreesOnOwners);
     CPPUNIT_TEST(generationsToldDoNotGrowWithTheFleet);
     CPPUNIT_TEST(processThatIsLostIsGoneEverywhereSoon);
-    CPPUNIT_TEST(fleetAgreesOnKeepersAfterARollingRestart);
-    CPPUNIT_TEST(unreachedKeeperIsTriedAgain);
+    CPPUNIT_TEST(fleetAgreesOnOwnersAfterARollingRestart);
+    CPPUNIT_TEST(unreachedOwnerIsTriedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void processesThatSeeTheSamePeersAgreeOnTheKeeper()
+    void processesThatSeeTheSamePeersAgreeOnTheOwner()
     {
         Peers one{{InstanceName{"a"}, "a:1"}, {}};
         Peers other{{InstanceName{"b"}, "b:1"}, {}};
-        one.setKeepsQueues(true);
-        other.setKeepsQueues(true);
+        one.setOwnsQueues(true);
+        other.setOwnsQueues(true);
         one.heard(heartbeat("b"), m_now);
         other.heard(heartbeat("a"), m_now);
         for (const char *pool : {"p1", "p2", "p3", "p4"}) {
-            const bool oneKeeps = !one.keeper(PoolName{pool}, m_now);
-            const bool otherKeeps = !other.keeper(PoolName{pool}, m_now);
+            const bool oneKeeps = !one.owner(PoolName{pool}, m_now);
+            const bool otherKeeps = !other.owner(PoolName{pool}, m_now);
             CPPUNIT_ASSERT(oneKeeps != otherKeeps);
         }
     }
@@ -93,7 +93,7 @@
         CPPUNIT_ASSERT((peers.due(m_now) == std::vector<std::string>{"b:1"}));
         Heartbeat told = heartbeat("b");
         told.roster = {{{InstanceName{"c"}, "c:1"}, true}, {{InstanceName{"a"}, "a:1"}, true}};
-        told.isHub = true;
+        told.isRelay = true;
         peers.heard(told, m_now);
         CPPUNIT_ASSERT((peers.due(m_now) == std::vector<std::string>{"c:1"}));
     }
@@ -111,11 +111,11 @@
     {
         Peers peers{{InstanceName{"a"}, "a:1"}, {}};
         Heartbeat starting = heartbeat("b");
-        starting.keepsQueues = false;
+        starting.ownsQueues = false;
         peers.heard(starting, m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peers.live(m_now).size());
         for (const char *pool : {"p1", "p2", "p3", "p4", "p5", "p6"}) {
-            CPPUNIT_ASSERT(!peers.keeper(PoolName{pool}, m_now));
+            CPPUNIT_ASSERT(!peers.owner(PoolName{pool}, m_now));
         }
     }
 
@@ -153,13 +153,13 @@
 
     void queueIsHandedOverWhenAnotherKeepsIt()
     {
-        const Heartbeat keeper = heartbeat(findKeeper().text());
+        const Heartbeat owner = heartbeat(findOwner().text());
         // The pieces of the second task wait, since the only encoder takes one call at a time.
         m_fixture.apply(PeerTaskArrived{PeerTaskNumber{1}, encoderTask("first", 8)});
         m_fixture.apply(PeerTaskArrived{PeerTaskNumber{2}, encoderTask("second", 8)});
-        m_fixture.apply(HeartbeatHeard{keeper});
+        m_fixture.apply(HeartbeatHeard{owner});
         m_fixture.pass(std::chrono::milliseconds{200});
-        m_fixture.apply(HeartbeatHeard{keeper});
+        m_fixture.apply(HeartbeatHeard{owner});
         // Not all processes have heard of the other yet.
         CPPUNIT_ASSERT(m_fixture.effect<AnswerPeerTask>() == nullptr);
         m_fixture.pass(std::chrono::milliseconds{400});
@@ -169,33 +169,33 @@
         CPPUNIT_ASSERT(moved->outcomes.empty());
     }
 
-    void taskGivenBackByAFormerKeeperIsNoSilence()
+    void taskGivenBackByAFormerOwnerIsNoSilence()
     {
-        const Heartbeat keeper = heartbeat(findKeeper().text());
-        m_fixture.apply(HeartbeatHeard{keeper});
+        const Heartbeat owner = heartbeat(findOwner().text());
+        m_fixture.apply(HeartbeatHeard{owner});
         RequestArrived arrival = m_fixture.arrival("/draft/1");
         arrival.request.pieces = {1};
         m_fixture.apply(arrival);
         const StageTaskId task = m_fixture.effect<HandTask>()->task.id;
-        Heartbeat leaves = keeper;
-        leaves.keepsQueues = false;
+        Heartbeat leaves = owner;
+        leaves.ownsQueues = false;
         m_fixture.apply(HeartbeatHeard{leaves});
-        m_fixture.apply(HandedTaskEnded{task, keeper.from.instance, {}, true});
+        m_fixture.apply(HandedTaskEnded{task, owner.from.instance, {}, true});
         // It is done here, and the peer still counts as alive.
         CPPUNIT_ASSERT(m_fixture.effect<StartStageCall>() != nullptr);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.reducer().livePeers(m_fixture.now()).size());
     }
 
-    void taskTellsOfResultsThatAnotherKeeperHadMade()
+    void taskTellsOfResultsThatAnotherOwnerHadMade()
     {
         RequestArrived arrival = m_fixture.arrival("/draft/1");
         arrival.request.pieces = {2};
         m_fixture.apply(arrival);
         const auto *call = m_fixture.effect<StartStageCall>();
         m_fixture.apply(StageCallEnded{call->call, StageCallEnd::Answered, {{"h-1", {}}, {"h-2", {}}}});
-        Heartbeat keeper = heartbeat(findKeeper().text());
-        keeper.incarnation = 7;
-        m_fixture.apply(HeartbeatHeard{keeper});
+        Heartbeat owner = heartbeat(findOwner().text());
+        owner.incarnation = 7;
+        m_fixture.apply(HeartbeatHeard{owner});
         arrival = m_fixture.arrival("/draft/2", 2);
         arrival.request.pieces = {1};
         m_fixture.apply(arrival);
@@ -220,17 +220,17 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, peers.upcoming(PoolName{"encoders"}, 0, 0, m_now));
     }
 
-    void taskOfALostKeeperIsDoneHere()
+    void taskOfALostOwnerIsDoneHere()
     {
-        const InstanceName keeper = findKeeper();
-        m_fixture.apply(HeartbeatHeard{heartbeat(keeper.text())});
+        const InstanceName owner = findOwner();
+        m_fixture.apply(HeartbeatHeard{heartbeat(owner.text())});
         RequestArrived arrival = m_fixture.arrival("/draft/1");
         arrival.request.pieces = {1};
         m_fixture.apply(arrival);
         const auto *handed = m_fixture.effect<HandTask>();
         CPPUNIT_ASSERT(handed != nullptr);
         const StageTaskId task = handed->task.id;
-        m_fixture.apply(HandedTaskEnded{task, keeper, {}});
+        m_fixture.apply(HandedTaskEnded{task, owner, {}});
         CPPUNIT_ASSERT(m_fixture.effect<StartStageCall>() != nullptr);
     }
 
@@ -368,17 +368,17 @@
         CPPUNIT_ASSERT(splitter.isBroken());
     }
 
-    void strongestProcessesAreHubsAndKeepTheQueues()
+    void strongestProcessesAreRelaysAndOwnTheQueues()
     {
         Peers weak{{InstanceName{"weak"}, "weak:1", 0.05}, {}};
-        weak.setKeepsQueues(true);
-        CPPUNIT_ASSERT(weak.isHub(m_now));
+        weak.setOwnsQueues(true);
+        CPPUNIT_ASSERT(weak.isRelay(m_now));
         Heartbeat strong = heartbeat("strong");
         strong.from.strength = 0.5;
         weak.heard(strong, m_now);
-        CPPUNIT_ASSERT(!weak.isHub(m_now));
+        CPPUNIT_ASSERT(!weak.isRelay(m_now));
         for (const char *pool : {"p1", "p2", "p3", "p4", "p5", "p6"}) {
-            CPPUNIT_ASSERT(weak.keeper(PoolName{pool}, m_now).value().instance == InstanceName{"strong"});
+            CPPUNIT_ASSERT(weak.owner(PoolName{pool}, m_now).value().instance == InstanceName{"strong"});
         }
     }
 
@@ -388,18 +388,18 @@
         fleet.run(std::chrono::seconds{4});
         const std::size_t before = fleet.sent();
         fleet.run(std::chrono::seconds{1});
-        // Each process asks two hubs five times a second, each hub the fifteen others; trials add a few.
+        // Each process asks two relays five times a second, each relay the fifteen others; trials add a few.
         const std::size_t most = 120 * 2 * 5 + 16 * 15 * 5;
         CPPUNIT_ASSERT(fleet.sent() - before <= most * 12 / 10);
     }
 
-    void fleetOfAnySizeAgreesOnKeepers()
+    void fleetOfAnySizeAgreesOnOwners()
     {
         for (const std::size_t size : {2, 5, 31, 120}) {
             Fleet fleet{size, m_now};
             fleet.run(std::chrono::seconds{4});
-            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.keepersOf(PoolName{"p1"}).size());
-            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.keepersOf(PoolName{"p2"}).size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.ownersOf(PoolName{"p1"}).size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.ownersOf(PoolName{"p2"}).size());
             CPPUNIT_ASSERT_EQUAL(size - 1, fleet.fewestLive());
         }
     }
@@ -408,27 +408,27 @@
     {
         Fleet fleet{31, m_now};
         fleet.run(std::chrono::seconds{4});
-        const InstanceName keeper = *fleet.keepersOf(PoolName{"p1"}).begin();
-        fleet.stop(keeper);
-        // The silence of 0.9 s, then one heartbeat between hubs and one to every other process.
+        const InstanceName owner = *fleet.ownersOf(PoolName{"p1"}).begin();
+        fleet.stop(owner);
+        // The silence of 0.9 s, then one heartbeat between relays and one to every other process.
         fleet.run(std::chrono::milliseconds{1600});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.keepersOf(PoolName{"p1"}).size());
-        CPPUNIT_ASSERT(*fleet.keepersOf(PoolName{"p1"}).begin() != keeper);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.ownersOf(PoolName{"p1"}).size());
+        CPPUNIT_ASSERT(*fleet.ownersOf(PoolName{"p1"}).begin() != owner);
     }
 
     void generationsToldDoNotGrowWithTheFleet()
     {
         std::map<int, std::size_t> told;
         for (const int size : {16, 32, 350}) {
-            Peers hub{{InstanceName{"hub"}, "hub:1"}, {}};
+            Peers relay{{InstanceName{"relay"}, "relay:1"}, {}};
             for (int number = 0; number < size; ++number) {
                 Heartbeat other = heartbeat("entry-" + std::to_string(number));
                 other.from.strength = 0.1;
                 other.engines.push_back({other.from.instance, 1, 1, {}, {{InstanceName{"engine"}, {}, {}}}});
-                hub.heard(other, m_now);
+                relay.heard(other, m_now);
             }
             Heartbeat out;
-            hub.complete(out, "entry-0:1", m_now);
+            relay.complete(out, "entry-0:1", m_now);
             told[size] = out.engines.size();
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{15}, told[16]);
@@ -436,7 +436,7 @@
         CPPUNIT_ASSERT(told[350] <= 4);
     }
 
-    void fleetAgreesOnKeepersAfterARollingRestart()
+    void fleetAgreesOnOwnersAfterARollingRestart()
     {
         Fleet fleet{24, m_now};
         fleet.run(std::chrono::seconds{3});
@@ -446,23 +446,23 @@
         fleet.run(std::chrono::seconds{2});
         CPPUNIT_ASSERT_EQUAL(std::size_t{23}, fleet.fewestLive());
         for (const char *pool : {"p1", "p2", "p3", "p4", "p5", "p6", "p7", "p8"}) {
-            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.keepersOf(PoolName{pool}).size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.ownersOf(PoolName{pool}).size());
         }
     }
 
-    void unreachedKeeperIsTriedAgain()
+    void unreachedOwnerIsTriedAgain()
     {
         Peers peers{{InstanceName{"weak"}, "weak:1", 0.1}, {}};
-        Heartbeat hub = heartbeat("hub");
-        hub.isHub = true;
-        hub.roster = {{{InstanceName{"keeper"}, "keeper:1"}, true}};
-        peers.heard(hub, m_now);
-        CPPUNIT_ASSERT(peers.isLive(InstanceName{"keeper"}, m_now));
-        peers.unreached(InstanceName{"keeper"}, m_now);
-        CPPUNIT_ASSERT(!peers.isLive(InstanceName{"keeper"}, m_now));
+        Heartbeat relay = heartbeat("relay");
+        relay.isRelay = true;
+        relay.roster = {{{InstanceName{"owner"}, "owner:1"}, true}};
+        peers.heard(relay, m_now);
+        CPPUNIT_ASSERT(peers.isLive(InstanceName{"owner"}, m_now));
+        peers.unreached(InstanceName{"owner"}, m_now);
+        CPPUNIT_ASSERT(!peers.isLive(InstanceName{"owner"}, m_now));
         m_now += std::chrono::seconds{1};
-        peers.heard(hub, m_now);
-        CPPUNIT_ASSERT(peers.isLive(InstanceName{"keeper"}, m_now));
+        peers.heard(relay, m_now);
+        CPPUNIT_ASSERT(peers.isLive(InstanceName{"owner"}, m_now));
     }
 
 private:
@@ -470,7 +470,7 @@
     {
         Heartbeat out;
         out.from = {InstanceName{name}, name + ":1"};
-        out.keepsQueues = true;
+        out.ownsQueues = true;
         return out;
     }
 
@@ -492,14 +492,14 @@
     }
 
     /*! @brief Returns a name that rendezvous hashing prefers to that of the fixture's process. */
-    [[nodiscard]] InstanceName findKeeper() const
+    [[nodiscard]] InstanceName findOwner() const
     {
         for (int number = 2;; ++number) {
             const std::string name = "entry-" + std::to_string(number);
             Peers peers{{InstanceName{"entry-1"}, "10.0.0.9:1"}, {}};
-            peers.setKeepsQueues(true);
+            peers.setOwnsQueues(true);
             peers.heard(heartbeat(name), m_now);
-            if (peers.keeper(PoolName{"encoders"}, m_now)) {
+            if (peers.owner(PoolName{"encoders"}, m_now)) {
                 return InstanceName{name};
             }
         }
--- a/test/bergamottide/serving/servingreducer.cpp
+++ b/test/bergamottide/serving/servingreducer.cpp
@@ -51,18 +51,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, start->inputs.size());
     }
 
-    /*! @brief The keeper of a queue tells of a wait that leaves no time; then of one that leaves enough. */
+    /*! @brief The owner of a queue tells of a wait that leaves no time; then of one that leaves enough. */
     void requestThatCannotBeOnTimeIsRefusedAtOnce()
     {
         RequestArrived arrival = m_fixture.arrival("/report/1");
         arrival.request.pieces = {1, 1};
-        m_fixture.apply(HeartbeatHeard{keeperWith(std::chrono::milliseconds{1400})});
+        m_fixture.apply(HeartbeatHeard{ownerWith(std::chrono::milliseconds{1400})});
         m_fixture.apply(arrival);
         CPPUNIT_ASSERT(refusal() == AnswerKind::Unavailable);
         // It comes back when the wait is over, but not later than a third of its time.
         CPPUNIT_ASSERT(m_fixture.effect<RefuseCaller>()->retryAfter > std::chrono::milliseconds{500});
         CPPUNIT_ASSERT(m_fixture.effect<RefuseCaller>()->retryAfter <= std::chrono::milliseconds{1000});
-        m_fixture.apply(HeartbeatHeard{keeperWith(std::chrono::milliseconds{100})});
+        m_fixture.apply(HeartbeatHeard{ownerWith(std::chrono::milliseconds{100})});
         arrival.request.call = CallId{2};
         m_fixture.apply(arrival);
         CPPUNIT_ASSERT(m_fixture.effect<RefuseCaller>() == nullptr);
@@ -305,17 +305,17 @@
     }
 
     /*! @brief A peer that keeps the queue of the encoders, where new work waits for some time. */
-    [[nodiscard]] Heartbeat keeperWith(Duration wait) const
+    [[nodiscard]] Heartbeat ownerWith(Duration wait) const
     {
         Heartbeat out;
-        out.keepsQueues = true;
+        out.ownsQueues = true;
         out.waits.push_back({PoolName{"encoders"}, 0, wait, std::chrono::milliseconds{20}, 4.0});
         for (int number = 2;; ++number) {
             out.from = {InstanceName{"entry-" + std::to_string(number)}, "10.0.0.8:1"};
             Peers peers{{InstanceName{"entry-1"}, "10.0.0.9:1"}, {}};
-            peers.setKeepsQueues(true);
+            peers.setOwnsQueues(true);
             peers.heard(out, m_fixture.now());
-            if (peers.keeper(PoolName{"encoders"}, m_fixture.now())) {
+            if (peers.owner(PoolName{"encoders"}, m_fixture.now())) {
                 return out;
             }
         }
