--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -353,6 +353,9 @@
     const Call &call = node.mapped();
     m_expiries.erase({call.expiry, event.call});
     m_reviews[call.pool].isDue = true;
+    if (event.end == StageCallEnd::Answered || event.end == StageCallEnd::Rejected) {
+        m_endpoints.answered(call.endpoint, now);
+    }
     if (event.end != StageCallEnd::Answered || event.results.size() != call.items.size()) {
         const bool rejected = event.end == StageCallEnd::Rejected;
         m_endpoints.ended(call.endpoint,
@@ -616,7 +619,10 @@
                                       {"expected_ms", absl::StrCat(call.expected.count() / 1000)},
                                       {"items", absl::StrCat(call.items.size())}}});
         noteSpeed(call, now);
-        m_endpoints.ended(call.endpoint, EndpointSign::Failed, now, effects);
+        // One that has answered nothing for so long is out of reach, or nearly so; each further call would wait as
+        // long.
+        m_endpoints.suspect(call.endpoint, call.started, now, effects);
+        m_endpoints.ended(call.endpoint, std::nullopt, now, effects);
         giveBack(call, true, now, effects);
     }
 }
--- a/test/bergamottide/serving/stagescheduler.cpp
+++ b/test/bergamottide/serving/stagescheduler.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(repeatsEndWithTheBudget);
     CPPUNIT_TEST(taskWaitsAWhileForAnEndpointOfItsZone);
     CPPUNIT_TEST(taskOfAZoneWithoutEndpointsDoesNotWait);
+    CPPUNIT_TEST(silentEndpointGetsNoFurtherCalls);
     CPPUNIT_TEST(inputsOutOfReachOfOneZoneAreFetchedByAnother);
     CPPUNIT_TEST(inputsThatAreGoneEverywhereFailTheirTask);
     CPPUNIT_TEST(brokenPathIsTriedAgainAfterAPause);
@@ -265,6 +266,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dispatch().size());
     }
 
+    /*! @brief A partition between the owner of the queue and an endpoint, whose calls are never answered. */
+    void silentEndpointGetsNoFurtherCalls()
+    {
+        m_endpoints.update({endpoint("encoder-1"), endpoint("encoder-2")}, m_now, m_effects);
+        submit(1, 8, 0, std::chrono::seconds{10});
+        const InstanceName silent = dispatch().at(0).instance;
+        m_now += std::chrono::seconds{1};
+        m_scheduler.expire(m_now, m_effects);
+        submit(2, 8, 0, std::chrono::seconds{10});
+        submit(3, 8, 0, std::chrono::seconds{10});
+        for (int round = 0; round < 3; ++round) {
+            for (const StartStageCall &call : dispatch()) {
+                CPPUNIT_ASSERT(call.instance != silent);
+                answer(call);
+            }
+        }
+    }
+
     /*! @brief A partition between two zones: the endpoint of one reports the inputs of the other as gone. */
     void inputsOutOfReachOfOneZoneAreFetchedByAnother()
     {
