--- a/src/bergamottide/serving/membershipview.cpp
+++ b/src/bergamottide/serving/membershipview.cpp
@@ -197,8 +197,8 @@
     const std::size_t ofZone = places.empty() ? 0 : (most + places.size() - 1) / places.size();
     places.clear();
     // Those beyond their zone's number come last.
-    std::ranges::stable_partition(candidates,
-                                  [&places, ofZone](const Relay &relay) { return places[relay.info.zone]++ < ofZone; });
+    std::stable_partition(candidates.begin(), candidates.end(),
+                          [&places, ofZone](const Relay &relay) { return places[relay.info.zone]++ < ofZone; });
     candidates.resize(std::min(candidates.size(), most));
     return candidates;
 }
@@ -265,7 +265,8 @@
         return;
     }
     sortByPreference(readers, m_self.instance.text());
-    std::ranges::stable_partition(readers, [this](const Relay &reader) { return reader.info.zone == m_self.zone; });
+    std::stable_partition(readers.begin(), readers.end(),
+                          [this](const Relay &reader) { return reader.info.zone == m_self.zone; });
     for (const Relay &reader : readers) {
         m_readers.push_back(reader.info.address);
     }
