--- a/test/checks/docs.py
+++ b/test/checks/docs.py
@@ -13,7 +13,7 @@
 
 
 def pages():
-    return [ROOT / "README.md", *sorted((ROOT / "docs").glob("*.md"))]
+    return [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
 
 
 def broken_links(page, text):
