Paths of results are looked up only where a fetch has failed; noting and asking are two functions

Cause: read again, each choice of an engine worked out the zones of the inputs twice, though no path had failed; a function named as a question noted a failure; giving results up kept a copy of the owners that the membership view remembers itself; two headers took in the peers where they need the heartbeat's types. Ruled out: a change of what is decided. Change: the zones are worked out where a fetch has failed only; noteFetch serves both answers; the copy is gone.

--- a/src/bergamottide/serving/callplanner.cpp
+++ b/src/bergamottide/serving/callplanner.cpp
@@ -101,8 +101,7 @@
     for (const StageOrder &order : queue) {
         const PendingTask &pending = m_tasks.at(std::get<StageTaskId>(order));
         const bool fits = pending.task.zone == endpoint.record.zone || !zones.contains(pending.task.zone);
-        const bool isReached = !m_paths.isBroken(pending.inputZones, endpoint.record.zone, now);
-        if (isReached && (fits || pending.patientUntil <= now)) {
+        if ((fits || pending.patientUntil <= now) && !m_paths.isBroken(pending.inputZones, endpoint.record.zone, now)) {
             take(pool, pending, choice);
         }
     }
--- a/src/bergamottide/serving/events.h
+++ b/src/bergamottide/serving/events.h
@@ -6,7 +6,7 @@
 #include "bergamottide/engines/promptchain.h"
 #include "bergamottide/net/http.h"
 #include "bergamottide/serving/catalog.h"
-#include "bergamottide/serving/peers.h"
+#include "bergamottide/serving/heartbeat.h"
 #include "bergamottide/serving/retrybudget.h"
 #include "bergamottide/serving/stagetask.h"
 #include "bergamottide/telemetry/logline.h"
--- a/src/bergamottide/serving/fetchpaths.cpp
+++ b/src/bergamottide/serving/fetchpaths.cpp
@@ -38,4 +38,9 @@
     });
 }
 
+bool FetchPaths::hasFailures() const noexcept
+{
+    return !m_paths.empty();
+}
+
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/fetchpaths.h
+++ b/src/bergamottide/serving/fetchpaths.h
@@ -31,6 +31,9 @@
     /*! @brief Tells if results of some of the zones cannot be fetched from another one. */
     [[nodiscard]] bool isBroken(const std::set<ZoneName> &makers, const ZoneName &taker, TimePoint now) const;
 
+    /*! @brief Tells if any fetch has failed and none on the same path has succeeded since. */
+    [[nodiscard]] bool hasFailures() const noexcept;
+
 private:
     struct Path
     {
--- a/src/bergamottide/serving/peers.cpp
+++ b/src/bergamottide/serving/peers.cpp
@@ -174,11 +174,12 @@
     m_startedAt = m_startedAt == TimePoint{} ? now : m_startedAt;
     m_isSettled = isSettled(now);
     std::vector<std::string> addresses;
-    for (const InstanceName &partner : view(now).partners()) {
+    const MembershipView &known = view(now);
+    for (const InstanceName &partner : known.partners()) {
         const std::string &address = m_peers.at(partner).info.address;
         TimePoint &askedAt = m_askedAt[address];
         // The second relay of a process tells it nothing but that it is there.
-        const bool isSecond = !view(now).isRelay() && partner != view(now).partners().front();
+        const bool isSecond = !known.isRelay() && partner != known.partners().front();
         const Duration period = isSecond ? heartbeatPeriod * 2 : heartbeatPeriod;
         if (askedAt == TimePoint{} || now - askedAt >= period - tolerance) {
             askedAt = now;
@@ -234,8 +235,8 @@
 
 void Peers::complete(Heartbeat &heartbeat, const std::string &to, TimePoint now) const
 {
-    const PeerState *receiver = view(now).atAddress(to);
     const MembershipView &known = view(now);
+    const PeerState *receiver = known.atAddress(to);
     heartbeat.from = m_self;
     heartbeat.isRelay = known.isRelay();
     heartbeat.knownDigest = receiver == nullptr ? 0 : receiver->rosterDigest;
--- a/src/bergamottide/serving/peers.h
+++ b/src/bergamottide/serving/peers.h
@@ -37,7 +37,7 @@
      */
     Peers(PeerInfo self, const std::vector<std::string> &seeds);
 
-    // A view points at the peers of its own view.
+    // A membership view points at the peers that are kept here.
     Peers(const Peers &) = delete;
     Peers &operator=(const Peers &) = delete;
     Peers(Peers &&) = default;
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -155,7 +155,9 @@
     [[nodiscard]] bool isServed(const Request &request) const;
     [[nodiscard]] std::vector<Endpoint *> candidates(const Request &request);
     [[nodiscard]] std::set<ZoneName> inputZones(const Request &request);
+    void noteFetch(const Request &request, bool isFetched);
     [[nodiscard]] bool isOutOfReach(const Request &request);
+    void eraseUnreached(std::vector<Endpoint *> &endpoints, const std::set<ZoneName> &inputs) const;
     void retryOrGiveUp(Request &request, bool mayHaveRun, AnswerKind otherwise);
     void reviewSilentRuns();
     [[nodiscard]] bool isSilent(const Request &request) const;
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -50,15 +50,8 @@
 {
     std::vector<Endpoint *> out = m_endpoints.usable(request.pool, m_now);
     const Pool *pool = request.catalog->pool(request.pool);
-    const std::set<ZoneName> zones = inputZones(request);
-    // Where no engine reaches all inputs, one is tried all the same: the paths may be whole again.
-    const bool isReached = std::ranges::any_of(out, [this, &zones](const Endpoint *endpoint) {
-        return !m_paths.isBroken(zones, endpoint->record.zone, m_now);
-    });
-    if (isReached) {
-        std::erase_if(out, [this, &zones](const Endpoint *endpoint) {
-            return m_paths.isBroken(zones, endpoint->record.zone, m_now);
-        });
+    if (m_paths.hasFailures()) {
+        eraseUnreached(out, inputZones(request));
     }
     std::erase_if(out, [this, &request, pool](const Endpoint *endpoint) {
         return !mayRunAt(request, *endpoint) || (pool != nullptr && !m_warmup.admits(*pool, *endpoint, m_now));
@@ -66,6 +59,18 @@
     return out;
 }
 
+/*! @brief Leaves out endpoints that cannot fetch inputs; where none can, one is tried all the same: the paths may be
+ * whole again. */
+void ServingReducer::eraseUnreached(std::vector<Endpoint *> &endpoints, const std::set<ZoneName> &inputs) const
+{
+    const auto isUnreached = [this, &inputs](const Endpoint *endpoint) {
+        return m_paths.isBroken(inputs, endpoint->record.zone, m_now);
+    };
+    if (!std::ranges::all_of(endpoints, isUnreached)) {
+        std::erase_if(endpoints, isUnreached);
+    }
+}
+
 /*! @brief Returns the zones in which the inputs of a request's run lie. */
 std::set<ZoneName> ServingReducer::inputZones(const Request &request)
 {
@@ -147,16 +152,21 @@
     m_effects.emplace_back(std::move(start));
 }
 
-/*! @brief Notes that an engine has not got the inputs of a request, and tells if other zones' engines may get them. */
+/*! @brief Notes whether the engine of a request has got its inputs. */
+void ServingReducer::noteFetch(const Request &request, bool isFetched)
+{
+    const bool isNews = !isFetched || m_paths.hasFailures();
+    const Endpoint *engine = isNews ? m_endpoints.find(request.endpoint) : nullptr;
+    if (engine != nullptr) {
+        m_paths.note(inputZones(request), engine->record.zone, isFetched, m_now);
+    }
+}
+
+/*! @brief Tells if the engine of a request cannot reach its inputs, so that engines of other zones may. */
 bool ServingReducer::isOutOfReach(const Request &request)
 {
     const Endpoint *engine = m_endpoints.find(request.endpoint);
-    if (engine == nullptr) {
-        return false;
-    }
-    const std::set<ZoneName> zones = inputZones(request);
-    m_paths.note(zones, engine->record.zone, false, m_now);
-    return m_paths.isBroken(zones, engine->record.zone, m_now);
+    return engine != nullptr && m_paths.isBroken(inputZones(request), engine->record.zone, m_now);
 }
 
 void ServingReducer::on(const RunAnswered &event)
@@ -182,6 +192,9 @@
     if (event.head.notExecuted) {
         m_effects.emplace_back(CancelRun{event.run});
         endRun(*request, EndpointSign::Rejected);
+        if (event.head.inputsGone) {
+            noteFetch(*request, false);
+        }
         if (event.head.inputsGone && !isOutOfReach(*request)) {
             for (StageProgress &stage : request->stages) {
                 release(stage);
@@ -194,9 +207,7 @@
     if (request->route->kind != RouteKind::Streaming || !isSuccess(event.head.status)) {
         return;
     }
-    if (const Endpoint *engine = m_endpoints.find(request->endpoint); engine != nullptr) {
-        m_paths.note(inputZones(*request), engine->record.zone, true, m_now);
-    }
+    noteFetch(*request, true);
     m_engines.began(generationOf(event.run), m_now);
     if (!request->begun) {
         m_effects.emplace_back(Observe{Metric::FirstEventSeconds,
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -284,7 +284,6 @@
 {
     std::map<std::string, std::vector<std::string>> byAddress;
     std::map<InstanceName, TellReleased> byOwner;
-    std::map<PoolName, std::optional<PeerInfo>> owners;
     for (const KeptResult &result : results) {
         if (result.handle.empty()) {
             continue;
@@ -295,12 +294,7 @@
         if (endpoint == nullptr) {
             continue;
         }
-        const PoolName &pool = endpoint->record.pool;
-        if (!owners.contains(pool)) {
-            // Who keeps a queue follows from all live peers, so it is looked up once for a pool, not for each result.
-            owners.emplace(pool, m_peers.owner(pool, m_now));
-        }
-        if (const auto &owner = owners.at(pool)) {
+        if (const auto owner = m_peers.owner(endpoint->record.pool, m_now)) {
             TellReleased &tell = byOwner[owner->instance];
             tell.peer = *owner;
             tell.handles.push_back(result.handle);
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -8,7 +8,7 @@
 #include "bergamottide/serving/endpointboard.h"
 #include "bergamottide/serving/events.h"
 #include "bergamottide/serving/fetchpaths.h"
-#include "bergamottide/serving/peers.h"
+#include "bergamottide/serving/heartbeat.h"
 #include "bergamottide/serving/pendingtask.h"
 #include "bergamottide/serving/poolload.h"
 #include "bergamottide/serving/resultroom.h"
