Test limits during an evacuation while processes restart

Ruled out: a fault; the test passes on the code as it stands. Change: the simulated fleet can evacuate engines; one test.

--- a/test/bergamottide/serving/limitfleet.cpp
+++ b/test/bergamottide/serving/limitfleet.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(limitsOfAWholePoolAreUsedBy30Processes);
     CPPUNIT_TEST(limitsOfAWholePoolAreUsedBy300Processes);
     CPPUNIT_TEST(changedAndWithdrawnLimitsTakeEffect);
+    CPPUNIT_TEST(limitsHoldDuringAnEvacuationWhileProcessesRestart);
     CPPUNIT_TEST(limitsAreUsedByProcessesWithUnequalDemand);
     CPPUNIT_TEST_SUITE_END();
 
@@ -99,6 +100,37 @@
         checkWholePool({.processes = 300, .engines = 60}, std::chrono::milliseconds{10});
     }
 
+    void limitsHoldDuringAnEvacuationWhileProcessesRestart()
+    {
+        constexpr std::size_t engines = 12;
+        ServingFleet fleet{{.processes = 6, .engines = engines}};
+        fleet.run(startTime);
+        for (std::size_t engine = 0; engine < engines; ++engine) {
+            fleet.setLimit(engine, 1.5);
+        }
+        m_namedAt = fleet.now();
+        const auto sendAndRestart = [this, &fleet](std::size_t process) {
+            fleet.restart(process, std::chrono::milliseconds{700});
+            send(fleet, std::chrono::seconds{5}, std::chrono::milliseconds{25});
+        };
+        sendAndRestart(0);
+        for (std::size_t engine = 0; engine < engines / 2; ++engine) {
+            fleet.setEvacuated(engine, true);
+        }
+        const TimePoint evacuatedAt = fleet.now();
+        sendAndRestart(1);
+        sendAndRestart(2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, arrivalsAt(fleet, 0, evacuatedAt + std::chrono::milliseconds{100}));
+        CPPUNIT_ASSERT(arrivalsAt(fleet, engines - 1, evacuatedAt) > 0);
+        for (std::size_t engine = 0; engine < engines / 2; ++engine) {
+            fleet.setEvacuated(engine, false);
+        }
+        sendAndRestart(3);
+        for (std::size_t engine = 0; engine < engines; ++engine) {
+            checkBound(fleet, engine, 1.5);
+        }
+    }
+
     void changedAndWithdrawnLimitsTakeEffect()
     {
         ServingFleet fleet{{.processes = 5, .engines = 6}};
--- a/test/support/servingfleet.cpp
+++ b/test/support/servingfleet.cpp
@@ -268,6 +268,12 @@
     m_engines[engine].limit = requestsPerSecond;
 }
 
+void ServingFleet::setEvacuated(std::size_t engine, bool isEvacuated)
+{
+    m_engines[engine].isEvacuated = isEvacuated;
+    publishEndpoints();
+}
+
 const InstanceName &ServingFleet::engineInstance(std::size_t engine) const
 {
     return m_engines[engine].instance;
@@ -350,6 +356,7 @@
         const auto engine = std::ranges::find(m_engines, instance, &Engine::instance);
         if (engine != m_engines.end()) {
             list->push_back({instance, PoolName{"engines"}, engine->address, ZoneName{"zone-0"}, 64, false});
+            list->back().isEvacuated = engine->isEvacuated;
         }
     }
     for (std::size_t process = 0; process < m_processes.size(); ++process) {
--- a/test/support/servingfleet.h
+++ b/test/support/servingfleet.h
@@ -89,6 +89,9 @@
     /*! @brief Sets the requests per second that an engine names in its responses; nothing for no limit. */
     void setLimit(std::size_t engine, std::optional<double> requestsPerSecond);
 
+    /*! @brief Evacuates an engine's availability zone, or restores it. */
+    void setEvacuated(std::size_t engine, bool isEvacuated);
+
     /*! @brief Returns the name of the instance that runs at an engine's address. */
     [[nodiscard]] const InstanceName &engineInstance(std::size_t engine) const;
 
@@ -130,6 +133,7 @@
         InstanceName instance;
         std::string address;
         bool isRunning{true};
+        bool isEvacuated{};
         std::optional<double> limit;
         /*! @brief When each process, by its incarnation, first got a response that names a limit. */
         std::map<std::uint64_t, TimePoint> toldAt;
