Send peers the changes of a roster instead of the roster

Cause: whenever one process changed, every process sent its whole roster to its relays and every relay to its followers: N entries to N receivers for each change. All processes probed each dead one twice a second with whole rosters, which hit it the moment it came back. Ruled out: sending fewer heartbeats (their number does not grow with the fleet for a process); compressing the rosters (the receivers still decode N entries a change). Change: rosters are numbered, and a peer is sent what it lacks; what it gets depends on the two roles. A roster goes only to a peer that asks for it, so that probes carry none; only relays probe, for all. A roster that is no longer sent is forgotten. Views outlive timeouts that heartbeats have put off. Peers that were alive until their relays died are kept for a minute, however long ago a roster named them. A start of all still costs each process the roster of each of the peers that it asks before it has a relay.

--- a/bench/stagequeue.cpp
+++ b/bench/stagequeue.cpp
@@ -193,7 +193,7 @@
 void answerHeartbeats(benchmark::State &state)
 {
     const auto fleet = static_cast<std::size_t>(state.range(0));
-    Peers peers{{InstanceName{"entry-0"}, "entry-0:1", 0.5}, {}};
+    Peers peers{{InstanceName{"entry-0"}, "entry-0:1", 0.5}, 1, {}};
     peers.setCanOwnQueues(true);
     TimePoint now{std::chrono::seconds{100}};
     for (std::size_t number = 1; number < fleet; ++number) {
--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -30,13 +30,17 @@
             value.at("strength").get<double>(), ZoneName{value.at("zone").get<std::string>()}};
 }
 
+/*! @brief Encodes entries as arrays: most bytes of the heartbeats of a starting fleet are rosters. */
 json toJson(const std::vector<RosterEntry> &roster)
 {
     json out = json::array();
     for (const RosterEntry &entry : roster) {
-        json item = toJson(entry.peer);
-        item["ownsQueues"] = entry.canOwnQueues;
-        out.push_back(std::move(item));
+        if (entry.isRemoved) {
+            out.push_back(json::array({entry.peer.instance.text()}));
+            continue;
+        }
+        out.push_back(json::array({entry.peer.instance.text(), entry.peer.address, entry.peer.capacity,
+                                   entry.peer.zone.text(), entry.canOwnQueues}));
     }
     return out;
 }
@@ -45,7 +49,16 @@
 {
     std::vector<RosterEntry> out;
     for (const json &item : value) {
-        out.push_back({peerFromJson(item), item.at("ownsQueues").get<bool>()});
+        RosterEntry entry;
+        entry.peer.instance = InstanceName{item.at(0).get<std::string>()};
+        entry.isRemoved = item.size() == 1;
+        if (!entry.isRemoved) {
+            entry.peer.address = item.at(1).get<std::string>();
+            entry.peer.capacity = item.at(2).get<double>();
+            entry.peer.zone = ZoneName{item.at(3).get<std::string>()};
+            entry.canOwnQueues = item.at(4).get<bool>();
+        }
+        out.push_back(std::move(entry));
     }
     return out;
 }
@@ -180,10 +193,12 @@
     out["ownsQueues"] = heartbeat.canOwnQueues;
     out["version"] = heartbeat.configVersion;
     out["isRelay"] = heartbeat.isRelay;
-    out["rosterDigest"] = heartbeat.rosterDigest;
-    out["knownDigest"] = heartbeat.acknowledgedDigest;
+    out["rosterVersion"] = heartbeat.rosterVersion;
+    out["knownRoster"] = heartbeat.acknowledgedRoster;
+    out["wantsRoster"] = heartbeat.wantsRoster;
     if (heartbeat.roster) {
-        out["roster"] = toJson(*heartbeat.roster);
+        out["rosterSince"] = heartbeat.rosterSince;
+        out["rosterChanges"] = toJson(*heartbeat.roster);
     }
     out["waits"] = json::array();
     for (const PoolWait &wait : heartbeat.waits) {
@@ -221,9 +236,11 @@
         heartbeat.canOwnQueues = value.at("ownsQueues").get<bool>();
         heartbeat.configVersion = value.at("version").get<std::uint64_t>();
         heartbeat.isRelay = value.at("isRelay").get<bool>();
-        heartbeat.rosterDigest = value.at("rosterDigest").get<std::uint64_t>();
-        heartbeat.acknowledgedDigest = value.at("knownDigest").get<std::uint64_t>();
-        if (const auto roster = value.find("roster"); roster != value.end()) {
+        heartbeat.rosterVersion = value.at("rosterVersion").get<std::uint64_t>();
+        heartbeat.acknowledgedRoster = value.at("knownRoster").get<std::uint64_t>();
+        heartbeat.wantsRoster = value.at("wantsRoster").get<bool>();
+        if (const auto roster = value.find("rosterChanges"); roster != value.end()) {
+            heartbeat.rosterSince = value.at("rosterSince").get<std::uint64_t>();
             heartbeat.roster = rosterFromJson(*roster);
         }
         for (const json &wait : value.at("waits")) {
--- a/src/bergamottide/serving/heartbeat.h
+++ b/src/bergamottide/serving/heartbeat.h
@@ -35,6 +35,8 @@
     PeerInfo peer;
     /*! @brief It has a configuration and a list of endpoints, and can own queues. */
     bool canOwnQueues{};
+    /*! @brief It is no longer listed. */
+    bool isRemoved{};
 };
 
 /*! @brief Expected wait of new work of a rank at a stage pool. */
@@ -94,11 +96,15 @@
     bool isRelay{};
     /*! @brief Version of its active configuration. */
     std::uint64_t configVersion{};
-    /*! @brief Digest of its roster for the receiver. */
-    std::uint64_t rosterDigest{};
-    /*! @brief Digest of the last roster that it received from the receiver. */
-    std::uint64_t acknowledgedDigest{};
-    /*! @brief Live peers; absent while the receiver already has the same roster. */
+    /*! @brief Version of its roster for the receiver; zero if it does not send its roster, since none is wanted. */
+    std::uint64_t rosterVersion{};
+    /*! @brief The roster contains all changes since this version; zero if it contains all entries. */
+    std::uint64_t rosterSince{};
+    /*! @brief Version of the receiver's roster that it has received. */
+    std::uint64_t acknowledgedRoster{};
+    /*! @brief The receiver is to send its roster: it is a relay of the sender, or the sender hears from none. */
+    bool wantsRoster{};
+    /*! @brief Live peers that have changed; absent while the receiver has the latest version. */
     std::optional<std::vector<RosterEntry>> roster;
     /*! @brief Waits at the pools whose queue it owns; to processes that are not relays, a relay also forwards those of
      * other relays. */
--- a/src/bergamottide/serving/membershipview.cpp
+++ b/src/bergamottide/serving/membershipview.cpp
@@ -1,6 +1,5 @@
 #include "bergamottide/serving/membershipview.h"
 
-#include <absl/strings/str_cat.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -22,15 +21,6 @@
 /*! @brief Minimum capacity of a relay, relative to the largest one: relays own the queues of the whole fleet. */
 constexpr double minRelativeRelayCapacity = 0.5;
 
-/*! @brief Returns the digest of a roster entry. The digest of a roster is their sum, so that an entry can be
- * subtracted. */
-std::uint64_t rosterEntryDigest(const PeerInfo &peer, bool canOwnQueues)
-{
-    const std::string text = absl::StrCat(peer.instance.text(), " ", peer.address, " ", peer.capacity, " ",
-                                          peer.zone.text(), " ", canOwnQueues);
-    return XXH3_64bits(text.data(), text.size());
-}
-
 /*! @brief Returns when a peer changes state unless a heartbeat arrives; the far future if it does not. */
 TimePoint nextChangeAt(const PeerState &peer, TimePoint now)
 {
@@ -57,13 +47,27 @@
 {
     collectMembers(peers, now);
     selectRelays(canOwnQueues);
-    selectPartners();
+    selectPartners(peers, now);
     selectStoreReaders();
 }
 
-bool MembershipView::isValid(TimePoint now) const noexcept
+/*
+ * Heartbeats that have arrived since the view was built put the timeouts off, so that a view outlives the timeouts
+ * known when it was built.
+ */
+bool MembershipView::isValid(TimePoint now)
 {
-    return now < m_validUntil;
+    if (now < m_validUntil) {
+        return true;
+    }
+    m_validUntil = TimePoint::max();
+    for (const auto &[peer, isUnreachable] : m_timedPeers) {
+        if (isUnreachable ? now >= peer->unreachableUntil : !peer->hasRecentHeartbeat(now)) {
+            return false;
+        }
+        m_validUntil = std::min(m_validUntil, nextChangeAt(*peer, now));
+    }
+    return true;
 }
 
 const std::vector<Member> &MembershipView::live() const noexcept
@@ -101,6 +105,16 @@
     return m_partners;
 }
 
+bool MembershipView::isPartner(const PeerState *peer) const
+{
+    return peer != nullptr && std::ranges::find(m_partners, peer->info.instance) != m_partners.end();
+}
+
+bool MembershipView::hearsRelay() const noexcept
+{
+    return m_hearsRelay;
+}
+
 const std::vector<std::string> &MembershipView::storeReaders() const noexcept
 {
     return m_storeReaders;
@@ -111,11 +125,6 @@
     return peer.zone != m_self.zone && m_relayZones.contains(peer.zone);
 }
 
-std::uint64_t MembershipView::rosterDigest(bool directOnly) const noexcept
-{
-    return directOnly ? m_directDigest : m_liveDigest;
-}
-
 const std::optional<PeerInfo> &MembershipView::queueOwner(const PoolName &pool) const
 {
     const auto found = m_ownerCache.find(pool);
@@ -136,7 +145,11 @@
     const std::map<InstanceName, RosterState> rosters = collectRosters(peers, now);
     for (const auto &[instance, peer] : peers) {
         m_allPeers.push_back(&peer);
-        m_validUntil = std::min(m_validUntil, nextChangeAt(peer, now));
+        const TimePoint changeAt = nextChangeAt(peer, now);
+        if (changeAt != TimePoint::max()) {
+            m_validUntil = std::min(m_validUntil, changeAt);
+            m_timedPeers.push_back({&peer, now < peer.unreachableUntil});
+        }
         m_peersByAddress[peer.info.address].push_back(&peer);
         const bool isDirect = peer.hasRecentHeartbeat(now);
         const auto listed = rosters.find(instance);
@@ -150,11 +163,8 @@
         }
         // A peer's own heartbeats take precedence over rosters.
         const bool canOwnQueues = isDirect ? peer.canOwnQueues : listed->second.canOwnQueues;
-        const std::uint64_t entryDigest = rosterEntryDigest(peer.info, canOwnQueues);
         m_liveIndex.emplace(&peer, m_live.size());
-        m_live.push_back({&peer, isDirect, canOwnQueues, entryDigest});
-        m_liveDigest += entryDigest;
-        m_directDigest += isDirect ? entryDigest : 0;
+        m_live.push_back({&peer, isDirect, canOwnQueues});
     }
 }
 
@@ -229,7 +239,7 @@
  * If possible, the primary relay is in the zone of this process, to limit cross-zone traffic, and the standby is in
  * another zone, so that losing all relays of one zone does not disconnect the process.
  */
-void MembershipView::selectPartners()
+void MembershipView::selectPartners(const PeerStates &peers, TimePoint now)
 {
     std::vector<Relay> local;
     std::vector<Relay> remote;
@@ -246,7 +256,9 @@
     }
     local.insert(local.end(), remote.begin(), remote.end());
     for (const Relay &relay : local) {
+        const PeerState &peer = peers.at(relay.info.instance);
         m_partners.push_back(relay.info.instance);
+        m_hearsRelay = m_hearsRelay || (peer.isRelay && peer.hasRecentHeartbeat(now));
     }
 }
 
--- a/src/bergamottide/serving/membershipview.h
+++ b/src/bergamottide/serving/membershipview.h
@@ -25,8 +25,8 @@
     std::uint64_t incarnation{};
     /*! @brief Time of its last heartbeat; the epoch if it is known only from rosters. */
     TimePoint lastHeartbeatAt{};
-    /*! @brief When a roster last contained it; the epoch if none has. */
-    TimePoint lastReportedAt{};
+    /*! @brief When a roster first named it, or it was last alive; the epoch if neither has been. */
+    TimePoint lastKnownAt{};
     bool draining{};
     bool canOwnQueues{};
     bool isRelay{};
@@ -34,10 +34,12 @@
     TimePoint unreachableUntil{};
     /*! @brief Its last roster: peers, and whether each can own queues. */
     std::map<InstanceName, bool> roster;
-    /*! @brief Digest that it sent with its last roster. */
-    std::uint64_t rosterDigest{};
-    /*! @brief Digest of the last roster that it received from this process. */
-    std::uint64_t acknowledgedDigest{};
+    /*! @brief Version of its roster that this process has received. */
+    std::uint64_t rosterVersion{};
+    /*! @brief Version of this process's roster that it has received. */
+    std::uint64_t acknowledgedRoster{};
+    /*! @brief It asks for the roster of this process. */
+    bool wantsRoster{};
     /*! @brief Version of its gossip that this process has received. */
     std::uint64_t gossipVersion{};
     /*! @brief Version of this process's gossip that it has received. */
@@ -58,8 +60,6 @@
     /*! @brief Its own heartbeats arrive here; otherwise it is known from relays. */
     bool isDirect{};
     bool canOwnQueues{};
-    /*! @brief Digest of its roster entry. */
-    std::uint64_t entryDigest{};
 };
 
 /**
@@ -80,7 +80,7 @@
     MembershipView(const PeerInfo &self, bool canOwnQueues, const PeerStates &peers, TimePoint now);
 
     /*! @brief Returns whether no timeout has changed the state of a peer since the view was built. */
-    [[nodiscard]] bool isValid(TimePoint now) const noexcept;
+    [[nodiscard]] bool isValid(TimePoint now);
 
     /*! @brief Returns the live peers that do not drain, ordered by name. */
     [[nodiscard]] const std::vector<Member> &live() const noexcept;
@@ -104,6 +104,12 @@
      */
     [[nodiscard]] const std::vector<InstanceName> &partners() const noexcept;
 
+    /*! @brief Returns whether a peer is one of those with which this process exchanges heartbeats. */
+    [[nodiscard]] bool isPartner(const PeerState *peer) const;
+
+    /*! @brief Returns whether heartbeats of a relay of this process arrive here. */
+    [[nodiscard]] bool hearsRelay() const noexcept;
+
     /*!
      * @brief Returns the addresses of the peers that read the platform's store for this process, best first.
      *
@@ -114,12 +120,6 @@
     /*! @brief Returns whether a peer that is not a relay has its primary relay in another zone than this process. */
     [[nodiscard]] bool isServedByOtherRelay(const PeerInfo &peer) const;
 
-    /*!
-     * @brief Returns the digest of the roster.
-     * @param directOnly Whether to include only peers whose heartbeats arrive here.
-     */
-    [[nodiscard]] std::uint64_t rosterDigest(bool directOnly) const noexcept;
-
     /*! @brief Returns the owner of a pool's queue; nothing if this process owns it. */
     [[nodiscard]] const std::optional<PeerInfo> &queueOwner(const PoolName &pool) const;
 
@@ -146,14 +146,23 @@
     [[nodiscard]] static std::vector<Relay> selectAcrossZones(std::vector<Relay> candidates, std::string_view key,
                                                               std::size_t limit);
     void selectRelays(bool canOwnQueues);
-    void selectPartners();
+    void selectPartners(const PeerStates &peers, TimePoint now);
     void selectStoreReaders();
     [[nodiscard]] static std::map<InstanceName, RosterState> collectRosters(const PeerStates &peers, TimePoint now);
     [[nodiscard]] std::optional<PeerInfo> selectOwner(const PoolName &pool) const;
     [[nodiscard]] std::uint32_t computeShare(const std::string &key, std::uint32_t units) const;
 
+    /*! @brief A peer whose state changes with time alone. */
+    struct TimedPeer
+    {
+        const PeerState *peer{};
+        bool isUnreachable{};
+    };
+
     PeerInfo m_self;
+    /*! @brief Earliest time at which a peer may change state. */
     TimePoint m_validUntil{TimePoint::max()};
+    std::vector<TimedPeer> m_timedPeers;
     /*! @brief All known peers, dead ones included. */
     std::vector<const PeerState *> m_allPeers;
     std::vector<Member> m_live;
@@ -165,10 +174,9 @@
     std::vector<Relay> m_relays;
     std::set<ZoneName> m_relayZones;
     std::vector<InstanceName> m_partners;
+    bool m_hearsRelay{};
     std::vector<std::string> m_storeReaders;
     bool m_isRelay{};
-    std::uint64_t m_liveDigest{};
-    std::uint64_t m_directDigest{};
     /*! @brief Results of earlier lookups. */
     mutable std::map<PoolName, std::optional<PeerInfo>> m_ownerCache;
     mutable std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> m_shareCache;
--- a/src/bergamottide/serving/peers.cpp
+++ b/src/bergamottide/serving/peers.cpp
@@ -30,6 +30,14 @@
 /*! @brief Maximum number of forwarded prompts in a heartbeat; scaled down like maxReports. */
 constexpr std::size_t maxPrompts = 128;
 
+RosterKind rosterKind(bool fromRelay, bool toRelay)
+{
+    if (!fromRelay) {
+        return RosterKind::Introduction;
+    }
+    return toRelay ? RosterKind::Direct : RosterKind::Complete;
+}
+
 /*! @brief Returns a report with its remaining times reduced by its age. */
 engines::EngineReport ageReport(engines::EngineReport report, Duration age)
 {
@@ -41,8 +49,9 @@
 
 } // namespace
 
-Peers::Peers(PeerInfo self, const std::vector<std::string> &seeds)
+Peers::Peers(PeerInfo self, std::uint64_t incarnation, const std::vector<std::string> &seeds)
     : m_self{std::move(self)}
+    , m_roster{incarnation}
 {
     addSeeds(seeds);
 }
@@ -70,7 +79,7 @@
     m_lastDiscoveredAt = isNew ? now : m_lastDiscoveredAt;
     const bool isChanged = isNew || !peer.hasRecentHeartbeat(now) || peer.info != heartbeat.from
         || peer.draining != heartbeat.draining || peer.canOwnQueues != heartbeat.canOwnQueues
-        || peer.isRelay != heartbeat.isRelay || heartbeat.roster;
+        || peer.isRelay != heartbeat.isRelay;
     if (isChanged) {
         m_view.reset();
     }
@@ -81,7 +90,8 @@
     peer.canOwnQueues = heartbeat.canOwnQueues;
     peer.isRelay = heartbeat.isRelay;
     peer.unreachableUntil = {};
-    peer.acknowledgedDigest = heartbeat.acknowledgedDigest;
+    peer.acknowledgedRoster = heartbeat.acknowledgedRoster;
+    peer.wantsRoster = heartbeat.wantsRoster;
     // After a restart, the first changes may follow on what the predecessor of this process had received.
     if (heartbeat.gossipSince <= peer.gossipVersion) {
         peer.gossipVersion = heartbeat.gossipVersion;
@@ -91,8 +101,13 @@
     peer.upcoming = heartbeat.upcoming;
     mergeReports(heartbeat, now);
     m_lastSentAt.try_emplace(heartbeat.from.address, TimePoint{});
-    if (heartbeat.roster) {
-        mergeRoster(heartbeat, peer, now);
+    const bool isOutdated = heartbeat.rosterVersion == 0 && !peer.roster.empty();
+    if (isOutdated) {
+        peer.roster.clear();
+        peer.rosterVersion = 0;
+    }
+    if (isOutdated || (heartbeat.roster && mergeRoster(heartbeat, peer, now))) {
+        m_view.reset();
     }
 }
 
@@ -114,25 +129,40 @@
     }
 }
 
-void Peers::mergeRoster(const Heartbeat &heartbeat, PeerState &reporter, TimePoint now)
+/*! @brief Applies a roster, and returns whether it may have changed the membership. */
+bool Peers::mergeRoster(const Heartbeat &heartbeat, PeerState &reporter, TimePoint now)
 {
-    reporter.roster.clear();
-    reporter.rosterDigest = heartbeat.rosterDigest;
+    const bool isComplete = heartbeat.rosterSince == 0;
+    // Changes that are older than what has been received, or that leave a gap, are not applied.
+    const bool isNext =
+        heartbeat.rosterSince <= reporter.rosterVersion && reporter.rosterVersion < heartbeat.rosterVersion;
+    if (!isComplete && !isNext) {
+        return false;
+    }
+    reporter.rosterVersion = heartbeat.rosterVersion;
+    if (isComplete) {
+        reporter.roster.clear();
+    }
     for (const RosterEntry &entry : *heartbeat.roster) {
         if (entry.peer.instance == m_self.instance) {
             continue;
         }
+        if (entry.isRemoved) {
+            reporter.roster.erase(entry.peer.instance);
+            continue;
+        }
         reporter.roster[entry.peer.instance] = entry.canOwnQueues;
         m_lastSentAt.try_emplace(entry.peer.address, TimePoint{});
         const auto [found, isNew] = m_peers.try_emplace(entry.peer.instance);
         PeerState &peer = found->second;
-        peer.lastReportedAt = now;
+        peer.lastKnownAt = now;
         m_lastDiscoveredAt = isNew ? now : m_lastDiscoveredAt;
         // A peer's own heartbeats take precedence over rosters.
         if (isNew || !peer.hasRecentHeartbeat(now)) {
             peer.info = entry.peer;
         }
     }
+    return isComplete || !heartbeat.roster->empty();
 }
 
 void Peers::setCanOwnQueues(bool canOwnQueues) noexcept
@@ -152,14 +182,20 @@
 
 /*
  * Peers known only from a roster are kept for the same time: at the start of a large fleet a process may know only
- * peers that are not relays, and has to probe those that they report.
+ * peers that are not relays, and has to probe those that they report. If all relays of a process die at once, it still
+ * knows the other processes.
  */
 void Peers::removeExpiredPeers(TimePoint now)
 {
+    const MembershipView *membership = &view(now);
     for (auto next = m_peers.begin(); next != m_peers.end();) {
         const auto present = next++;
-        const PeerState &peer = present->second;
-        if (now - std::max(peer.lastHeartbeatAt, peer.lastReportedAt) <= peerExpiry || isLive(present->first, now)) {
+        PeerState &peer = present->second;
+        if (membership->isAlive(&peer)) {
+            peer.lastKnownAt = now;
+            continue;
+        }
+        if (now - std::max(peer.lastHeartbeatAt, peer.lastKnownAt) <= peerExpiry) {
             continue;
         }
         if (!m_seeds.contains(peer.info.address)) {
@@ -167,6 +203,7 @@
         }
         m_peers.erase(present);
         m_view.reset();
+        membership = &view(now);
     }
 }
 
@@ -189,7 +226,9 @@
             addresses.push_back(address);
         }
     }
-    if (m_lastProbedAt != TimePoint{} && now - m_lastProbedAt < probePeriod) {
+    // Relays probe lost peers for all; otherwise each lost peer would be probed by the whole fleet.
+    const bool isProbing = membership.isRelay() || !membership.hearsRelay();
+    if (!isProbing || (m_lastProbedAt != TimePoint{} && now - m_lastProbedAt < probePeriod)) {
         return addresses;
     }
     m_lastProbedAt = now;
@@ -241,7 +280,8 @@
     const PeerState *receiver = membership.findByAddress(to);
     heartbeat.from = m_self;
     heartbeat.isRelay = membership.isRelay();
-    heartbeat.acknowledgedDigest = receiver == nullptr ? 0 : receiver->rosterDigest;
+    heartbeat.acknowledgedRoster = receiver == nullptr ? 0 : receiver->rosterVersion;
+    heartbeat.wantsRoster = membership.isPartner(receiver) || !membership.hearsRelay();
     heartbeat.acknowledgedGossip = receiver == nullptr ? 0 : receiver->gossipVersion;
     addRoster(heartbeat, receiver, now);
     if (!heartbeat.isRelay) {
@@ -326,25 +366,28 @@
 }
 
 /*
- * Relays list to each other only the peers that send them heartbeats. Otherwise a dead peer would stay alive because
- * each relay repeats the roster of the other.
+ * A process that restarts is probed by others before it has learnt of them; the probes carry no roster, so that they
+ * do not overload it.
  */
 void Peers::addRoster(Heartbeat &heartbeat, const PeerState *receiver, TimePoint now) const
 {
     const MembershipView &membership = view(now);
-    const bool toRelay = receiver != nullptr && receiver->isRelay && membership.isRelay();
-    heartbeat.rosterDigest = membership.rosterDigest(toRelay);
-    if (const Member *member = membership.find(receiver); member != nullptr) {
-        heartbeat.rosterDigest -= toRelay && !member->isDirect ? 0 : member->entryDigest;
+    const bool isProbe = receiver == nullptr || !receiver->hasRecentHeartbeat(now);
+    const bool isIntroduced = !membership.isRelay() && membership.isPartner(receiver);
+    if (isProbe || (!receiver->wantsRoster && !isIntroduced)) {
+        return;
     }
-    if (receiver != nullptr && receiver->acknowledgedDigest == heartbeat.rosterDigest) {
+    const RosterKind kind = rosterKind(membership.isRelay(), receiver->isRelay);
+    heartbeat.rosterVersion = m_roster.version(kind);
+    heartbeat.rosterSince = m_roster.sendSince(kind, receiver->acknowledgedRoster);
+    if (heartbeat.rosterSince == heartbeat.rosterVersion) {
         return;
     }
-    heartbeat.roster.emplace();
-    for (const Member &member : membership.live()) {
-        if (member.peer != receiver && (member.isDirect || !toRelay)) {
-            heartbeat.roster->push_back({member.peer->info, member.canOwnQueues});
-        }
+    heartbeat.roster = m_roster.changesSince(kind, heartbeat.rosterSince);
+    if (kind == RosterKind::Introduction) {
+        std::erase_if(*heartbeat.roster, [receiver](const RosterEntry &entry) {
+            return entry.isRemoved || receiver->roster.contains(entry.peer.instance);
+        });
     }
 }
 
@@ -357,10 +400,21 @@
     if (!m_view || !m_view->isValid(now)) {
         ++m_viewsBuilt;
         m_view = std::make_unique<MembershipView>(m_self, m_canOwnQueues, m_peers, now);
+        updateRoster();
     }
     return *m_view;
 }
 
+void Peers::updateRoster() const
+{
+    std::vector<Roster::LivePeer> live;
+    live.reserve(m_view->live().size());
+    for (const Member &member : m_view->live()) {
+        live.push_back({&member.peer->info, member.canOwnQueues, member.isDirect});
+    }
+    m_roster.update(live);
+}
+
 std::vector<std::string> Peers::storeReaders(TimePoint now) const
 {
     return view(now).storeReaders();
--- a/src/bergamottide/serving/peers.h
+++ b/src/bergamottide/serving/peers.h
@@ -4,6 +4,7 @@
 #include "bergamottide/core/time.h"
 #include "bergamottide/serving/heartbeat.h"
 #include "bergamottide/serving/membershipview.h"
+#include "bergamottide/serving/roster.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -33,9 +34,10 @@
     /**
      * @brief Creates a membership that contains only this process.
      * @param self This process.
+     * @param incarnation Random number of this start of the process.
      * @param seeds Addresses of peers to contact first; they may be out of date.
      */
-    Peers(PeerInfo self, const std::vector<std::string> &seeds);
+    Peers(PeerInfo self, std::uint64_t incarnation, const std::vector<std::string> &seeds);
 
     // The cached membership view points into the peer table.
     Peers(const Peers &) = delete;
@@ -156,11 +158,12 @@
 
     void addRelayedWork(Heartbeat &heartbeat, const PeerState *receiver, TimePoint now) const;
     void addRelayedReports(Heartbeat &heartbeat, const PeerState *receiver, TimePoint now) const;
-    void mergeRoster(const Heartbeat &heartbeat, PeerState &reporter, TimePoint now);
+    [[nodiscard]] bool mergeRoster(const Heartbeat &heartbeat, PeerState &reporter, TimePoint now);
     void removeExpiredPeers(TimePoint now);
     [[nodiscard]] std::vector<std::string> probeTargets(TimePoint now) const;
     void mergeReports(const Heartbeat &heartbeat, TimePoint now);
     [[nodiscard]] const MembershipView &view(TimePoint now) const;
+    void updateRoster() const;
     void addRoster(Heartbeat &heartbeat, const PeerState *receiver, TimePoint now) const;
 
     PeerInfo m_self;
@@ -182,6 +185,8 @@
     bool m_isDiscoveryFinished{};
     /*! @brief Cached view; null after a change of the peers. */
     mutable std::unique_ptr<MembershipView> m_view;
+    /*! @brief Follows the view. */
+    mutable Roster m_roster;
     mutable std::size_t m_viewsBuilt{};
 };
 
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -42,7 +42,7 @@
 ServingReducer::ServingReducer(const ServingOptions &options)
     : m_retryBudget{options.retries}
     , m_regions{options.regions}
-    , m_peers{options.self, options.seeds}
+    , m_peers{options.self, options.incarnation, options.seeds}
     , m_rateLimiter{[this](const InstanceName &endpoint, std::uint32_t requests, TimePoint now) {
         return m_peers.share(endpoint.text(), requests, now);
     }}
--- a/test/bergamottide/serving/largefleet.cpp
+++ b/test/bergamottide/serving/largefleet.cpp
@@ -26,6 +26,10 @@
     CPPUNIT_TEST(workReportedByRelayIsAggregated);
     CPPUNIT_TEST(workOfWholeFleetIsSummed);
     CPPUNIT_TEST(rosterIsSentOnceToEachPeer);
+    CPPUNIT_TEST(changeOfOneProcessIsSentAsOneEntry);
+    CPPUNIT_TEST(changeOfOneProcessIsSentAsOneEntryAtTwiceTheSize);
+    CPPUNIT_TEST(startOfWholeFleetSendsEachEntryAFewTimes);
+    CPPUNIT_TEST(peersOutliveTheRelaysThatListThem);
     CPPUNIT_TEST(largeFleetDiscoversAllPeers);
     CPPUNIT_TEST(fewProcessesReadThePlatform);
     CPPUNIT_TEST(processPrefersReadersOfOwnZone);
@@ -55,7 +59,7 @@
 
     void viewExpiresWithPeerTimeout()
     {
-        Peers peers{{InstanceName{"a"}, "a:1"}, {}};
+        Peers peers{{InstanceName{"a"}, "a:1"}, 1, {}};
         peers.handleHeartbeat(heartbeat("b"), m_now);
         peers.handleHeartbeat(heartbeat("c"), m_now + std::chrono::milliseconds{500});
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, peers.liveCount(m_now + std::chrono::milliseconds{899}));
@@ -65,7 +69,7 @@
 
     void viewFollowsPeerState()
     {
-        Peers peers{{InstanceName{"a"}, "a:1"}, {}};
+        Peers peers{{InstanceName{"a"}, "a:1"}, 1, {}};
         Heartbeat other = heartbeat("b");
         peers.handleHeartbeat(other, m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peers.liveCount(m_now));
@@ -117,7 +121,7 @@
 
     void workReportedByRelayIsAggregated()
     {
-        Peers relay{{InstanceName{"relay"}, "relay:1", 0.5}, {}};
+        Peers relay{{InstanceName{"relay"}, "relay:1", 0.5}, 1, {}};
         for (int number = 0; number < 103; ++number) {
             Heartbeat other = heartbeat("entry-" + std::to_string(number));
             other.from.capacity = number % 7 == 0 ? 0.5 : 0.1;
@@ -135,7 +139,7 @@
 
     void workOfWholeFleetIsSummed()
     {
-        Peers relay{{InstanceName{"relay"}, "relay:1", 0.5}, {}};
+        Peers relay{{InstanceName{"relay"}, "relay:1", 0.5}, 1, {}};
         Heartbeat leaf = heartbeat("leaf");
         leaf.from.capacity = 0.1;
         leaf.upcoming.push_back({PoolName{"encoders"}, 1, 4});
@@ -157,8 +161,8 @@
 
     void rosterIsSentOnceToEachPeer()
     {
-        Peers one{{InstanceName{"one"}, "one:1", 0.5}, {}};
-        Peers two{{InstanceName{"two"}, "two:1", 0.5}, {}};
+        Peers one{{InstanceName{"one"}, "one:1", 0.5}, 1, {}};
+        Peers two{{InstanceName{"two"}, "two:1", 0.5}, 1, {}};
         one.handleHeartbeat(heartbeat("three"), m_now);
         exchange(two, one);
         CPPUNIT_ASSERT(exchange(one, two));
@@ -169,6 +173,51 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, two.liveCount(m_now));
     }
 
+    /*! @brief Replays a rolling restart: with complete rosters, each change cost the square of the fleet's size. */
+    void changeOfOneProcessIsSentAsOneEntry()
+    {
+        checkEntriesOfRestart(357);
+    }
+
+    void changeOfOneProcessIsSentAsOneEntryAtTwiceTheSize()
+    {
+        checkEntriesOfRestart(714);
+    }
+
+    void startOfWholeFleetSendsEachEntryAFewTimes()
+    {
+        constexpr std::size_t size = 357;
+        // From two relays, while the relays change and the processes become ready.
+        constexpr std::size_t maxCopies = 16;
+        PeerFleet fleet{size, m_now};
+        fleet.run(std::chrono::seconds{4});
+        CPPUNIT_ASSERT_EQUAL(size - 1, fleet.minLiveCount());
+        CPPUNIT_ASSERT(fleet.rosterEntriesReceived() <= size * size * maxCopies);
+    }
+
+    void peersOutliveTheRelaysThatListThem()
+    {
+        Peers peers{{InstanceName{"weak"}, "weak:1", 0.1}, 1, {"seed:1"}};
+        Heartbeat relay = heartbeat("relay");
+        relay.isRelay = true;
+        relay.rosterVersion = 1;
+        relay.roster = {{{InstanceName{"listed"}, "listed:1", 0.5}, true}};
+        for (int beat = 0; beat < 700; ++beat) {
+            peers.handleHeartbeat(relay, m_now);
+            relay.roster.reset();
+            static_cast<void>(peers.takeDueAddresses(m_now));
+            m_now += heartbeatPeriod;
+        }
+        // The relay is dead for a few seconds, minutes after it has listed the other process.
+        std::set<std::string> probed;
+        for (int beat = 0; beat < 20; ++beat) {
+            const std::vector<std::string> due = peers.takeDueAddresses(m_now);
+            probed.insert(due.begin(), due.end());
+            m_now += heartbeatPeriod;
+        }
+        CPPUNIT_ASSERT(probed.contains("listed:1"));
+    }
+
     void largeFleetDiscoversAllPeers()
     {
         PeerFleet fleet{350, m_now};
@@ -259,6 +308,22 @@
     }
 
 private:
+    void checkEntriesOfRestart(std::size_t size)
+    {
+        // It drains, leaves and returns; two relays of each process tell of each, and some relays change.
+        constexpr std::size_t maxEntriesPerProcess = 20;
+        PeerFleet fleet{size, m_now};
+        fleet.run(std::chrono::seconds{4});
+        const std::size_t before = fleet.rosterEntriesReceived();
+        fleet.run(std::chrono::seconds{2});
+        CPPUNIT_ASSERT_EQUAL(before, fleet.rosterEntriesReceived());
+        fleet.restart(InstanceName{"entry-7"}, std::chrono::seconds{2}, std::chrono::seconds{2});
+        fleet.run(std::chrono::seconds{2});
+        CPPUNIT_ASSERT_EQUAL(size - 1, fleet.minLiveCount());
+        // The restarted process itself gets a complete roster from each of its relays.
+        CPPUNIT_ASSERT(fleet.rosterEntriesReceived() - before <= size * maxEntriesPerProcess);
+    }
+
     [[nodiscard]] static Heartbeat heartbeat(const std::string &name)
     {
         Heartbeat out;
--- a/test/bergamottide/serving/peerfleet.h
+++ b/test/bergamottide/serving/peerfleet.h
@@ -32,7 +32,7 @@
             const std::string name = "entry-" + std::to_string(index);
             const serving::PeerInfo self{InstanceName{name}, name + ":1", index % 4 == 0 ? 0.5 : 0.1,
                                          ZoneName{"zone-" + std::to_string(index % 3)}};
-            m_processes.emplace(name + ":1", serving::Peers{self, {"entry-0:1", "entry-1:1", "gone:1"}});
+            m_processes.emplace(name + ":1", startProcess(self));
             m_processes.at(name + ":1").setCanOwnQueues(true);
         }
     }
@@ -59,7 +59,7 @@
         const serving::PeerInfo self = m_processes.at(instance.text() + ":1").self();
         stop(instance);
         run(down);
-        m_processes.emplace(self.address, serving::Peers{self, {"entry-0:1", "entry-1:1", "gone:1"}});
+        m_processes.emplace(self.address, startProcess(self));
         m_processes.at(self.address).setCanOwnQueues(true);
     }
 
@@ -201,7 +201,18 @@
         return minimum;
     }
 
+    /*! @brief Returns the number of roster entries in all heartbeats received. */
+    [[nodiscard]] std::size_t rosterEntriesReceived() const noexcept
+    {
+        return m_rosterEntriesReceived;
+    }
+
 private:
+    [[nodiscard]] serving::Peers startProcess(const serving::PeerInfo &self)
+    {
+        return serving::Peers{self, ++m_lastIncarnation * incarnationStep, {"entry-0:1", "entry-1:1", "gone:1"}};
+    }
+
     void exchange(const std::string &from, const std::string &to)
     {
         ++m_heartbeatsSent;
@@ -218,6 +229,7 @@
     {
         const serving::Heartbeat message = heartbeat(from, to);
         m_processes.at(to).handleHeartbeat(message, m_now);
+        m_rosterEntriesReceived += message.roster ? message.roster->size() : 0;
         if (!m_bytesSent) {
             return;
         }
@@ -252,7 +264,12 @@
         return {origin, 1, sequence, {{engine, 3000}}, {{engine, chain, {}}, {engine, chain, {}}}};
     }
 
+    /*! @brief Distance between the incarnations of processes; larger than the number of changes that one counts. */
+    static constexpr std::uint64_t incarnationStep = 1U << 20U;
+
     TimePoint m_now;
+    std::uint64_t m_lastIncarnation{};
+    std::size_t m_rosterEntriesReceived{};
     /*! @brief Bytes sent by each process; nothing unless traffic is recorded. */
     std::optional<std::map<std::string, std::size_t>> m_bytesSent;
     std::size_t m_crossZoneBytes{};
--- a/test/bergamottide/serving/peers.cpp
+++ b/test/bergamottide/serving/peers.cpp
@@ -52,8 +52,8 @@
 public:
     void processesWithSamePeersAgreeOnQueueOwner()
     {
-        Peers one{{InstanceName{"a"}, "a:1"}, {}};
-        Peers other{{InstanceName{"b"}, "b:1"}, {}};
+        Peers one{{InstanceName{"a"}, "a:1"}, 1, {}};
+        Peers other{{InstanceName{"b"}, "b:1"}, 1, {}};
         one.setCanOwnQueues(true);
         other.setCanOwnQueues(true);
         one.handleHeartbeat(heartbeat("b"), m_now);
@@ -67,7 +67,7 @@
 
     void silentPeerIsNotLive()
     {
-        Peers peers{{InstanceName{"a"}, "a:1"}, {}};
+        Peers peers{{InstanceName{"a"}, "a:1"}, 1, {}};
         peers.handleHeartbeat(heartbeat("b"), m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peers.live(m_now).size());
         CPPUNIT_ASSERT(peers.live(m_now + std::chrono::seconds{1}).empty());
@@ -79,7 +79,7 @@
 
     void drainingPeerTakesNoWorkButIsLive()
     {
-        Peers peers{{InstanceName{"a"}, "a:1"}, {}};
+        Peers peers{{InstanceName{"a"}, "a:1"}, 1, {}};
         Heartbeat draining = heartbeat("b");
         draining.draining = true;
         peers.handleHeartbeat(draining, m_now);
@@ -89,7 +89,7 @@
 
     void addressesAreLearntFromRoster()
     {
-        Peers peers{{InstanceName{"a"}, "a:1"}, {"b:1", "a:1"}};
+        Peers peers{{InstanceName{"a"}, "a:1"}, 1, {"b:1", "a:1"}};
         CPPUNIT_ASSERT((peers.takeDueAddresses(m_now) == std::vector<std::string>{"b:1"}));
         Heartbeat report = heartbeat("b");
         report.roster = {{{InstanceName{"c"}, "c:1"}, true}, {{InstanceName{"a"}, "a:1"}, true}};
@@ -100,7 +100,7 @@
 
     void addressOfRemovedPeerIsNotProbed()
     {
-        Peers peers{{InstanceName{"a"}, "a:1"}, {"b:1"}};
+        Peers peers{{InstanceName{"a"}, "a:1"}, 1, {"b:1"}};
         peers.handleHeartbeat(heartbeat("b"), m_now);
         peers.handleHeartbeat(heartbeat("c"), m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, peers.takeDueAddresses(m_now).size());
@@ -109,7 +109,7 @@
 
     void peerWithoutConfigurationOwnsNoQueue()
     {
-        Peers peers{{InstanceName{"a"}, "a:1"}, {}};
+        Peers peers{{InstanceName{"a"}, "a:1"}, 1, {}};
         Heartbeat starting = heartbeat("b");
         starting.canOwnQueues = false;
         peers.handleHeartbeat(starting, m_now);
@@ -214,7 +214,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, report.upcoming.size());
         CPPUNIT_ASSERT(report.upcoming.front().pool == PoolName{"rerankers"});
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, report.upcoming.front().pieces);
-        Peers peers{{InstanceName{"a"}, "a:1"}, {}};
+        Peers peers{{InstanceName{"a"}, "a:1"}, 1, {}};
         peers.handleHeartbeat(report, m_now);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, peers.upcomingPieces(PoolName{"rerankers"}, 0, 0, m_now));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, peers.upcomingPieces(PoolName{"encoders"}, 0, 0, m_now));
@@ -371,7 +371,7 @@
 
     void strongestProcessesAreRelaysAndOwnQueues()
     {
-        Peers weak{{InstanceName{"weak"}, "weak:1", 0.05}, {}};
+        Peers weak{{InstanceName{"weak"}, "weak:1", 0.05}, 1, {}};
         weak.setCanOwnQueues(true);
         CPPUNIT_ASSERT(weak.isRelay(m_now));
         Heartbeat strong = heartbeat("strong");
@@ -421,7 +421,7 @@
     {
         std::map<int, std::size_t> reportCount;
         for (const int size : {16, 32, 350}) {
-            Peers relay{{InstanceName{"relay"}, "relay:1"}, {}};
+            Peers relay{{InstanceName{"relay"}, "relay:1"}, 1, {}};
             for (int number = 0; number < size; ++number) {
                 Heartbeat other = heartbeat("entry-" + std::to_string(number));
                 other.from.capacity = 0.1;
@@ -453,9 +453,10 @@
 
     void unreachableOwnerIsRetried()
     {
-        Peers peers{{InstanceName{"weak"}, "weak:1", 0.1}, {}};
+        Peers peers{{InstanceName{"weak"}, "weak:1", 0.1}, 1, {}};
         Heartbeat relay = heartbeat("relay");
         relay.isRelay = true;
+        relay.rosterVersion = 1;
         relay.roster = {{{InstanceName{"owner"}, "owner:1"}, true}};
         peers.handleHeartbeat(relay, m_now);
         CPPUNIT_ASSERT(peers.isLive(InstanceName{"owner"}, m_now));
@@ -497,7 +498,7 @@
     {
         for (int number = 2;; ++number) {
             const std::string name = "entry-" + std::to_string(number);
-            Peers peers{{InstanceName{"entry-1"}, "10.0.0.9:1"}, {}};
+            Peers peers{{InstanceName{"entry-1"}, "10.0.0.9:1"}, 1, {}};
             peers.setCanOwnQueues(true);
             peers.handleHeartbeat(heartbeat(name), m_now);
             if (peers.queueOwner(PoolName{"encoders"}, m_now)) {
--- a/test/bergamottide/serving/servingreducer.cpp
+++ b/test/bergamottide/serving/servingreducer.cpp
@@ -313,7 +313,7 @@
         out.waits.push_back({PoolName{"encoders"}, 0, wait, std::chrono::milliseconds{20}, 4.0});
         for (int number = 2;; ++number) {
             out.from = {InstanceName{"entry-" + std::to_string(number)}, "10.0.0.8:1"};
-            Peers peers{{InstanceName{"entry-1"}, "10.0.0.9:1"}, {}};
+            Peers peers{{InstanceName{"entry-1"}, "10.0.0.9:1"}, 1, {}};
             peers.setCanOwnQueues(true);
             peers.handleHeartbeat(out, m_fixture.now());
             if (peers.queueOwner(PoolName{"encoders"}, m_fixture.now())) {
