Watch the store only once the fleet is known

Cause: at the start of a whole fleet no process knows a reader yet, so each one watched the store for itself right after its list: one call a process, at 1 s of traffic 1,577 calls by 357 processes. And each heartbeat went through all engines to find the few at which the process has generations in progress. Ruled out: the configuration (its relaying left the calls of the start as they were: 1,567 and 1,577). The report of generations starts from those in progress.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -259,6 +259,11 @@
     return m_reducer.livePeers(m_loop.now());
 }
 
+bool ServingApp::isFleetKnown() const
+{
+    return m_reducer.isFleetKnown(m_loop.now());
+}
+
 std::vector<std::string> ServingApp::storeReaders() const
 {
     return m_reducer.storeReaders(m_loop.now());
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -97,6 +97,9 @@
     /*! @brief Returns the peers whose heartbeats are recent. */
     [[nodiscard]] std::vector<serving::PeerInfo> livePeers() const;
 
+    /*! @brief Returns whether the initial discovery of the fleet is over. */
+    [[nodiscard]] bool isFleetKnown() const;
+
     /*! @brief Returns the peers that read the platform's store for this process; none if it reads the store itself. */
     [[nodiscard]] std::vector<std::string> storeReaders() const;
 
--- a/src/bergamottide/engines/enginetable.cpp
+++ b/src/bergamottide/engines/enginetable.cpp
@@ -141,8 +141,17 @@
     out.origin = self;
     out.incarnation = incarnation;
     out.sequence = ++m_sequence;
-    for (const auto &[name, engine] : m_engines) {
-        const double tokens = engine.backlog.ownTokens(model(engine.listing.pool).tokensPerSecond(), now);
+    // A process has few generations in progress, whatever the number of engines.
+    std::set<InstanceName> engines;
+    for (const auto &[number, pending] : m_pending) {
+        engines.insert(pending.generation.engine);
+    }
+    for (const InstanceName &name : engines) {
+        const EngineState *engine = find(name);
+        if (engine == nullptr) {
+            continue;
+        }
+        const double tokens = engine->backlog.ownTokens(model(engine->listing.pool).tokensPerSecond(), now);
         if (tokens >= 1.0) {
             out.pendingPrefills.push_back({name, static_cast<std::uint64_t>(tokens)});
         }
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -300,6 +300,11 @@
     return m_peers.live(now);
 }
 
+bool ServingReducer::isFleetKnown(TimePoint now) const
+{
+    return m_peers.isDiscoveryFinished(now);
+}
+
 std::vector<std::string> ServingReducer::storeReaders(TimePoint now) const
 {
     return m_peers.storeReaders(now);
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -86,6 +86,9 @@
     /*! @brief Returns the live peers, without this process. */
     [[nodiscard]] std::vector<PeerInfo> livePeers(TimePoint now) const;
 
+    /*! @brief Returns whether the initial discovery of the fleet is over, so that roles in it are reliable. */
+    [[nodiscard]] bool isFleetKnown(TimePoint now) const;
+
     /*! @brief Returns the addresses of the peers that read the platform's store for this process; none if it reads the
      * store itself. */
     [[nodiscard]] std::vector<std::string> storeReaders(TimePoint now) const;
--- a/test/platform/storewatch.cpp
+++ b/test/platform/storewatch.cpp
@@ -50,6 +50,11 @@
         m_relays = std::move(relays);
     }
 
+    void setFleetKnown(bool isFleetKnown)
+    {
+        m_isFleetKnown = isFleetKnown;
+    }
+
     [[nodiscard]] std::string address() const
     {
         return m_server.address();
@@ -93,6 +98,9 @@
         out.relays = [this] {
             return m_relays;
         };
+        out.isFleetKnown = [this] {
+            return m_isFleetKnown;
+        };
         out.hasFollowers = [this] {
             return m_relay.hasFollowers();
         };
@@ -116,6 +124,7 @@
 
     std::map<std::string, std::string> m_values;
     std::vector<std::string> m_relays;
+    bool m_isFleetKnown{true};
     std::size_t m_followerRequestCount{};
     HttpClient m_client;
     StoreWatch m_watch;
@@ -135,6 +144,7 @@
     CPPUNIT_TEST(followerWithoutReachableRelayWatchesTheStore);
     CPPUNIT_TEST(followerOfARelayWithoutStoreWatchesTheStore);
     CPPUNIT_TEST(largeValueIsRelayedToAllFollowers);
+    CPPUNIT_TEST(storeIsNotWatchedDuringDiscovery);
     CPPUNIT_TEST(smallChangeOfLargeValueIsSmall);
     CPPUNIT_TEST(valueCompressedAgainstAnotherIsRejected);
     CPPUNIT_TEST(earlierLargeValuesAreKept);
@@ -234,6 +244,24 @@
         CPPUNIT_ASSERT(m_store.requestCount() <= requestCount + 4);
     }
 
+    /*! @brief Replays the start of a whole fleet, in which each process watched the store until it knew a relay. */
+    void storeIsNotWatchedDuringDiscovery()
+    {
+        m_store.publish("servers/a", "1");
+        m_relayProcess.start();
+        runUntil([this] { return m_relayProcess.value("servers/a") == "1"; });
+        m_followerProcess.setFleetKnown(false);
+        m_followerProcess.start();
+        runUntil([this] { return m_followerProcess.value("servers/a") == "1"; });
+        const std::size_t requestCount = m_store.requestCount();
+        m_store.publish("servers/a", "2");
+        m_followerProcess.setRelays({m_relayProcess.address()});
+        m_followerProcess.setFleetKnown(true);
+        runUntil([this] { return m_followerProcess.value("servers/a") == "2"; });
+        // The relay's next watch.
+        CPPUNIT_ASSERT(m_store.requestCount() <= requestCount + 2);
+    }
+
     void smallChangeOfLargeValueIsSmall()
     {
         constexpr std::size_t maxDifferenceBytes = 200;
