Make the capacity page that of the path users run

Cause: docs/CAPACITY.md described entries with sidecars; users run the platform's daemon. Ruled out: nothing. Change: that page is now capacity-sidecars.md, capacity-platform.md is CAPACITY.md; scripts, checks and links follow.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -1,4 +1,4 @@
-// Slopes behind docs/CAPACITY.md: processor time, memory and bytes against the size of one thing at a time.
+// Slopes behind docs/capacity-sidecars.md: processor time, memory and bytes against the size of one thing at a time.
 //
 // Prints one JSON object; scripts/capacity.py writes the tables of the page from it. Processor time is that of the
 // thread, memory that of the heap in use, bytes are those of the frames between processes.
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Writes docs/CAPACITY.md from docs/capacity.json, the figures that scripts/capacity.sh has measured.
+"""Writes docs/capacity-sidecars.md from docs/capacity.json, the figures that scripts/capacity.sh has measured.
 
 usage: scripts/capacity.py [--check]
 
@@ -11,7 +11,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DATA = ROOT / "docs" / "capacity.json"
-PAGE = ROOT / "docs" / "CAPACITY.md"
+PAGE = ROOT / "docs" / "capacity-sidecars.md"
 
 # The size to design for.
 ENTRIES, ENGINES, ACCELERATORS = 350, 4000, 8100
@@ -107,7 +107,7 @@
 
     default_bytes = engines_zone / 0.25 * (report_bytes + FRAME + PACKET)
     c = d["configuration"]
-    lines = f"""# Capacity
+    lines = f"""# Capacity of entries and sidecars
 
 Written by `scripts/capacity.py` from `docs/capacity.json`; a test fails if the page and the figures differ.
 `scripts/capacity.sh` measures anew. Machine: {d["machine"]}.
@@ -242,7 +242,7 @@
     text = page(json.loads(DATA.read_text()))
     if "--check" in sys.argv[1:]:
         if PAGE.read_text() != text:
-            print("docs/CAPACITY.md is not what docs/capacity.json gives; run scripts/capacity.py")
+            print("docs/capacity-sidecars.md is not what docs/capacity.json gives; run scripts/capacity.py")
             return 1
         return 0
     PAGE.write_text(text)
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Measures the slopes and the whole processes anew and writes docs/capacity.json and docs/CAPACITY.md.
+# Measures the slopes and the whole processes anew and writes docs/capacity.json and docs/capacity-sidecars.md.
 # Needs a quiet machine; takes about a minute after the build.
 set -euo pipefail
 source "$(dirname "$0")/common.sh"
