Count the crashes of an instance that starts again under its name

Cause: crashes were known by the instance alone. On deployments where an engine starts again under the name that it had (with a new 'born'), work that broke with a later incarnation within 30 s was taken for work sent after the first crash, and further crashes of that instance within the hour were merged into the first. Ruled out: load, ejection, kept prompts, results and limits of an earlier incarnation; tests show that they are dropped. Change: detector and quarantine know a crash by the instance and its incarnation; crash reports carry it. Conclusion: three crashes count as three, whatever the instances are called.

--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -133,6 +133,7 @@
     json out = json::array();
     for (const CrashReport &report : reports) {
         out.push_back({{"endpoint", report.endpoint.text()},
+                       {"incarnation", report.incarnation},
                        {"age", report.age.count()},
                        {"suspects", toJson(report.suspects)},
                        {"cleared", toJson(report.cleared)}});
@@ -143,7 +144,8 @@
 CrashReport crashReportFromJson(const json &value)
 {
     return {InstanceName{value.at("endpoint").get<std::string>()}, Duration{value.at("age").get<std::int64_t>()},
-            fingerprintsFromJson(value.at("suspects")), fingerprintsFromJson(value.at("cleared"))};
+            fingerprintsFromJson(value.at("suspects")), fingerprintsFromJson(value.at("cleared")),
+            value.value("incarnation", std::uint64_t{})};
 }
 
 json toJson(const std::vector<LimitReport> &reports)
--- a/src/bergamottide/serving/crashdetector.cpp
+++ b/src/bergamottide/serving/crashdetector.cpp
@@ -35,7 +35,11 @@
     if (endpoint == nullptr) {
         return std::nullopt;
     }
-    const auto [found, isNew] = m_broken.try_emplace(work.endpoint, BrokenEndpoint{now, work.pool, {}});
+    const std::uint64_t incarnation = endpoint->record.incarnation;
+    std::erase_if(m_broken, [&work, incarnation](const auto &entry) {
+        return entry.first == work.endpoint && entry.second.incarnation != incarnation;
+    });
+    const auto [found, isNew] = m_broken.try_emplace(work.endpoint, BrokenEndpoint{now, work.pool, incarnation, {}});
     BrokenEndpoint &broken = found->second;
     // Work that was sent after the crash cannot have caused it.
     if (work.startedAt > broken.at) {
@@ -45,7 +49,7 @@
     if (isNew) {
         effects.emplace_back(CheckEndpoint{work.endpoint, endpoint->record.address});
     }
-    return broken.hasCrashed ? std::optional{EndpointCrash{work.endpoint, broken.requests}} : std::nullopt;
+    return broken.hasCrashed ? std::optional{EndpointCrash{work.endpoint, incarnation, broken.requests}} : std::nullopt;
 }
 
 std::optional<EndpointCrash> CrashDetector::handleChecked(const EndpointChecked &event, Effects &effects)
@@ -68,7 +72,7 @@
         return std::nullopt;
     }
     effects.emplace_back(Observe{Metric::EndpointCrashesTotal, {broken.pool.text()}, 1.0});
-    return EndpointCrash{event.instance, broken.requests};
+    return EndpointCrash{event.instance, broken.incarnation, broken.requests};
 }
 
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/crashdetector.h
+++ b/src/bergamottide/serving/crashdetector.h
@@ -26,6 +26,7 @@
 struct EndpointCrash
 {
     InstanceName endpoint;
+    std::uint64_t incarnation{};
     std::set<RequestFingerprint> requests;
 };
 
@@ -67,6 +68,7 @@
         /*! @brief When the first connection broke. */
         TimePoint at{};
         PoolName pool;
+        std::uint64_t incarnation{};
         std::set<RequestFingerprint> requests;
         bool hasCrashed{};
     };
--- a/src/bergamottide/serving/heartbeat.h
+++ b/src/bergamottide/serving/heartbeat.h
@@ -70,6 +70,8 @@
     std::vector<RequestFingerprint> suspects;
     /*! @brief Requests that ran on the endpoint and cannot have crashed it. */
     std::vector<RequestFingerprint> cleared;
+    /*! @brief Incarnation of the endpoint that crashed; an instance may start again under its name. */
+    std::uint64_t incarnation{};
 };
 
 /*! @brief Limit on the rate of requests that an endpoint has named. */
--- a/src/bergamottide/serving/quarantine.cpp
+++ b/src/bergamottide/serving/quarantine.cpp
@@ -36,9 +36,9 @@
 {
 }
 
-void Quarantine::recordCrash(const InstanceName &endpoint, const std::set<RequestFingerprint> &requests, TimePoint now)
+void Quarantine::recordCrash(const CrashKey &crash, const std::set<RequestFingerprint> &requests, TimePoint now)
 {
-    merge({{endpoint, Duration::zero(), {requests.begin(), requests.end()}, {}}}, now);
+    merge({{crash.first, Duration::zero(), {requests.begin(), requests.end()}, {}, crash.second}}, now);
 }
 
 void Quarantine::merge(const std::vector<CrashReport> &reports, TimePoint now)
@@ -56,7 +56,8 @@
 
 void Quarantine::mergeReport(const CrashReport &report, TimePoint now)
 {
-    const auto found = m_crashes.entries().find(report.endpoint);
+    const CrashKey key{report.endpoint, report.incarnation};
+    const auto found = m_crashes.entries().find(key);
     const bool isNew = found == m_crashes.entries().end();
     Crash merged = isNew ? Crash{now - report.age, {}, {}} : found->second.record;
     for (const RequestFingerprint &request : report.cleared) {
@@ -73,7 +74,7 @@
     if (isNew && m_crashes.entries().size() >= maxReports) {
         evictOldest();
     }
-    m_crashes.change(report.endpoint) = std::move(merged);
+    m_crashes.change(key) = std::move(merged);
 }
 
 bool Quarantine::isCleared(const RequestFingerprint &request, TimePoint now)
@@ -90,11 +91,11 @@
 void Quarantine::clear(const RequestFingerprint &request)
 {
     bool isChanged = false;
-    for (const auto &[endpoint, entry] : m_crashes.entries()) {
+    for (const auto &[key, entry] : m_crashes.entries()) {
         if (!entry.record.suspects.contains(request)) {
             continue;
         }
-        Crash &crash = m_crashes.change(endpoint);
+        Crash &crash = m_crashes.change(key);
         crash.suspects.erase(request);
         insertBounded(crash.cleared, request);
         isChanged = true;
@@ -140,13 +141,13 @@
     m_crashes.erase(oldest);
 }
 
-/*! @brief Returns the endpoints that crashed under each request, for requests with enough crashes for a quarantine. */
-std::map<RequestFingerprint, std::set<InstanceName>> Quarantine::repeatedSuspects() const
+/*! @brief Returns the crashes under each request, for requests with enough crashes for a quarantine. */
+std::map<RequestFingerprint, std::set<Quarantine::CrashKey>> Quarantine::repeatedSuspects() const
 {
-    std::map<RequestFingerprint, std::set<InstanceName>> out;
-    for (const auto &[endpoint, entry] : m_crashes.entries()) {
+    std::map<RequestFingerprint, std::set<CrashKey>> out;
+    for (const auto &[key, entry] : m_crashes.entries()) {
         for (const RequestFingerprint &request : entry.record.suspects) {
-            out[request].insert(endpoint);
+            out[request].insert(key);
         }
     }
     std::erase_if(out, [](const auto &item) { return item.second.size() < quarantineThreshold; });
@@ -168,13 +169,13 @@
                              -static_cast<std::ptrdiff_t>(item.second.size())};
         });
         const RequestFingerprint request = first->first;
-        const std::set<InstanceName> endpoints = first->second;
-        m_quarantined[request] = crashTimes(endpoints).at(endpoints.size() - quarantineThreshold) + reportLifetime;
+        const std::set<CrashKey> explained = first->second;
+        m_quarantined[request] = crashTimes(explained).at(explained.size() - quarantineThreshold) + reportLifetime;
         if (!before.contains(request)) {
             m_changes.started.push_back(request);
         }
         for (auto &[other, crashes] : suspects) {
-            std::erase_if(crashes, [&endpoints](const InstanceName &endpoint) { return endpoints.contains(endpoint); });
+            std::erase_if(crashes, [&explained](const CrashKey &crash) { return explained.contains(crash); });
         }
         std::erase_if(suspects, [](const auto &item) { return item.second.size() < quarantineThreshold; });
     }
@@ -185,13 +186,13 @@
     }
 }
 
-/*! @brief Returns when endpoints crashed, earliest first. */
-std::vector<TimePoint> Quarantine::crashTimes(const std::set<InstanceName> &endpoints) const
+/*! @brief Returns the times of crashes, earliest first. */
+std::vector<TimePoint> Quarantine::crashTimes(const std::set<CrashKey> &crashes) const
 {
     std::vector<TimePoint> times;
-    times.reserve(endpoints.size());
-    for (const InstanceName &endpoint : endpoints) {
-        times.push_back(m_crashes.entries().at(endpoint).record.at);
+    times.reserve(crashes.size());
+    for (const CrashKey &crash : crashes) {
+        times.push_back(m_crashes.entries().at(crash).record.at);
     }
     std::ranges::sort(times);
     return times;
@@ -216,15 +217,16 @@
 std::vector<CrashReport> Quarantine::reportsSince(std::uint64_t since, TimePoint now) const
 {
     std::vector<CrashReport> out;
-    for (const auto &[endpoint, entry] : m_crashes.entries()) {
+    for (const auto &[key, entry] : m_crashes.entries()) {
         if (entry.version <= since) {
             continue;
         }
         const Crash &crash = entry.record;
-        out.push_back({endpoint,
+        out.push_back({key.first,
                        now - crash.at,
                        {crash.suspects.begin(), crash.suspects.end()},
-                       {crash.cleared.begin(), crash.cleared.end()}});
+                       {crash.cleared.begin(), crash.cleared.end()},
+                       key.second});
     }
     return out;
 }
--- a/src/bergamottide/serving/quarantine.h
+++ b/src/bergamottide/serving/quarantine.h
@@ -41,6 +41,9 @@
 class Quarantine
 {
 public:
+    /*! @brief Endpoint and its incarnation: an instance that starts again under its name may crash again. */
+    using CrashKey = std::pair<InstanceName, std::uint64_t>;
+
     /**
      * @brief Creates an empty quarantine.
      * @param clock Numbers the changes of the reports; must outlive the quarantine.
@@ -49,11 +52,11 @@
 
     /**
      * @brief Reports a crash.
-     * @param endpoint Instance that crashed; further reports of the same instance add their requests.
+     * @param crash Endpoint that crashed, and its incarnation; further reports of both add their requests.
      * @param requests Requests whose runs broke with it.
      * @param now Current time.
      */
-    void recordCrash(const InstanceName &endpoint, const std::set<RequestFingerprint> &requests, TimePoint now);
+    void recordCrash(const CrashKey &crash, const std::set<RequestFingerprint> &requests, TimePoint now);
 
     /*! @brief Clears a request: an endpoint has run it successfully. */
     void recordSuccess(const RequestFingerprint &request, TimePoint now);
@@ -97,10 +100,10 @@
     [[nodiscard]] bool isCleared(const RequestFingerprint &request, TimePoint now);
     void evictOldest();
     void evaluate();
-    [[nodiscard]] std::map<RequestFingerprint, std::set<InstanceName>> repeatedSuspects() const;
-    [[nodiscard]] std::vector<TimePoint> crashTimes(const std::set<InstanceName> &endpoints) const;
+    [[nodiscard]] std::map<RequestFingerprint, std::set<CrashKey>> repeatedSuspects() const;
+    [[nodiscard]] std::vector<TimePoint> crashTimes(const std::set<CrashKey> &crashes) const;
 
-    GossipTable<InstanceName, Crash> m_crashes;
+    GossipTable<CrashKey, Crash> m_crashes;
     RecentSet<RequestFingerprint> m_succeeded;
     std::set<RequestFingerprint> m_released;
     std::map<RequestFingerprint, TimePoint> m_quarantined;
--- a/src/bergamottide/serving/servingcrashes.cpp
+++ b/src/bergamottide/serving/servingcrashes.cpp
@@ -9,7 +9,7 @@
 void ServingReducer::recordBroken(const EndpointWork &work)
 {
     if (const auto crash = m_crashDetector.recordBroken(work, m_now, m_effects)) {
-        m_quarantine.recordCrash(crash->endpoint, crash->requests, m_now);
+        m_quarantine.recordCrash({crash->endpoint, crash->incarnation}, crash->requests, m_now);
     }
 }
 
@@ -17,7 +17,7 @@
 {
     if (const auto crash = m_crashDetector.handleChecked(event, m_effects)) {
         m_endpoints.recordCrash(crash->endpoint, m_now, m_effects);
-        m_quarantine.recordCrash(crash->endpoint, crash->requests, m_now);
+        m_quarantine.recordCrash({crash->endpoint, crash->incarnation}, crash->requests, m_now);
     }
 }
 
--- a/test/bergamottide/serving/endpointcrash.cpp
+++ b/test/bergamottide/serving/endpointcrash.cpp
@@ -3,6 +3,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -19,6 +21,7 @@
     CPPUNIT_TEST(stoppedEndpointCountsAsCrashed);
     CPPUNIT_TEST(runningEndpointIsCheckedAgainAfterTheNextLoss);
     CPPUNIT_TEST(crashedEndpointGetsNoFurtherRequests);
+    CPPUNIT_TEST(crashesOfOneInstanceThatStartsAgainCountOnceEach);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -91,7 +94,36 @@
         }
     }
 
+    /*! @brief An engine may start again under the name that it had, and crash under the same request again. */
+    void crashesOfOneInstanceThatStartsAgainCountOnceEach()
+    {
+        for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
+            CPPUNIT_ASSERT(m_fixture.reducer().quarantinedRequests(m_fixture.now()).empty());
+            m_fixture.apply(EndpointsChanged{listWithDesk(incarnation)});
+            const StartRun run = start("/order/1", incarnation);
+            CPPUNIT_ASSERT(run.instance == InstanceName{"desk-1"});
+            m_fixture.apply(RunFailed{run.run, RunFailure::Broken});
+            m_fixture.apply(EndpointChecked{run.instance, EndpointState::Stopped});
+            m_fixture.advanceClock(std::chrono::seconds{5});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.reducer().quarantinedRequests(m_fixture.now()).size());
+    }
+
 private:
+    /*! @brief Returns the list with one desk only, in one of its incarnations. */
+    static std::shared_ptr<EndpointList> listWithDesk(std::uint64_t incarnation)
+    {
+        auto list = std::make_shared<EndpointList>();
+        for (const EndpointRecord &record : *ServingFixture::endpoints()) {
+            if (record.instance.text().starts_with("desk") && record.instance != InstanceName{"desk-1"}) {
+                continue;
+            }
+            list->push_back(record);
+            list->back().incarnation = incarnation;
+        }
+        return list;
+    }
+
     StartRun start(const std::string &path, std::uint64_t call)
     {
         m_fixture.apply(m_fixture.arrival(path, call));
--- a/test/bergamottide/serving/quarantine.cpp
+++ b/test/bergamottide/serving/quarantine.cpp
@@ -152,7 +152,7 @@
             for (int other = 0; other < 300; ++other) {
                 requests.insert(RequestFingerprint{"other-" + std::to_string(index) + "-" + std::to_string(other)});
             }
-            m_quarantine.recordCrash(InstanceName{"crashed-" + std::to_string(index)}, requests, m_now);
+            m_quarantine.recordCrash({InstanceName{"crashed-" + std::to_string(index)}, 1}, requests, m_now);
         }
         const std::vector<CrashReport> reports = m_quarantine.reportsSince(0, m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{128}, reports.size());
@@ -169,7 +169,7 @@
             Quarantine forwards{clock};
             Quarantine backwards{clock};
             const auto add = [now](Quarantine &to, const std::pair<std::uint8_t, std::uint8_t> &item) {
-                to.recordCrash(InstanceName{std::to_string(item.first % 8)},
+                to.recordCrash({InstanceName{std::to_string(item.first % 8)}, 1},
                                {RequestFingerprint{std::to_string(item.second % 5)}}, now);
             };
             for (const auto &item : crashes) {
@@ -205,7 +205,7 @@
         for (const std::string &name : requests) {
             suspects.insert(request(name));
         }
-        m_quarantine.recordCrash(InstanceName{engine}, suspects, m_now);
+        m_quarantine.recordCrash({InstanceName{engine}, 1}, suspects, m_now);
     }
 
     void crashLater(const std::string &engine, const std::vector<std::string> &requests)
@@ -370,7 +370,7 @@
         GossipClock clock{1};
         Quarantine quarantine{clock};
         for (const std::string engine : {"a", "b"}) {
-            quarantine.recordCrash(InstanceName{engine}, {request}, m_fixture.now());
+            quarantine.recordCrash({InstanceName{engine}, 1}, {request}, m_fixture.now());
             quarantine.recordSuccess(stageFingerprint(request, 0), m_fixture.now());
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, quarantine.crashCount(request));
