--- a/test/platform/fakes.cpp
+++ b/test/platform/fakes.cpp
@@ -82,6 +82,14 @@
     m_discardedRevision = m_revision;
 }
 
+void FakeStore::cutWatches()
+{
+    m_discardedRevision = ++m_revision;
+    for (const Watch &watch : std::exchange(m_watches, {})) {
+        watch.responder->abort();
+    }
+}
+
 std::size_t FakeStore::requestCount() const noexcept
 {
     return m_requestCount;
--- a/test/platform/fakes.h
+++ b/test/platform/fakes.h
@@ -37,6 +37,9 @@
     /*! @brief Discards the history: watches from before the current revision are answered 410. */
     void discardHistory();
 
+    /*! @brief Discards the history and closes the connections of waiting watches. */
+    void cutWatches();
+
     /*! @brief Returns the number of requests received. */
     [[nodiscard]] std::size_t requestCount() const noexcept;
 
--- a/test/platform/storewatch.cpp
+++ b/test/platform/storewatch.cpp
@@ -152,6 +152,7 @@
     CPPUNIT_TEST(staleListIsUpdatedBeforeUse);
     CPPUNIT_TEST(listPagesOfDifferentRevisionsAreUpdated);
     CPPUNIT_TEST(listOlderThanTheHistoryIsReadAgain);
+    CPPUNIT_TEST(followersStayWithAReaderWhoseWatchIsCut);
     CPPUNIT_TEST(logReturnsEachChangeOnce);
     CPPUNIT_TEST(logRecordsDifferencesToANewList);
     CPPUNIT_TEST(logReportsDiscardedHistory);
@@ -329,6 +330,23 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"short"}, answered);
     }
 
+    /*! @brief Replays a store that discards its history, for which a whole fleet left its readers and listed it. */
+    void followersStayWithAReaderWhoseWatchIsCut()
+    {
+        startRelayAndFollower();
+        m_store.publish("servers/a", "1");
+        runUntil([this] { return m_followerProcess.value("servers/a") == "1"; });
+        const std::size_t followerRequests = m_relayProcess.followerRequestCount();
+        runUntil([this, followerRequests] { return m_relayProcess.followerRequestCount() > followerRequests; });
+        const std::size_t before = m_store.requestCount();
+        m_store.cutWatches();
+        m_store.publish("servers/a", "2");
+        runUntil([this] { return m_followerProcess.value("servers/a") == "2"; });
+        // The reader's broken watch again, its list, and its next watches.
+        CPPUNIT_ASSERT(m_store.requestCount() - before <= 4);
+        CPPUNIT_ASSERT(!m_relayProcess.isUnavailable());
+    }
+
     void staleListIsUpdatedBeforeUse()
     {
         m_store.publish("servers/a", "1");
