Keep the list alive that a test iterates over

Ruled out: the code under test; the trace names listWithDesk of the test. Conclusion: a fault of the test.

--- a/src/bergamottide/serving/peers.cpp
+++ b/src/bergamottide/serving/peers.cpp
@@ -183,8 +183,7 @@
 /*
  * Peers known only from a roster are kept for the same time: at the start of a large fleet a process may know only
  * peers that are not relays, and has to probe those that they report; when these were dropped at once, 172 of 300
- * processes never met the others. If all relays of a process die at once, it still
- * knows the other processes.
+ * processes never met the others. If all relays of a process die at once, it still knows the other processes.
  */
 void Peers::removeExpiredPeers(TimePoint now)
 {
--- a/test/bergamottide/serving/endpointcrash.cpp
+++ b/test/bergamottide/serving/endpointcrash.cpp
@@ -113,8 +113,9 @@
     /*! @brief Returns the list with one desk only, in one of its incarnations. */
     static std::shared_ptr<EndpointList> listWithDesk(std::uint64_t incarnation)
     {
+        const auto all = ServingFixture::endpoints();
         auto list = std::make_shared<EndpointList>();
-        for (const EndpointRecord &record : *ServingFixture::endpoints()) {
+        for (const EndpointRecord &record : *all) {
             if (record.instance.text().starts_with("desk") && record.instance != InstanceName{"desk-1"}) {
                 continue;
             }
