Log that an endpoint announces its drain, whichever request it responds to

Cause: not known yet. The logs could not tell whether the header of a leaving engine is not read or is read and undone. Ruled out: nothing yet. Change: one event for what an endpoint says of itself, submitted before the event of the run, stage call, check or release that it responds to; a log line for each start of an endpoint and a counter. No decision uses it.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -413,7 +413,8 @@
 {
     const RunNumber run = effect.run;
     HttpCallHooks hooks;
-    hooks.head = [this, run](int status, const HttpHeaders &headers) {
+    hooks.head = [this, run, instance = effect.instance](int status, const HttpHeaders &headers) {
+        submitNotice(instance, status, headers);
         const auto found = m_runs.find(run);
         if (found != m_runs.end()) {
             m_runner.submit(RunHeadReceived{run, m_codec.decodeResponseHead(*found->second.request, status, headers)});
@@ -436,6 +437,14 @@
     m_runs[run].call = m_endpointClient.call(effect.address, m_codec.encodeRun(effect), std::move(hooks));
 }
 
+/*! @brief Reports what an endpoint said of itself in a response, before the response itself is handled. */
+void ServingApp::submitNotice(const InstanceName &instance, int status, const HttpHeaders &headers)
+{
+    if (auto notice = m_codec.decodeNotice(status, headers)) {
+        m_runner.submit(EndpointResponded{instance, *std::move(notice)});
+    }
+}
+
 void ServingApp::failRun(RunNumber run, HttpFailure failure)
 {
     if (m_runs.erase(run) == 0) {
@@ -456,6 +465,7 @@
 {
     HttpCallHooks hooks;
     hooks.done = [this, instance = effect.instance](const HttpResponse &answer) {
+        submitNotice(instance, answer.status, answer.headers);
         m_runner.submit(EndpointChecked{instance, m_codec.decodeCheck(answer)});
     };
     hooks.failed = [this, instance = effect.instance](HttpFailure failure) {
@@ -469,7 +479,8 @@
 {
     const StageCallNumber call = effect.call;
     HttpCallHooks hooks;
-    hooks.done = [this, call, items = effect.items.size()](const HttpResponse &answer) {
+    hooks.done = [this, call, instance = effect.instance, items = effect.items.size()](const HttpResponse &answer) {
+        submitNotice(instance, answer.status, answer.headers);
         if (m_stageCalls.erase(call) != 0) {
             m_runner.submit(m_codec.decodeStageResponse(call, items, answer));
         }
@@ -494,7 +505,8 @@
 void ServingApp::carryOut(const ReleaseResults &effect)
 {
     HttpCallHooks hooks;
-    hooks.done = [](const HttpResponse &) {
+    hooks.done = [this, instance = effect.instance](const HttpResponse &answer) {
+        submitNotice(instance, answer.status, answer.headers);
     };
     hooks.failed = [this, address = effect.address](HttpFailure failure) {
         // No retry needed: the results expire at the endpoint.
--- a/src/bergamottide/serving/endpointregistry.cpp
+++ b/src/bergamottide/serving/endpointregistry.cpp
@@ -218,6 +218,15 @@
     ejectIfFailing(*endpoint, now, effects);
 }
 
+void EndpointRegistry::recordDrain(const InstanceName &instance, Effects &effects)
+{
+    Endpoint *endpoint = find(instance);
+    if (endpoint != nullptr && !std::exchange(endpoint->hasAnnouncedDrain, true)) {
+        log(effects, "Endpoint announced its drain.", *endpoint,
+            endpoint->record.draining ? "listed" : "not yet listed");
+    }
+}
+
 void EndpointRegistry::setLimit(const InstanceName &instance, std::optional<double> requestsPerSecond, Effects &effects)
 {
     Endpoint *endpoint = find(instance);
@@ -233,6 +242,11 @@
     }
 }
 
+void EndpointRegistry::logMalformedHeader(const Endpoint &endpoint, const std::string &header, Effects &effects)
+{
+    log(effects, "Header of an endpoint ignored.", endpoint, absl::StrCat("malformed: ", header));
+}
+
 void EndpointRegistry::logMalformedLimit(const Endpoint &endpoint, Effects &effects)
 {
     log(effects, "Limit of an endpoint ignored.", endpoint, "malformed");
--- a/src/bergamottide/serving/endpointregistry.h
+++ b/src/bergamottide/serving/endpointregistry.h
@@ -32,6 +32,8 @@
     EndpointRecord record;
     /*! @brief Whether the platform no longer lists it; kept until its work in progress has ended. */
     bool isUnlisted{};
+    /*! @brief It announced in a response that it is about to stop; holds until it restarts. */
+    bool hasAnnouncedDrain{};
     /*! @brief Runs and stage calls of this process in progress there. */
     std::uint32_t inFlight{};
     /*! @brief Load that it reported last, and when. */
@@ -147,6 +149,9 @@
     /*! @brief Records the remaining warm-up time that an endpoint reported. */
     void recordWarmup(const InstanceName &instance, Duration remaining, TimePoint now);
 
+    /*! @brief Records that an endpoint announced in a response that it is about to stop. */
+    void recordDrain(const InstanceName &instance, Effects &effects);
+
     /**
      * @brief Sets the limit of an endpoint.
      * @param instance Endpoint.
@@ -155,6 +160,9 @@
      */
     void setLimit(const InstanceName &instance, std::optional<double> requestsPerSecond, Effects &effects);
 
+    /*! @brief Logs that a header by which an endpoint tells of itself cannot be read. */
+    static void logMalformedHeader(const Endpoint &endpoint, const std::string &header, Effects &effects);
+
     /*! @brief Logs that an endpoint named a limit that cannot be read. */
     static void logMalformedLimit(const Endpoint &endpoint, Effects &effects);
 
--- a/src/bergamottide/serving/events.h
+++ b/src/bergamottide/serving/events.h
@@ -116,6 +116,15 @@
     bool isMalformed{};
 };
 
+/*! @brief What an endpoint says of itself in a response, whatever the request was. */
+struct EndpointNotice
+{
+    /*! @brief It is about to stop and is to get no new work. */
+    bool isDraining{};
+    /*! @brief Names of the headers whose values cannot be read. */
+    std::vector<std::string> malformedHeaders;
+};
+
 /*! @brief Status and headers of an endpoint's response, decoded. */
 struct EndpointResponseHead
 {
@@ -157,6 +166,14 @@
     CallId call{};
 };
 
+/*! @brief Event: an endpoint has responded to a run, a stage call, a check or a release of results; precedes the event
+ * for that request. */
+struct EndpointResponded
+{
+    InstanceName instance;
+    EndpointNotice notice;
+};
+
 /*! @brief Event: the response headers of a run have been received. */
 struct RunHeadReceived
 {
@@ -298,10 +315,10 @@
 {
 };
 
-using Event =
-    std::variant<RequestArrived, CallerDisconnected, RunHeadReceived, RunBodyReceived, RunCompleted, RunFailed,
-                 EndpointChecked, StageCallEnded, CatalogChanged, EndpointsChanged, PeerTaskArrived, PeerTaskCancelled,
-                 DelegatedTaskEnded, HeartbeatReceived, PeerReleasedResults, SettingsChanged, DrainRequested, Tick>;
+using Event = std::variant<RequestArrived, CallerDisconnected, EndpointResponded, RunHeadReceived, RunBodyReceived,
+                           RunCompleted, RunFailed, EndpointChecked, StageCallEnded, CatalogChanged, EndpointsChanged,
+                           PeerTaskArrived, PeerTaskCancelled, DelegatedTaskEnded, HeartbeatReceived,
+                           PeerReleasedResults, SettingsChanged, DrainRequested, Tick>;
 
 /*! @brief Kind of an error response that this process sends instead of an endpoint. */
 enum class ErrorKind : std::uint8_t
@@ -431,6 +448,7 @@
 /*! @brief Effect: releases results at the endpoint that stores them. */
 struct ReleaseResults
 {
+    InstanceName instance;
     std::string address;
     std::vector<std::string> handles;
 };
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -205,7 +205,7 @@
     m_stageScheduler.cancel(task);
     for (const StageOutcome &outcome : m_peerTasks[task].outcomes) {
         m_stageScheduler.handleReleased(outcome.result.handle);
-        m_effects.emplace_back(ReleaseResults{outcome.address, {outcome.result.handle}});
+        m_effects.emplace_back(ReleaseResults{outcome.endpoint, outcome.address, {outcome.result.handle}});
     }
     m_peerTasks.erase(task);
     m_peerTaskIds.erase(found);
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -109,6 +109,7 @@
 private:
     void on(const RequestArrived &event);
     void on(const CallerDisconnected &event);
+    void on(const EndpointResponded &event);
     void on(const RunHeadReceived &event);
     void on(const RunBodyReceived &event);
     void on(const RunCompleted &event);
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -203,6 +203,21 @@
     return engine != nullptr && m_paths.isBroken(inputZones(request), engine->record.zone, m_now);
 }
 
+void ServingReducer::on(const EndpointResponded &event)
+{
+    const Endpoint *endpoint = m_endpoints.find(event.instance);
+    if (endpoint == nullptr) {
+        return;
+    }
+    for (const std::string &header : event.notice.malformedHeaders) {
+        EndpointRegistry::logMalformedHeader(*endpoint, header, m_effects);
+    }
+    if (event.notice.isDraining) {
+        m_effects.emplace_back(Observe{Metric::DrainNoticesTotal, {endpoint->record.pool.text()}, 1.0});
+        m_endpoints.recordDrain(event.instance, m_effects);
+    }
+}
+
 void ServingReducer::on(const RunHeadReceived &event)
 {
     Request *request = find(event.run);
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -287,14 +287,17 @@
 /*! @brief Releases results at their endpoints, and notifies the peers that account for the memory there. */
 void ServingReducer::freeResults(const std::vector<StoredResult> &results)
 {
-    std::map<std::string, std::vector<std::string>> byAddress;
+    std::map<InstanceName, ReleaseResults> byEndpoint;
     std::map<InstanceName, NotifyReleasedResults> byOwner;
     for (const StoredResult &result : results) {
         if (result.handle.empty()) {
             continue;
         }
         m_stageScheduler.handleReleased(result.handle);
-        byAddress[result.address].push_back(result.handle);
+        ReleaseResults &release = byEndpoint[result.endpoint];
+        release.instance = result.endpoint;
+        release.address = result.address;
+        release.handles.push_back(result.handle);
         const Endpoint *endpoint = m_endpoints.find(result.endpoint);
         if (endpoint == nullptr) {
             continue;
@@ -308,8 +311,8 @@
     for (auto &[instance, tell] : byOwner) {
         m_effects.emplace_back(std::move(tell));
     }
-    for (auto &[address, handles] : byAddress) {
-        m_effects.emplace_back(ReleaseResults{address, std::move(handles)});
+    for (auto &[instance, release] : byEndpoint) {
+        m_effects.emplace_back(std::move(release));
     }
 }
 
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -411,7 +411,7 @@
     }
     requeueUnreachable(unreachable, call, now);
     if (!unclaimedHandles.empty()) {
-        effects.emplace_back(ReleaseResults{call.address, std::move(unclaimedHandles)});
+        effects.emplace_back(ReleaseResults{call.endpoint, call.address, std::move(unclaimedHandles)});
     }
 }
 
--- a/src/bergamottide/telemetry/metric.h
+++ b/src/bergamottide/telemetry/metric.h
@@ -47,13 +47,14 @@
     PeersLive,
     BrokenRunsTotal,
     EndpointCrashesTotal,
-    QuarantinedRequests
+    QuarantinedRequests,
+    DrainNoticesTotal
 };
 
 template <>
 struct EnumNames<Metric>
 {
-    static constexpr std::array<std::string_view, 29> names{"bergamottide_requests_total",
+    static constexpr std::array<std::string_view, 30> names{"bergamottide_requests_total",
                                                             "bergamottide_requests_on_time_total",
                                                             "bergamottide_request_seconds",
                                                             "bergamottide_refusals_total",
@@ -81,7 +82,8 @@
                                                             "bergamottide_peers_live",
                                                             "bergamottide_broken_runs_total",
                                                             "bergamottide_endpoint_crashes_total",
-                                                            "bergamottide_quarantined_requests"};
+                                                            "bergamottide_quarantined_requests",
+                                                            "bergamottide_drain_notices_total"};
 };
 
 /*! @brief Effect: a metric changes. */
--- a/src/bergamottide/telemetry/metricinfo.cpp
+++ b/src/bergamottide/telemetry/metricinfo.cpp
@@ -83,6 +83,11 @@
          {}},
         {Metric::EndpointCrashesTotal, counter, "Endpoints that crashed under runs of this process.", {"pool"}, {}},
         {Metric::QuarantinedRequests, gauge, "Requests rejected because endpoints crash when they run them.", {}, {}},
+        {Metric::DrainNoticesTotal,
+         counter,
+         "Responses in which an endpoint announced that it is about to stop.",
+         {"pool"},
+         {}},
     };
     return table;
 }
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -1,4 +1,5 @@
 #include "changelog.h"
+#include "noticecodec.h"
 #include "requestcodec.h"
 #include "stagecodec.h"
 #include "storecodec.h"
@@ -55,6 +56,7 @@
     CPPUNIT_TEST(unchangedItemsAreEncodedWithoutValue);
     CPPUNIT_TEST(anyAnswerOfTheInstanceItselfShowsThatItRuns);
     CPPUNIT_TEST(decodesLimitsOfEndpoints);
+    CPPUNIT_TEST(decodesDrainOfEndpoints);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -79,6 +81,21 @@
                             .limit.requestsPerSecond);
     }
 
+    void decodesDrainOfEndpoints()
+    {
+        const auto decode = [](int status, const std::string &text) {
+            return platform::decodeNotice(status, {{"Server-Leaving", text}});
+        };
+        CPPUNIT_ASSERT(decode(200, "1")->isDraining);
+        CPPUNIT_ASSERT(decode(503, "1")->isDraining);
+        CPPUNIT_ASSERT(!decode(200, "0")->isDraining && decode(200, "0")->malformedHeaders.empty());
+        CPPUNIT_ASSERT(!platform::decodeNotice(200, {})->isDraining);
+        CPPUNIT_ASSERT(!decode(200, "soon")->isDraining);
+        CPPUNIT_ASSERT(decode(200, "soon")->malformedHeaders == std::vector<std::string>{"server-leaving"});
+        // Another instance answered.
+        CPPUNIT_ASSERT(!decode(421, "1"));
+    }
+
     void anyAnswerOfTheInstanceItselfShowsThatItRuns()
     {
         const HttpRequest check = platform::encodeCheck({InstanceName{"i-1"}, "10.0.0.1:1"});
