Give no new work to endpoints that announced their drain

What callers saw: requests went on to an engine that was leaving for as long as the store could not tell; whoever was there at its end lost the answer. The only source of a drain was the platform's list; the header by which an engine says the same in all its answers was forwarded and not read. Class of fault: a fact with two sources, of which one is consulted, and that one fails when it is needed. Ruled out: a list that undoes the announcement (none was read), requests placed before (they were placed after it). Change: an announced drain holds for the incarnation of the endpoint, whatever the list says; it spreads with the limits that endpoints name, so a process learns of it before its own first response, and a new owner of a queue knows it. An endpoint that is listed again keeps it, unless its incarnation is unknown: then it may have restarted. EndpointLimits, which holds limits and drains now, is called EndpointNotices.

--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -148,29 +148,33 @@
             value.value("incarnation", std::uint64_t{})};
 }
 
-json toJson(const std::vector<LimitReport> &reports)
+json toJson(const std::vector<NoticeReport> &reports)
 {
     json out = json::array();
-    for (const LimitReport &report : reports) {
+    for (const NoticeReport &report : reports) {
         json item{
             {"endpoint", report.endpoint.text()}, {"incarnation", report.incarnation}, {"age", report.age.count()}};
         if (report.requestsPerSecond) {
             item["perSecond"] = *report.requestsPerSecond;
         }
+        if (report.isDraining) {
+            item["draining"] = true;
+        }
         out.push_back(std::move(item));
     }
     return out;
 }
 
-LimitReport limitReportFromJson(const json &value)
+NoticeReport noticeReportFromJson(const json &value)
 {
-    LimitReport report{InstanceName{value.at("endpoint").get<std::string>()},
-                       value.at("incarnation").get<std::uint64_t>(),
-                       {},
-                       Duration{value.at("age").get<std::int64_t>()}};
+    NoticeReport report{InstanceName{value.at("endpoint").get<std::string>()},
+                        value.at("incarnation").get<std::uint64_t>(),
+                        {},
+                        Duration{value.at("age").get<std::int64_t>()}};
     if (const auto limit = value.find("perSecond"); limit != value.end()) {
         report.requestsPerSecond = limit->get<double>();
     }
+    report.isDraining = value.value("draining", false);
     return report;
 }
 
@@ -222,8 +226,8 @@
     if (!heartbeat.crashes.empty()) {
         out["crashes"] = toJson(heartbeat.crashes);
     }
-    if (!heartbeat.limits.empty()) {
-        out["limits"] = toJson(heartbeat.limits);
+    if (!heartbeat.notices.empty()) {
+        out["notices"] = toJson(heartbeat.notices);
     }
     return dump(out);
 }
@@ -265,8 +269,8 @@
         for (const json &report : value.value("crashes", json::array())) {
             heartbeat.crashes.push_back(crashReportFromJson(report));
         }
-        for (const json &report : value.value("limits", json::array())) {
-            heartbeat.limits.push_back(limitReportFromJson(report));
+        for (const json &report : value.value("notices", json::array())) {
+            heartbeat.notices.push_back(noticeReportFromJson(report));
         }
         return heartbeat;
     });
--- /dev/null
+++ b/src/bergamottide/serving/endpointnotices.cpp
@@ -0,0 +1,166 @@
+#include "bergamottide/serving/endpointnotices.h"
+
+#include <algorithm>
+
+namespace bergamottide::serving {
+
+namespace {
+
+/*! @brief Uncertainty of the times of other processes' responses, which arrive with a delay. */
+constexpr Duration timeTolerance = std::chrono::milliseconds{50};
+/*! @brief Time for which the notice of an endpoint that is not listed is kept; other processes may list it earlier. */
+constexpr Duration unlistedLifetime = std::chrono::minutes{1};
+
+/*! @brief Returns whether a limit is stricter than another one; none is the least strict. */
+bool isStricter(const std::optional<double> &limit, const std::optional<double> &other)
+{
+    return limit && (!other || *limit < *other);
+}
+
+} // namespace
+
+bool EndpointNotices::Notice::isSameAs(const Notice &other) const noexcept
+{
+    return incarnation == other.incarnation && requestsPerSecond == other.requestsPerSecond
+        && isDraining == other.isDraining;
+}
+
+EndpointNotices::EndpointNotices(GossipClock &clock, EndpointRegistry &endpoints)
+    : m_endpoints{endpoints}
+    , m_notices{clock}
+{
+}
+
+void EndpointNotices::recordLimit(const InstanceName &instance, const LimitNotice &notice, TimePoint now,
+                                  Effects &effects)
+{
+    const Endpoint *endpoint = m_endpoints.find(instance);
+    if (endpoint == nullptr) {
+        return;
+    }
+    if (notice.isMalformed) {
+        EndpointRegistry::logMalformedLimit(*endpoint, effects);
+        return;
+    }
+    const std::uint64_t incarnation = endpoint->record.incarnation;
+    const Notice *known = find(instance, incarnation);
+    if (known == nullptr && !notice.requestsPerSecond) {
+        return;
+    }
+    record(instance, {incarnation, notice.requestsPerSecond, known != nullptr && known->isDraining, now}, effects);
+}
+
+void EndpointNotices::recordDrain(const InstanceName &instance, TimePoint now, Effects &effects)
+{
+    const Endpoint *endpoint = m_endpoints.find(instance);
+    if (endpoint == nullptr) {
+        return;
+    }
+    const std::uint64_t incarnation = endpoint->record.incarnation;
+    const Notice *known = find(instance, incarnation);
+    record(instance, {incarnation, known == nullptr ? std::nullopt : known->requestsPerSecond, true, now}, effects);
+}
+
+void EndpointNotices::record(const InstanceName &instance, const Notice &notice, Effects &effects)
+{
+    const auto found = m_notices.entries().find(instance);
+    if (found != m_notices.entries().end() && found->second.record.isSameAs(notice)) {
+        found->second.record.at = notice.at;
+        return;
+    }
+    m_notices.change(instance) = notice;
+    apply(instance, notice, effects);
+}
+
+/*! @brief Returns what this incarnation of an endpoint has announced, or null. */
+const EndpointNotices::Notice *EndpointNotices::find(const InstanceName &instance, std::uint64_t incarnation) const
+{
+    const auto found = m_notices.entries().find(instance);
+    return found != m_notices.entries().end() && found->second.record.incarnation == incarnation ? &found->second.record
+                                                                                                 : nullptr;
+}
+
+void EndpointNotices::merge(const std::vector<NoticeReport> &reports, TimePoint now, Effects &effects)
+{
+    for (const NoticeReport &report : reports) {
+        mergeReport(report, now);
+        apply(report.endpoint, m_notices.entries().at(report.endpoint).record, effects);
+    }
+}
+
+/*
+ * Of limits the later response counts, and the stricter limit if the order is uncertain; a drain counts whoever has
+ * seen it. A process that knows more than a report spreads that again.
+ */
+EndpointNotices::Notice EndpointNotices::merged(const Notice &known, const Notice &reported)
+{
+    const bool isLater = reported.at > known.at + timeTolerance;
+    const bool isEarlier = reported.at < known.at - timeTolerance;
+    const bool isTaken = isLater || (!isEarlier && isStricter(reported.requestsPerSecond, known.requestsPerSecond));
+    Notice out = isTaken ? reported : known;
+    out.isDraining =
+        out.isDraining || (known.incarnation == reported.incarnation && (known.isDraining || reported.isDraining));
+    return out;
+}
+
+void EndpointNotices::mergeReport(const NoticeReport &report, TimePoint now)
+{
+    const Notice reported{report.incarnation, report.requestsPerSecond, report.isDraining, now - report.age};
+    const auto found = m_notices.entries().find(report.endpoint);
+    if (found == m_notices.entries().end()) {
+        m_notices.change(report.endpoint) = reported;
+        return;
+    }
+    Notice &known = found->second.record;
+    if (known.isSameAs(reported)) {
+        known.at = std::max(known.at, reported.at);
+        return;
+    }
+    const Notice result = merged(known, reported);
+    m_notices.change(report.endpoint) = result;
+}
+
+void EndpointNotices::updateEndpoints(TimePoint now, Effects &effects)
+{
+    auto &entries = m_notices.entries();
+    for (auto next = entries.begin(); next != entries.end();) {
+        Notice &notice = next->second.record;
+        const bool isListed = m_endpoints.find(next->first) != nullptr;
+        if (!isListed && now - notice.at >= unlistedLifetime) {
+            next = m_notices.erase(next);
+            continue;
+        }
+        if (!isListed && notice.incarnation == 0) {
+            // Listed again, it may have restarted.
+            notice.isDraining = false;
+        }
+        apply(next->first, notice, effects);
+        ++next;
+    }
+}
+
+void EndpointNotices::apply(const InstanceName &instance, const Notice &notice, Effects &effects)
+{
+    const Endpoint *endpoint = m_endpoints.find(instance);
+    if (endpoint == nullptr || endpoint->record.incarnation != notice.incarnation) {
+        return;
+    }
+    m_endpoints.setLimit(instance, notice.requestsPerSecond, effects);
+    if (notice.isDraining) {
+        m_endpoints.recordDrain(instance, effects);
+    }
+}
+
+std::vector<NoticeReport> EndpointNotices::reportsSince(std::uint64_t since, TimePoint now) const
+{
+    std::vector<NoticeReport> out;
+    for (const auto &[instance, entry] : m_notices.entries()) {
+        if (entry.version > since) {
+            const Notice &notice = entry.record;
+            out.push_back({instance, notice.incarnation, notice.requestsPerSecond, now - notice.at, notice.isDraining});
+        }
+    }
+    return out;
+}
+
+} // namespace bergamottide::serving
--- a/src/bergamottide/serving/endpointregistry.cpp
+++ b/src/bergamottide/serving/endpointregistry.cpp
@@ -223,7 +223,7 @@
     Endpoint *endpoint = find(instance);
     if (endpoint != nullptr && !std::exchange(endpoint->hasAnnouncedDrain, true)) {
         log(effects, "Endpoint announced its drain.", *endpoint,
-            endpoint->record.draining ? "listed" : "not yet listed");
+            endpoint->record.draining ? "listed as draining" : "listed as ready");
     }
 }
 
--- a/src/bergamottide/serving/endpointregistry.h
+++ b/src/bergamottide/serving/endpointregistry.h
@@ -81,7 +81,7 @@
     /*! @brief Tells whether new work may be sent to it; ejections are not considered. */
     [[nodiscard]] bool acceptsWork() const noexcept
     {
-        return !isUnlisted && record.acceptsWork();
+        return !isUnlisted && !hasAnnouncedDrain && record.acceptsWork();
     }
 };
 
--- a/src/bergamottide/serving/heartbeat.h
+++ b/src/bergamottide/serving/heartbeat.h
@@ -74,15 +74,17 @@
     std::uint64_t incarnation{};
 };
 
-/*! @brief Limit on the rate of requests that an endpoint has named. */
-struct LimitReport
+/*! @brief Limit and drain that an endpoint has announced. */
+struct NoticeReport
 {
     InstanceName endpoint;
     std::uint64_t incarnation{};
     /*! @brief Requests per second from all processes together; empty if the endpoint has withdrawn its limit. */
     std::optional<double> requestsPerSecond;
-    /*! @brief Time since the response that named it. */
+    /*! @brief Time since the latest response that said so. */
     Duration age{};
+    /*! @brief The endpoint is about to stop. */
+    bool isDraining{};
 };
 
 /*! @brief State that a process sends to a peer in each heartbeat. */
@@ -123,8 +125,8 @@
     std::uint64_t acknowledgedGossip{};
     /*! @brief Crash reports that the receiver has not acknowledged. */
     std::vector<CrashReport> crashes;
-    /*! @brief Limits of endpoints that the receiver has not acknowledged. */
-    std::vector<LimitReport> limits;
+    /*! @brief Limits and drains of endpoints that the receiver has not acknowledged. */
+    std::vector<NoticeReport> notices;
 };
 
 /*! @brief Interval of heartbeats; several fit into the peer timeout, so that a lost one does no harm. */
--- a/src/bergamottide/serving/servingcrashes.cpp
+++ b/src/bergamottide/serving/servingcrashes.cpp
@@ -29,7 +29,7 @@
         return;
     }
     if (event.limit) {
-        m_limits.record(work->endpoint, *event.limit, m_now, m_effects);
+        m_notices.recordLimit(work->endpoint, *event.limit, m_now, m_effects);
     }
     if (event.status == StageCallStatus::Broken) {
         recordBroken(*work);
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -221,7 +221,7 @@
         }
     }
     m_quarantine.merge(event.heartbeat.crashes, m_now);
-    m_limits.merge(event.heartbeat.limits, m_now, m_effects);
+    m_notices.merge(event.heartbeat.notices, m_now, m_effects);
     const std::size_t after = m_peers.liveCount(m_now);
     m_retryBudget.setProcessCount(static_cast<std::uint32_t>(after + 1), m_now);
     if (before != after) {
@@ -328,7 +328,7 @@
     heartbeat.gossipVersion = m_gossipClock.version();
     heartbeat.gossipSince = m_gossipClock.sendSince(m_peers.acknowledgedGossip(to, now));
     heartbeat.crashes = m_quarantine.reportsSince(heartbeat.gossipSince, now);
-    heartbeat.limits = m_limits.reportsSince(heartbeat.gossipSince, now);
+    heartbeat.notices = m_notices.reportsSince(heartbeat.gossipSince, now);
     m_peers.fillHeartbeat(heartbeat, to, now);
     return heartbeat;
 }
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -52,7 +52,7 @@
                        }}
     , m_incarnation{options.incarnation}
     , m_gossipClock{options.incarnation}
-    , m_limits{m_gossipClock, m_endpoints}
+    , m_notices{m_gossipClock, m_endpoints}
     , m_quarantine{m_gossipClock}
     , m_crashDetector{m_endpoints}
 {
@@ -128,7 +128,7 @@
 void ServingReducer::on(const EndpointsChanged &event)
 {
     m_endpoints.update(*event.endpoints, m_now, m_effects);
-    m_limits.updateEndpoints(m_now, m_effects);
+    m_notices.updateEndpoints(m_now, m_effects);
     m_stageScheduler.requestScans();
     updateEngines();
     m_peers.setCanOwnQueues(canServe());
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -5,7 +5,7 @@
 #include "bergamottide/engines/engineplacement.h"
 #include "bergamottide/engines/enginetable.h"
 #include "bergamottide/serving/crashdetector.h"
-#include "bergamottide/serving/endpointlimits.h"
+#include "bergamottide/serving/endpointnotices.h"
 #include "bergamottide/serving/endpointregistry.h"
 #include "bergamottide/serving/events.h"
 #include "bergamottide/serving/fairadmission.h"
@@ -239,7 +239,7 @@
     std::map<CallId, Request> m_requests;
     std::map<RunNumber, CallId> m_runs;
     GossipClock m_gossipClock;
-    EndpointLimits m_limits;
+    EndpointNotices m_notices;
     /*! @brief Fair shares in the pools whose endpoints are all bounded. */
     std::map<PoolName, FairAdmission> m_fairAdmissions;
     Quarantine m_quarantine;
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -214,7 +214,7 @@
     }
     if (event.notice.isDraining) {
         m_effects.emplace_back(Observe{Metric::DrainNoticesTotal, {endpoint->record.pool.text()}, 1.0});
-        m_endpoints.recordDrain(event.instance, m_effects);
+        m_notices.recordDrain(event.instance, m_now, m_effects);
     }
 }
 
@@ -234,7 +234,7 @@
     }
     // Of rejections only those count that name a limit: another instance may have answered.
     if (!event.head.isForOtherRequest && (!event.head.notExecuted || event.head.limit.requestsPerSecond)) {
-        m_limits.record(request->endpoint, event.head.limit, m_now, m_effects);
+        m_notices.recordLimit(request->endpoint, event.head.limit, m_now, m_effects);
     }
     if (event.head.isForOtherRequest || (isSuccess(event.head.status) && !event.head.isSigned)) {
         m_effects.emplace_back(CancelRun{event.run});
--- a/test/bergamottide/serving/endpointlimits.cpp
+++ b/test/bergamottide/serving/endpointnotices.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/endpointlimits.h"
+#include "bergamottide/serving/endpointnotices.h"
 #include "servingfixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -12,9 +12,9 @@
 using test::ServingFixture;
 
 /*! @brief Limits that endpoints name, as known to the processes of a fleet. */
-class EndpointLimitsTest : public CppUnit::TestFixture
+class EndpointNoticesTest : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(EndpointLimitsTest);
+    CPPUNIT_TEST_SUITE(EndpointNoticesTest);
     CPPUNIT_TEST(limitHoldsUntilItIsChangedOrWithdrawn);
     CPPUNIT_TEST(malformedLimitLeavesTheKnownOne);
     CPPUNIT_TEST(limitIsLearntFromPeers);
@@ -23,6 +23,11 @@
     CPPUNIT_TEST(limitEndsWithItsInstance);
     CPPUNIT_TEST(limitOfAnEndpointListedLaterApplies);
     CPPUNIT_TEST(unchangedLimitIsNotSentAgain);
+    CPPUNIT_TEST(drainIsLearntFromPeersAndKeptBesideALimit);
+    CPPUNIT_TEST(drainEndsWithItsInstance);
+    CPPUNIT_TEST(drainOfAnEndpointListedAgainApplies);
+    CPPUNIT_TEST(endpointOfUnknownIncarnationListedAgainMayHaveRestarted);
+    CPPUNIT_TEST(processThatKnowsOfADrainTellsOneThatDoesNot);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -45,7 +50,7 @@
     void malformedLimitLeavesTheKnownOne()
     {
         m_first.record(2.0, m_now);
-        m_first.limits.record(endpoint, {std::nullopt, true}, m_now, m_first.effects);
+        m_first.notices.recordLimit(endpoint, {std::nullopt, true}, m_now, m_first.effects);
         CPPUNIT_ASSERT(m_first.limit() == std::optional{2.0});
         CPPUNIT_ASSERT(std::ranges::any_of(m_first.effects, [](const Effect &effect) {
             const auto *line = std::get_if<LogLine>(&effect);
@@ -71,12 +76,12 @@
         exchange();
         m_now += std::chrono::seconds{1};
         m_second.record(std::nullopt, m_now);
-        const auto withdrawn = m_second.limits.reportsSince(0, m_now);
+        const auto withdrawn = m_second.notices.reportsSince(0, m_now);
         m_now += std::chrono::seconds{1};
         m_first.record(2.0, m_now);
         const std::uint64_t version = m_first.clock.version();
-        m_first.limits.merge(withdrawn, m_now, m_first.effects);
-        m_first.limits.merge({{endpoint, 1, std::nullopt, std::chrono::seconds{1}}}, m_now, m_first.effects);
+        m_first.notices.merge(withdrawn, m_now, m_first.effects);
+        m_first.notices.merge({{endpoint, 1, std::nullopt, std::chrono::seconds{1}}}, m_now, m_first.effects);
         CPPUNIT_ASSERT(m_first.clock.version() > version);
         CPPUNIT_ASSERT(m_first.limit() == std::optional{2.0});
         exchange();
@@ -98,7 +103,7 @@
         m_first.list(2);
         CPPUNIT_ASSERT(!m_first.limit());
         // A late report of the former incarnation does not apply.
-        m_first.limits.merge({{endpoint, 1, 3.0, Duration::zero()}}, m_now, m_first.effects);
+        m_first.notices.merge({{endpoint, 1, 3.0, Duration::zero()}}, m_now, m_first.effects);
         CPPUNIT_ASSERT(!m_first.limit());
         m_first.record(4.0, m_now);
         CPPUNIT_ASSERT(m_first.limit() == std::optional{4.0});
@@ -118,9 +123,73 @@
     {
         m_first.record(2.0, m_now);
         const std::uint64_t version = m_first.clock.version();
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_first.limits.reportsSince(0, m_now).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_first.notices.reportsSince(0, m_now).size());
         m_first.record(2.0, m_now + std::chrono::seconds{1});
-        CPPUNIT_ASSERT(m_first.limits.reportsSince(version, m_now).empty());
+        CPPUNIT_ASSERT(m_first.notices.reportsSince(version, m_now).empty());
+    }
+
+    void drainIsLearntFromPeersAndKeptBesideALimit()
+    {
+        m_first.drain(m_now);
+        m_second.record(2.0, m_now);
+        exchange();
+        for (Process *process : {&m_first, &m_second}) {
+            CPPUNIT_ASSERT(!process->acceptsWork());
+            CPPUNIT_ASSERT(process->limit() == std::optional{2.0});
+        }
+        m_now += std::chrono::seconds{1};
+        m_second.record(std::nullopt, m_now);
+        exchange();
+        CPPUNIT_ASSERT(!m_first.acceptsWork() && !m_second.acceptsWork());
+        CPPUNIT_ASSERT(!m_first.limit());
+        const std::uint64_t version = m_first.clock.version();
+        exchange();
+        CPPUNIT_ASSERT_EQUAL(version, m_first.clock.version());
+    }
+
+    void drainEndsWithItsInstance()
+    {
+        m_first.drain(m_now);
+        m_first.list(1);
+        CPPUNIT_ASSERT(!m_first.acceptsWork());
+        m_first.list(2);
+        CPPUNIT_ASSERT(m_first.acceptsWork());
+        // A late report of the former incarnation does not apply.
+        m_first.notices.merge({{endpoint, 1, std::nullopt, Duration::zero(), true}}, m_now, m_first.effects);
+        CPPUNIT_ASSERT(m_first.acceptsWork());
+    }
+
+    /*! @brief Another reader of the list may be behind, so that an endpoint is removed and listed again. */
+    void drainOfAnEndpointListedAgainApplies()
+    {
+        m_first.drain(m_now);
+        m_first.unlist();
+        CPPUNIT_ASSERT(m_first.endpoints.find(endpoint) == nullptr);
+        m_first.list(1);
+        CPPUNIT_ASSERT(!m_first.acceptsWork());
+    }
+
+    void endpointOfUnknownIncarnationListedAgainMayHaveRestarted()
+    {
+        m_first.list(0);
+        m_first.drain(m_now);
+        m_first.list(0);
+        CPPUNIT_ASSERT(!m_first.acceptsWork());
+        m_first.unlist();
+        m_first.list(0);
+        CPPUNIT_ASSERT(m_first.acceptsWork());
+    }
+
+    void processThatKnowsOfADrainTellsOneThatDoesNot()
+    {
+        m_second.drain(m_now);
+        const std::uint64_t version = m_second.clock.version();
+        // The other one has seen a later response, which names a limit and was sent before the drain began.
+        m_second.notices.merge({{endpoint, 1, 2.0, Duration::zero(), false}}, m_now + std::chrono::seconds{1},
+                               m_second.effects);
+        CPPUNIT_ASSERT(!m_second.acceptsWork());
+        const auto reports = m_second.notices.reportsSince(version, m_now);
+        CPPUNIT_ASSERT(reports.size() == 1 && reports.front().isDraining);
     }
 
 private:
@@ -133,12 +202,28 @@
             EndpointRecord record{endpoint, PoolName{"engines"}, "10.0.0.1:1", ZoneName{"a"}, 4, false};
             record.incarnation = incarnation;
             endpoints.update({record}, TimePoint{}, effects);
-            limits.updateEndpoints(TimePoint{}, effects);
+            notices.updateEndpoints(TimePoint{}, effects);
         }
 
         void record(std::optional<double> requestsPerSecond, TimePoint now)
         {
-            limits.record(endpoint, {requestsPerSecond, false}, now, effects);
+            notices.recordLimit(endpoint, {requestsPerSecond, false}, now, effects);
+        }
+
+        void unlist()
+        {
+            endpoints.update({}, TimePoint{}, effects);
+            notices.updateEndpoints(TimePoint{}, effects);
+        }
+
+        void drain(TimePoint now)
+        {
+            notices.recordDrain(endpoint, now, effects);
+        }
+
+        [[nodiscard]] bool acceptsWork()
+        {
+            return endpoints.find(endpoint)->acceptsWork();
         }
 
         [[nodiscard]] std::optional<double> limit()
@@ -148,16 +233,16 @@
 
         EndpointRegistry endpoints;
         GossipClock clock{0};
-        EndpointLimits limits{clock, endpoints};
+        EndpointNotices notices{clock, endpoints};
         Effects effects;
     };
 
     void exchange()
     {
-        const auto fromFirst = m_first.limits.reportsSince(0, m_now);
-        const auto fromSecond = m_second.limits.reportsSince(0, m_now);
-        m_first.limits.merge(fromSecond, m_now, m_first.effects);
-        m_second.limits.merge(fromFirst, m_now, m_second.effects);
+        const auto fromFirst = m_first.notices.reportsSince(0, m_now);
+        const auto fromSecond = m_second.notices.reportsSince(0, m_now);
+        m_first.notices.merge(fromSecond, m_now, m_first.effects);
+        m_second.notices.merge(fromFirst, m_now, m_second.effects);
     }
 
     TimePoint m_now{std::chrono::seconds{100}};
@@ -165,7 +250,7 @@
     Process m_second;
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(EndpointLimitsTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(EndpointNoticesTest);
 
 /*! @brief Requests to a pool whose endpoints are all limited. */
 class LimitedPoolTest : public CppUnit::TestFixture
@@ -255,7 +340,7 @@
     {
         Heartbeat heartbeat;
         heartbeat.from = {InstanceName{"peer"}, "10.0.0.8:1"};
-        heartbeat.limits.push_back({InstanceName{endpoint}, 0, requestsPerSecond, Duration::zero()});
+        heartbeat.notices.push_back({InstanceName{endpoint}, 0, requestsPerSecond, Duration::zero()});
         m_fixture.apply(HeartbeatReceived{heartbeat});
         // After this time the process has a share in the limits, and forgets the peer.
         m_fixture.advanceClock(std::chrono::seconds{70});
