Learn what endpoints say of themselves from every response alike

Each path read its own selection of headers: the warm-up of a stage endpoint was ignored in its answers, a rejected stage call without a limit withdrew a known one, loads were taken from responses of another instance, and headers were lost where the body of a stage call broke off. Ruled out: fetches of cached prompts (their source is one of the candidates, which leave out whoever accepts nothing). Change: one decoder for the headers and one event, submitted at the head of the response of a run, stage call, check or release; malformed values of each header reach the log. The load of a response to another attempt still counts, its limit does not. Conclusion: a header of this kind is now added in one place.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -414,10 +414,11 @@
     const RunNumber run = effect.run;
     HttpCallHooks hooks;
     hooks.head = [this, run, instance = effect.instance](int status, const HttpHeaders &headers) {
-        submitNotice(instance, status, headers);
         const auto found = m_runs.find(run);
         if (found != m_runs.end()) {
-            m_runner.submit(RunHeadReceived{run, m_codec.decodeResponseHead(*found->second.request, status, headers)});
+            const std::shared_ptr<const CallerRequest> request = found->second.request;
+            submitNotice(instance, request->attempt, status, headers);
+            m_runner.submit(RunHeadReceived{run, m_codec.decodeResponseHead(*request, status, headers)});
         }
     };
     hooks.piece = [this, run](std::string_view piece) {
@@ -438,13 +439,22 @@
 }
 
 /*! @brief Reports what an endpoint said of itself in a response, before the response itself is handled. */
-void ServingApp::submitNotice(const InstanceName &instance, int status, const HttpHeaders &headers)
+void ServingApp::submitNotice(const InstanceName &instance, const std::string &attempt, int status,
+                              const HttpHeaders &headers)
 {
-    if (auto notice = m_codec.decodeNotice(status, headers)) {
+    if (auto notice = m_codec.decodeNotice(attempt, status, headers)) {
         m_runner.submit(EndpointResponded{instance, *std::move(notice)});
     }
 }
 
+/*! @brief Returns the hook for the responses to requests that belong to no attempt. */
+std::function<void(int status, const HttpHeaders &headers)> ServingApp::noticeHook(const InstanceName &instance)
+{
+    return [this, instance](int status, const HttpHeaders &headers) {
+        submitNotice(instance, {}, status, headers);
+    };
+}
+
 void ServingApp::failRun(RunNumber run, HttpFailure failure)
 {
     if (m_runs.erase(run) == 0) {
@@ -464,8 +474,8 @@
 void ServingApp::carryOut(const CheckEndpoint &effect)
 {
     HttpCallHooks hooks;
+    hooks.head = noticeHook(effect.instance);
     hooks.done = [this, instance = effect.instance](const HttpResponse &answer) {
-        submitNotice(instance, answer.status, answer.headers);
         m_runner.submit(EndpointChecked{instance, m_codec.decodeCheck(answer)});
     };
     hooks.failed = [this, instance = effect.instance](HttpFailure failure) {
@@ -479,8 +489,8 @@
 {
     const StageCallNumber call = effect.call;
     HttpCallHooks hooks;
-    hooks.done = [this, call, instance = effect.instance, items = effect.items.size()](const HttpResponse &answer) {
-        submitNotice(instance, answer.status, answer.headers);
+    hooks.head = noticeHook(effect.instance);
+    hooks.done = [this, call, items = effect.items.size()](const HttpResponse &answer) {
         if (m_stageCalls.erase(call) != 0) {
             m_runner.submit(m_codec.decodeStageResponse(call, items, answer));
         }
@@ -505,8 +515,8 @@
 void ServingApp::carryOut(const ReleaseResults &effect)
 {
     HttpCallHooks hooks;
-    hooks.done = [this, instance = effect.instance](const HttpResponse &answer) {
-        submitNotice(instance, answer.status, answer.headers);
+    hooks.head = noticeHook(effect.instance);
+    hooks.done = [](const HttpResponse &) {
     };
     hooks.failed = [this, address = effect.address](HttpFailure failure) {
         // No retry needed: the results expire at the endpoint.
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -30,7 +30,9 @@
     std::function<absl::StatusOr<serving::CallerRequest>(CallId call, HttpRequest request)> decodeRequest;
     std::function<HttpRequest(const serving::StartRun &run)> encodeRun;
     /*! @brief Returns nothing if another instance than the expected one has responded. */
-    std::function<std::optional<serving::EndpointNotice>(int status, const HttpHeaders &headers)> decodeNotice;
+    std::function<std::optional<serving::EndpointNotice>(const std::string &attempt, int status,
+                                                         const HttpHeaders &headers)>
+        decodeNotice;
     std::function<serving::EndpointResponseHead(const serving::CallerRequest &request, int status,
                                                 const HttpHeaders &headers)>
         decodeResponseHead;
@@ -159,7 +161,8 @@
 
     [[nodiscard]] PeerPortHooks peerHooks();
     [[nodiscard]] Caller extractCaller(CallId call);
-    void submitNotice(const InstanceName &instance, int status, const HttpHeaders &headers);
+    [[nodiscard]] std::function<void(int status, const HttpHeaders &headers)> noticeHook(const InstanceName &instance);
+    void submitNotice(const InstanceName &instance, const std::string &attempt, int status, const HttpHeaders &headers);
     void failRun(serving::RunNumber run, HttpFailure failure);
     void finishDrain();
     void pollDirectory();
--- a/src/bergamottide/serving/endpointnotices.cpp
+++ b/src/bergamottide/serving/endpointnotices.cpp
@@ -31,41 +31,44 @@
 {
 }
 
-void EndpointNotices::recordLimit(const InstanceName &instance, const LimitNotice &notice, TimePoint now,
-                                  Effects &effects)
+void EndpointNotices::record(const InstanceName &instance, const EndpointNotice &notice, TimePoint now,
+                             Effects &effects)
 {
     const Endpoint *endpoint = m_endpoints.find(instance);
     if (endpoint == nullptr) {
         return;
     }
-    if (notice.isMalformed) {
-        EndpointRegistry::logMalformedLimit(*endpoint, effects);
-        return;
+    for (const std::string &header : notice.malformedHeaders) {
+        EndpointRegistry::logMalformedHeader(*endpoint, header, effects);
     }
-    const std::uint64_t incarnation = endpoint->record.incarnation;
-    const Notice *known = find(instance, incarnation);
-    if (known == nullptr && !notice.requestsPerSecond) {
-        return;
+    if (notice.load) {
+        m_endpoints.recordLoad(instance, *notice.load, now);
     }
-    record(instance, {incarnation, notice.requestsPerSecond, known != nullptr && known->isDraining, now}, effects);
-}
-
-void EndpointNotices::recordDrain(const InstanceName &instance, TimePoint now, Effects &effects)
-{
-    const Endpoint *endpoint = m_endpoints.find(instance);
-    if (endpoint == nullptr) {
-        return;
+    if (notice.remainingWarmup > Duration::zero()) {
+        m_endpoints.recordWarmup(instance, notice.remainingWarmup, now);
     }
-    const std::uint64_t incarnation = endpoint->record.incarnation;
-    const Notice *known = find(instance, incarnation);
-    record(instance, {incarnation, known == nullptr ? std::nullopt : known->requestsPerSecond, true, now}, effects);
+    if (notice.isDraining) {
+        effects.emplace_back(Observe{Metric::DrainNoticesTotal, {endpoint->record.pool.text()}, 1.0});
+    }
+    recordShared(instance, notice, now, effects);
 }
 
-void EndpointNotices::record(const InstanceName &instance, const Notice &notice, Effects &effects)
+/*! @brief Records what other processes have to know as well. */
+void EndpointNotices::recordShared(const InstanceName &instance, const EndpointNotice &response, TimePoint now,
+                                   Effects &effects)
 {
-    const auto found = m_notices.entries().find(instance);
-    if (found != m_notices.entries().end() && found->second.record.isSameAs(notice)) {
-        found->second.record.at = notice.at;
+    const std::uint64_t incarnation = m_endpoints.find(instance)->record.incarnation;
+    const Notice *known = find(instance, incarnation);
+    Notice notice = known == nullptr ? Notice{incarnation} : *known;
+    notice.at = now;
+    if (response.limit) {
+        notice.requestsPerSecond = response.limit->requestsPerSecond;
+    }
+    notice.isDraining = notice.isDraining || response.isDraining;
+    if (notice.isSameAs(known == nullptr ? Notice{incarnation} : *known)) {
+        if (known != nullptr && (response.limit || response.isDraining)) {
+            m_notices.entries().at(instance).record.at = now;
+        }
         return;
     }
     m_notices.change(instance) = notice;
--- a/src/bergamottide/serving/endpointnotices.h
+++ b/src/bergamottide/serving/endpointnotices.h
@@ -14,10 +14,10 @@
 namespace bergamottide::serving {
 
 /**
- * @brief Limits and drains that endpoints announce in their responses, shared by all processes.
+ * @brief What endpoints say of themselves in their responses.
  *
- * A process that gets no response from an endpoint learns of them from the others. Of limits the latest response
- * counts; a drain cannot be withdrawn. Both end with the instance that announced them.
+ * Limits and drains concern all processes: one that gets no response from an endpoint learns of them from the others.
+ * Of limits the latest response counts; a drain cannot be withdrawn. Both end with the instance that announced them.
  */
 class EndpointNotices
 {
@@ -30,21 +30,13 @@
     EndpointNotices(GossipClock &clock, EndpointRegistry &endpoints);
 
     /**
-     * @brief Records what a response said of its endpoint's limit.
+     * @brief Records what an endpoint said of itself in a response to this process.
      * @param instance Endpoint.
-     * @param notice Limit, or none.
+     * @param notice Content of the response.
      * @param now Current time.
-     * @param effects Receives a log line for a change.
+     * @param effects Receives a log line for a change, and metrics.
      */
-    void recordLimit(const InstanceName &instance, const LimitNotice &notice, TimePoint now, Effects &effects);
-
-    /**
-     * @brief Records that an endpoint announced that it is about to stop.
-     * @param instance Endpoint.
-     * @param now Current time.
-     * @param effects Receives a log line for a change.
-     */
-    void recordDrain(const InstanceName &instance, TimePoint now, Effects &effects);
+    void record(const InstanceName &instance, const EndpointNotice &notice, TimePoint now, Effects &effects);
 
     /*! @brief Applies what peers have learned. */
     void merge(const std::vector<NoticeReport> &reports, TimePoint now, Effects &effects);
@@ -73,7 +65,7 @@
         [[nodiscard]] bool isSameAs(const Notice &other) const noexcept;
     };
 
-    void record(const InstanceName &instance, const Notice &notice, Effects &effects);
+    void recordShared(const InstanceName &instance, const EndpointNotice &response, TimePoint now, Effects &effects);
     [[nodiscard]] const Notice *find(const InstanceName &instance, std::uint64_t incarnation) const;
     [[nodiscard]] static Notice merged(const Notice &known, const Notice &reported);
     void mergeReport(const NoticeReport &report, TimePoint now);
--- a/src/bergamottide/serving/endpointregistry.cpp
+++ b/src/bergamottide/serving/endpointregistry.cpp
@@ -247,11 +247,6 @@
     log(effects, "Header of an endpoint ignored.", endpoint, absl::StrCat("malformed: ", header));
 }
 
-void EndpointRegistry::logMalformedLimit(const Endpoint &endpoint, Effects &effects)
-{
-    log(effects, "Limit of an endpoint ignored.", endpoint, "malformed");
-}
-
 void EndpointRegistry::recordLoad(const InstanceName &instance, const EndpointLoad &load, TimePoint now)
 {
     if (Endpoint *endpoint = find(instance); endpoint != nullptr) {
--- a/src/bergamottide/serving/endpointregistry.h
+++ b/src/bergamottide/serving/endpointregistry.h
@@ -163,9 +163,6 @@
     /*! @brief Logs that a header by which an endpoint tells of itself cannot be read. */
     static void logMalformedHeader(const Endpoint &endpoint, const std::string &header, Effects &effects);
 
-    /*! @brief Logs that an endpoint named a limit that cannot be read. */
-    static void logMalformedLimit(const Endpoint &endpoint, Effects &effects);
-
     /*! @brief Records the load that an endpoint reported. */
     void recordLoad(const InstanceName &instance, const EndpointLoad &load, TimePoint now);
 
--- a/src/bergamottide/serving/events.h
+++ b/src/bergamottide/serving/events.h
@@ -112,13 +112,16 @@
 {
     /*! @brief Requests per second from all processes together; empty if the endpoint sets no limit. */
     std::optional<double> requestsPerSecond;
-    /*! @brief The response names a limit that cannot be read; an earlier one still holds. */
-    bool isMalformed{};
 };
 
 /*! @brief What an endpoint says of itself in a response, whatever the request was. */
 struct EndpointNotice
 {
+    std::optional<EndpointLoad> load;
+    /*! @brief Remaining warm-up time; zero if not reported. */
+    Duration remainingWarmup{};
+    /*! @brief Nothing if the response does not tell; what is known of the limit still holds. */
+    std::optional<LimitNotice> limit;
     /*! @brief It is about to stop and is to get no new work. */
     bool isDraining{};
     /*! @brief Names of the headers whose values cannot be read. */
@@ -139,10 +142,6 @@
     bool isForOtherRequest{};
     /*! @brief Signed by the endpoint and without a content encoding; a success is forwarded only if set. */
     bool isSigned{};
-    std::optional<EndpointLoad> load;
-    /*! @brief Remaining warm-up time; zero if not reported. */
-    Duration remainingWarmup{};
-    LimitNotice limit;
 };
 
 /*! @brief Why a run ended without a complete response. */
@@ -237,8 +236,6 @@
     std::vector<PieceResult> results;
     /*! @brief Load that the endpoint reported with its response. */
     std::optional<EndpointLoad> load;
-    /*! @brief Limit that the endpoint named in its response; nothing without a response. */
-    std::optional<LimitNotice> limit;
 };
 
 /*! @brief Event: another version of the catalog is in effect. */
--- a/src/bergamottide/serving/servingcrashes.cpp
+++ b/src/bergamottide/serving/servingcrashes.cpp
@@ -21,16 +21,13 @@
     }
 }
 
-/*! @brief Learns from the end of a stage call which stages crash endpoints, and the limit of its endpoint. */
+/*! @brief Learns from the end of a stage call which stages crash endpoints. */
 void ServingReducer::recordStageCall(const StageCallEnded &event)
 {
     const auto work = m_stageScheduler.workOf(event.call);
     if (!work) {
         return;
     }
-    if (event.limit) {
-        m_notices.recordLimit(work->endpoint, *event.limit, m_now, m_effects);
-    }
     if (event.status == StageCallStatus::Broken) {
         recordBroken(*work);
     }
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -205,17 +205,7 @@
 
 void ServingReducer::on(const EndpointResponded &event)
 {
-    const Endpoint *endpoint = m_endpoints.find(event.instance);
-    if (endpoint == nullptr) {
-        return;
-    }
-    for (const std::string &header : event.notice.malformedHeaders) {
-        EndpointRegistry::logMalformedHeader(*endpoint, header, m_effects);
-    }
-    if (event.notice.isDraining) {
-        m_effects.emplace_back(Observe{Metric::DrainNoticesTotal, {endpoint->record.pool.text()}, 1.0});
-        m_notices.recordDrain(event.instance, m_now, m_effects);
-    }
+    m_notices.record(event.instance, event.notice, m_now, m_effects);
 }
 
 void ServingReducer::on(const RunHeadReceived &event)
@@ -226,16 +216,6 @@
     }
     m_endpoints.recordAnswer(request->endpoint, m_now);
     m_firstEventTimes.record(request->pool, m_now - request->runStartedAt);
-    if (event.head.load) {
-        m_endpoints.recordLoad(request->endpoint, *event.head.load, m_now);
-    }
-    if (event.head.remainingWarmup > Duration::zero()) {
-        m_endpoints.recordWarmup(request->endpoint, event.head.remainingWarmup, m_now);
-    }
-    // Of rejections only those count that name a limit: another instance may have answered.
-    if (!event.head.isForOtherRequest && (!event.head.notExecuted || event.head.limit.requestsPerSecond)) {
-        m_notices.recordLimit(request->endpoint, event.head.limit, m_now, m_effects);
-    }
     if (event.head.isForOtherRequest || (isSuccess(event.head.status) && !event.head.isSigned)) {
         m_effects.emplace_back(CancelRun{event.run});
         failRun(*request,
--- a/test/bergamottide/app/peerwire.cpp
+++ b/test/bergamottide/app/peerwire.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(heartbeatRoundTripsEngineReports);
     CPPUNIT_TEST(heartbeatWithoutEngineReportsIsAccepted);
     CPPUNIT_TEST(heartbeatRoundTripsCrashReports);
+    CPPUNIT_TEST(heartbeatRoundTripsEndpointNotices);
     CPPUNIT_TEST(heartbeatOfAnEarlierReleaseHasNoCrashReports);
     CPPUNIT_TEST(heartbeatWithWrongFieldTypeIsRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -73,6 +74,23 @@
         CPPUNIT_ASSERT(report.cleared == heartbeat.crashes.front().cleared);
     }
 
+    void heartbeatRoundTripsEndpointNotices()
+    {
+        Heartbeat heartbeat;
+        heartbeat.notices.push_back({InstanceName{"engine-1"}, 7, 1.5, milliseconds{300}, false});
+        heartbeat.notices.push_back({InstanceName{"engine-2"}, 8, std::nullopt, milliseconds{400}, true});
+        const auto read = peerwire::decodeHeartbeat(peerwire::encode(heartbeat));
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT_EQUAL(heartbeat.notices.size(), read->notices.size());
+        for (std::size_t index = 0; index < heartbeat.notices.size(); ++index) {
+            const NoticeReport &sent = heartbeat.notices[index];
+            const NoticeReport &received = read->notices[index];
+            CPPUNIT_ASSERT(sent.endpoint == received.endpoint && sent.incarnation == received.incarnation);
+            CPPUNIT_ASSERT(sent.requestsPerSecond == received.requestsPerSecond && sent.age == received.age);
+            CPPUNIT_ASSERT_EQUAL(sent.isDraining, received.isDraining);
+        }
+    }
+
     void heartbeatOfAnEarlierReleaseHasNoCrashReports()
     {
         std::string text = peerwire::encode(Heartbeat{});
--- a/test/bergamottide/serving/endpointnotices.cpp
+++ b/test/bergamottide/serving/endpointnotices.cpp
@@ -50,11 +50,13 @@
     void malformedLimitLeavesTheKnownOne()
     {
         m_first.record(2.0, m_now);
-        m_first.notices.recordLimit(endpoint, {std::nullopt, true}, m_now, m_first.effects);
+        EndpointNotice notice;
+        notice.malformedHeaders.emplace_back("limit");
+        m_first.notices.record(endpoint, notice, m_now, m_first.effects);
         CPPUNIT_ASSERT(m_first.limit() == std::optional{2.0});
         CPPUNIT_ASSERT(std::ranges::any_of(m_first.effects, [](const Effect &effect) {
             const auto *line = std::get_if<LogLine>(&effect);
-            return line != nullptr && line->text == "Limit of an endpoint ignored.";
+            return line != nullptr && line->text == "Header of an endpoint ignored.";
         }));
     }
 
@@ -207,7 +209,9 @@
 
         void record(std::optional<double> requestsPerSecond, TimePoint now)
         {
-            notices.recordLimit(endpoint, {requestsPerSecond, false}, now, effects);
+            EndpointNotice notice;
+            notice.limit = LimitNotice{requestsPerSecond};
+            notices.record(endpoint, notice, now, effects);
         }
 
         void unlist()
@@ -218,7 +222,9 @@
 
         void drain(TimePoint now)
         {
-            notices.recordDrain(endpoint, now, effects);
+            EndpointNotice notice;
+            notice.isDraining = true;
+            notices.record(endpoint, notice, now, effects);
         }
 
         [[nodiscard]] bool acceptsWork()
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -57,45 +57,60 @@
     CPPUNIT_TEST(anyAnswerOfTheInstanceItselfShowsThatItRuns);
     CPPUNIT_TEST(decodesLimitsOfEndpoints);
     CPPUNIT_TEST(decodesDrainOfEndpoints);
+    CPPUNIT_TEST(decodesWarmupAndLoadOfEndpoints);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void decodesLimitsOfEndpoints()
     {
         const auto decode = [](const std::string &text) {
-            return platform::decodeLimit({{"Server-Limit", text}});
+            return *platform::decodeNotice({}, 200, {{"Server-Limit", text}});
         };
-        CPPUNIT_ASSERT(!platform::decodeLimit({}).requestsPerSecond && !platform::decodeLimit({}).isMalformed);
-        CPPUNIT_ASSERT(decode("1.3").requestsPerSecond == std::optional{1.3});
-        CPPUNIT_ASSERT(decode("0").requestsPerSecond == std::optional{0.0});
+        const auto unlimited = platform::decodeNotice({}, 200, {});
+        CPPUNIT_ASSERT(unlimited->limit && !unlimited->limit->requestsPerSecond);
+        CPPUNIT_ASSERT(unlimited->malformedHeaders.empty());
+        CPPUNIT_ASSERT(decode("1.3").limit->requestsPerSecond == std::optional{1.3});
+        CPPUNIT_ASSERT(decode("0").limit->requestsPerSecond == std::optional{0.0});
         for (const std::string text : {"soon", "-1", "nan", "inf", "1,2", "1e999"}) {
-            CPPUNIT_ASSERT_MESSAGE(text, decode(text).isMalformed && !decode(text).requestsPerSecond);
+            CPPUNIT_ASSERT_MESSAGE(text, !decode(text).limit);
+            CPPUNIT_ASSERT_MESSAGE(text, decode(text).malformedHeaders == std::vector<std::string>{"server-limit"});
         }
-        CPPUNIT_ASSERT(platform::decodeStageResponse(serving::StageCallNumber{1}, 0, {200, {{"server-limit", "2"}}, ""})
-                           .limit->requestsPerSecond
-                       == std::optional{2.0});
+        const HttpHeaders limited{{"server-limit", "2"}, {"attempt-id", "a1"}};
+        CPPUNIT_ASSERT(platform::decodeNotice("a1", 200, limited)->limit->requestsPerSecond == std::optional{2.0});
+        // A late response to another request.
+        CPPUNIT_ASSERT(!platform::decodeNotice("a2", 200, limited)->limit);
         // Another instance answered.
-        const HttpHeaders limited{{"server-limit", "2"}};
-        CPPUNIT_ASSERT(!platform::decodeStageResponse(serving::StageCallNumber{1}, 0, {421, limited, ""}).limit);
-        CPPUNIT_ASSERT(!platform::decodeResponseHead(*platform::decodeRequest(CallId{1}, callerRequest()), 421, limited)
-                            .limit.requestsPerSecond);
+        CPPUNIT_ASSERT(!platform::decodeNotice("a1", 421, limited));
+        // A rejection names a limit, but does not withdraw one.
+        CPPUNIT_ASSERT(platform::decodeNotice({}, 503, {{"not-executed", "1"}, {"server-limit", "2"}})->limit);
+        CPPUNIT_ASSERT(!platform::decodeNotice({}, 503, {{"not-executed", "1"}})->limit);
     }
 
     void decodesDrainOfEndpoints()
     {
         const auto decode = [](int status, const std::string &text) {
-            return platform::decodeNotice(status, {{"Server-Leaving", text}});
+            return platform::decodeNotice("a1", status, {{"Server-Leaving", text}, {"attempt-id", "a2"}});
         };
         CPPUNIT_ASSERT(decode(200, "1")->isDraining);
         CPPUNIT_ASSERT(decode(503, "1")->isDraining);
         CPPUNIT_ASSERT(!decode(200, "0")->isDraining && decode(200, "0")->malformedHeaders.empty());
-        CPPUNIT_ASSERT(!platform::decodeNotice(200, {})->isDraining);
+        CPPUNIT_ASSERT(!platform::decodeNotice({}, 200, {})->isDraining);
         CPPUNIT_ASSERT(!decode(200, "soon")->isDraining);
         CPPUNIT_ASSERT(decode(200, "soon")->malformedHeaders == std::vector<std::string>{"server-leaving"});
         // Another instance answered.
         CPPUNIT_ASSERT(!decode(421, "1"));
     }
 
+    void decodesWarmupAndLoadOfEndpoints()
+    {
+        const auto notice = platform::decodeNotice({}, 200, {{"Cold-Ms", "1500"}, {"Server-Load", "3,1,8"}});
+        CPPUNIT_ASSERT(notice->remainingWarmup == std::chrono::milliseconds{1500});
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{8}, notice->load->slots);
+        const auto malformed = platform::decodeNotice({}, 200, {{"Cold-Ms", "long"}, {"Server-Load", "3,1"}});
+        CPPUNIT_ASSERT(malformed->remainingWarmup == Duration::zero() && !malformed->load);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, malformed->malformedHeaders.size());
+    }
+
     void anyAnswerOfTheInstanceItselfShowsThatItRuns()
     {
         const HttpRequest check = platform::encodeCheck({InstanceName{"i-1"}, "10.0.0.1:1"});
@@ -178,7 +193,6 @@
         const auto own = platform::decodeResponseHead(
             request, 200, {{"Attempt-Id", "a1"}, {"Response-Seal", "s"}, {"Server-Load", "3,1,8"}, {"X-Kept", "1"}});
         CPPUNIT_ASSERT(!own.isForOtherRequest && own.isSigned && !own.notExecuted);
-        CPPUNIT_ASSERT_EQUAL(std::uint32_t{8}, own.load->slots);
         CPPUNIT_ASSERT_EQUAL(std::string{"1"}, std::string{headerValue(own.headers, "x-kept")});
         CPPUNIT_ASSERT(platform::decodeResponseHead(request, 200, {{"Attempt-Id", "a2"}, {"Response-Seal", "s"}})
                            .isForOtherRequest);
--- a/test/support/servingfleet.cpp
+++ b/test/support/servingfleet.cpp
@@ -254,13 +254,14 @@
              });
 }
 
-EndpointResponseHead ServingFleet::answer(Engine &engine, std::uint64_t incarnation, EndpointResponseHead head) const
+EndpointNotice ServingFleet::notice(Engine &engine, std::uint64_t incarnation) const
 {
-    head.limit.requestsPerSecond = engine.limit;
+    EndpointNotice notice;
+    notice.limit = LimitNotice{engine.limit};
     if (engine.limit) {
         engine.toldAt.try_emplace(incarnation, m_now);
     }
-    return head;
+    return notice;
 }
 
 void ServingFleet::setLimit(std::size_t engine, std::optional<double> requestsPerSecond)
@@ -286,8 +287,8 @@
         return;
     }
     const Run run = found->second;
-    applyTo(run.process, run.incarnation,
-            RunHeadReceived{run.run, answer(m_engines[engine], run.incarnation, successHead())});
+    applyTo(run.process, run.incarnation, EndpointResponded{instance, notice(m_engines[engine], run.incarnation)});
+    applyTo(run.process, run.incarnation, RunHeadReceived{run.run, successHead()});
     if (!run.target.starts_with(crashingPath)) {
         schedule(between(shortestRun, longestRun),
                  [this, engine, instance, number] { completeRun(engine, instance, number); });
--- a/test/support/servingfleet.h
+++ b/test/support/servingfleet.h
@@ -145,8 +145,7 @@
     void applyTo(std::size_t process, std::uint64_t incarnation, const serving::Event &event);
     void handle(std::size_t process, const serving::Effect &effect);
     void startRun(std::size_t process, const serving::StartRun &start);
-    [[nodiscard]] serving::EndpointResponseHead answer(Engine &engine, std::uint64_t incarnation,
-                                                       serving::EndpointResponseHead head) const;
+    [[nodiscard]] serving::EndpointNotice notice(Engine &engine, std::uint64_t incarnation) const;
     void beginRun(std::size_t engine, const InstanceName &instance, std::uint64_t number);
     void completeRun(std::size_t engine, const InstanceName &instance, std::uint64_t number);
     void checkEndpoint(std::size_t process, const serving::CheckEndpoint &check);
