--- a/src/bergamottide/serving/endpointnotices.cpp
+++ b/src/bergamottide/serving/endpointnotices.cpp
@@ -50,6 +50,10 @@
     if (notice.isDraining) {
         effects.emplace_back(Observe{Metric::DrainNoticesTotal, {endpoint->record.pool.text()}, 1.0});
     }
+    if (notice.pause > Duration::zero()) {
+        effects.emplace_back(Observe{Metric::PauseNoticesTotal, {endpoint->record.pool.text()}, 1.0});
+        EndpointRegistry::logPause(*endpoint, notice.pause, effects);
+    }
     recordShared(instance, notice, now, effects);
 }
 
--- a/src/bergamottide/serving/endpointregistry.cpp
+++ b/src/bergamottide/serving/endpointregistry.cpp
@@ -242,6 +242,11 @@
     }
 }
 
+void EndpointRegistry::logPause(const Endpoint &endpoint, Duration pause, Effects &effects)
+{
+    log(effects, "Endpoint asks for a pause.", endpoint, absl::StrCat(pause.count() / 1000, " ms"));
+}
+
 void EndpointRegistry::logMalformedHeader(const Endpoint &endpoint, const std::string &header, Effects &effects)
 {
     log(effects, "Header of an endpoint ignored.", endpoint, absl::StrCat("malformed: ", header));
--- a/src/bergamottide/serving/endpointregistry.h
+++ b/src/bergamottide/serving/endpointregistry.h
@@ -160,6 +160,9 @@
      */
     void setLimit(const InstanceName &instance, std::optional<double> requestsPerSecond, Effects &effects);
 
+    /*! @brief Logs that an endpoint wants no requests from this process for a time. */
+    static void logPause(const Endpoint &endpoint, Duration pause, Effects &effects);
+
     /*! @brief Logs that a header by which an endpoint tells of itself cannot be read. */
     static void logMalformedHeader(const Endpoint &endpoint, const std::string &header, Effects &effects);
 
--- a/src/bergamottide/serving/events.h
+++ b/src/bergamottide/serving/events.h
@@ -124,6 +124,8 @@
     std::optional<LimitNotice> limit;
     /*! @brief It is about to stop and is to get no new work. */
     bool isDraining{};
+    /*! @brief Time for which it wants no requests from this process; zero for none. */
+    Duration pause{};
     /*! @brief Names of the headers whose values cannot be read. */
     std::vector<std::string> malformedHeaders;
 };
--- a/src/bergamottide/telemetry/metric.h
+++ b/src/bergamottide/telemetry/metric.h
@@ -48,13 +48,14 @@
     BrokenRunsTotal,
     EndpointCrashesTotal,
     QuarantinedRequests,
-    DrainNoticesTotal
+    DrainNoticesTotal,
+    PauseNoticesTotal
 };
 
 template <>
 struct EnumNames<Metric>
 {
-    static constexpr std::array<std::string_view, 30> names{"bergamottide_requests_total",
+    static constexpr std::array<std::string_view, 31> names{"bergamottide_requests_total",
                                                             "bergamottide_requests_on_time_total",
                                                             "bergamottide_request_seconds",
                                                             "bergamottide_refusals_total",
@@ -83,7 +84,8 @@
                                                             "bergamottide_broken_runs_total",
                                                             "bergamottide_endpoint_crashes_total",
                                                             "bergamottide_quarantined_requests",
-                                                            "bergamottide_drain_notices_total"};
+                                                            "bergamottide_drain_notices_total",
+                                                            "bergamottide_pause_notices_total"};
 };
 
 /*! @brief Effect: a metric changes. */
--- a/src/bergamottide/telemetry/metricinfo.cpp
+++ b/src/bergamottide/telemetry/metricinfo.cpp
@@ -88,6 +88,11 @@
          "Responses in which an endpoint announced that it is about to stop.",
          {"pool"},
          {}},
+        {Metric::PauseNoticesTotal,
+         counter,
+         "Responses in which an endpoint asked for a time without requests.",
+         {"pool"},
+         {}},
     };
     return table;
 }
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(decodesLimitsOfEndpoints);
     CPPUNIT_TEST(decodesDrainOfEndpoints);
     CPPUNIT_TEST(decodesWarmupAndLoadOfEndpoints);
+    CPPUNIT_TEST(decodesPausesOfEndpoints);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -111,6 +112,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, malformed->malformedHeaders.size());
     }
 
+    void decodesPausesOfEndpoints()
+    {
+        const auto decode = [](int status, const std::string &text) {
+            return *platform::decodeNotice({}, status, {{"Retry-After", text}, {"not-executed", "1"}});
+        };
+        CPPUNIT_ASSERT(decode(503, "3").pause == std::chrono::seconds{3});
+        CPPUNIT_ASSERT(decode(503, "0.25").pause == std::chrono::milliseconds{250});
+        CPPUNIT_ASSERT(decode(503, "1e300").pause == std::chrono::hours{24});
+        CPPUNIT_ASSERT(decode(503, "0").pause == Duration::zero() && decode(503, "0").malformedHeaders.empty());
+        CPPUNIT_ASSERT(decode(429, "3").pause == Duration::zero());
+        CPPUNIT_ASSERT(!platform::decodeNotice({}, 421, {{"retry-after", "3"}}));
+        for (const std::string text : {"soon", "-1", "nan", "inf"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, decode(503, text).pause == Duration::zero());
+            CPPUNIT_ASSERT_MESSAGE(text, decode(503, text).malformedHeaders == std::vector<std::string>{"retry-after"});
+        }
+    }
+
     void anyAnswerOfTheInstanceItselfShowsThatItRuns()
     {
         const HttpRequest check = platform::encodeCheck({InstanceName{"i-1"}, "10.0.0.1:1"});
