Send no requests to endpoints that asked for a time without any

What callers saw: while a pool rejected for seven seconds, over a tenth of three classes was not served; one request was rejected by three engines within 7 ms. Retry-After of a rejection was not read. An endpoint that rejects at once has no load, counts as no failure and looks idle, so it drew ten times the requests it had before. Class of fault: a rejection that teaches nothing to the next decision. Ruled out: other paths (the pool is no stage pool, no connection broke). Change: the pause that stage calls knew for rejections and full memory is the one mechanism: it holds for runs as for calls, the longest of several counts, and the rate limiter decides by it. So a pool that pauses as a whole rejects on arrival with the time of its first endpoint, before the stages of a request run, and a run whose stages are done waits for it if that is in time. Releases of results at a paused endpoint are held and sent as one afterwards. A stalled run is given up only if another endpoint takes it. The forecast of a stage pool leaves paused endpoints out.

The first form of two tests asked for more than is promised: that no caller is rejected while a third of a pool rejects (a request is sent to three endpoints at most), and that a request is rejected at once that may wait for a second within its objective. Both now state the rule.

--- a/src/bergamottide/serving/callplanner.cpp
+++ b/src/bergamottide/serving/callplanner.cpp
@@ -62,8 +62,7 @@
     std::vector<Endpoint *> out;
     for (Endpoint *endpoint : usable) {
         const bool isSlow = currentSlowness(*endpoint, now) > lowestSlowness * maxRelativeSlowness;
-        if (endpoint->inFlight < pool.batch->slots && endpoint->pausedUntil <= now && !isSlow
-            && m_rateLimiter.admits(pool, *endpoint, now)) {
+        if (endpoint->inFlight < pool.batch->slots && !isSlow && m_rateLimiter.admits(pool, *endpoint, now)) {
             out.push_back(endpoint);
         }
     }
--- a/src/bergamottide/serving/drainrate.cpp
+++ b/src/bergamottide/serving/drainrate.cpp
@@ -10,12 +10,28 @@
 
 namespace {
 
+/*! @brief Returns how long an endpoint takes no calls. */
+Duration pauseOf(const Endpoint &endpoint, TimePoint now)
+{
+    return std::max(endpoint.pausedUntil - now, Duration::zero());
+}
+
+/*! @brief Returns the time until the first endpoint takes calls. */
+Duration shortestPause(const std::vector<Endpoint *> &endpoints, TimePoint now)
+{
+    Duration shortest = endpoints.empty() ? Duration::zero() : Duration::max();
+    for (const Endpoint *endpoint : endpoints) {
+        shortest = std::min(shortest, pauseOf(*endpoint, now));
+    }
+    return shortest;
+}
+
 /*! @brief Least effective slots of a pool; keeps waits finite. */
 constexpr double minEffectiveSlots = 0.01;
 
 /*!
- * @brief Returns the slots of all endpoints, weighted by speed and reduced by their limits; counts at least one of the
- * endpoints without a limit.
+ * @brief Returns the slots of the endpoints that are not paused for longer than others, weighted by speed and reduced
+ * by their limits; counts at least one of the endpoints without a limit.
  */
 double effectiveSlots(const BatchSpec &spec, const std::vector<Endpoint *> &endpoints, double itemsPerCall,
                       TimePoint now)
@@ -26,7 +42,12 @@
     double unlimited = 0.0;
     double limited = 0.0;
     bool hasUnlimited = false;
+    // Others can do a call meanwhile.
+    const Duration longestPause = shortestPause(endpoints, now) + spec.callTime;
     for (const Endpoint *endpoint : endpoints) {
+        if (pauseOf(*endpoint, now) > longestPause) {
+            continue;
+        }
         const double slowness = currentSlowness(*endpoint, now);
         const double slots = slowness > maxSlowness ? 0.0 : spec.slots / slowness;
         if (endpoint->requestLimit) {
@@ -44,7 +65,8 @@
 
 DrainRate::DrainRate(const BatchSpec &spec, const std::vector<Endpoint *> &endpoints, Duration remainingCallTime,
                      double itemsPerCall, TimePoint now)
-    : m_remainingCallTime{remainingCallTime}
+    : m_pause{shortestPause(endpoints, now)}
+    , m_remainingCallTime{remainingCallTime}
     , m_callTime{spec.callTime}
     , m_itemTime{spec.itemTime}
     , m_itemsPerCall{itemsPerCall}
@@ -56,7 +78,7 @@
 {
     const auto calls = static_cast<std::int64_t>(std::floor(static_cast<double>(pieces) / m_itemsPerCall));
     const Duration work = m_remainingCallTime + m_itemTime * static_cast<std::int64_t>(pieces) + m_callTime * calls;
-    return scaled(work, 1.0 / m_effectiveSlots);
+    return m_pause + scaled(work, 1.0 / m_effectiveSlots);
 }
 
 Duration DrainRate::timePerPiece() const
--- a/src/bergamottide/serving/drainrate.h
+++ b/src/bergamottide/serving/drainrate.h
@@ -35,6 +35,8 @@
     [[nodiscard]] Duration timePerPiece() const;
 
 private:
+    /*! @brief Time until the first endpoint takes calls. */
+    Duration m_pause;
     Duration m_remainingCallTime;
     Duration m_callTime;
     Duration m_itemTime;
--- a/src/bergamottide/serving/endpointnotices.cpp
+++ b/src/bergamottide/serving/endpointnotices.cpp
@@ -52,7 +52,7 @@
     }
     if (notice.pause > Duration::zero()) {
         effects.emplace_back(Observe{Metric::PauseNoticesTotal, {endpoint->record.pool.text()}, 1.0});
-        EndpointRegistry::logPause(*endpoint, notice.pause, effects);
+        m_endpoints.recordPause(instance, notice.pause, now, effects);
     }
     recordShared(instance, notice, now, effects);
 }
--- a/src/bergamottide/serving/endpointregistry.cpp
+++ b/src/bergamottide/serving/endpointregistry.cpp
@@ -122,6 +122,12 @@
     return found == m_endpoints.end() ? nullptr : &found->second;
 }
 
+const Endpoint *EndpointRegistry::find(const InstanceName &instance) const
+{
+    const auto found = m_endpoints.find(instance);
+    return found == m_endpoints.end() ? nullptr : &found->second;
+}
+
 std::vector<Endpoint *> EndpointRegistry::usable(const PoolName &pool, TimePoint now) const
 {
     const std::vector<Endpoint *> &candidates = endpointsOf(pool);
@@ -242,9 +248,19 @@
     }
 }
 
-void EndpointRegistry::logPause(const Endpoint &endpoint, Duration pause, Effects &effects)
+void EndpointRegistry::pause(const InstanceName &instance, TimePoint until)
 {
-    log(effects, "Endpoint asks for a pause.", endpoint, absl::StrCat(pause.count() / 1000, " ms"));
+    if (Endpoint *endpoint = find(instance); endpoint != nullptr) {
+        endpoint->pausedUntil = std::max(endpoint->pausedUntil, until);
+    }
+}
+
+void EndpointRegistry::recordPause(const InstanceName &instance, Duration pause, TimePoint now, Effects &effects)
+{
+    if (const Endpoint *endpoint = find(instance); endpoint != nullptr) {
+        log(effects, "Endpoint asks for a pause.", *endpoint, absl::StrCat(pause.count() / 1000, " ms"));
+        this->pause(instance, now + pause);
+    }
 }
 
 void EndpointRegistry::logMalformedHeader(const Endpoint &endpoint, const std::string &header, Effects &effects)
--- a/src/bergamottide/serving/endpointregistry.h
+++ b/src/bergamottide/serving/endpointregistry.h
@@ -54,7 +54,7 @@
     TimePoint slownessUpdatedAt{};
     /*! @brief When it last reported that only this process uses it; the epoch if it has reported other work since. */
     TimePoint exclusiveAt{};
-    /*! @brief Stage calls are not sent before this time. */
+    /*! @brief This process sends it no requests before this time. */
     TimePoint pausedUntil{};
     /*! @brief When its warm-up ends, as reported by the platform or the endpoint. */
     TimePoint warmupEndsAt{};
@@ -104,6 +104,7 @@
 
     /*! @brief Returns an endpoint, or null if it is unknown. */
     [[nodiscard]] Endpoint *find(const InstanceName &instance);
+    [[nodiscard]] const Endpoint *find(const InstanceName &instance) const;
 
     /**
      * @brief Returns the endpoints of a pool that accept work and are not ejected, or the ejected ones if all are.
@@ -160,8 +161,17 @@
      */
     void setLimit(const InstanceName &instance, std::optional<double> requestsPerSecond, Effects &effects);
 
-    /*! @brief Logs that an endpoint wants no requests from this process for a time. */
-    static void logPause(const Endpoint &endpoint, Duration pause, Effects &effects);
+    /*! @brief Sends an endpoint no requests before a time; an earlier time than the one known changes nothing. */
+    void pause(const InstanceName &instance, TimePoint until);
+
+    /**
+     * @brief Pauses an endpoint that wants no requests from this process for a time.
+     * @param instance Endpoint.
+     * @param pause Time that it asks for.
+     * @param now Current time.
+     * @param effects Receives a log line.
+     */
+    void recordPause(const InstanceName &instance, Duration pause, TimePoint now, Effects &effects);
 
     /*! @brief Logs that a header by which an endpoint tells of itself cannot be read. */
     static void logMalformedHeader(const Endpoint &endpoint, const std::string &header, Effects &effects);
--- /dev/null
+++ b/src/bergamottide/serving/heldreleases.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "bergamottide/core/ids.h"
+#include "bergamottide/core/time.h"
+#include "bergamottide/serving/endpointregistry.h"
+#include "bergamottide/serving/events.h"
+
+#include <map>
+#include <optional>
+
+namespace bergamottide::serving {
+
+/*! @brief Holds releases of results back while their endpoint wants no requests. */
+class HeldReleases
+{
+public:
+    /*! @brief Creates an empty set; the endpoints must outlive it. */
+    explicit HeldReleases(const EndpointRegistry &endpoints);
+
+    /*! @brief Moves the releases at paused endpoints out of the effects. */
+    void hold(Effects &effects, TimePoint now);
+
+    /*! @brief Adds the releases whose pause is over to the effects, one for each endpoint. */
+    void sendDue(Effects &effects, TimePoint now);
+
+    /*! @brief Returns when `sendDue` has to be called next; nothing if no release is held. */
+    [[nodiscard]] std::optional<TimePoint> nextWakeup() const;
+
+private:
+    const EndpointRegistry &m_endpoints;
+    std::map<InstanceName, ReleaseResults> m_releases;
+};
+
+} // namespace bergamottide::serving
--- a/src/bergamottide/serving/ratelimiter.cpp
+++ b/src/bergamottide/serving/ratelimiter.cpp
@@ -84,9 +84,9 @@
 
 bool RateLimiter::admits(const Pool &pool, const Endpoint &endpoint, TimePoint now) const
 {
-    return std::ranges::all_of(bounds(pool, endpoint, now), [&](const RateBound &bound) {
-        return sentWithin(endpoint, bound.window, now) < quota(pool, endpoint, bound, now);
-    });
+    return endpoint.pausedUntil <= now && std::ranges::all_of(bounds(pool, endpoint, now), [&](const RateBound &bound) {
+               return sentWithin(endpoint, bound.window, now) < quota(pool, endpoint, bound, now);
+           });
 }
 
 std::optional<RateCapacity> RateLimiter::capacity(const Pool &pool, const std::vector<Endpoint *> &endpoints,
@@ -95,7 +95,7 @@
     RateCapacity sum;
     for (const Endpoint *endpoint : endpoints) {
         const std::vector<RateBound> all = bounds(pool, *endpoint, at);
-        if (all.empty()) {
+        if (all.empty() && endpoint->pausedUntil <= at) {
             return std::nullopt;
         }
         addCapacity(pool, *endpoint, all, now, at, sum);
@@ -106,8 +106,9 @@
 void RateLimiter::addCapacity(const Pool &pool, const Endpoint &endpoint, const std::vector<RateBound> &all,
                               TimePoint now, TimePoint at, RateCapacity &sum) const
 {
-    std::uint32_t freeRequests = UINT32_MAX;
-    TimePoint nextAt = at;
+    const bool isPaused = endpoint.pausedUntil > at;
+    std::uint32_t freeRequests = isPaused ? 0 : UINT32_MAX;
+    TimePoint nextAt = std::max(at, endpoint.pausedUntil);
     for (const RateBound &bound : all) {
         const std::uint32_t allowed = quota(pool, endpoint, bound, now);
         if (allowed == 0) {
--- a/src/bergamottide/serving/ratelimiter.h
+++ b/src/bergamottide/serving/ratelimiter.h
@@ -30,9 +30,10 @@
 /**
  * @brief Limits the rate of requests that all processes together send to an endpoint.
  *
- * An endpoint is bounded while it is cold, and while it names a limit of its own. Placement prefers idle endpoints, so
- * a burst from all processes at once would exceed what it accepts. The requests are therefore divided among the
- * processes; a process with a quota of zero sends nothing to the endpoint while it is bounded.
+ * An endpoint is bounded while it is cold, while it names a limit of its own, and while it is paused, which concerns
+ * this process only. Placement prefers idle endpoints, so a burst from all processes at once would exceed what it
+ * accepts. The requests are therefore divided among the processes; a process with a quota of zero sends nothing to the
+ * endpoint while it is bounded.
  */
 class RateLimiter
 {
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -50,6 +50,7 @@
                        [this](const StoredResult &result) {
                            return isResultMemoryScarce(result);
                        }}
+    , m_heldReleases{m_endpoints}
     , m_incarnation{options.incarnation}
     , m_gossipClock{options.incarnation}
     , m_notices{m_gossipClock, m_endpoints}
@@ -68,6 +69,7 @@
         m_stageScheduler.dispatch(*m_catalog, m_now, m_effects);
         processStageOutcomes();
     }
+    m_heldReleases.hold(m_effects, m_now);
     if (m_draining && m_requests.empty()) {
         m_effects.emplace_back(Drained{});
     }
@@ -93,6 +95,9 @@
         const TimePoint first = m_delayedRuns.begin()->first;
         next = next ? std::min(*next, first) : first;
     }
+    if (const auto due = m_heldReleases.nextWakeup()) {
+        next = next ? std::min(*next, *due) : due;
+    }
     if (!m_deferredTasks.empty()) {
         const TimePoint check = m_now + deferredTaskPeriod;
         next = next ? std::min(*next, check) : check;
@@ -150,6 +155,7 @@
     startDelayedStages();
     startDelayedRuns();
     releaseFetchedInputs();
+    m_heldReleases.sendDue(m_effects, m_now);
     checkStalledRuns();
     m_stageScheduler.handleTimeouts(m_now, m_effects);
     submitDeferredTasks();
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -11,6 +11,7 @@
 #include "bergamottide/serving/fairadmission.h"
 #include "bergamottide/serving/fetchpaths.h"
 #include "bergamottide/serving/firsteventtimes.h"
+#include "bergamottide/serving/heldreleases.h"
 #include "bergamottide/serving/peers.h"
 #include "bergamottide/serving/quarantine.h"
 #include "bergamottide/serving/ratelimiter.h"
@@ -181,7 +182,7 @@
 
     // Runs.
     void startRun(Request &request);
-    [[nodiscard]] bool delayRun(Request &request);
+    [[nodiscard]] bool delayRun(Request &request, TimePoint until);
     void startDelayedRuns();
     [[nodiscard]] bool isRegionAllowed(const Request &request, const Endpoint &endpoint) const;
     [[nodiscard]] bool hasAllowedEndpoint(const Request &request) const;
@@ -233,6 +234,7 @@
     RateLimiter m_rateLimiter;
     FetchPaths m_paths;
     StageScheduler m_stageScheduler;
+    HeldReleases m_heldReleases;
     engines::EngineTable m_engineTable;
     FirstEventTimes m_firstEventTimes;
     std::uint64_t m_incarnation;
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -92,10 +92,13 @@
     } else if (!isGeneration) {
         endpoint = pickLeastLoaded(candidateEndpoints(request), request.triedEndpoints, request.callerRequest->attempt);
     }
-    if (endpoint == nullptr && delayRun(request)) {
-        return;
-    }
     if (endpoint == nullptr) {
+        const auto capacity = poolCapacity(request, m_now);
+        const auto nextAt = capacity ? capacity->nextAt : std::nullopt;
+        if (nextAt && delayRun(request, *nextAt)) {
+            return;
+        }
+        request.retryAfter = nextAt ? std::optional{*nextAt - m_now} : std::nullopt;
         reject(request, request.mayHaveRun ? ErrorKind::BadGateway : ErrorKind::Unavailable, "no endpoint available");
         return;
     }
@@ -154,22 +157,15 @@
     m_effects.emplace_back(std::move(start));
 }
 
-/*
- * Delays the run of a request whose stages were done earlier than forecast, if an endpoint of its pool accepts it in
- * time. Returns whether it does.
- */
-bool ServingReducer::delayRun(Request &request)
+/*! @brief Delays a run until an endpoint of its pool accepts it, and returns whether that is in time. */
+bool ServingReducer::delayRun(Request &request, TimePoint until)
 {
-    const auto capacity = poolCapacity(request, m_now);
-    if (!capacity || !capacity->nextAt || *capacity->nextAt <= m_now) {
-        return false;
-    }
-    const TimePoint responseAt = *capacity->nextAt + m_firstEventTimes.average(request.pool);
-    if (responseAt > request.deadline || responseAt > request.objective + maxAdmittedLateness) {
+    const TimePoint responseAt = until + m_firstEventTimes.average(request.pool);
+    if (until <= m_now || responseAt > request.deadline || responseAt > request.objective + maxAdmittedLateness) {
         return false;
     }
-    request.runAt = *capacity->nextAt;
-    m_delayedRuns.emplace(*request.runAt, request.callerRequest->call);
+    request.runAt = until;
+    m_delayedRuns.emplace(until, request.callerRequest->call);
     return true;
 }
 
@@ -418,8 +414,7 @@
         m_endpoints.recordTimeout(request.endpoint, request.runStartedAt, m_now, m_effects);
         const bool mayRepeat =
             request.route->mayRunTwice() && request.triedEndpoints.size() < request.route->maxAttempts;
-        const std::vector<Endpoint *> usable = m_endpoints.usable(request.pool, m_now);
-        const bool hasOther = std::any_of(usable.begin(), usable.end(), [&request](const Endpoint *endpoint) {
+        const bool hasOther = std::ranges::any_of(candidateEndpoints(request), [&request](const Endpoint *endpoint) {
             return endpoint->record.instance != request.endpoint;
         });
         if (mayRepeat && hasOther) {
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -360,8 +360,8 @@
                                                                                    : EndpointOutcome::Failed,
                               now, effects);
         const bool isBroken = event.status == StageCallStatus::Broken;
-        if (Endpoint *endpoint = m_endpoints.find(call.endpoint); endpoint != nullptr && (rejected || isBroken)) {
-            endpoint->pausedUntil = now + rejectionPause;
+        if (rejected || isBroken) {
+            m_endpoints.pause(call.endpoint, now + rejectionPause);
         }
         if (isBroken) {
             countBrokenCall(call);
@@ -394,9 +394,8 @@
             } else if (result.failure == PieceFailure::Late || result.failure == PieceFailure::InputMissing) {
                 fail(found->second, result.failure);
             } else {
-                if (Endpoint *endpoint = m_endpoints.find(call.endpoint);
-                    endpoint != nullptr && result.failure == PieceFailure::InsufficientMemory) {
-                    endpoint->pausedUntil = now + memoryFullPause;
+                if (result.failure == PieceFailure::InsufficientMemory) {
+                    m_endpoints.pause(call.endpoint, now + memoryFullPause);
                 }
                 requeue(item, result.failure != PieceFailure::InsufficientMemory);
             }
--- a/test/bergamottide/serving/endpointpause.cpp
+++ b/test/bergamottide/serving/endpointpause.cpp
@@ -87,7 +87,7 @@
         m_fixture.apply(m_fixture.arrival("/order/1"));
         const StartRun run = *m_fixture.effect<StartRun>();
         CPPUNIT_ASSERT_EQUAL(std::string{"desk-1"}, run.instance.text());
-        m_fixture.apply(pause("desk-1", seconds{1}));
+        m_fixture.apply(pause("desk-1", seconds{2}));
         m_fixture.apply(RunHeadReceived{run.run, rejection()});
         CPPUNIT_ASSERT(m_fixture.effect<StartRun>() == nullptr);
         const auto *error = m_fixture.effect<SendErrorResponse>();
@@ -168,13 +168,15 @@
         return *m_fixture.effect<StartStageCall>();
     }
 
-    /*! @brief Returns the endpoints that 20 requests are sent to. */
+    /*! @brief Returns the endpoints that 20 requests are sent to, whose callers leave. */
     [[nodiscard]] std::set<std::string> destinations(const std::string &path)
     {
         std::set<std::string> out;
         for (int index = 0; index < 20; ++index) {
             m_fixture.apply(m_fixture.arrival(path, ++m_lastCall));
+            CPPUNIT_ASSERT(m_fixture.effect<StartRun>() != nullptr);
             out.insert(m_fixture.effect<StartRun>()->instance.text());
+            m_fixture.apply(CallerDisconnected{CallId{m_lastCall}});
         }
         return out;
     }
--- a/test/support/servingfleet.cpp
+++ b/test/support/servingfleet.cpp
@@ -23,6 +23,7 @@
 constexpr Duration listDelay = std::chrono::milliseconds{3000};
 constexpr Duration callerPatience = std::chrono::seconds{6};
 constexpr int statusMisdirected = 421;
+constexpr int statusUnavailable = 503;
 
 std::shared_ptr<const Catalog> catalog()
 {
@@ -54,10 +55,10 @@
     return head;
 }
 
-EndpointResponseHead misdirectedHead()
+EndpointResponseHead rejectionHead(int status)
 {
     EndpointResponseHead head;
-    head.status = statusMisdirected;
+    head.status = status;
     head.notExecuted = true;
     return head;
 }
@@ -243,7 +244,15 @@
     m_arrivals.push_back(
         {m_now, engine->instance, process, m_now - m_processes[process].startedAt, start.request->target, toldFor});
     if (engine->instance != start.instance) {
-        apply(process, RunHeadReceived{start.run, misdirectedHead()});
+        apply(process, RunHeadReceived{start.run, rejectionHead(statusMisdirected)});
+        return;
+    }
+    if (engine->pause) {
+        m_pauses.push_back({m_now, engine->instance, process, *engine->pause});
+        EndpointNotice rejected;
+        rejected.pause = *engine->pause;
+        apply(process, EndpointResponded{engine->instance, rejected});
+        apply(process, RunHeadReceived{start.run, rejectionHead(statusUnavailable)});
         return;
     }
     const std::uint64_t number = m_nextNumber++;
@@ -258,12 +267,28 @@
 {
     EndpointNotice notice;
     notice.limit = LimitNotice{engine.limit};
+    notice.isDraining = engine.isDraining;
     if (engine.limit) {
         engine.toldAt.try_emplace(incarnation, m_now);
     }
     return notice;
 }
 
+void ServingFleet::setPause(std::size_t engine, std::optional<Duration> pause)
+{
+    m_engines[engine].pause = pause;
+}
+
+void ServingFleet::setDraining(std::size_t engine, bool isDraining)
+{
+    m_engines[engine].isDraining = isDraining;
+}
+
+const std::vector<PauseNotice> &ServingFleet::pauses() const noexcept
+{
+    return m_pauses;
+}
+
 void ServingFleet::setLimit(std::size_t engine, std::optional<double> requestsPerSecond)
 {
     m_engines[engine].limit = requestsPerSecond;
--- a/test/support/servingfleet.h
+++ b/test/support/servingfleet.h
@@ -38,6 +38,15 @@
     Duration toldFor{};
 };
 
+/*! @brief A rejection by which an engine asked a process for a time without requests. */
+struct PauseNotice
+{
+    TimePoint at{};
+    InstanceName engine;
+    std::size_t process{};
+    Duration pause{};
+};
+
 /*! @brief What callers got for the requests of one path. */
 struct CallerResults
 {
@@ -86,6 +95,12 @@
     /*! @brief Drops everything that other processes send to a process, which goes on sending. */
     void cutInbound(std::size_t process);
 
+    /*! @brief Sets the pause that an engine asks for while it rejects all requests; nothing to accept them. */
+    void setPause(std::size_t engine, std::optional<Duration> pause);
+
+    /*! @brief Sets whether an engine announces its drain in its responses; the list does not tell. */
+    void setDraining(std::size_t engine, bool isDraining);
+
     /*! @brief Sets the requests per second that an engine names in its responses; nothing for no limit. */
     void setLimit(std::size_t engine, std::optional<double> requestsPerSecond);
 
@@ -103,6 +118,9 @@
     /*! @brief Returns the requests that reached engines, in order. */
     [[nodiscard]] const std::vector<EngineArrival> &arrivals() const noexcept;
 
+    /*! @brief Returns the rejections with a pause. */
+    [[nodiscard]] const std::vector<PauseNotice> &pauses() const noexcept;
+
     /*! @brief Returns when requests to `crashingPath` crashed engines, in order. */
     [[nodiscard]] const std::vector<TimePoint> &requestCrashes() const noexcept;
 
@@ -135,6 +153,8 @@
         bool isRunning{true};
         bool isEvacuated{};
         std::optional<double> limit;
+        std::optional<Duration> pause;
+        bool isDraining{};
         /*! @brief When each process, by its incarnation, first got a response that names a limit. */
         std::map<std::uint64_t, TimePoint> toldAt;
         std::map<std::uint64_t, Run> runs;
@@ -170,6 +190,7 @@
     std::map<CallId, std::string> m_calls;
     std::map<std::string, CallerResults> m_results;
     std::vector<EngineArrival> m_arrivals;
+    std::vector<PauseNotice> m_pauses;
     std::vector<TimePoint> m_requestCrashes;
     std::uint64_t m_nextNumber{1};
 };
