Failing test: the retries of all processes exceed the budget of the fleet

Cause, traced by the test: each process bounds its retries by its own requests of the last window, and spends the largest value that this bound takes. The largest values of several processes occur at different times, so their sum exceeds the bound of any window of the fleet by a handful when callers choose a process at random. Ruled out: a miscount of one process (each keeps its own bound), floors (they lower the sum). Conclusion: open.

--- a/test/bergamottide/serving/retrybudget.cpp
+++ b/test/bergamottide/serving/retrybudget.cpp
@@ -2,6 +2,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
 using namespace bergamottide;
 using namespace bergamottide::serving;
 
@@ -13,6 +18,7 @@
     CPPUNIT_TEST(newProcessAssumesManyProcesses);
     CPPUNIT_TEST(shareDoesNotGrowWhenPeersDisappear);
     CPPUNIT_TEST(budgetRecoversAfterWindow);
+    CPPUNIT_TEST(retriesOfAllProcessesExceedTheBudgetOfTheFleet);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -51,7 +57,65 @@
         CPPUNIT_ASSERT_EQUAL(10, spend(budget));
     }
 
+    /*!
+     * @brief Five processes retry as often as they may while a burst is rejected; callers choose a process at random.
+     *
+     * Each process spends its largest budget of the window, and these largest budgets do not occur at the same time.
+     */
+    void retriesOfAllProcessesExceedTheBudgetOfTheFleet()
+    {
+        std::mt19937_64 random{1};
+        std::vector<RetryBudget> budgets(fleetSize, RetryBudget{options()});
+        for (RetryBudget &budget : budgets) {
+            budget.setProcessCount(fleetSize, m_now);
+        }
+        const TimePoint start = m_now;
+        for (; m_now < start + std::chrono::seconds{40}; m_now += step) {
+            const bool isBurst = m_now >= start + burstBegin && m_now < start + burstEnd;
+            const std::uint64_t requests = isBurst ? 3 : 1;
+            for (std::uint64_t request = 0; request < requests; ++request) {
+                if (random() % stepsPerRequest != 0) {
+                    continue;
+                }
+                budgets[random() % fleetSize].recordRequest(PoolName{"pool"}, m_now);
+                m_requests.push_back(m_now);
+            }
+            for (RetryBudget &budget : budgets) {
+                if (m_now >= start + burstBegin && budget.tryTakeRetry(PoolName{"pool"}, m_now)) {
+                    m_retries.push_back(m_now);
+                    checkWindow();
+                }
+            }
+        }
+    }
+
 private:
+    static constexpr std::uint32_t fleetSize = 5;
+    static constexpr Duration step = std::chrono::milliseconds{10};
+    static constexpr Duration burstBegin = std::chrono::seconds{20};
+    static constexpr Duration burstEnd = std::chrono::seconds{25};
+    /*! @brief Mean distance of requests to the fleet outside the burst, in steps. */
+    static constexpr std::uint64_t stepsPerRequest = 4;
+
+    [[nodiscard]] static double countBetween(const std::vector<TimePoint> &times, TimePoint after, TimePoint until)
+    {
+        return static_cast<double>(
+            std::ranges::count_if(times, [after, until](TimePoint at) { return at > after && at <= until; }));
+    }
+
+    /*! @brief Checks the window that ends now; the requests of the busiest of three windows count. */
+    void checkWindow() const
+    {
+        const Duration window = options().window;
+        double requests = 0.0;
+        for (const Duration earlier : {Duration::zero(), window / 2, window}) {
+            requests = std::max(requests, countBetween(m_requests, m_now - earlier - window, m_now - earlier));
+        }
+        const double retries = countBetween(m_retries, m_now - window, m_now);
+        const double allowed = options().ratio * requests + options().slack;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(retries) + " of " + std::to_string(allowed), retries <= allowed);
+    }
+
     [[nodiscard]] static RetryBudgetOptions options()
     {
         return {.ratio = 0.2, .slack = 50.0, .window = std::chrono::seconds{10}, .assumedProcesses = 16};
@@ -76,6 +140,8 @@
     }
 
     TimePoint m_now{std::chrono::seconds{100}};
+    std::vector<TimePoint> m_requests;
+    std::vector<TimePoint> m_retries;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RetryBudgetTest);
