Test drains and pauses through sockets, on every path to an endpoint

Cause: the header of an answer was lost on its way to the decision, so the way is tested as a whole. Change: fake endpoints with headers of their own for runs, stage calls and releases; a successful and a rejected run, a stream, a stage call and a release each tell of a drain, a rejected run and stage call of a pause. Conclusion: a path that drops what an endpoint says of itself fails a test.

--- a/test/platform/endtoend.cpp
+++ b/test/platform/endtoend.cpp
@@ -32,6 +32,13 @@
     CPPUNIT_TEST(evacuationIsAppliedBeforeTheFirstRequest);
     CPPUNIT_TEST(lastKnownStateIsServedWhileTheStoreIsUnavailable);
     CPPUNIT_TEST(requestThatCrashesThreeEndpointsIsRejected);
+    CPPUNIT_TEST(successfulRunTellsOfADrain);
+    CPPUNIT_TEST(rejectedRunTellsOfADrain);
+    CPPUNIT_TEST(streamTellsOfADrain);
+    CPPUNIT_TEST(stageCallTellsOfADrain);
+    CPPUNIT_TEST(releaseTellsOfADrain);
+    CPPUNIT_TEST(rejectedRunTellsOfAPause);
+    CPPUNIT_TEST(rejectedStageCallTellsOfAPause);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,6 +76,77 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints.back()->runs().size());
     }
 
+    void successfulRunTellsOfADrain()
+    {
+        m_fixture->publishDefaults();
+        m_fixture->plainEndpoint.setHeaders({}, draining());
+        CPPUNIT_ASSERT_EQUAL(200, m_fixture->call(plainRequest()).status);
+        CPPUNIT_ASSERT_EQUAL(503, m_fixture->call(plainRequest()).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture->plainEndpoint.runs().size());
+    }
+
+    void rejectedRunTellsOfADrain()
+    {
+        m_fixture->publishDefaults();
+        m_fixture->plainEndpoint.setHeaders({}, draining());
+        m_fixture->plainEndpoint.setBehaviour(EndpointBehaviour::NotExecuted);
+        CPPUNIT_ASSERT_EQUAL(503, m_fixture->call(plainRequest()).status);
+        m_fixture->plainEndpoint.setBehaviour(EndpointBehaviour::Normal);
+        CPPUNIT_ASSERT_EQUAL(503, m_fixture->call(plainRequest()).status);
+        CPPUNIT_ASSERT(m_fixture->plainEndpoint.runs().empty());
+    }
+
+    void streamTellsOfADrain()
+    {
+        m_fixture->publishDefaults();
+        m_fixture->engineEndpoint.setHeaders({}, draining());
+        CPPUNIT_ASSERT_EQUAL(200, m_fixture->call(streamingRequest()).status);
+        CPPUNIT_ASSERT_EQUAL(503, m_fixture->call(streamingRequest()).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture->engineEndpoint.runs().size());
+    }
+
+    void stageCallTellsOfADrain()
+    {
+        m_fixture->publishDefaults();
+        m_fixture->stageEndpoint.setHeaders("/bergamottide/stage-run", draining());
+        CPPUNIT_ASSERT_EQUAL(200, m_fixture->call(streamingRequest()).status);
+        CPPUNIT_ASSERT_EQUAL(503, m_fixture->call(streamingRequest()).status);
+    }
+
+    void releaseTellsOfADrain()
+    {
+        m_fixture->publishDefaults();
+        m_fixture->stageEndpoint.setHeaders("/bergamottide/stage-free", draining());
+        CPPUNIT_ASSERT_EQUAL(200, m_fixture->call(streamingRequest()).status);
+        CPPUNIT_ASSERT(m_fixture->runUntil([this] { return !m_fixture->stageEndpoint.releasedHandles().empty(); }));
+        // The response to the release may still be on its way.
+        CPPUNIT_ASSERT(m_fixture->runUntil([this] { return m_fixture->call(streamingRequest()).status == 503; }));
+    }
+
+    void rejectedRunTellsOfAPause()
+    {
+        m_fixture->publishDefaults();
+        m_fixture->plainEndpoint.setHeaders({}, {{"Retry-After", "600"}});
+        m_fixture->plainEndpoint.setBehaviour(EndpointBehaviour::NotExecuted);
+        CPPUNIT_ASSERT_EQUAL(503, m_fixture->call(plainRequest()).status);
+        m_fixture->plainEndpoint.setBehaviour(EndpointBehaviour::Normal);
+        const HttpResponse rejected = m_fixture->call(plainRequest());
+        CPPUNIT_ASSERT_EQUAL(503, rejected.status);
+        CPPUNIT_ASSERT(!headerValue(rejected.headers, "retry-after").empty());
+        CPPUNIT_ASSERT(m_fixture->plainEndpoint.runs().empty());
+    }
+
+    void rejectedStageCallTellsOfAPause()
+    {
+        m_fixture->publishDefaults();
+        m_fixture->stageEndpoint.setHeaders("/bergamottide/stage-run", {{"Retry-After", "600"}});
+        m_fixture->stageEndpoint.setBehaviour(EndpointBehaviour::NotExecuted);
+        CPPUNIT_ASSERT_EQUAL(503, m_fixture->call(streamingRequest()).status);
+        m_fixture->stageEndpoint.setBehaviour(EndpointBehaviour::Normal);
+        CPPUNIT_ASSERT_EQUAL(503, m_fixture->call(streamingRequest()).status);
+        CPPUNIT_ASSERT(m_fixture->engineEndpoint.runs().empty());
+    }
+
     void plainRequestIsProxiedToItsEndpoint()
     {
         m_fixture->publishDefaults();
@@ -314,6 +392,11 @@
         HttpClient caller{loop, HttpClientOptions{}};
     };
 
+    [[nodiscard]] static HttpHeaders draining()
+    {
+        return {{"Server-Leaving", "1"}};
+    }
+
     [[nodiscard]] static HttpRequest plainRequest()
     {
         HttpRequest request;
--- a/test/platform/fakes.cpp
+++ b/test/platform/fakes.cpp
@@ -184,6 +184,20 @@
     m_behaviour = behaviour;
 }
 
+void FakePlatformEndpoint::setHeaders(const std::string &path, HttpHeaders headers)
+{
+    m_addedHeaders[path] = std::move(headers);
+}
+
+HttpHeaders FakePlatformEndpoint::withAddedHeaders(const HttpRequest &request, HttpHeaders headers) const
+{
+    const auto found = m_addedHeaders.find(request.path.starts_with("/bergamottide/") ? request.path : std::string{});
+    if (found != m_addedHeaders.end()) {
+        headers.insert(headers.end(), found->second.begin(), found->second.end());
+    }
+    return headers;
+}
+
 const std::vector<HttpRequest> &FakePlatformEndpoint::runs() const noexcept
 {
     return m_runs;
@@ -201,7 +215,7 @@
         for (const json &handle : body.at("handles")) {
             m_releasedHandles.push_back(handle.get<std::string>());
         }
-        responder->respond({200, {}, {}});
+        responder->respond({200, withAddedHeaders(request, {}), {}});
         return;
     }
     if (headerValue(request.headers, "expect-instance") != m_instance) {
@@ -209,7 +223,7 @@
         return;
     }
     if (m_behaviour == EndpointBehaviour::NotExecuted) {
-        responder->respond({statusUnavailable, {{"not-executed", "1"}}, {}});
+        responder->respond({statusUnavailable, withAddedHeaders(request, {{"not-executed", "1"}}), {}});
         return;
     }
     if (request.path == "/bergamottide/stage-run") {
@@ -225,7 +239,7 @@
     for (std::size_t item = 0; item < json::parse(request.body).at("items").size(); ++item) {
         items.push_back({{"handle", absl::StrCat(address(), "/piece-", ++m_pieceCount)}});
     }
-    responder.respond({200, {}, json{{"items", std::move(items)}}.dump()});
+    responder.respond({200, withAddedHeaders(request, {}), json{{"items", std::move(items)}}.dump()});
 }
 
 void FakePlatformEndpoint::run(const HttpRequest &request, HttpResponder &responder)
@@ -241,6 +255,7 @@
     if (m_behaviour != EndpointBehaviour::Unsigned) {
         headers.emplace_back("response-seal", "seal");
     }
+    headers = withAddedHeaders(request, std::move(headers));
     if (headerValue(request.headers, "model").empty()) {
         responder.respond({200, headers, "the endpoint's bytes"});
         return;
--- a/test/platform/fakes.h
+++ b/test/platform/fakes.h
@@ -103,6 +103,10 @@
 
     void setBehaviour(EndpointBehaviour behaviour);
 
+    /*! @brief Adds headers to the responses to a path from now on; an empty path stands for all requests but those to
+     * paths of the platform. */
+    void setHeaders(const std::string &path, HttpHeaders headers);
+
     /*! @brief Returns the executed requests in order, without stage calls and releases. */
     [[nodiscard]] const std::vector<HttpRequest> &runs() const noexcept;
 
@@ -114,8 +118,11 @@
     void runStage(const HttpRequest &request, HttpResponder &responder);
     void run(const HttpRequest &request, HttpResponder &responder);
 
+    [[nodiscard]] HttpHeaders withAddedHeaders(const HttpRequest &request, HttpHeaders headers) const;
+
     std::string m_instance;
     EndpointBehaviour m_behaviour{};
+    std::map<std::string, HttpHeaders> m_addedHeaders;
     std::vector<HttpRequest> m_runs;
     std::vector<std::string> m_releasedHandles;
     std::size_t m_pieceCount{};
