Build held releases in a way that the linter's compiler accepts

Cause: initialization of an aggregate in parentheses, which clang 14 does not know; found by clang-tidy on the changed files. Change: braces. No other finding in them. Conclusion: the linter reads the file.

--- a/src/bergamottide/serving/heldreleases.cpp
+++ b/src/bergamottide/serving/heldreleases.cpp
@@ -19,7 +19,8 @@
             return false;
         }
         ReleaseResults &held =
-            m_releases.try_emplace(release->instance, release->instance, release->address).first->second;
+            m_releases.try_emplace(release->instance, ReleaseResults{release->instance, release->address, {}})
+                .first->second;
         held.handles.insert(held.handles.end(), release->handles.begin(), release->handles.end());
         return true;
     });
