Hold releases back only for pauses that an endpoint asked for

What callers would have seen: stage results that lie longer in an endpoint's memory just when that is full. Cause: held releases for every pause, also for the 250 ms after an endpoint was full; the release is what it waits for. Change: the end of a requested pause is kept beside the pause for new work. Figures: a test with a full endpoint, which fails by reading; it has only been run on this code.

--- a/src/bergamottide/serving/endpointregistry.cpp
+++ b/src/bergamottide/serving/endpointregistry.cpp
@@ -257,8 +257,9 @@
 
 void EndpointRegistry::recordPause(const InstanceName &instance, Duration pause, TimePoint now, Effects &effects)
 {
-    if (const Endpoint *endpoint = find(instance); endpoint != nullptr) {
+    if (Endpoint *endpoint = find(instance); endpoint != nullptr) {
         log(effects, "Endpoint asks for a pause.", *endpoint, absl::StrCat(pause.count() / 1000, " ms"));
+        endpoint->requestedPauseEndsAt = std::max(endpoint->requestedPauseEndsAt, now + pause);
         this->pause(instance, now + pause);
     }
 }
--- a/src/bergamottide/serving/endpointregistry.h
+++ b/src/bergamottide/serving/endpointregistry.h
@@ -54,8 +54,10 @@
     TimePoint slownessUpdatedAt{};
     /*! @brief When it last reported that only this process uses it; the epoch if it has reported other work since. */
     TimePoint exclusiveAt{};
-    /*! @brief This process sends it no requests before this time. */
+    /*! @brief This process sends it no new work before this time. */
     TimePoint pausedUntil{};
+    /*! @brief End of the pause that it asked for, during which it wants no requests at all; not after `pausedUntil`. */
+    TimePoint requestedPauseEndsAt{};
     /*! @brief When its warm-up ends, as reported by the platform or the endpoint. */
     TimePoint warmupEndsAt{};
     /*! @brief Latest time of a possible restart: its zone was restored, or it could not be reached; the epoch if there
@@ -161,7 +163,7 @@
      */
     void setLimit(const InstanceName &instance, std::optional<double> requestsPerSecond, Effects &effects);
 
-    /*! @brief Sends an endpoint no requests before a time; an earlier time than the one known changes nothing. */
+    /*! @brief Sends an endpoint no new work before a time; an earlier time than the one known changes nothing. */
     void pause(const InstanceName &instance, TimePoint until);
 
     /**
--- a/src/bergamottide/serving/heldreleases.cpp
+++ b/src/bergamottide/serving/heldreleases.cpp
@@ -15,7 +15,7 @@
     std::erase_if(effects, [this, now](const Effect &effect) {
         const auto *release = std::get_if<ReleaseResults>(&effect);
         const Endpoint *endpoint = release == nullptr ? nullptr : m_endpoints.find(release->instance);
-        if (endpoint == nullptr || endpoint->pausedUntil <= now) {
+        if (endpoint == nullptr || endpoint->requestedPauseEndsAt <= now) {
             return false;
         }
         ReleaseResults &held =
@@ -30,7 +30,7 @@
 {
     for (auto next = m_releases.begin(); next != m_releases.end();) {
         const Endpoint *endpoint = m_endpoints.find(next->first);
-        if (endpoint != nullptr && endpoint->pausedUntil > now) {
+        if (endpoint != nullptr && endpoint->requestedPauseEndsAt > now) {
             ++next;
             continue;
         }
@@ -47,7 +47,7 @@
     std::optional<TimePoint> first;
     for (const auto &[instance, release] : m_releases) {
         const Endpoint *endpoint = m_endpoints.find(instance);
-        const TimePoint due = endpoint == nullptr ? TimePoint{} : endpoint->pausedUntil;
+        const TimePoint due = endpoint == nullptr ? TimePoint{} : endpoint->requestedPauseEndsAt;
         first = first ? std::min(*first, due) : due;
     }
     return first;
--- a/src/bergamottide/serving/heldreleases.h
+++ b/src/bergamottide/serving/heldreleases.h
@@ -10,14 +10,18 @@
 
 namespace bergamottide::serving {
 
-/*! @brief Holds releases of results back while their endpoint wants no requests. */
+/*!
+ * @brief Holds releases of results back while their endpoint wants no requests.
+ *
+ * Other pauses do not hold them: an endpoint that is short of memory needs them.
+ */
 class HeldReleases
 {
 public:
     /*! @brief Creates an empty set; the endpoints must outlive it. */
     explicit HeldReleases(const EndpointRegistry &endpoints);
 
-    /*! @brief Moves the releases at paused endpoints out of the effects. */
+    /*! @brief Moves the releases at endpoints that asked for a pause out of the effects. */
     void hold(Effects &effects, TimePoint now);
 
     /*! @brief Adds the releases whose pause is over to the effects, one for each endpoint. */
--- a/test/bergamottide/serving/endpointpause.cpp
+++ b/test/bergamottide/serving/endpointpause.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(requestIsSentOnToOnePausedEndpointAfterTheOther);
     CPPUNIT_TEST(requestWaitsForItsStagesBeforeAPausedPoolRejectsIt);
     CPPUNIT_TEST(releaseReachesEndpointThatAskedForAPause);
+    CPPUNIT_TEST(releaseWaitsForThePauseOfAFullEndpoint);
     CPPUNIT_TEST(stalledRunIsGivenUpForAPausedEndpoint);
     CPPUNIT_TEST_SUITE_END();
 
@@ -129,6 +130,18 @@
         CPPUNIT_ASSERT_EQUAL(call.items.size(), release->handles.size());
     }
 
+    /*! @brief An endpoint that was full is paused too, but its results are what frees its memory. */
+    void releaseWaitsForThePauseOfAFullEndpoint()
+    {
+        const StartStageCall call = draft(1);
+        StageCallEnded ended{call.call, StageCallStatus::Answered, {}};
+        ended.results.assign(call.items.size(), {{}, PieceFailure::InsufficientMemory});
+        ended.results.front() = {"10.0.0.1:1/h", PieceFailure::None};
+        m_fixture.apply(ended);
+        m_fixture.apply(CallerDisconnected{CallId{1}});
+        CPPUNIT_ASSERT(m_fixture.effect<ReleaseResults>() != nullptr);
+    }
+
     void stalledRunIsGivenUpForAPausedEndpoint()
     {
         m_fixture.apply(m_fixture.arrival("/lookup/1"));
