--- a/src/bergamottide/serving/drainrate.cpp
+++ b/src/bergamottide/serving/drainrate.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-/*! @brief Returns how long an endpoint takes no calls. */
+/*! @brief Returns how long an endpoint has asked to get no calls; the short pauses after rejections do not count. */
 Duration pauseOf(const Endpoint &endpoint, TimePoint now)
 {
-    return std::max(endpoint.pausedUntil - now, Duration::zero());
+    return std::max(endpoint.requestedPauseEndsAt - now, Duration::zero());
 }
 
 /*! @brief Returns the time until the first endpoint takes calls. */
@@ -30,8 +30,8 @@
 constexpr double minEffectiveSlots = 0.01;
 
 /*!
- * @brief Returns the slots of the endpoints that are not paused for longer than others, weighted by speed and reduced
- * by their limits; counts at least one of the endpoints without a limit.
+ * @brief Returns the slots of the endpoints whose pauses do not outlast those of others by a call, weighted by speed
+ * and reduced by their limits; counts at least one of the endpoints without a limit.
  */
 double effectiveSlots(const BatchSpec &spec, const std::vector<Endpoint *> &endpoints, double itemsPerCall,
                       TimePoint now)
