--- a/src/bergamottide/serving/drainrate.cpp
+++ b/src/bergamottide/serving/drainrate.cpp
@@ -42,7 +42,7 @@
     double unlimited = 0.0;
     double limited = 0.0;
     bool hasUnlimited = false;
-    // Others can do a call meanwhile.
+    // The other endpoints complete a call before one that is paused for longer starts.
     const Duration longestPause = shortestPause(endpoints, now) + spec.callTime;
     for (const Endpoint *endpoint : endpoints) {
         if (pauseOf(*endpoint, now) > longestPause) {
--- a/src/bergamottide/serving/endpointnotices.cpp
+++ b/src/bergamottide/serving/endpointnotices.cpp
@@ -57,7 +57,7 @@
     recordShared(instance, notice, now, effects);
 }
 
-/*! @brief Records what other processes have to know as well. */
+/*! @brief Records limit and drain, which are shared with the other processes. */
 void EndpointNotices::recordShared(const InstanceName &instance, const EndpointNotice &response, TimePoint now,
                                    Effects &effects)
 {
