Keep the output of each test program and repeat the names of failed tests

Change: the log of each program stays beside it; the names of failed tests are printed again before the closing line. Conclusion: a failure that shows once keeps its name.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,14 +10,15 @@
 
 passed=0
 failed=0
-# Runs one test program and adds up its closing line.
+failures=()
+# Runs one test program, keeps its output beside it and adds up its closing line.
 run() {
     local log line
-    log=$(mktemp)
+    log=$1.log
     "$@" 2>&1 | tee "$log"
     local code=${PIPESTATUS[0]}
     line=$(grep -E '^[0-9]+ passed, [0-9]+ failed' "$log" | tail -n 1)
-    rm -f "$log"
+    mapfile -t -O "${#failures[@]}" failures < <(grep -E '^failed: ' "$log")
     if [ -z "$line" ]; then
         failed=$((failed + 1))
         echo "no result from: $*"
@@ -48,5 +49,7 @@
         failed=$((failed + 1))
     fi
 done
+# Repeated here, since callers may keep only the end of the output.
+[ "${#failures[@]}" -eq 0 ] || printf '%s\n' "${failures[@]}"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
