--- /dev/null
+++ b/src/bergamottide/load/fwd.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/**
+ * @file
+ * @brief Forward declarations of the module `load`, which estimates the load and the pace of endpoints.
+ */
+namespace bergamottide::load {
+
+struct EndpointLoad;
+
+} // namespace bergamottide::load
--- a/src/bergamottide/serving/endpointregistry.cpp
+++ b/src/bergamottide/serving/endpointregistry.cpp
@@ -277,6 +277,12 @@
     }
 }
 
+bool EndpointRegistry::reportsPace(const PoolName &pool) const
+{
+    return std::ranges::any_of(endpointsOf(pool),
+                               [](const Endpoint *endpoint) { return endpoint->load.pace.has_value(); });
+}
+
 std::vector<EndpointRecord> EndpointRegistry::records() const
 {
     std::vector<EndpointRecord> out;
--- a/src/bergamottide/serving/endpointregistry.h
+++ b/src/bergamottide/serving/endpointregistry.h
@@ -178,6 +178,9 @@
     /*! @brief Logs that a header by which an endpoint tells of itself cannot be read. */
     static void logMalformedHeader(const Endpoint &endpoint, const std::string &header, Effects &effects);
 
+    /*! @brief Tells whether a listed endpoint of a pool has reported its pace. */
+    [[nodiscard]] bool reportsPace(const PoolName &pool) const;
+
     /*! @brief Records the load that an endpoint reported. */
     void recordLoad(const InstanceName &instance, const EndpointLoad &load, TimePoint now);
 
--- a/src/bergamottide/serving/events.h
+++ b/src/bergamottide/serving/events.h
@@ -4,6 +4,7 @@
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
 #include "bergamottide/engines/promptchain.h"
+#include "bergamottide/load/endpointload.h"
 #include "bergamottide/net/http.h"
 #include "bergamottide/serving/catalog.h"
 #include "bergamottide/serving/heartbeat.h"
@@ -99,13 +100,7 @@
 
 using EndpointList = std::vector<EndpointRecord>;
 
-/*! @brief Load reported by an endpoint. */
-struct EndpointLoad
-{
-    std::uint32_t running{};
-    std::uint32_t waiting{};
-    std::uint32_t slots{};
-};
+using load::EndpointLoad;
 
 /*! @brief What a response says of the rate of requests that its endpoint accepts. */
 struct LimitNotice
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(decodesLimitsOfEndpoints);
     CPPUNIT_TEST(decodesDrainOfEndpoints);
     CPPUNIT_TEST(decodesWarmupAndLoadOfEndpoints);
+    CPPUNIT_TEST(decodesPaceOfEndpoints);
     CPPUNIT_TEST(decodesPausesOfEndpoints);
     CPPUNIT_TEST_SUITE_END();
 
@@ -112,6 +113,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, malformed->malformedHeaders.size());
     }
 
+    /*! @brief A load with a value that was unknown before was ignored as a whole, in every response. */
+    void decodesPaceOfEndpoints()
+    {
+        const auto decode = [](const std::string &text) {
+            return platform::decodeNotice({}, 200, {{"Server-Load", text}})->load;
+        };
+        CPPUNIT_ASSERT(decode("3,1,8") && !decode("3,1,8")->pace);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.45, *decode("3,1,8,145")->pace, 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.975, *decode("3,1,8,97.5,7,new")->pace, 1e-9);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, decode("3,1,8,145")->waiting);
+        for (const char *malformed :
+             {"3,1,8,", "3,1,8,0", "3,1,8,-5", "3,1,8,fast", "3,1,8,inf", "-1,1,8,100", "3,1"}) {
+            CPPUNIT_ASSERT_MESSAGE(malformed, !decode(malformed));
+        }
+    }
+
     void decodesPausesOfEndpoints()
     {
         const auto decode = [](int status, const std::string &text) {
