Discover the peers of a small fleet within some 100 ms of a start

Ruled out: answering stage tasks before the owners are known (26 owners exhausted the retry budget earlier); a fixed short interval (the seeds of a fleet of hundreds get a heartbeat from each process at each). Change: during initial discovery probes begin at 50 ms and back off, heartbeats follow each other after 2 ms for each known peer, between 50 and 200 ms; discovery ends after two quiet intervals.

--- a/src/bergamottide/serving/peers.cpp
+++ b/src/bergamottide/serving/peers.cpp
@@ -19,8 +19,13 @@
 constexpr Duration peerExpiry = std::chrono::seconds{60};
 /*! @brief Time from the first heartbeat until a process claims shares: by then it knows the other processes. */
 constexpr Duration shareDelay = std::chrono::seconds{3};
-/*! @brief Time without a new peer after which initial discovery ends: one heartbeat and its response. */
-constexpr Duration quietTime = heartbeatPeriod + tickTolerance;
+/*! @brief First interval of probes during initial discovery, doubled with each probe: when a whole fleet starts, its
+ * seeds may be up only some milliseconds after the process that asks them. */
+constexpr Duration firstProbePeriod = std::chrono::milliseconds{50};
+/*! @brief Interval of heartbeats during initial discovery, for each known peer; bounds the heartbeats that the seeds of
+ * a large fleet get at its start. */
+constexpr Duration discoveryPeriodPerPeer = std::chrono::milliseconds{2};
+constexpr Duration minDiscoveryPeriod = std::chrono::milliseconds{50};
 /*! @brief Upper bound of initial discovery; tasks that are deferred longer would miss their deadline. */
 constexpr Duration maxDiscoveryTime = std::chrono::seconds{1};
 /*! @brief Age up to which a relay forwards an engine report: two heartbeats. */
@@ -220,7 +225,7 @@
         TimePoint &sentAt = m_lastSentAt[address];
         // The second relay is a standby, so half the rate is enough.
         const bool isSecond = !membership.isRelay() && partner != membership.partners().front();
-        const Duration period = isSecond ? heartbeatPeriod * 2 : heartbeatPeriod;
+        const Duration period = isSecond ? heartbeatInterval() * 2 : heartbeatInterval();
         if (sentAt == TimePoint{} || now - sentAt >= period - tickTolerance) {
             sentAt = now;
             addresses.push_back(address);
@@ -228,9 +233,10 @@
     }
     // Relays probe lost peers for all; otherwise each lost peer would be probed by the whole fleet.
     const bool isProbing = membership.isRelay() || !membership.hearsRelay();
-    if (!isProbing || (m_lastProbedAt != TimePoint{} && now - m_lastProbedAt < probePeriod)) {
+    if (!isProbing || (m_lastProbedAt != TimePoint{} && now - m_lastProbedAt < m_probeInterval)) {
         return addresses;
     }
+    m_probeInterval = m_lastProbedAt == TimePoint{} ? firstProbePeriod : std::min(m_probeInterval * 2, probePeriod);
     m_lastProbedAt = now;
     for (const std::string &address : probeTargets(now)) {
         m_lastSentAt[address] = now;
@@ -461,6 +467,15 @@
     return view(now).queueOwner(pool);
 }
 
+Duration Peers::heartbeatInterval() const
+{
+    if (m_isDiscoveryFinished || m_seeds.empty()) {
+        return heartbeatPeriod;
+    }
+    const Duration interval = discoveryPeriodPerPeer * static_cast<std::int64_t>(m_peers.size());
+    return std::clamp(interval, minDiscoveryPeriod, heartbeatPeriod);
+}
+
 bool Peers::isDiscoveryFinished(TimePoint now) const
 {
     if (m_isDiscoveryFinished || m_seeds.empty()) {
@@ -469,6 +484,8 @@
     if (m_startedAt == TimePoint{}) {
         return false;
     }
+    // Two heartbeats and their responses, but no more than one of normal operation.
+    const Duration quietTime = std::min(heartbeatInterval() * 2, heartbeatPeriod + tickTolerance);
     const bool hasMet = m_firstHeardAt != TimePoint{} && now - m_lastDiscoveredAt >= quietTime;
     return hasMet || now - m_startedAt >= maxDiscoveryTime;
 }
--- a/src/bergamottide/serving/peers.h
+++ b/src/bergamottide/serving/peers.h
@@ -117,10 +117,13 @@
      */
     [[nodiscard]] std::uint32_t share(const std::string &key, std::uint32_t units, TimePoint now) const;
 
+    /*! @brief Returns the interval of heartbeats; it is shorter during initial discovery. */
+    [[nodiscard]] Duration heartbeatInterval() const;
+
     /**
      * @brief Returns whether initial discovery is over, so that queue owners are reliable.
      *
-     * It ends when no new peer has appeared for a heartbeat and its response, at the latest after a second.
+     * It ends when no new peer has appeared for some heartbeats, at the latest after a second.
      */
     [[nodiscard]] bool isDiscoveryFinished(TimePoint now) const;
 
@@ -173,6 +176,8 @@
     std::map<std::string, TimePoint> m_lastSentAt;
     /*! @brief When addresses without a live peer were last probed. */
     TimePoint m_lastProbedAt{};
+    /*! @brief Time between the last probe and the next one. */
+    Duration m_probeInterval{};
     PeerStates m_peers;
     /*! @brief Engine reports by origin; forwarded until they expire. */
     std::map<InstanceName, ReceivedReport> m_reports;
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -250,7 +250,7 @@
 
 void ServingReducer::sendHeartbeats()
 {
-    m_nextHeartbeatAt = m_now + heartbeatPeriod;
+    m_nextHeartbeatAt = m_now + m_peers.heartbeatInterval();
     m_quarantine.removeExpired(m_now);
     for (std::string &address : m_peers.takeDueAddresses(m_now)) {
         m_effects.emplace_back(SendHeartbeat{std::move(address)});
--- a/test/bergamottide/serving/largefleet.cpp
+++ b/test/bergamottide/serving/largefleet.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(startOfWholeFleetSendsEachEntryAFewTimes);
     CPPUNIT_TEST(peersOutliveTheRelaysThatListThem);
     CPPUNIT_TEST(largeFleetDiscoversAllPeers);
+    CPPUNIT_TEST(fleetWhoseSeedsStartLastIsDiscoveredSoon);
+    CPPUNIT_TEST(discoveryOfLargeFleetSendsFewHeartbeats);
     CPPUNIT_TEST(fewProcessesReadThePlatform);
     CPPUNIT_TEST(processPrefersReadersOfOwnZone);
     CPPUNIT_TEST(heartbeatTrafficOfLargeFleetIsBounded);
@@ -226,6 +228,33 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.ownersOf(PoolName{"pool"}).size());
     }
 
+    /*!
+     * @brief After a loss of power all processes start within some milliseconds, the seeds among them at any position.
+     *
+     * Stage work is deferred until discovery ends. It took 0.8 s, most of the objective of the requests that waited.
+     */
+    void fleetWhoseSeedsStartLastIsDiscoveredSoon()
+    {
+        constexpr Duration tick = std::chrono::milliseconds{10};
+        PeerFleet fleet{27, m_now};
+        fleet.restartAll({InstanceName{"entry-0"}, InstanceName{"entry-1"}}, std::chrono::milliseconds{30}, tick);
+        fleet.run(std::chrono::milliseconds{370}, tick);
+        CPPUNIT_ASSERT(fleet.isDiscoveryFinished());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{26}, fleet.minLiveCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.ownersOf(PoolName{"pool"}).size());
+    }
+
+    /*! @brief The short intervals of discovery must not overload the seeds of a large fleet. */
+    void discoveryOfLargeFleetSendsFewHeartbeats()
+    {
+        constexpr std::size_t processes = 357;
+        PeerFleet fleet{processes, m_now};
+        fleet.run(std::chrono::seconds{1}, std::chrono::milliseconds{10});
+        // In normal operation a process sends at most eight heartbeats a second, and a relay some 90 more.
+        constexpr std::size_t relays = 16;
+        CPPUNIT_ASSERT(fleet.heartbeatsSent() <= 2 * (8 * processes + 90 * relays));
+    }
+
     void fewProcessesReadThePlatform()
     {
         for (const auto &[size, expected] : {std::pair{18, 3}, {103, 3}, {300, 9}}) {
--- a/test/bergamottide/serving/peerfleet.h
+++ b/test/bergamottide/serving/peerfleet.h
@@ -37,10 +37,9 @@
         }
     }
 
-    /*! @brief Advances the clock in ticks of 50 ms. */
-    void run(Duration time)
+    /*! @brief Advances the clock in ticks. */
+    void run(Duration time, Duration tick = std::chrono::milliseconds{50})
     {
-        constexpr Duration tick = std::chrono::milliseconds{50};
         for (const TimePoint end = m_now + time; m_now < end; m_now += tick) {
             for (auto &[address, process] : m_processes) {
                 for (const std::string &to : process.takeDueAddresses(m_now)) {
@@ -63,6 +62,28 @@
         m_processes.at(self.address).setCanOwnQueues(true);
     }
 
+    /*! @brief Stops processes without draining them, and starts them again after some time. */
+    void restartAll(const std::vector<InstanceName> &instances, Duration down, Duration tick)
+    {
+        std::vector<serving::PeerInfo> stopped;
+        for (const InstanceName &instance : instances) {
+            stopped.push_back(m_processes.at(instance.text() + ":1").self());
+            stop(instance);
+        }
+        run(down, tick);
+        for (const serving::PeerInfo &self : stopped) {
+            m_processes.emplace(self.address, startProcess(self));
+            m_processes.at(self.address).setCanOwnQueues(true);
+        }
+    }
+
+    /*! @brief Returns whether initial discovery is over at all processes. */
+    [[nodiscard]] bool isDiscoveryFinished() const
+    {
+        return std::ranges::all_of(m_processes,
+                                   [this](const auto &entry) { return entry.second.isDiscoveryFinished(m_now); });
+    }
+
     /*! @brief Stops a process without draining it. */
     void stop(const InstanceName &instance)
     {
