Give the owner of a stage queue the retries of the fleet for its pool

Ruled out: the whole slack for an owner (its predecessor and its successor own the queue within the same window). Change: the owner counts the tasks that it gets and may use a third of the slack, unless a partition has left it less than half of the processes; the processes that hand it tasks no longer count them. Figures: tests; three owners in one window stay within the slack.

--- a/src/bergamottide/serving/retrybudget.cpp
+++ b/src/bergamottide/serving/retrybudget.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/*! @brief Share of the slack that the owner of a queue may use; the owners before and after it use as much, and an
+ * instance that owns the queue may restart and own it again within a window. */
+constexpr double ownerSlackShare = 1.0 / 3.0;
+
 /*
  * Each process may spend the largest budget of a window, and the processes reach theirs at different times. Without a
  * deduction for the random variation of the counts, their sum exceeds the budget of the fleet.
@@ -29,11 +33,10 @@
     prunedHistory(pool, now).requests.push_back(now);
 }
 
-bool RetryBudget::tryTakeRetry(const PoolName &pool, TimePoint now)
+bool RetryBudget::tryTakeRetry(const PoolName &pool, TimePoint now, RetryShare share)
 {
     PoolHistory &history = prunedHistory(pool, now);
-    const double share = m_options.slack / effectiveProcessCount(now);
-    const double allowed = std::floor(m_options.ratio * assuredRequests(history.requests.size()) + share);
+    const double allowed = std::floor(m_options.ratio * assuredRequests(history.requests.size()) + slackOf(share, now));
     if (static_cast<double>(history.retries.size()) + 1.0 > allowed) {
         return false;
     }
@@ -67,6 +70,18 @@
     return isInFirstWindow ? std::max(largest, m_options.assumedProcesses) : largest;
 }
 
+/*! @brief Returns the part of the slack that this process may use; owners that a partition isolates get no more than
+ * any process. */
+double RetryBudget::slackOf(RetryShare share, TimePoint now)
+{
+    const std::uint32_t processes = effectiveProcessCount(now);
+    const double ofProcess = m_options.slack / processes;
+    const std::uint32_t live = m_processCounts.empty() ? 1 : m_processCounts.back().second;
+    const bool isMajority = live * 2 >= processes;
+    return share == RetryShare::QueueOwner && isMajority ? std::max(ofProcess, m_options.slack * ownerSlackShare)
+                                                         : ofProcess;
+}
+
 void RetryBudget::setOptions(const RetryBudgetOptions &options)
 {
     m_options = options;
--- a/src/bergamottide/serving/retrybudget.h
+++ b/src/bergamottide/serving/retrybudget.h
@@ -22,6 +22,15 @@
     std::uint32_t assumedProcesses{16};
 };
 
+/*! @brief Part of the fleet's slack that a retry is taken from. */
+enum class RetryShare : std::uint8_t
+{
+    /*! @brief The share of one process; every process retries requests to the pool. */
+    Process,
+    /*! @brief The share of the owner of the pool's queue, who makes all retries for the fleet. */
+    QueueOwner
+};
+
 /**
  * @brief Share of this process in the retry budget of the fleet.
  *
@@ -41,9 +50,10 @@
      * @brief Takes one retry from the budget.
      * @param pool Pool to which the retry is sent.
      * @param now Current time.
+     * @param share Part of the slack to use.
      * @return Whether the retry is allowed.
      */
-    [[nodiscard]] bool tryTakeRetry(const PoolName &pool, TimePoint now);
+    [[nodiscard]] bool tryTakeRetry(const PoolName &pool, TimePoint now, RetryShare share = RetryShare::Process);
 
     /**
      * @brief Sets the number of processes that share the slack, at least one.
@@ -65,6 +75,7 @@
     };
 
     [[nodiscard]] std::uint32_t effectiveProcessCount(TimePoint now);
+    [[nodiscard]] double slackOf(RetryShare share, TimePoint now);
     PoolHistory &prunedHistory(const PoolName &pool, TimePoint now);
 
     RetryBudgetOptions m_options;
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -121,7 +121,6 @@
     progress.results.assign(progress.pieces, {});
     progress.isReleased = false;
     m_tasks.emplace(task.id, std::pair{request.callerRequest->call, stage});
-    m_retryBudget.recordRequest(spec.pool, m_now);
     submitTask(std::move(task));
 }
 
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -127,6 +127,7 @@
     m_queues[pending.task.pool].insert(queueKey(pending));
     m_resultMemory.setReportedUsage(pending.task, now);
     m_loads[pending.task.pool].recordArrival(pending.task.rank, pending.task.pieces, now);
+    m_budget.recordRequest(pending.task.pool, now);
     m_scans[pending.task.pool].isRequested = true;
     m_tasks.emplace(id, std::move(pending));
 }
@@ -452,7 +453,7 @@
         if (found == m_tasks.end()) {
             continue;
         }
-        if (!m_budget.tryTakeRetry(call.pool, now)) {
+        if (!m_budget.tryTakeRetry(call.pool, now, RetryShare::QueueOwner)) {
             fail(found->second, PieceFailure::InputMissing);
             continue;
         }
@@ -537,7 +538,7 @@
         if (!m_tasks.contains(item.task)) {
             continue;
         }
-        if (charged.insert(item.task).second && !m_budget.tryTakeRetry(call.pool, now)) {
+        if (charged.insert(item.task).second && !m_budget.tryTakeRetry(call.pool, now, RetryShare::QueueOwner)) {
             notRetried.insert(item.task);
         }
         if (!notRetried.contains(item.task)) {
--- a/test/bergamottide/serving/retrybudget.cpp
+++ b/test/bergamottide/serving/retrybudget.cpp
@@ -20,6 +20,9 @@
     CPPUNIT_TEST(budgetRecoversAfterWindow);
     CPPUNIT_TEST(retriesOfAllProcessesStayWithinTheBudgetOfTheFleet);
     CPPUNIT_TEST(budgetOfTheFleetHoldsAtOtherSizesAndLoads);
+    CPPUNIT_TEST(queueOwnerRetriesForTheFleet);
+    CPPUNIT_TEST(successiveQueueOwnersShareTheSlack);
+    CPPUNIT_TEST(isolatedQueueOwnerHasTheShareOfAProcess);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -78,6 +81,44 @@
         }
     }
 
+    /*! @brief Only the owner of a queue retries stage calls; with the share of one process most failed calls were
+     * final.
+     */
+    void queueOwnerRetriesForTheFleet()
+    {
+        RetryBudget budget = budgetAfterFirstWindow(25);
+        CPPUNIT_ASSERT_EQUAL(16, spend(budget, RetryShare::QueueOwner));
+        RetryBudget restarted{options()};
+        restarted.setProcessCount(25, m_now);
+        CPPUNIT_ASSERT_EQUAL(16, spend(restarted, RetryShare::QueueOwner));
+        CPPUNIT_ASSERT_EQUAL(0, spend(restarted));
+    }
+
+    /*! @brief An owner may restart, while a substitute owns its queue, within one window. */
+    void successiveQueueOwnersShareTheSlack()
+    {
+        RetryBudget first = budgetAfterFirstWindow(25);
+        RetryBudget second = budgetAfterFirstWindow(25);
+        RetryBudget restarted{options()};
+        restarted.setProcessCount(25, m_now);
+        int sum = 0;
+        for (RetryBudget *owner : {&first, &second, &restarted}) {
+            sum += spend(*owner, RetryShare::QueueOwner);
+        }
+        CPPUNIT_ASSERT(sum <= 50);
+    }
+
+    /*! @brief Each process that a partition isolates owns all queues. */
+    void isolatedQueueOwnerHasTheShareOfAProcess()
+    {
+        RetryBudget isolated = budgetAfterFirstWindow(25);
+        isolated.setProcessCount(1, m_now);
+        CPPUNIT_ASSERT_EQUAL(2, spend(isolated, RetryShare::QueueOwner));
+        RetryBudget started{options()};
+        started.setProcessCount(1, m_now);
+        CPPUNIT_ASSERT_EQUAL(3, spend(started, RetryShare::QueueOwner));
+    }
+
 private:
     /*! @brief Fleet whose processes retry as often as they may, and its load. */
     struct Play
@@ -165,10 +206,10 @@
         return budget;
     }
 
-    [[nodiscard]] int spend(RetryBudget &budget) const
+    [[nodiscard]] int spend(RetryBudget &budget, RetryShare share = RetryShare::Process) const
     {
         int spent = 0;
-        while (budget.tryTakeRetry(PoolName{"pool"}, m_now)) {
+        while (budget.tryTakeRetry(PoolName{"pool"}, m_now, share)) {
             ++spent;
         }
         return spent;
