Fill the calls of saturated stage pools

Ruled out: splitting at any load or with scarce result memory (the first results of a split request are stored longer).

--- a/src/bergamottide/serving/callplanner.cpp
+++ b/src/bergamottide/serving/callplanner.cpp
@@ -13,6 +13,11 @@
 constexpr double minFillRatio = 0.6;
 /*! @brief Memory usage up to which results of late requests are added, as these are stored longest. */
 constexpr double lateMemoryShare = 0.75;
+/*! @brief Calls' worth of waiting pieces above which calls are filled at the cost of split tasks: the rest of a task
+ * goes into the next call, which is sent before the first one has ended only if more endpoints are free. */
+constexpr std::size_t callsOfSaturatedQueue = 2;
+/*! @brief Memory usage above which tasks are not split, as the first results of a split task are stored longer. */
+constexpr double splitMemoryShare = 0.6;
 /*! @brief Broken calls after which a task is sent alone, so that it crashes no endpoint under the pieces of others. */
 constexpr std::uint32_t maxBrokenSharedCalls = 2;
 
@@ -33,10 +38,13 @@
     for (const Endpoint *endpoint : m_endpoints.usable(pool.name, now)) {
         poolZones.insert(endpoint->record.zone);
     }
+    const std::size_t waiting = countWaitingPieces(queue, m_tasks);
+    const bool isSaturated =
+        waiting > callsOfSaturatedQueue * pool.batch->maxItems && m_endpoints.reportsPace(pool.name);
     Endpoint *bestEndpoint = nullptr;
     CallCandidate best;
     for (Endpoint *endpoint : availableEndpoints(pool, now)) {
-        CallCandidate candidate = fillCall(pool, *endpoint, queue, poolZones, now);
+        CallCandidate candidate = fillCall(pool, *endpoint, queue, poolZones, isSaturated, now);
         if (!candidate.items.empty()
             && (bestEndpoint == nullptr || isBetter(candidate, *endpoint, best, *bestEndpoint, now))) {
             bestEndpoint = endpoint;
@@ -46,7 +54,7 @@
     if (bestEndpoint == nullptr) {
         return std::nullopt;
     }
-    const std::size_t wanted = std::min<std::size_t>(countWaitingPieces(queue, m_tasks), pool.batch->maxItems);
+    const std::size_t wanted = std::min<std::size_t>(waiting, pool.batch->maxItems);
     // Stored results will soon be used and their memory freed; until then a small call would occupy the endpoint.
     if (!best.isComplete && bestEndpoint->usedResultBytes() != 0
         && static_cast<double>(best.items.size()) < minFillRatio * static_cast<double>(wanted)) {
@@ -86,10 +94,12 @@
  * there. This keeps large inputs and results within a zone.
  */
 CallCandidate CallPlanner::fillCall(const Pool &pool, const Endpoint &endpoint, const StageQueue &queue,
-                                    const std::set<ZoneName> &poolZones, TimePoint now) const
+                                    const std::set<ZoneName> &poolZones, bool isSaturated, TimePoint now) const
 {
     CallCandidate candidate;
     candidate.usedBytes = endpoint.usedResultBytes();
+    candidate.maySplit = isSaturated
+        && static_cast<double>(candidate.usedBytes) < splitMemoryShare * static_cast<double>(pool.batch->resultMemory);
     const QueueKey &first = *queue.begin();
     for (const QueueKey &key : queue) {
         const PendingTask &pending = m_tasks.at(std::get<StageTaskId>(key));
@@ -129,8 +139,9 @@
     const bool fitsWhole = candidate.items.size() + remainingPieces <= pool.batch->maxItems
         && candidate.usedBytes + remainingPieces * pending.task.resultBytes <= memoryLimit;
     // A request proceeds only when all pieces are done; splitting it over calls keeps its first results in memory for
-    // longer. The first task of a call may be split, or one larger than a batch would never be sent.
-    if (!fitsWhole && !candidate.items.empty()) {
+    // longer. The first task of a call may be split, or one larger than a batch would never be sent. So may the last
+    // one while the pool is saturated: calls with empty items lower the throughput that all waiting requests depend on.
+    if (!fitsWhole && !candidate.items.empty() && !candidate.maySplit) {
         return;
     }
     candidate.tasks.insert(pending.task.id);
--- a/src/bergamottide/serving/callplanner.h
+++ b/src/bergamottide/serving/callplanner.h
@@ -26,6 +26,8 @@
     std::size_t localItems{};
     /*! @brief Takes no further tasks. */
     bool isComplete{};
+    /*! @brief Its last task may be split, so that no item of the call stays empty. */
+    bool maySplit{};
 };
 
 /*! @brief Endpoint and items of the call to send next. */
@@ -66,7 +68,7 @@
 private:
     [[nodiscard]] std::vector<Endpoint *> availableEndpoints(const Pool &pool, TimePoint now) const;
     [[nodiscard]] CallCandidate fillCall(const Pool &pool, const Endpoint &endpoint, const StageQueue &queue,
-                                         const std::set<ZoneName> &poolZones, TimePoint now) const;
+                                         const std::set<ZoneName> &poolZones, bool isSaturated, TimePoint now) const;
     void addTask(const Pool &pool, const PendingTask &pending, CallCandidate &candidate) const;
     [[nodiscard]] static bool isBetter(const CallCandidate &candidate, const Endpoint &endpoint,
                                        const CallCandidate &other, const Endpoint &otherEndpoint, TimePoint now);
--- a/test/bergamottide/serving/stagescheduler.cpp
+++ b/test/bergamottide/serving/stagescheduler.cpp
@@ -38,6 +38,9 @@
     CPPUNIT_TEST(brokenPathIsRetriedAfterAPause);
     CPPUNIT_TEST(burstIsServedOnTimeByBatching);
     CPPUNIT_TEST(taskWhoseCallsBreakIsSentAlone);
+    CPPUNIT_TEST(callsOfASaturatedPoolAreFilled);
+    CPPUNIT_TEST(splitTaskIsCompletedByTheNextCall);
+    CPPUNIT_TEST(tasksAreNotSplitWhileMemoryIsScarce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -395,7 +398,69 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"attempt-2"}, second.front().items.front().attempt);
     }
 
+    /*! @brief Requests of five pieces each left three of eight items empty while the pool had a backlog. */
+    void callsOfASaturatedPoolAreFilled()
+    {
+        for (std::uint64_t task = 1; task <= 4; ++task) {
+            submit(task, 5);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, dispatch().front().items.size());
+        reportPace();
+        listSecondEncoder();
+        // 15 pieces wait, less than two calls.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, dispatch().front().items.size());
+        for (std::uint64_t task = 5; task <= 7; ++task) {
+            submit(task, 5);
+        }
+        listThirdEncoder();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, dispatch().front().items.size());
+    }
+
+    void splitTaskIsCompletedByTheNextCall()
+    {
+        reportPace();
+        for (std::uint64_t task = 1; task <= 4; ++task) {
+            submit(task, 5);
+        }
+        const auto first = dispatch();
+        CPPUNIT_ASSERT_EQUAL(std::string{"attempt-2"}, first.front().items.back().attempt);
+        answer(first.front());
+        const auto second = dispatch();
+        CPPUNIT_ASSERT_EQUAL(std::string{"attempt-2"}, second.front().items.front().attempt);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{3}, second.front().items.front().piece);
+    }
+
+    /*! @brief The first results of a split task would occupy memory until the next call ends. */
+    void tasksAreNotSplitWhileMemoryIsScarce()
+    {
+        reportPace();
+        constexpr std::uint64_t large = 2500;
+        submit(1, 5, 0, std::chrono::seconds{1}, large);
+        answer(dispatch().front());
+        for (std::uint64_t task = 2; task <= 6; ++task) {
+            submit(task, 5);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, dispatch().front().items.size());
+    }
+
 private:
+    void reportPace()
+    {
+        m_endpoints.recordLoad(InstanceName{"encoder-1"}, {1, 0, 1, 1.2}, m_now);
+    }
+
+    void listSecondEncoder()
+    {
+        m_endpoints.update({endpoint("encoder-1"), endpoint("encoder-2")}, m_now, m_effects);
+        m_scheduler.requestScans();
+    }
+
+    void listThirdEncoder()
+    {
+        m_endpoints.update({endpoint("encoder-1"), endpoint("encoder-2"), endpoint("encoder-3")}, m_now, m_effects);
+        m_scheduler.requestScans();
+    }
+
     void breakCall(const StartStageCall &call)
     {
         m_effects.clear();
