Account for results of queue owners that died with the whole fleet

Cause: results of the processes before a loss of power stay in the memory of stage endpoints for four seconds. Ruled out: asking each endpoint's report on a takeover (free memory is rounded to megabytes, as much as a small pool has). Change: an endpoint that lacks memory where the known results leave some is taken to store unknown ones, which expire evenly until the storage time has passed since the first call of this owner; room for one result is left.

--- a/src/bergamottide/serving/resultmemory.cpp
+++ b/src/bergamottide/serving/resultmemory.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+/*! @brief Steps in which memory of unknown results becomes free. */
+constexpr std::uint64_t unknownExpirySteps = 8;
 /*! @brief Time for which a report on results of other schedulers is valid, unless it is renewed. */
 constexpr Duration heldReportTtl = std::chrono::milliseconds{1500};
 
@@ -37,6 +39,20 @@
     add(absl::StrCat("lost/", m_nextLostNumber++), reservation, expiry);
 }
 
+void ResultMemory::addUnknown(const MemoryReservation &unknown, TimePoint now, TimePoint expiry)
+{
+    Endpoint *found = m_endpoints.find(unknown.endpoint);
+    if (found == nullptr || found->record.incarnation != unknown.incarnation) {
+        return;
+    }
+    for (std::uint64_t step = 1; step <= unknownExpirySteps; ++step) {
+        MemoryReservation part = unknown;
+        part.bytes = unknown.bytes / unknownExpirySteps;
+        found->resultBytes += part.bytes;
+        addLost(part, now + (expiry - now) * static_cast<std::int64_t>(step) / unknownExpirySteps);
+    }
+}
+
 void ResultMemory::remove(const std::string &handle)
 {
     const auto found = m_results.find(handle);
--- a/src/bergamottide/serving/resultmemory.h
+++ b/src/bergamottide/serving/resultmemory.h
@@ -53,6 +53,14 @@
     /*! @brief Adds a result that may exist although the answer to its call was lost. */
     void addLost(const MemoryReservation &reservation, TimePoint expiry);
 
+    /**
+     * @brief Accounts for memory that results of unknown schedulers occupy, such as those of a process that has died.
+     * @param unknown Endpoint and the memory in use there that no known result explains.
+     * @param now Current time.
+     * @param expiry Time by which the last of these results has expired; they expire evenly until then.
+     */
+    void addUnknown(const MemoryReservation &unknown, TimePoint now, TimePoint expiry);
+
     /*! @brief Removes a released result and frees its memory; unknown handles are ignored. */
     void remove(const std::string &handle);
 
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -320,6 +320,7 @@
     call.startedAt = now;
     call.expectedDuration = expectedCallTime(*pool.batch, items.size());
     call.resultTtl = pool.batch->resultTtl;
+    call.resultMemory = pool.batch->resultMemory;
     call.timeoutAt = now + call.expectedDuration * callTimeoutFactor + callTimeoutAllowance;
     call.items = std::move(items);
     effects.emplace_back(LogLine{Severity::Info,
@@ -375,6 +376,7 @@
     updateExclusivity(call, event.load, now);
     std::vector<std::string> unclaimedHandles;
     std::map<StageTaskId, std::vector<CallItem>> unreachable;
+    bool isMemoryFull = false;
     logFailures(event, call, effects);
     recordFetches(event, call, now);
     for (std::size_t index = 0; index < call.items.size(); ++index) {
@@ -397,6 +399,7 @@
             } else {
                 if (result.failure == PieceFailure::InsufficientMemory) {
                     m_endpoints.pause(call.endpoint, now + memoryFullPause);
+                    isMemoryFull = true;
                 }
                 requeue(item, result.failure != PieceFailure::InsufficientMemory);
             }
@@ -410,11 +413,49 @@
         }
     }
     requeueUnreachable(unreachable, call, now);
+    if (isMemoryFull) {
+        accountForUnknownResults(call, now, effects);
+    }
     if (!unclaimedHandles.empty()) {
         effects.emplace_back(ReleaseResults{call.endpoint, call.address, std::move(unclaimedHandles)});
     }
 }
 
+/*
+ * An endpoint without memory where known results leave some stores results of an owner of the queue that died with all
+ * that knew of them. Until these expire, calls would be made in vain: 307 pieces in the two seconds after a loss of
+ * power.
+ */
+void StageScheduler::accountForUnknownResults(const Call &call, TimePoint now, Effects &effects)
+{
+    const Endpoint *endpoint = m_endpoints.find(call.endpoint);
+    if (endpoint == nullptr || endpoint->record.incarnation != call.incarnation) {
+        return;
+    }
+    std::uint64_t largest = 0;
+    for (const CallItem &item : call.items) {
+        largest = std::max(largest, item.bytes);
+    }
+    // Room for one result is left, so that the endpoint is used as soon as its memory is free.
+    const std::uint64_t known = endpoint->usedResultBytes() + largest;
+    if (known >= call.resultMemory) {
+        return;
+    }
+    const std::uint64_t bytes = call.resultMemory - known;
+    const TimePoint expiry = endpoint->sendingSince + call.resultTtl;
+    if (expiry <= now) {
+        return;
+    }
+    m_resultMemory.addUnknown({call.endpoint, call.incarnation, bytes}, now, expiry);
+    effects.emplace_back(LogLine{Severity::Info,
+                                 Part::Entry,
+                                 "Endpoint stores results of an unknown scheduler.",
+                                 {{"endpoint", call.endpoint.text()},
+                                  {"pool", call.pool.text()},
+                                  {"bytes", absl::StrCat(bytes)},
+                                  {"expire_ms", absl::StrCat((expiry - now).count() / 1000)}}});
+}
+
 /*! @brief Records between which zones the inputs of a call could be fetched. */
 void StageScheduler::recordFetches(const StageCallEnded &event, const Call &call, TimePoint now)
 {
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -148,6 +148,7 @@
         TimePoint startedAt{};
         Duration expectedDuration{};
         Duration resultTtl{};
+        std::uint64_t resultMemory{};
         TimePoint timeoutAt{};
     };
 
@@ -180,6 +181,7 @@
     void requeueUnreachable(const std::map<StageTaskId, std::vector<CallItem>> &unreachable, const Call &call,
                             TimePoint now);
     static void logFailures(const StageCallEnded &event, const Call &call, Effects &effects);
+    void accountForUnknownResults(const Call &call, TimePoint now, Effects &effects);
     void countBrokenCall(const Call &call);
     void retryItems(const Call &call, bool failed, TimePoint now, Effects &effects);
     void requeue(const CallItem &item, bool failed);
--- a/test/bergamottide/serving/stagescheduler.cpp
+++ b/test/bergamottide/serving/stagescheduler.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(lateTaskBehindALongBacklogFailsAtOnce);
     CPPUNIT_TEST(smallCallWaitsForResultMemory);
     CPPUNIT_TEST(endpointWithoutMemoryIsPaused);
+    CPPUNIT_TEST(resultsOfADeadOwnerCountAgainstMemory);
     CPPUNIT_TEST(memoryOfALostCallIsReservedUntilExpiry);
     CPPUNIT_TEST(resultsForACancelledTaskAreFreed);
     CPPUNIT_TEST(fetchedInputsAreReleasedWhenMemoryIsScarce);
@@ -128,6 +129,32 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dispatch().size());
     }
 
+    /*! @brief A new owner does not know the results of one that died, and sent calls that found no memory. */
+    void resultsOfADeadOwnerCountAgainstMemory()
+    {
+        constexpr std::uint64_t large = 5000;
+        submit(1, 4, 0, std::chrono::seconds{20}, large);
+        const auto first = dispatch();
+        m_effects.clear();
+        m_scheduler.handleCallEnded({first.front().call,
+                                     StageCallStatus::Answered,
+                                     {{"h-0", {}},
+                                      {"", PieceFailure::InsufficientMemory},
+                                      {"", PieceFailure::InsufficientMemory},
+                                      {"", PieceFailure::InsufficientMemory}}},
+                                    m_now, m_effects);
+        const Endpoint &endpoint = *m_endpoints.find(InstanceName{"encoder-1"});
+        CPPUNIT_ASSERT(endpoint.usedResultBytes() + 2 * large > 20'000);
+        m_now += std::chrono::milliseconds{300};
+        m_scheduler.handleTimeouts(m_now, m_effects);
+        // One of the three waiting pieces is less than the share of a call that is worth its time.
+        CPPUNIT_ASSERT(dispatch().empty());
+        // The results of the dead owner expire within the time for which results are stored.
+        m_now += std::chrono::milliseconds{3700};
+        m_scheduler.handleTimeouts(m_now, m_effects);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, dispatch().front().items.size());
+    }
+
     void memoryOfALostCallIsReservedUntilExpiry()
     {
         submit(1, 4, 0, std::chrono::seconds{20}, 5000);
