Measure the error of forecast responses of a route

Cause: admission allows a fixed 300 ms for the error of its forecast, whatever the error is; in the first deployment it has a standard deviation of about 400 ms, and the queue holds as much work as can only just be completed on time. Ruled out: a variance with a square root (single errors of seconds after a crash would outweigh all others). Nothing uses it yet.

--- /dev/null
+++ b/src/bergamottide/forecasting/fwd.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/**
+ * @file
+ * @brief Forward declarations of the module `forecasting`, which measures the error of forecast responses.
+ */
+namespace bergamottide::forecasting {
+
+class ForecastError;
+
+} // namespace bergamottide::forecasting
