Admit requests with stages by the measured error of their forecast

Cause: a request was admitted with a forecast up to 300 ms beyond its objective, so the queue of a contended stage pool filled with requests of which many were rejected at a later stage, or late. Ruled out: samples of requests with a response only (the worst errors, those of rejected requests, would be missing). Change: errors of forecasts by route, in each process, for the routes of the catalog in effect. While a stage pool of the request has a wait above a tenth of the objective, forecast plus margin must meet the objective; only for pools that report a pace, and from 20 samples on. The retry time of a request that is rejected so takes the margin into account.

--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -16,7 +16,7 @@
 
 namespace bergamottide::serving {
 
-/*! @brief Forecast lateness up to which a request is admitted; covers forecast errors. */
+/*! @brief Forecast lateness up to which a request is admitted if no measured margin counts; covers forecast errors. */
 inline constexpr Duration maxAdmittedLateness = std::chrono::milliseconds{300};
 
 /*! @brief Progress of one stage of a request; a stage without pieces is done from the start. */
@@ -62,6 +62,8 @@
     Duration expectedRunTime{};
     /*! @brief Time of the response or first event, as forecast on arrival. */
     TimePoint expectedResponseAt{};
+    /*! @brief Margin for the error of that forecast that counted on arrival; empty if the fixed allowance did. */
+    std::optional<Duration> forecastMargin;
     /*! @brief Delay after which a retry of the rejected request is expected to succeed; empty if unknown. */
     std::optional<Duration> retryAfter;
 
@@ -121,10 +123,10 @@
         return false;
     }
 
-    /*! @brief Returns by how much the forecast response misses the objective; zero if it does not. */
+    /*! @brief Returns by how much the forecast response and its margin miss the objective; zero if they do not. */
     [[nodiscard]] Duration lateness() const noexcept
     {
-        return std::max(expectedResponseAt - objective, Duration::zero());
+        return std::max(expectedResponseAt + forecastMargin.value_or(Duration::zero()) - objective, Duration::zero());
     }
 
     /*! @brief Returns whether no endpoint can have executed the request, which permits the caller a safe retry. */
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -118,6 +118,7 @@
 void ServingReducer::on(const CatalogChanged &event)
 {
     m_catalog = event.catalog;
+    retainForecastErrors();
     m_stageScheduler.requestScans();
     updateEngines();
     m_peers.setCanOwnQueues(canServe());
@@ -294,7 +295,9 @@
         return true;
     }
     request.expectedResponseAt = *responseAt;
-    return *responseAt > request.deadline || request.lateness() > maxAdmittedLateness;
+    request.forecastMargin = forecastMargin(request);
+    const Duration allowed = request.forecastMargin ? Duration::zero() : maxAdmittedLateness;
+    return *responseAt > request.deadline || request.lateness() > allowed;
 }
 
 /*! @brief Returns what the endpoints of the request's pool accept from this process; nothing if one is not bounded. */
@@ -347,13 +350,13 @@
                          }};
 }
 
-/*! @brief Forecasts the response or first event of a request whose stages have not started; empty if a stage has no
+/*! @brief Forecasts the response or first event of a request whose run has not started; empty if a stage has no
  * endpoint. */
 std::optional<TimePoint> ServingReducer::forecastResponse(const Request &request)
 {
     std::vector<std::uint32_t> pieces;
     for (const StageProgress &stage : request.stages) {
-        pieces.push_back(stage.pieces);
+        pieces.push_back(stage.isDone() ? 0 : stage.pieces);
     }
     const auto stages = forecast(*request.catalog).totalDuration(*request.route, pieces, request.rank);
     if (!stages) {
@@ -458,6 +461,7 @@
             finish(*request, "timed_out");
             continue;
         }
+        recordMissedForecast(*request);
         reject(*request, request->hasProvablyNotRun() ? ErrorKind::Unavailable : ErrorKind::TimedOut,
                "deadline exceeded");
     }
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -4,6 +4,7 @@
 #include "bergamottide/core/time.h"
 #include "bergamottide/engines/engineplacement.h"
 #include "bergamottide/engines/enginetable.h"
+#include "bergamottide/forecasting/forecasterror.h"
 #include "bergamottide/serving/crashdetector.h"
 #include "bergamottide/serving/endpointnotices.h"
 #include "bergamottide/serving/endpointregistry.h"
@@ -136,6 +137,11 @@
     [[nodiscard]] std::optional<TimePoint> forecastResponse(const Request &request);
     [[nodiscard]] Duration expectedRunTime(const Request &request);
     [[nodiscard]] bool wouldBeTooLate(Request &request);
+    [[nodiscard]] std::optional<Duration> forecastMargin(const Request &request);
+    [[nodiscard]] bool isContended(const Request &request);
+    void recordForecast(const Request &request, TimePoint responseAt);
+    void recordMissedForecast(const Request &request);
+    void retainForecastErrors();
     [[nodiscard]] bool tryTakeCapacity(Request &request);
     [[nodiscard]] std::optional<RateCapacity> poolCapacity(const Request &request, TimePoint at);
     [[nodiscard]] PoolName selectPool(const Route &route, const std::string &attempt) const;
@@ -237,6 +243,8 @@
     HeldReleases m_heldReleases;
     engines::EngineTable m_engineTable;
     FirstEventTimes m_firstEventTimes;
+    /*! @brief Errors of forecasts, by the name of the route; only routes of the catalog in effect. */
+    std::map<std::string, forecasting::ForecastError> m_forecastErrors;
     std::uint64_t m_incarnation;
     std::map<CallId, Request> m_requests;
     std::map<RunNumber, CallId> m_runs;
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -251,6 +251,7 @@
                   std::chrono::duration_cast<std::chrono::milliseconds>(m_now - request->runStartedAt).count())}});
         request->isStreamStarted = true;
         request->firstEventAt = m_now;
+        recordForecast(*request, m_now);
         m_effects.emplace_back(BeginStream{request->callerRequest->call, event.head.status, event.head.headers});
         return;
     }
@@ -317,6 +318,9 @@
 {
     const CallId call = request.callerRequest->call;
     const int status = request.head->status;
+    if (!request.isStreamStarted && isSuccess(status)) {
+        recordForecast(request, m_now);
+    }
     if (request.isStreamStarted && isSuccess(status)) {
         m_effects.emplace_back(FinishStream{call});
     } else if (request.isStreamStarted) {
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -243,6 +243,9 @@
     const bool again = failure == PieceFailure::InputMissing && mayRestartStages(request)
         && m_retryBudget.tryTakeRetry(request.pool, m_now);
     if (!again) {
+        if (failure == PieceFailure::Late) {
+            recordMissedForecast(request);
+        }
         reject(request, request.mayHaveRun ? ErrorKind::BadGateway : ErrorKind::Unavailable,
                absl::StrCat("stage failed: ", std::string{enumName(failure)}));
         return;
