--- a/src/bergamottide/serving/servingforecasts.cpp
+++ b/src/bergamottide/serving/servingforecasts.cpp
@@ -61,7 +61,11 @@
     if (!isListed || !hasStages(request) || !m_endpoints.reportsPace(request.pool)) {
         return;
     }
-    m_forecastErrors[request.route->name].record(responseAt - request.expectedResponseAt, m_now);
+    forecasting::ForecastError &error = m_forecastErrors[request.route->name];
+    error.record(responseAt - request.expectedResponseAt, m_now);
+    const Duration margin = error.margin(request.route->objective, m_now);
+    m_effects.emplace_back(
+        Observe{Metric::ForecastMarginSeconds, {request.route->name}, std::chrono::duration<double>(margin).count()});
 }
 
 /*
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -37,6 +37,16 @@
     return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+/*! @brief Adds the margin of the request's forecast to the fields of a log line if it counted for the admission. */
+std::vector<std::pair<std::string, std::string>> withMargin(const Request &request,
+                                                            std::vector<std::pair<std::string, std::string>> fields)
+{
+    if (request.forecastMargin) {
+        fields.emplace_back("margin_ms", milliseconds(*request.forecastMargin));
+    }
+    return fields;
+}
+
 } // namespace
 
 ServingReducer::ServingReducer(const ServingOptions &options)
@@ -191,12 +201,12 @@
     m_deadlines.emplace(admitted.deadline, call);
     m_retryBudget.recordRequest(admitted.pool, m_now);
     log(admitted, "Request admitted.",
-        {{"route", admitted.route->name},
-         {"workspace", admitted.workspace.name.text()},
-         {"rank", absl::StrCat(admitted.rank)},
-         {"expected_ms", milliseconds(admitted.expectedResponseAt - m_now)},
-         {"objective_ms", milliseconds(admitted.objective - m_now)},
-         {"limit_ms", milliseconds(admitted.deadline - m_now)}});
+        withMargin(admitted, {{"route", admitted.route->name},
+                              {"workspace", admitted.workspace.name.text()},
+                              {"rank", absl::StrCat(admitted.rank)},
+                              {"expected_ms", milliseconds(admitted.expectedResponseAt - m_now)},
+                              {"objective_ms", milliseconds(admitted.objective - m_now)},
+                              {"limit_ms", milliseconds(admitted.deadline - m_now)}}));
     advance(admitted);
 }
 
@@ -408,11 +418,11 @@
     }
     m_effects.emplace_back(effect);
     log(request, "Request rejected.",
-        {{"answer", std::string{enumName(kind)}},
-         {"reason", reason},
-         {"route", request.route == nullptr ? "" : request.route->name},
-         {"expected_ms", milliseconds(request.expectedResponseAt - request.arrivedAt)},
-         {"objective_ms", milliseconds(request.objective - request.arrivedAt)}},
+        withMargin(request, {{"answer", std::string{enumName(kind)}},
+                             {"reason", reason},
+                             {"route", request.route == nullptr ? "" : request.route->name},
+                             {"expected_ms", milliseconds(request.expectedResponseAt - request.arrivedAt)},
+                             {"objective_ms", milliseconds(request.objective - request.arrivedAt)}}),
         kind == ErrorKind::NoRoute || kind == ErrorKind::UnknownKey ? Severity::Info : Severity::Warning);
     finish(request, enumName(kind));
 }
--- a/src/bergamottide/telemetry/metricinfo.cpp
+++ b/src/bergamottide/telemetry/metricinfo.cpp
@@ -93,6 +93,11 @@
          "Responses in which an endpoint asked for a time without requests.",
          {"pool"},
          {}},
+        {Metric::ForecastMarginSeconds,
+         gauge,
+         "Margin for the error of forecast responses of requests with stages, after the latest sample.",
+         {"route"},
+         {}},
     };
     return table;
 }
--- a/test/bergamottide/serving/forecastmargin.cpp
+++ b/test/bergamottide/serving/forecastmargin.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <cmath>
 #include <map>
 #include <random>
@@ -21,19 +22,28 @@
 constexpr std::uint32_t piecesOfARequest = 4;
 constexpr Duration engineTime = milliseconds{100};
 constexpr Duration streamTime = milliseconds{200};
-/*! @brief Phases at half and at one and a half times the capacity of the bottleneck. */
-constexpr Duration calmTime = seconds{3};
-constexpr Duration burstTime = seconds{8};
-constexpr double calmLoad = 0.5;
-constexpr double burstLoad = 1.5;
 /*! @brief The duration of a call is the stated one times a factor that varies by this. */
 constexpr double callVariation = 1.0 / 3.0;
 /*! @brief Period of that variation, which all endpoints share: some calls, and less than an objective. */
 constexpr Duration variationPeriod = milliseconds{1700};
 
+/*! @brief Load of a play, as multiples of the capacity of the bottleneck. */
+struct Load
+{
+    Duration calmTime = seconds{3};
+    double calmLoad{0.5};
+    Duration burstTime = seconds{8};
+    double burstLoad{1.5};
+};
+
 /*! @brief What became of the requests of a play. */
 struct Outcomes
 {
+    /*! @brief Requests whose admission was decided with a measured margin, and the longest such margin. */
+    int decidedByMargin{};
+    Duration longestMargin{};
+    /*! @brief Requests that had ended, or had got their first event, when a margin counted first. */
+    int endedBeforeMargin{};
     int rejectedOnArrival{};
     int rejectedLater{};
     int late{};
@@ -58,26 +68,37 @@
         reportLoad();
     }
 
-    [[nodiscard]] Outcomes play()
+    [[nodiscard]] Outcomes play(const Load &load = {})
     {
+        m_outcomes = {};
         const TimePoint start = m_fixture.now();
-        const TimePoint burst = start + calmTime;
-        const TimePoint end = burst + burstTime;
+        const TimePoint burst = start + load.calmTime;
+        const TimePoint end = burst + load.burstTime;
         TimePoint nextArrival = start;
         // After the last arrival, all requests end within their timeout.
         while (m_fixture.now() < end + seconds{4}) {
             while (nextArrival <= m_fixture.now() && nextArrival < end) {
                 arrive();
-                nextArrival += pause(nextArrival < burst ? calmLoad : burstLoad);
+                nextArrival += pause(nextArrival < burst ? load.calmLoad : load.burstLoad);
             }
             m_fixture.advanceClock(milliseconds{1});
-            handleEffects();
+            handle(m_fixture.effects());
             applyDueEvents();
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_fixture.reducer().requestsInProgress());
         return m_outcomes;
     }
 
+    /*! @brief Puts a catalog without the route in effect, then the usual one. */
+    void removeRouteForATime()
+    {
+        auto without = std::make_shared<Catalog>(*ServingFixture::catalog());
+        std::erase_if(without->routes, [](const Route &route) { return route.name == "report"; });
+        without->buildIndex();
+        apply(CatalogChanged{without});
+        apply(CatalogChanged{ServingFixture::catalog()});
+    }
+
 private:
     [[nodiscard]] static std::shared_ptr<const EndpointList> endpoints()
     {
@@ -132,13 +153,12 @@
 
     void apply(const Event &event)
     {
-        m_fixture.apply(event);
-        handleEffects();
+        handle(m_fixture.reducer().apply(event, m_fixture.now()));
     }
 
-    void handleEffects()
+    void handle(const Effects &effects)
     {
-        for (const Effect &effect : m_fixture.effects()) {
+        for (const Effect &effect : effects) {
             if (const auto *call = std::get_if<StartStageCall>(&effect)) {
                 endCallLater(*call);
             } else if (const auto *run = std::get_if<StartRun>(&effect)) {
@@ -151,7 +171,22 @@
             } else if (const auto *error = std::get_if<SendErrorResponse>(&effect)) {
                 const bool isOnArrival = m_arrivals.at(error->call) == m_fixture.now();
                 ++(isOnArrival ? m_outcomes.rejectedOnArrival : m_outcomes.rejectedLater);
+            } else if (const auto *line = std::get_if<LogLine>(&effect)) {
+                recordMargin(*line);
+            }
+        }
+    }
+
+    void recordMargin(const LogLine &line)
+    {
+        for (const auto &[name, value] : line.fields) {
+            if (name != "margin_ms" || (line.text != "Request admitted." && line.text != "Request rejected.")) {
+                continue;
+            }
+            if (m_outcomes.decidedByMargin++ == 0) {
+                m_outcomes.endedBeforeMargin = m_outcomes.onTime + m_outcomes.late + m_outcomes.rejectedLater;
             }
+            m_outcomes.longestMargin = std::max<Duration>(m_outcomes.longestMargin, milliseconds{std::stoi(value)});
         }
     }
 
@@ -191,6 +226,11 @@
 {
     CPPUNIT_TEST_SUITE(ForecastMarginTest);
     CPPUNIT_TEST(fewerAdmittedRequestsMissTheirObjective);
+    CPPUNIT_TEST(fixedAllowanceCountsWithoutAPace);
+    CPPUNIT_TEST(fixedAllowanceCountsWithoutContention);
+    CPPUNIT_TEST(fixedAllowanceCountsInANewProcess);
+    CPPUNIT_TEST(errorsOfARemovedRouteAreDropped);
+    CPPUNIT_TEST(marginIsAtMostAThirdOfTheObjective);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -208,6 +248,60 @@
             CPPUNIT_ASSERT_MESSAGE(figures, measuredMargin.onTime >= fixedAllowance.onTime);
         }
     }
+
+    /*! @brief Guards against a change for deployments whose endpoints report no pace. */
+    void fixedAllowanceCountsWithoutAPace()
+    {
+        CPPUNIT_ASSERT_EQUAL(0, OverloadedStage(1, false).play().decidedByMargin);
+    }
+
+    /*! @brief Guards against rejections because of earlier errors while the stage pools have no queue. */
+    void fixedAllowanceCountsWithoutContention()
+    {
+        OverloadedStage stage{1, true};
+        CPPUNIT_ASSERT(stage.play().decidedByMargin > 0);
+        CPPUNIT_ASSERT_EQUAL(0, stage.play({.calmTime = Duration::zero(), .burstLoad = lowLoad}).decidedByMargin);
+    }
+
+    /*! @brief Guards against decisions by the first few samples. */
+    void fixedAllowanceCountsInANewProcess()
+    {
+        const Outcomes outcomes = OverloadedStage{1, true}.play(burstOnly());
+        CPPUNIT_ASSERT(outcomes.decidedByMargin > 0);
+        CPPUNIT_ASSERT(outcomes.endedBeforeMargin >= neededSamples);
+    }
+
+    /*! @brief Guards against a state that grows with each route that any catalog has had. */
+    void errorsOfARemovedRouteAreDropped()
+    {
+        OverloadedStage kept{1, true};
+        static_cast<void>(kept.play());
+        CPPUNIT_ASSERT(kept.play(burstOnly()).endedBeforeMargin < neededSamples);
+        OverloadedStage removed{1, true};
+        static_cast<void>(removed.play());
+        removed.removeRouteForATime();
+        CPPUNIT_ASSERT(removed.play(burstOnly()).endedBeforeMargin >= neededSamples);
+    }
+
+    /*! @brief Guards against a process that admits nothing after large errors. */
+    void marginIsAtMostAThirdOfTheObjective()
+    {
+        const Outcomes outcomes = OverloadedStage{1, true}.play({.burstLoad = 4.0});
+        CPPUNIT_ASSERT(outcomes.decidedByMargin > 0);
+        CPPUNIT_ASSERT(outcomes.longestMargin
+                       <= ServingFixture::catalog()->findRoute("example", "/report/1")->objective / 3);
+    }
+
+private:
+    /*! @brief Samples that a process needs before the margin counts. */
+    static constexpr int neededSamples = 20;
+    /*! @brief Load, relative to that of full calls, at which endpoints are idle although calls are not full. */
+    static constexpr double lowLoad = 0.2;
+
+    [[nodiscard]] static Load burstOnly()
+    {
+        return {.calmTime = Duration::zero()};
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ForecastMarginTest);
