--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -37,6 +37,16 @@
     return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+/*! @brief Adds the margin of the request's forecast to the fields of a log line if it counted for the admission. */
+std::vector<std::pair<std::string, std::string>> withMargin(const Request &request,
+                                                            std::vector<std::pair<std::string, std::string>> fields)
+{
+    if (request.forecastMargin) {
+        fields.emplace_back("margin_ms", milliseconds(*request.forecastMargin));
+    }
+    return fields;
+}
+
 } // namespace
 
 ServingReducer::ServingReducer(const ServingOptions &options)
@@ -118,6 +128,7 @@
 void ServingReducer::on(const CatalogChanged &event)
 {
     m_catalog = event.catalog;
+    retainForecastErrors();
     m_stageScheduler.requestScans();
     updateEngines();
     m_peers.setCanOwnQueues(canServe());
@@ -190,12 +201,13 @@
     m_deadlines.emplace(admitted.deadline, call);
     m_retryBudget.recordRequest(admitted.pool, m_now);
     log(admitted, "Request admitted.",
-        {{"route", admitted.route->name},
-         {"workspace", admitted.workspace.name.text()},
-         {"rank", absl::StrCat(admitted.rank)},
-         {"expected_ms", milliseconds(admitted.expectedResponseAt - m_now)},
-         {"objective_ms", milliseconds(admitted.objective - m_now)},
-         {"limit_ms", milliseconds(admitted.deadline - m_now)}});
+        withMargin(admitted,
+                   {{"route", admitted.route->name},
+                    {"workspace", admitted.workspace.name.text()},
+                    {"rank", absl::StrCat(admitted.rank)},
+                    {"expected_ms", milliseconds(admitted.expectedResponseAt - m_now)},
+                    {"objective_ms", milliseconds(admitted.objective - m_now)},
+                    {"limit_ms", milliseconds(admitted.deadline - m_now)}}));
     advance(admitted);
 }
 
@@ -294,7 +306,9 @@
         return true;
     }
     request.expectedResponseAt = *responseAt;
-    return *responseAt > request.deadline || request.lateness() > maxAdmittedLateness;
+    request.forecastMargin = forecastMargin(request);
+    const Duration allowed = request.forecastMargin ? Duration::zero() : maxAdmittedLateness;
+    return *responseAt > request.deadline || request.lateness() > allowed;
 }
 
 /*! @brief Returns what the endpoints of the request's pool accept from this process; nothing if one is not bounded. */
@@ -347,13 +361,13 @@
                          }};
 }
 
-/*! @brief Forecasts the response or first event of a request whose stages have not started; empty if a stage has no
+/*! @brief Forecasts the response or first event of a request whose run has not started; empty if a stage has no
  * endpoint. */
 std::optional<TimePoint> ServingReducer::forecastResponse(const Request &request)
 {
     std::vector<std::uint32_t> pieces;
     for (const StageProgress &stage : request.stages) {
-        pieces.push_back(stage.pieces);
+        pieces.push_back(stage.isDone() ? 0 : stage.pieces);
     }
     const auto stages = forecast(*request.catalog).totalDuration(*request.route, pieces, request.rank);
     if (!stages) {
@@ -405,11 +419,12 @@
     }
     m_effects.emplace_back(effect);
     log(request, "Request rejected.",
-        {{"answer", std::string{enumName(kind)}},
-         {"reason", reason},
-         {"route", request.route == nullptr ? "" : request.route->name},
-         {"expected_ms", milliseconds(request.expectedResponseAt - request.arrivedAt)},
-         {"objective_ms", milliseconds(request.objective - request.arrivedAt)}},
+        withMargin(request,
+                   {{"answer", std::string{enumName(kind)}},
+                    {"reason", reason},
+                    {"route", request.route == nullptr ? "" : request.route->name},
+                    {"expected_ms", milliseconds(request.expectedResponseAt - request.arrivedAt)},
+                    {"objective_ms", milliseconds(request.objective - request.arrivedAt)}}),
         kind == ErrorKind::NoRoute || kind == ErrorKind::UnknownKey ? Severity::Info : Severity::Warning);
     finish(request, enumName(kind));
 }
@@ -458,6 +473,7 @@
             finish(*request, "timed_out");
             continue;
         }
+        recordMissedForecast(*request);
         reject(*request, request->hasProvablyNotRun() ? ErrorKind::Unavailable : ErrorKind::TimedOut,
                "deadline exceeded");
     }
