Answer 502 instead of a status that denies a run of a non-idempotent request

Cause: Nothing tested over random sequences of failures that a non-idempotent request is never answered with 408, 421, 429 or 503 if it has run or may still run. Ruled out: Passing such a status of an endpoint on when the endpoint does not state that it did not execute the request: a caller that takes the status at its word sends the request again. Streaming routes keep the status, since the rule is about non-idempotent requests. The reducer now answers a non-idempotent request with 502 if its endpoint responds with one of the four statuses without stating that it did not execute the request.

--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <array>
 
 namespace bergamottide::serving {
 
@@ -23,6 +24,13 @@
     return engines::GenerationNumber{static_cast<std::uint64_t>(run)};
 }
 
+/*! @brief Returns whether callers take a status to say that the request has not run. */
+bool impliesNotExecuted(int status)
+{
+    constexpr std::array statuses{408, 421, 429, 503};
+    return std::ranges::find(statuses, status) != statuses.end();
+}
+
 bool isSuccess(int status)
 {
     constexpr int firstSuccess = 200;
@@ -317,6 +325,11 @@
 {
     const CallId call = request.callerRequest->call;
     const int status = request.head->status;
+    // The endpoint has not stated that it did not execute the request, and the caller would send it again.
+    if (request.route->kind == RouteKind::NonIdempotent && impliesNotExecuted(status)) {
+        reject(request, ErrorKind::BadGateway, absl::StrCat("endpoint answered ", status, " and may have executed it"));
+        return;
+    }
     if (request.isStreamStarted && isSuccess(status)) {
         m_effects.emplace_back(FinishStream{call});
     } else if (request.isStreamStarted) {
