Do not charge a restarted endpoint with the work of the former one

Cause: A restart resets what is known of an endpoint at that moment, but work that was sent to the former process and ended after the restart was charged to the new one: its failures, time-outs, rejections and slow calls, the result of a check, and prompts that it would have cached. Ruled out: Ending such work at the restart: its connection may still bring a response. It also still counts as in flight there until its connection ends, as an existing test states. Reports of peers on cached prompts, pending prefill and results carry no incarnation; that needs a field in the heartbeat and is not changed here. Change: Runs carry the incarnation of their endpoint, as stage calls did. Outcomes of work of a former incarnation no longer count. Broken work of a former one causes no check, which would reach the new process, and adds its requests to the former one's crash if that is known. The engine table forgets the pending generations and placements of a restarted engine.

--- a/src/bergamottide/engines/enginetable.cpp
+++ b/src/bergamottide/engines/enginetable.cpp
@@ -33,6 +33,11 @@
             continue;
         }
         m_engines[listing.engine].listing = listing;
+        // What the former process would have cached is told neither to this table nor to the peers.
+        std::erase_if(m_pending,
+                      [&listing](const auto &entry) { return entry.second.generation.engine == listing.engine; });
+        std::erase_if(m_recentPlacements,
+                      [&listing](const RecentPlacement &placement) { return placement.engine == listing.engine; });
     }
 }
 
--- a/src/bergamottide/serving/crashdetector.cpp
+++ b/src/bergamottide/serving/crashdetector.cpp
@@ -35,10 +35,16 @@
     if (endpoint == nullptr) {
         return std::nullopt;
     }
-    const std::uint64_t incarnation = endpoint->record.incarnation;
-    std::erase_if(m_broken, [&work, incarnation](const auto &entry) {
-        return entry.first == work.endpoint && entry.second.incarnation != incarnation;
-    });
+    const std::uint64_t incarnation = work.incarnation;
+    const auto known = m_broken.find(work.endpoint);
+    const bool isKnown = known != m_broken.end() && known->second.incarnation == incarnation;
+    // A check would reach the new process, so work of a former one counts only if that is known to have crashed.
+    if (!isKnown && endpoint->record.incarnation != incarnation) {
+        return std::nullopt;
+    }
+    if (known != m_broken.end() && !isKnown) {
+        m_broken.erase(known);
+    }
     const auto [found, isNew] = m_broken.try_emplace(work.endpoint, BrokenEndpoint{now, work.pool, incarnation, {}});
     BrokenEndpoint &broken = found->second;
     // Work that was sent after the crash cannot have caused it.
--- a/src/bergamottide/serving/crashdetector.h
+++ b/src/bergamottide/serving/crashdetector.h
@@ -20,6 +20,8 @@
     TimePoint startedAt{};
     /*! @brief Request of a run, or stages of the requests in a stage call. */
     std::set<RequestFingerprint> requests;
+    /*! @brief Incarnation of the endpoint when the work was sent. */
+    std::uint64_t incarnation{};
 };
 
 /*! @brief Crash of an endpoint under the work of this process. */
--- a/src/bergamottide/serving/endpointregistry.cpp
+++ b/src/bergamottide/serving/endpointregistry.cpp
@@ -128,6 +128,12 @@
     return found == m_endpoints.end() ? nullptr : &found->second;
 }
 
+bool EndpointRegistry::isCurrent(const InstanceName &instance, std::uint64_t incarnation) const
+{
+    const Endpoint *endpoint = find(instance);
+    return endpoint != nullptr && endpoint->record.incarnation == incarnation;
+}
+
 std::vector<Endpoint *> EndpointRegistry::usable(const PoolName &pool, TimePoint now) const
 {
     const std::vector<Endpoint *> &candidates = endpointsOf(pool);
--- a/src/bergamottide/serving/endpointregistry.h
+++ b/src/bergamottide/serving/endpointregistry.h
@@ -115,6 +115,13 @@
      */
     [[nodiscard]] std::vector<Endpoint *> usable(const PoolName &pool, TimePoint now) const;
 
+    /*!
+     * @brief Tells whether an endpoint has not restarted since it had an incarnation.
+     *
+     * The end of work that was sent to the former one says nothing of the new one.
+     */
+    [[nodiscard]] bool isCurrent(const InstanceName &instance, std::uint64_t incarnation) const;
+
     /*! @brief Tells whether any endpoint of a pool accepts work. */
     [[nodiscard]] bool canServe(const PoolName &pool) const;
 
--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -87,6 +87,8 @@
     std::optional<TimePoint> firstEventAt;
     /*! @brief Endpoint of the current or last run. */
     InstanceName endpoint;
+    /*! @brief Incarnation of that endpoint when the run was sent. */
+    std::uint64_t endpointIncarnation{};
     /*! @brief Endpoints to which the request was sent, in order. */
     std::vector<InstanceName> triedEndpoints;
     /*! @brief Number of failed runs that may have executed the request. */
--- a/src/bergamottide/serving/servingcrashes.cpp
+++ b/src/bergamottide/serving/servingcrashes.cpp
@@ -16,7 +16,9 @@
 void ServingReducer::on(const EndpointChecked &event)
 {
     if (const auto crash = m_crashDetector.handleChecked(event, m_effects)) {
-        m_endpoints.recordCrash(crash->endpoint, m_now, m_effects);
+        if (m_endpoints.isCurrent(crash->endpoint, crash->incarnation)) {
+            m_endpoints.recordCrash(crash->endpoint, m_now, m_effects);
+        }
         m_quarantine.recordCrash({crash->endpoint, crash->incarnation}, crash->requests, m_now);
     }
 }
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -146,6 +146,7 @@
     request.runStartedAt = m_now;
     request.isStallDetected = false;
     request.endpoint = start.instance;
+    request.endpointIncarnation = endpoint->record.incarnation;
     request.triedEndpoints.push_back(start.instance);
     request.head.reset();
     request.body.clear();
@@ -218,7 +219,9 @@
     if (request == nullptr) {
         return;
     }
-    m_endpoints.recordAnswer(request->endpoint, m_now);
+    if (m_endpoints.isCurrent(request->endpoint, request->endpointIncarnation)) {
+        m_endpoints.recordAnswer(request->endpoint, m_now);
+    }
     m_firstEventTimes.record(request->pool, m_now - request->runStartedAt);
     if (event.head.isForOtherRequest || (isSuccess(event.head.status) && !event.head.isSigned)) {
         m_effects.emplace_back(CancelRun{event.run});
@@ -298,7 +301,11 @@
         return;
     }
     if (!request->head || (request->isStreamStarted && request->eventSplitter.hasPartialEvent())) {
-        recordBroken({request->pool, request->endpoint, request->runStartedAt, {request->fingerprint()}});
+        recordBroken({request->pool,
+                      request->endpoint,
+                      request->runStartedAt,
+                      {request->fingerprint()},
+                      request->endpointIncarnation});
         failRun(*request, request->head ? "stream ends within an event" : "response without headers");
         return;
     }
@@ -353,7 +360,11 @@
         retryOrFail(*request, false, ErrorKind::Unavailable);
         return;
     }
-    recordBroken({request->pool, request->endpoint, request->runStartedAt, {request->fingerprint()}});
+    recordBroken({request->pool,
+                  request->endpoint,
+                  request->runStartedAt,
+                  {request->fingerprint()},
+                  request->endpointIncarnation});
     failRun(*request, "connection lost or response incomplete");
 }
 
@@ -424,7 +435,9 @@
         request.isStallDetected = true;
         log(request, "Endpoint does not respond.",
             {{"endpoint", request.endpoint.text()}, {"pool", request.pool.text()}}, Severity::Warning);
-        m_endpoints.recordTimeout(request.endpoint, request.runStartedAt, m_now, m_effects);
+        if (m_endpoints.isCurrent(request.endpoint, request.endpointIncarnation)) {
+            m_endpoints.recordTimeout(request.endpoint, request.runStartedAt, m_now, m_effects);
+        }
         const bool mayRepeat =
             request.route->mayRunTwice() && request.triedEndpoints.size() < request.route->maxAttempts;
         const bool hasOther = std::ranges::any_of(candidateEndpoints(request), [&request](const Endpoint *endpoint) {
@@ -445,7 +458,8 @@
     m_runs.erase(*request.run);
     m_engineTable.recordEnd(generationOf(*request.run), m_now);
     request.run.reset();
-    m_endpoints.recordEnd(request.endpoint, sign, m_now, m_effects);
+    const bool isCurrent = m_endpoints.isCurrent(request.endpoint, request.endpointIncarnation);
+    m_endpoints.recordEnd(request.endpoint, isCurrent ? sign : std::nullopt, m_now, m_effects);
 }
 
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -349,18 +349,18 @@
     const Call &call = node.mapped();
     m_callTimeouts.erase({call.timeoutAt, event.call});
     m_scans[call.pool].isRequested = true;
-    if (event.status == StageCallStatus::Answered || event.status == StageCallStatus::Rejected) {
+    const bool isCurrent = m_endpoints.isCurrent(call.endpoint, call.incarnation);
+    if (isCurrent && (event.status == StageCallStatus::Answered || event.status == StageCallStatus::Rejected)) {
         m_endpoints.recordAnswer(call.endpoint, now);
     }
     if (event.status != StageCallStatus::Answered || event.results.size() != call.items.size()) {
         const bool rejected = event.status == StageCallStatus::Rejected;
-        m_endpoints.recordEnd(call.endpoint,
-                              rejected                                             ? EndpointOutcome::Rejected
-                                  : event.status == StageCallStatus::ConnectFailed ? EndpointOutcome::ConnectFailed
-                                                                                   : EndpointOutcome::Failed,
-                              now, effects);
+        const EndpointOutcome outcome = rejected             ? EndpointOutcome::Rejected
+            : event.status == StageCallStatus::ConnectFailed ? EndpointOutcome::ConnectFailed
+                                                             : EndpointOutcome::Failed;
+        m_endpoints.recordEnd(call.endpoint, isCurrent ? std::optional{outcome} : std::nullopt, now, effects);
         const bool isBroken = event.status == StageCallStatus::Broken;
-        if (rejected || isBroken) {
+        if (isCurrent && (rejected || isBroken)) {
             m_endpoints.pause(call.endpoint, now + rejectionPause);
         }
         if (isBroken) {
@@ -369,9 +369,14 @@
         retryItems(call, !rejected, now, effects);
         return;
     }
-    recordDuration(call, now);
-    m_endpoints.recordEnd(call.endpoint, EndpointOutcome::Succeeded, now, effects);
-    updateExclusivity(call, event.load, now);
+    if (isCurrent) {
+        recordDuration(call, now);
+    }
+    m_endpoints.recordEnd(call.endpoint, isCurrent ? std::optional{EndpointOutcome::Succeeded} : std::nullopt, now,
+                          effects);
+    if (isCurrent) {
+        updateExclusivity(call, event.load, now);
+    }
     std::vector<std::string> unclaimedHandles;
     std::map<StageTaskId, std::vector<CallItem>> unreachable;
     logFailures(event, call, effects);
@@ -394,7 +399,7 @@
             } else if (result.failure == PieceFailure::Late || result.failure == PieceFailure::InputMissing) {
                 fail(found->second, result.failure);
             } else {
-                if (result.failure == PieceFailure::InsufficientMemory) {
+                if (isCurrent && result.failure == PieceFailure::InsufficientMemory) {
                     m_endpoints.pause(call.endpoint, now + memoryFullPause);
                 }
                 requeue(item, result.failure != PieceFailure::InsufficientMemory);
@@ -515,7 +520,8 @@
     if (found == m_calls.end()) {
         return std::nullopt;
     }
-    EndpointWork work{found->second.pool, found->second.endpoint, found->second.startedAt, {}};
+    EndpointWork work{
+        found->second.pool, found->second.endpoint, found->second.startedAt, {}, found->second.incarnation};
     for (const CallItem &item : found->second.items) {
         if (const auto pending = m_tasks.find(item.task); pending != m_tasks.end()) {
             work.requests.insert(pending->second.task.fingerprint);
@@ -643,10 +649,12 @@
                                       {"pool", call.pool.text()},
                                       {"expected_ms", absl::StrCat(call.expectedDuration.count() / 1000)},
                                       {"items", absl::StrCat(call.items.size())}}});
-        recordDuration(call, now);
-        // An endpoint that has not answered since the call was sent is likely unreachable; further calls would time out
-        // as well.
-        m_endpoints.recordTimeout(call.endpoint, call.startedAt, now, effects);
+        if (m_endpoints.isCurrent(call.endpoint, call.incarnation)) {
+            recordDuration(call, now);
+            // An endpoint that has not answered since the call was sent is likely unreachable; further calls would time
+            // out as well.
+            m_endpoints.recordTimeout(call.endpoint, call.startedAt, now, effects);
+        }
         m_endpoints.recordEnd(call.endpoint, std::nullopt, now, effects);
         retryItems(call, true, now, effects);
     }
--- a/test/bergamottide/engines/enginetable.cpp
+++ b/test/bergamottide/engines/enginetable.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(ignoresOutdatedReport);
     CPPUNIT_TEST(acceptsReportsOfRestartedPeer);
     CPPUNIT_TEST(restartedEngineHasEmptyCache);
+    CPPUNIT_TEST(restartedEngineHasNoPendingPrefill);
+    CPPUNIT_TEST(generationOfFormerEngineDoesNotCount);
     CPPUNIT_TEST(unlistedEngineIsRemoved);
     CPPUNIT_TEST(promptGoesToEngineThatCachesItsPrefix);
     CPPUNIT_TEST(promptAvoidsBusyEngineThatCachesItsPrefix);
@@ -103,6 +105,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_table.find(InstanceName{"a"})->prefixCache.cachedLinks(chain({"s"})));
     }
 
+    void restartedEngineHasNoPendingPrefill()
+    {
+        send("a", chain({"s"}));
+        m_table.applyReport({InstanceName{"peer"}, 1, 1, {{InstanceName{"a"}, 1000}}, {}}, m_now);
+        m_table.setEngines({listing("a", 2), listing("b", 1)});
+        CPPUNIT_ASSERT_EQUAL(0.0, m_table.find(InstanceName{"a"})->backlog.totalTokens(1.0, m_now));
+        CPPUNIT_ASSERT(m_table.nextReport(InstanceName{"self"}, 1, m_now).pendingPrefills.empty());
+    }
+
+    /*! @brief Guards against prompts that are taken for cached, here or by peers, after their engine has restarted. */
+    void generationOfFormerEngineDoesNotCount()
+    {
+        send("a", chain({"s"}));
+        m_table.setEngines({listing("a", 2), listing("b", 1)});
+        CPPUNIT_ASSERT(m_table.nextReport(InstanceName{"self"}, 1, m_now).placed.empty());
+        m_now += milliseconds{1};
+        m_table.recordFirstEvent(GenerationNumber{1}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_table.find(InstanceName{"a"})->prefixCache.cachedLinks(chain({"s"})));
+        CPPUNIT_ASSERT_EQUAL(1.0, m_table.find(InstanceName{"a"})->slowness);
+    }
+
     void unlistedEngineIsRemoved()
     {
         m_table.setEngines({listing("b", 1)});
