--- a/src/bergamottide/load/fwd.h
+++ b/src/bergamottide/load/fwd.h
@@ -7,5 +7,9 @@
 namespace bergamottide::load {
 
 struct EndpointLoad;
+struct LoadCandidate;
+class LoadTable;
+class ReportSeries;
+class ValueDecay;
 
 } // namespace bergamottide::load
