Keep expected load and pace with the endpoints, and log malformed headers once

Cause: A process has to know the load of endpoints from their reports, and a restarted endpoint must not be judged by its predecessor. Each response with a malformed header wrote a log line. Ruled out: Keeping the table apart from the registry, which alone knows the listed incarnations. Change: EndpointRegistry owns a load::LoadTable, records each report in it, and discards what belongs to endpoints that have restarted or are not listed. A malformed header is logged once for each endpoint incarnation and header name, and counted each time (bergamottide_malformed_headers_total). One log line tells that a pool begins to report a pace, and bergamottide_endpoint_pace observes the paces. Paces are used within 0.1 and 20. Conclusion: Nothing is chosen by the table yet.

--- a/src/bergamottide/load/loadtable.cpp
+++ b/src/bergamottide/load/loadtable.cpp
@@ -9,6 +9,10 @@
 
 /*! @brief Pace of an endpoint that has not reported one. */
 constexpr double usualPace = 1.0;
+/*! @brief Range of the paces that are used. A value beyond it comes from a fault of the endpoint, and must not attract
+ * or repel all work. */
+constexpr double minPace = 0.1;
+constexpr double maxPace = 20.0;
 
 } // namespace
 
@@ -23,7 +27,7 @@
     const double total = static_cast<double>(load.running) + static_cast<double>(load.waiting);
     endpoint.others.record(std::max(total - ownInFlight, 0.0), now, reports.othersDecay);
     if (load.pace) {
-        endpoint.pace.record(*load.pace, now, reports.paceDecay);
+        endpoint.pace.record(std::clamp(*load.pace, minPace, maxPace), now, reports.paceDecay);
     }
 }
 
--- a/src/bergamottide/serving/endpointnotices.cpp
+++ b/src/bergamottide/serving/endpointnotices.cpp
@@ -1,5 +1,7 @@
 #include "bergamottide/serving/endpointnotices.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace bergamottide::serving {
@@ -34,15 +36,15 @@
 void EndpointNotices::record(const InstanceName &instance, const EndpointNotice &notice, TimePoint now,
                              Effects &effects)
 {
-    const Endpoint *endpoint = m_endpoints.find(instance);
+    Endpoint *endpoint = m_endpoints.find(instance);
     if (endpoint == nullptr) {
         return;
     }
     for (const std::string &header : notice.malformedHeaders) {
-        EndpointRegistry::logMalformedHeader(*endpoint, header, effects);
+        EndpointRegistry::recordMalformedHeader(*endpoint, header, effects);
     }
     if (notice.load) {
-        m_endpoints.recordLoad(instance, *notice.load, now);
+        recordLoad(*endpoint, *notice.load, now, effects);
     }
     if (notice.remainingWarmup > Duration::zero()) {
         m_endpoints.recordWarmup(instance, notice.remainingWarmup, now);
@@ -57,6 +59,24 @@
     recordShared(instance, notice, now, effects);
 }
 
+/*! @brief Records the load; logs that the pool begins to report a pace, as its endpoints are then chosen by it. */
+void EndpointNotices::recordLoad(const Endpoint &endpoint, const EndpointLoad &load, TimePoint now, Effects &effects)
+{
+    const EndpointRecord &record = endpoint.record;
+    if (load.pace) {
+        effects.emplace_back(Observe{Metric::EndpointPace, {record.pool.text()}, *load.pace});
+        if (!m_endpoints.reportsPace(record.pool)) {
+            effects.emplace_back(LogLine{Severity::Info,
+                                         Part::Membership,
+                                         "Pool reports the pace of its endpoints.",
+                                         {{"pool", record.pool.text()},
+                                          {"endpoint", record.instance.text()},
+                                          {"pace", absl::StrCat(*load.pace)}}});
+        }
+    }
+    m_endpoints.recordLoad(record.instance, load, now);
+}
+
 /*! @brief Records limit and drain, which are shared with the other processes. */
 void EndpointNotices::recordShared(const InstanceName &instance, const EndpointNotice &response, TimePoint now,
                                    Effects &effects)
--- a/src/bergamottide/serving/endpointnotices.h
+++ b/src/bergamottide/serving/endpointnotices.h
@@ -65,6 +65,7 @@
         [[nodiscard]] bool isSameAs(const Notice &other) const noexcept;
     };
 
+    void recordLoad(const Endpoint &endpoint, const EndpointLoad &load, TimePoint now, Effects &effects);
     void recordShared(const InstanceName &instance, const EndpointNotice &response, TimePoint now, Effects &effects);
     [[nodiscard]] const Notice *find(const InstanceName &instance, std::uint64_t incarnation) const;
     [[nodiscard]] static Notice merged(const Notice &known, const Notice &reported);
--- a/src/bergamottide/serving/endpointregistry.cpp
+++ b/src/bergamottide/serving/endpointregistry.cpp
@@ -64,6 +64,11 @@
         removeIfIdle(present->first);
     }
     indexPools();
+    load::LoadTable::Incarnations incarnations;
+    for (const EndpointRecord &record : list) {
+        incarnations.emplace(record.instance, record.incarnation);
+    }
+    m_loads.retain(incarnations);
 }
 
 /*! @brief Applies the listed state to a known endpoint. */
@@ -264,9 +269,12 @@
     }
 }
 
-void EndpointRegistry::logMalformedHeader(const Endpoint &endpoint, const std::string &header, Effects &effects)
+void EndpointRegistry::recordMalformedHeader(Endpoint &endpoint, const std::string &header, Effects &effects)
 {
-    log(effects, "Header of an endpoint ignored.", endpoint, absl::StrCat("malformed: ", header));
+    effects.emplace_back(Observe{Metric::MalformedHeadersTotal, {endpoint.record.pool.text(), header}, 1.0});
+    if (endpoint.malformedHeaders.insert(header).second) {
+        log(effects, "Header of an endpoint ignored.", endpoint, absl::StrCat("malformed: ", header));
+    }
 }
 
 void EndpointRegistry::recordLoad(const InstanceName &instance, const EndpointLoad &load, TimePoint now)
@@ -274,9 +282,18 @@
     if (Endpoint *endpoint = find(instance); endpoint != nullptr) {
         endpoint->load = load;
         endpoint->loadUpdatedAt = now;
+        if (!endpoint->isUnlisted) {
+            m_loads.record(endpoint->record.pool, instance, endpoint->record.incarnation, load, endpoint->inFlight,
+                           now);
+        }
     }
 }
 
+const load::LoadTable &EndpointRegistry::loads() const noexcept
+{
+    return m_loads;
+}
+
 bool EndpointRegistry::reportsPace(const PoolName &pool) const
 {
     return std::ranges::any_of(endpointsOf(pool),
--- a/src/bergamottide/serving/endpointregistry.h
+++ b/src/bergamottide/serving/endpointregistry.h
@@ -2,12 +2,14 @@
 
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
+#include "bergamottide/load/loadtable.h"
 #include "bergamottide/serving/events.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -73,6 +75,8 @@
     std::uint64_t resultBytes{};
     /*! @brief Memory of results that other schedulers requested, in bytes. */
     std::uint64_t otherSchedulersBytes{};
+    /*! @brief Headers of its responses that could not be read; each is logged once. */
+    std::set<std::string> malformedHeaders;
 
     /*! @brief Returns the result memory in use or reserved, in bytes. */
     [[nodiscard]] std::uint64_t usedResultBytes() const noexcept
@@ -175,8 +179,9 @@
      */
     void recordPause(const InstanceName &instance, Duration pause, TimePoint now, Effects &effects);
 
-    /*! @brief Logs that a header by which an endpoint tells of itself cannot be read. */
-    static void logMalformedHeader(const Endpoint &endpoint, const std::string &header, Effects &effects);
+    /*! @brief Counts a header by which an endpoint tells of itself and that cannot be read; logs the first one of that
+     * name since the start of the endpoint. */
+    static void recordMalformedHeader(Endpoint &endpoint, const std::string &header, Effects &effects);
 
     /*! @brief Tells whether a listed endpoint of a pool has reported its pace. */
     [[nodiscard]] bool reportsPace(const PoolName &pool) const;
@@ -184,6 +189,9 @@
     /*! @brief Records the load that an endpoint reported. */
     void recordLoad(const InstanceName &instance, const EndpointLoad &load, TimePoint now);
 
+    /*! @brief Returns the expected load and pace of the endpoints. */
+    [[nodiscard]] const load::LoadTable &loads() const noexcept;
+
     /*! @brief Returns the records of the listed endpoints. */
     [[nodiscard]] std::vector<EndpointRecord> records() const;
 
@@ -202,6 +210,7 @@
     std::map<InstanceName, Endpoint> m_endpoints;
     /*! @brief Index of the endpoints by pool. */
     std::map<PoolName, std::vector<Endpoint *>> m_pools;
+    load::LoadTable m_loads;
 };
 
 } // namespace bergamottide::serving
--- a/src/bergamottide/telemetry/metricinfo.cpp
+++ b/src/bergamottide/telemetry/metricinfo.cpp
@@ -93,6 +93,16 @@
          "Responses in which an endpoint asked for a time without requests.",
          {"pool"},
          {}},
+        {Metric::MalformedHeadersTotal,
+         counter,
+         "Headers of endpoints that were ignored since their values cannot be read.",
+         {"pool", "header"},
+         {}},
+        {Metric::EndpointPace,
+         histogram,
+         "Pace that endpoints report: how long work takes, relative to the usual time.",
+         {"pool"},
+         {0.5, 0.75, 1, 1.25, 1.5, 2, 3, 5, 10}},
     };
     return table;
 }
--- a/test/bergamottide/load/loadtable.cpp
+++ b/test/bergamottide/load/loadtable.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(restartDiscardsAllReports);
     CPPUNIT_TEST(unlistedEndpointsAreDiscarded);
     CPPUNIT_TEST(poolsAreSeparate);
+    CPPUNIT_TEST(impossiblePaceIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -109,6 +110,15 @@
         CPPUNIT_ASSERT_EQUAL(1.0, m_table.meanPace(PoolName{"other"}));
     }
 
+    /*! @brief Guards against an endpoint that attracts or repels all work by a wrong report. */
+    void impossiblePaceIsBounded()
+    {
+        record(m_first, 1e-9, 0);
+        record(m_second, 1e9, 0);
+        CPPUNIT_ASSERT(m_table.expectedPace(m_pool, m_first, m_now) > 0.01);
+        CPPUNIT_ASSERT(m_table.expectedPace(m_pool, m_second, m_now) < 100.0);
+    }
+
 private:
     void record(const InstanceName &instance, std::optional<double> pace, std::uint32_t running)
     {
--- a/test/bergamottide/load/pickoftwo.cpp
+++ b/test/bergamottide/load/pickoftwo.cpp
@@ -322,8 +322,10 @@
 
     static std::vector<LoadCandidate> equalCandidates()
     {
+        constexpr int count = 5;
         std::vector<LoadCandidate> candidates;
-        for (int index = 0; index < 5; ++index) {
+        candidates.reserve(count);
+        for (int index = 0; index < count; ++index) {
             candidates.push_back({InstanceName{"endpoint-" + std::to_string(index)}, 0, 0.0, 6, 1.0});
         }
         return candidates;
