Send plain calls to the less loaded of two endpoints in pools that report a pace

Cause: The least reported load over all endpoints is chosen, so processes with old reports send a burst to the same endpoint, and an endpoint that takes three times as long gets as many calls as others. Change: startRun chooses by pickLessLoadedOfTwo if the pool reports a pace, and as before otherwise. Figures: RunsByPaceTest, 3 tests of plain calls passed; the placement without a pace equals pickLeastLoaded in 100 random cases. Conclusion: Pools without a pace are placed as before.

--- a/src/bergamottide/serving/leastloaded.cpp
+++ b/src/bergamottide/serving/leastloaded.cpp
@@ -1,5 +1,7 @@
 #include "bergamottide/serving/leastloaded.h"
 
+#include "bergamottide/load/pickoftwo.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -46,4 +48,23 @@
     return best;
 }
 
+Endpoint *pickLessLoadedOfTwo(const std::vector<Endpoint *> &usable, const std::vector<InstanceName> &excluded,
+                              std::string_view attempt, const load::LoadTable &loads, TimePoint now)
+{
+    std::vector<Endpoint *> endpoints;
+    std::vector<load::LoadCandidate> candidates;
+    for (Endpoint *endpoint : usable) {
+        const EndpointRecord &record = endpoint->record;
+        if (contains(excluded, record.instance)) {
+            continue;
+        }
+        endpoints.push_back(endpoint);
+        candidates.push_back({record.instance, endpoint->inFlight,
+                              loads.expectedOthers(record.pool, record.instance, now), record.slots,
+                              loads.expectedPace(record.pool, record.instance, now)});
+    }
+    const auto chosen = load::pickOfTwo(candidates, attempt);
+    return chosen ? endpoints[*chosen] : nullptr;
+}
+
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/leastloaded.h
+++ b/src/bergamottide/serving/leastloaded.h
@@ -18,6 +18,19 @@
 [[nodiscard]] Endpoint *pickLeastLoaded(const std::vector<Endpoint *> &usable,
                                         const std::vector<InstanceName> &excluded, std::string_view attempt);
 
+/**
+ * @brief Returns the less loaded of two endpoints for a plain call in a pool that reports a pace.
+ * @param usable Endpoints that accept work.
+ * @param excluded Endpoints to which the request was already sent.
+ * @param attempt Identity of the request; determines the two endpoints.
+ * @param loads Expected load and pace of the endpoints.
+ * @param now Current time.
+ * @return Endpoint, or null if all are excluded.
+ */
+[[nodiscard]] Endpoint *pickLessLoadedOfTwo(const std::vector<Endpoint *> &usable,
+                                            const std::vector<InstanceName> &excluded, std::string_view attempt,
+                                            const load::LoadTable &loads, TimePoint now);
+
 /*! @brief Returns the number of requests at an endpoint: its reported load, or those in flight from this process if
  * more. */
 [[nodiscard]] std::uint32_t currentLoad(const Endpoint &endpoint);
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -90,7 +90,11 @@
     if (choice) {
         endpoint = m_endpoints.find(choice->engine);
     } else if (!isGeneration) {
-        endpoint = pickLeastLoaded(candidateEndpoints(request), request.triedEndpoints, request.callerRequest->attempt);
+        const std::string &attempt = request.callerRequest->attempt;
+        endpoint = m_endpoints.reportsPace(request.pool)
+            ? pickLessLoadedOfTwo(candidateEndpoints(request), request.triedEndpoints, attempt, m_endpoints.loads(),
+                                  m_now)
+            : pickLeastLoaded(candidateEndpoints(request), request.triedEndpoints, attempt);
     }
     if (endpoint == nullptr) {
         const auto capacity = poolCapacity(request, m_now);
@@ -153,6 +157,7 @@
          {"ahead", absl::StrCat(choice ? static_cast<std::uint64_t>(choice->queuedTokens) : 0)},
          {"expected_ms", absl::StrCat(choice ? choice->expectedFirstEvent.count() / 1000 : 0)},
          {"fetch_from", start.fetchFrom},
+         {"pace", absl::StrCat(m_endpoints.loads().expectedPace(request.pool, start.instance, m_now))},
          {"sends", absl::StrCat(request.triedEndpoints.size())}});
     m_effects.emplace_back(std::move(start));
 }
--- a/test/bergamottide/serving/endpointpace.cpp
+++ b/test/bergamottide/serving/endpointpace.cpp
@@ -182,3 +182,79 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndpointReportsTest);
+
+/*! @brief Plain calls of pools that report a pace, and of pools that do not. */
+class RunsByPaceTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RunsByPaceTest);
+    CPPUNIT_TEST(plainCallGoesToTheFasterEndpoint);
+    CPPUNIT_TEST(plainCallOfAPoolWithoutPaceIsPlacedAsBefore);
+    CPPUNIT_TEST(failedPlainCallIsNotSentToTheSameEndpoint);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /*! @brief Guards against calls to an endpoint that takes three times as long and is as idle as another one. */
+    void plainCallGoesToTheFasterEndpoint()
+    {
+        CPPUNIT_ASSERT_EQUAL(attempts, choicesOf("/order/1", "desk-1", 3.0, "desk-2", 1.0)[InstanceName{"desk-2"}]);
+        CPPUNIT_ASSERT_EQUAL(attempts, choicesOf("/order/1", "desk-2", 3.0, "desk-1", 1.0)[InstanceName{"desk-1"}]);
+    }
+
+    /*! @brief Guards against a change for deployments whose endpoints report no pace. */
+    void plainCallOfAPoolWithoutPaceIsPlacedAsBefore()
+    {
+        const bool isHeld = rc::check([](std::uint8_t first, std::uint8_t second, std::uint8_t age) {
+            ServingFixture fixture;
+            EndpointRegistry expected;
+            Effects ignored;
+            expected.update(*ServingFixture::endpoints(), fixture.now(), ignored);
+            for (const auto &[name, running] :
+                 std::map<std::string, std::uint8_t>{{"desk-1", first}, {"desk-2", second}}) {
+                fixture.apply(EndpointResponded{InstanceName{name}, loadNotice(running, std::nullopt)});
+                expected.recordLoad(InstanceName{name}, {running, 0, 4, std::nullopt}, fixture.now());
+            }
+            fixture.advanceClock(std::chrono::seconds{age});
+            fixture.apply(fixture.arrival("/order/1", 1));
+            const auto *run = fixture.effect<StartRun>();
+            RC_ASSERT(run != nullptr);
+            const Endpoint *chosen = pickLeastLoaded(expected.usable(PoolName{"desk"}, fixture.now()), {}, "attempt-1");
+            RC_ASSERT(run->instance == chosen->record.instance);
+        });
+        CPPUNIT_ASSERT(isHeld);
+    }
+
+    void failedPlainCallIsNotSentToTheSameEndpoint()
+    {
+        ServingFixture fixture;
+        fixture.apply(EndpointResponded{InstanceName{"desk-1"}, loadNotice(0, 3.0)});
+        fixture.apply(EndpointResponded{InstanceName{"desk-2"}, loadNotice(0, 1.0)});
+        fixture.apply(fixture.arrival("/lookup/1", 1));
+        const StartRun first = *fixture.effect<StartRun>();
+        CPPUNIT_ASSERT_EQUAL(InstanceName{"desk-2"}, first.instance);
+        fixture.apply(RunFailed{first.run, RunFailure::ConnectFailed});
+        CPPUNIT_ASSERT_EQUAL(InstanceName{"desk-1"}, fixture.effect<StartRun>()->instance);
+    }
+
+private:
+    static constexpr int attempts = 12;
+
+    /*! @brief Returns how often each endpoint is chosen for the first request of a process. */
+    static std::map<InstanceName, int> choicesOf(const std::string &path, const std::string &first, double firstPace,
+                                                 const std::string &second, double secondPace)
+    {
+        std::map<InstanceName, int> out;
+        for (std::uint64_t call = 1; call <= attempts; ++call) {
+            ServingFixture fixture;
+            fixture.apply(EndpointResponded{InstanceName{first}, loadNotice(0, firstPace)});
+            fixture.apply(EndpointResponded{InstanceName{second}, loadNotice(0, secondPace)});
+            RequestArrived arrival = fixture.arrival(path, call);
+            arrival.request.prompt = {{"part-" + std::to_string(call), 1000}};
+            fixture.apply(arrival);
+            CPPUNIT_ASSERT(fixture.effect<StartRun>() != nullptr);
+            ++out[fixture.effect<StartRun>()->instance];
+        }
+        return out;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RunsByPaceTest);
