Place generations by the pace that engines report

Cause: The speed of an engine is known from the first events of this process alone, so an engine that has just turned slow gets several generations before they show it. Ruled out: Multiplying by the pace without a change of what is learned: the slowness of an engine that stays at pace 2 is then 1.8, and with the pace it counts as nearly four times as slow (test of the engine table, run with that change taken out). Change: The expected time to the first event, and the time taken from others, are multiplied by the expected pace relative to the mean of the pool. Slowness and the model of the pool are learned from the time without that factor. Candidates of pools without a pace have the factor 1.

--- a/src/bergamottide/engines/engineplacement.cpp
+++ b/src/bergamottide/engines/engineplacement.cpp
@@ -115,11 +115,12 @@
     [[nodiscard]] PricedChoice evaluate(const EngineCandidate &candidate, std::size_t index) const
     {
         const EngineState *state = m_table.find(candidate.engine);
-        const double slowness = state == nullptr ? 1.0 : currentSlowness(*state, m_now);
+        const double slowness = (state == nullptr ? 1.0 : currentSlowness(*state, m_now)) * candidate.relativePace;
         const std::size_t links = m_coverage.links[index];
         PricedChoice out;
         EngineChoice &choice = out.choice;
         choice.engine = candidate.engine;
+        choice.relativePace = candidate.relativePace;
         choice.queuedTokens = state == nullptr ? 0.0 : state->backlog.totalTokens(m_prefillRate, m_now);
         choice.prefillTokens = tokensBetween(m_query.chain, links, m_query.chain.size());
         out.cost += fetch(choice, tokensBetween(m_query.chain, links, m_coverage.maxReadyLinks));
--- a/src/bergamottide/engines/engineplacement.h
+++ b/src/bergamottide/engines/engineplacement.h
@@ -21,6 +21,8 @@
     std::uint32_t running{};
     /*! @brief The engine must not be chosen because the request was sent to it before. */
     bool isExcluded{};
+    /*! @brief Expected pace of the engine, relative to the mean of its pool. */
+    double relativePace{1.0};
 };
 
 /*! @brief Generation to be placed. */
@@ -49,6 +51,8 @@
     double queuedTokens{};
     /*! @brief Expected time to the first event of the generation. */
     Duration expectedFirstEvent{};
+    /*! @brief Expected pace of the engine, relative to the mean of its pool. */
+    double relativePace{1.0};
 };
 
 /**
--- a/src/bergamottide/engines/enginetable.cpp
+++ b/src/bergamottide/engines/enginetable.cpp
@@ -78,7 +78,7 @@
 void EngineTable::learnFirstEvent(const PendingGeneration &pending, EngineState &engine, TimePoint now)
 {
     const SentGeneration &generation = pending.generation;
-    const Duration time = now - pending.at;
+    const Duration time = scaled(now - pending.at, 1.0 / generation.relativePace);
     FirstEventModel &firstEvents = m_models[engine.listing.pool];
     const double previous = currentSlowness(engine, now);
     const double tokens = static_cast<double>(generation.prefillTokens) + generation.queuedTokens;
--- a/src/bergamottide/engines/enginetable.h
+++ b/src/bergamottide/engines/enginetable.h
@@ -53,6 +53,8 @@
     double queuedTokens{};
     /*! @brief Expected time to the first event. */
     Duration expectedFirstEvent{};
+    /*! @brief Pace by which that time was multiplied. Only the rest of the measured time counts as slowness. */
+    double relativePace{1.0};
 };
 
 /**
--- a/src/bergamottide/serving/servingengines.cpp
+++ b/src/bergamottide/serving/servingengines.cpp
@@ -30,11 +30,16 @@
 std::optional<engines::EngineChoice> ServingReducer::chooseEngine(const Request &request)
 {
     std::vector<engines::EngineCandidate> candidates;
+    const load::LoadTable &loads = m_endpoints.loads();
+    const double meanPace = loads.meanPace(request.pool);
+    // The pace may change before the first event; that in the middle counts.
+    const TimePoint middle = m_now + m_firstEventTimes.average(request.pool) / 2;
     for (const Endpoint *endpoint : candidateEndpoints(request)) {
         const EndpointRecord &record = endpoint->record;
         const bool isTried = std::find(request.triedEndpoints.begin(), request.triedEndpoints.end(), record.instance)
             != request.triedEndpoints.end();
-        candidates.push_back({record.instance, record.zone, currentLoad(*endpoint), isTried});
+        candidates.push_back({record.instance, record.zone, currentLoad(*endpoint), isTried,
+                              loads.expectedPace(request.pool, record.instance, middle) / meanPace});
     }
     engines::GenerationQuery needs{request.pool, request.prompt, request.callerRequest->attempt, {}, 0, 0.0};
     const Pool *pool = request.catalog->findPool(request.pool);
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -132,7 +132,7 @@
             start.fetchFrom = source->record.address;
         }
         m_engineTable.recordSent({generationOf(start.run), choice->engine, request.prompt, choice->prefillTokens,
-                                  choice->queuedTokens, choice->expectedFirstEvent},
+                                  choice->queuedTokens, choice->expectedFirstEvent, choice->relativePace},
                                  m_now);
         scheduleInputRelease(request, *choice);
     }
--- a/test/bergamottide/engines/engineload.cpp
+++ b/test/bergamottide/engines/engineload.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(cachedPrefixOfBusyEngineIsFetched);
     CPPUNIT_TEST(hotPrefixSpreadsOverSeveralEngines);
     CPPUNIT_TEST(slowEngineGetsFewGenerations);
+    CPPUNIT_TEST(reportedPaceKeepsObjectiveWhileOtherEnginesTurnSlow);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,6 +70,19 @@
         CPPUNIT_ASSERT(outcome.onTimeShare() > 0.85);
     }
 
+    /*! @brief Guards against engines that are judged by first events alone: a third of them turns slow every 3 s, and
+     * several generations are late before the first events show it. */
+    void reportedPaceKeepsObjectiveWhileOtherEnginesTurnSlow()
+    {
+        EngineLoadOptions options = designStudioLoad();
+        options.slowness = 4.0;
+        options.slownessPeriod = std::chrono::seconds{3};
+        const EngineLoadOutcome without = simulate(options, pickEngine);
+        options.reportsPace = true;
+        const EngineLoadOutcome with = simulate(options, pickEngine);
+        CPPUNIT_ASSERT(with.onTimeShare() > without.onTimeShare());
+    }
+
 private:
     static EngineLoadOutcome simulate(const EngineLoadOptions &options, const EngineLoad::Policy &policy)
     {
--- a/test/bergamottide/engines/enginetable.cpp
+++ b/test/bergamottide/engines/enginetable.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(promptAvoidsBusyEngineThatCachesItsPrefix);
     CPPUNIT_TEST(excludedEngineIsNotChosen);
     CPPUNIT_TEST(learnsTimesToFirstEvents);
+    CPPUNIT_TEST(paceOfAnEngineIsNotCountedAsSlownessToo);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -162,6 +163,24 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.3, std::chrono::duration<double>(times.expected(10'000.0)).count(), 0.02);
     }
 
+    /*! @brief Guards against an engine of pace 2 that counts as four times as slow. */
+    void paceOfAnEngineIsNotCountedAsSlownessToo()
+    {
+        const InstanceName engine{"a"};
+        const PromptChain prompt = chain({"s"});
+        const Duration usual = m_table.model(PoolName{"p"}).expected(100.0);
+        for (std::uint64_t number = 1; number <= 10; ++number) {
+            m_table.recordSent({GenerationNumber{number}, engine, prompt, 100, 0.0, 2 * usual, 2.0}, m_now);
+            m_now += 2 * usual;
+            m_table.recordFirstEvent(GenerationNumber{number}, m_now);
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, currentSlowness(*m_table.find(engine), m_now), 0.01);
+        const auto choice =
+            pickEngine(m_table, {{engine, {}, 0, false, 2.0}}, {PoolName{"p"}, chain({"t"}), "1", {}, 0, 0.0}, m_now);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(std::chrono::duration<double>(2 * usual).count(),
+                                     std::chrono::duration<double>(choice->expectedFirstEvent).count(), 0.005);
+    }
+
 private:
     static EngineListing listing(const std::string &name, std::uint64_t incarnation)
     {
--- a/test/bergamottide/serving/endpointpace.cpp
+++ b/test/bergamottide/serving/endpointpace.cpp
@@ -183,13 +183,14 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndpointReportsTest);
 
-/*! @brief Plain calls of pools that report a pace, and of pools that do not. */
+/*! @brief Plain calls and generations of pools that report a pace, and of pools that do not. */
 class RunsByPaceTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(RunsByPaceTest);
     CPPUNIT_TEST(plainCallGoesToTheFasterEndpoint);
     CPPUNIT_TEST(plainCallOfAPoolWithoutPaceIsPlacedAsBefore);
     CPPUNIT_TEST(failedPlainCallIsNotSentToTheSameEndpoint);
+    CPPUNIT_TEST(generationGoesToTheFasterEngine);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -235,6 +236,15 @@
         CPPUNIT_ASSERT_EQUAL(InstanceName{"desk-1"}, fixture.effect<StartRun>()->instance);
     }
 
+    /*! @brief Guards against generations that wait for a slow engine while another one is idle. */
+    void generationGoesToTheFasterEngine()
+    {
+        CPPUNIT_ASSERT_EQUAL(attempts,
+                             choicesOf("/chat/1", "engine-1", 3.0, "engine-2", 1.0)[InstanceName{"engine-2"}]);
+        CPPUNIT_ASSERT_EQUAL(attempts,
+                             choicesOf("/chat/1", "engine-2", 3.0, "engine-1", 1.0)[InstanceName{"engine-1"}]);
+    }
+
 private:
     static constexpr int attempts = 12;
 
--- a/test/support/engineload.cpp
+++ b/test/support/engineload.cpp
@@ -36,13 +36,14 @@
     , m_policy{std::move(policy)}
     , m_random{seed}
     , m_tables(m_options.processes)
+    , m_loads(m_options.processes)
 {
     std::vector<EngineListing> listings;
     for (std::uint32_t index = 0; index < m_options.engines; ++index) {
         Engine engine;
         engine.name = InstanceName{"engine-" + std::to_string(index)};
         engine.zone = ZoneName{"zone-" + std::to_string(index % m_options.zones)};
-        engine.slowness = index % 3 == 2 ? m_options.slowness : 1.0;
+        engine.index = index;
         listings.push_back({engine.name, PoolName{"engines"}, 1, m_options.capacity});
         m_engines.push_back(std::move(engine));
     }
@@ -94,11 +95,15 @@
     const PromptChain chain = chainOf("model", prompt);
     const std::size_t process = static_cast<std::size_t>(uniform() * m_options.processes);
     std::vector<EngineCandidate> candidates;
+    const load::LoadTable &loads = m_loads[process];
+    const PoolName pool{"engines"};
     for (const Engine &engine : m_engines) {
-        candidates.push_back({engine.name, engine.zone, 0, false});
+        const double relativePace =
+            loads.expectedPace(pool, engine.name, m_now + m_options.firstEventDelay) / loads.meanPace(pool);
+        candidates.push_back({engine.name, engine.zone, 0, false, relativePace});
     }
     const std::string attempt = std::to_string(m_next);
-    const GenerationQuery query{PoolName{"engines"}, chain, attempt, {}, 0, m_options.fetchRate};
+    const GenerationQuery query{pool, chain, attempt, {}, 0, m_options.fetchRate};
     if (const auto choice = m_policy(m_tables[process], candidates, query, m_now)) {
         startGeneration(kind, chain, process, *choice);
     }
@@ -108,8 +113,9 @@
                                  const EngineChoice &choice)
 {
     const GenerationNumber number{m_next++};
-    m_tables[process].recordSent(
-        {number, choice.engine, chain, choice.prefillTokens, choice.queuedTokens, choice.expectedFirstEvent}, m_now);
+    m_tables[process].recordSent({number, choice.engine, chain, choice.prefillTokens, choice.queuedTokens,
+                                  choice.expectedFirstEvent, choice.relativePace},
+                                 m_now);
     Engine &engine = engineOf(choice.engine);
     const TimePoint start = std::max(m_now, engine.busyUntil);
     std::size_t cachedLinks = engine.prefixCache.cachedLinks(chain);
@@ -130,17 +136,25 @@
         m_outcome.recomputedTokens += isCachedAnywhere ? chain[index].tokens : 0;
     }
     m_outcome.prefilledTokens += prefillTokens;
-    engine.busyUntil =
-        start + fromSeconds(transfer + engine.slowness * static_cast<double>(prefillTokens) / m_options.prefillRate);
+    engine.busyUntil = start
+        + fromSeconds(transfer + paceOf(engine, start) * static_cast<double>(prefillTokens) / m_options.prefillRate);
     engine.prefixCache.insert(chain, m_options.capacity, engine.busyUntil);
     const TimePoint first = engine.busyUntil + m_options.firstEventDelay;
-    m_events.push({first, process, number});
+    m_events.push({first, process, number, choice.engine});
     KindOutcome &outcome = m_outcome.kinds[kind.name];
     ++outcome.requests;
     outcome.onTime += first - m_now <= kind.objective ? 1 : 0;
     outcome.totalSeconds += std::chrono::duration<double>(first - m_now).count();
 }
 
+/*! @brief Returns how long work takes at an engine at a time, relative to the usual time. */
+double EngineLoad::paceOf(const Engine &engine, TimePoint at) const
+{
+    const auto turn =
+        m_options.slownessPeriod > Duration::zero() ? at.time_since_epoch() / m_options.slownessPeriod : 0;
+    return (engine.index + turn) % 3 == 2 ? m_options.slowness : 1.0;
+}
+
 void EngineLoad::exchangeReports()
 {
     if (!m_options.exchangesReports) {
@@ -163,6 +177,10 @@
         const FirstEvent event = m_events.top();
         m_events.pop();
         m_tables[event.process].recordFirstEvent(event.number, event.at);
+        if (m_options.reportsPace) {
+            const load::EndpointLoad load{0, 0, 1, paceOf(engineOf(event.engine), event.at)};
+            m_loads[event.process].record(PoolName{"engines"}, event.engine, 1, load, 0, event.at);
+        }
     }
 }
 
--- a/test/support/engineload.h
+++ b/test/support/engineload.h
@@ -2,6 +2,7 @@
 
 #include "bergamottide/engines/engineplacement.h"
 #include "bergamottide/engines/enginetable.h"
+#include "bergamottide/load/loadtable.h"
 
 #include <cstdint>
 #include <functional>
@@ -38,6 +39,10 @@
     std::uint64_t capacity{700'000};
     /*! @brief Every third engine is slower by this factor. */
     double slowness{1.3};
+    /*! @brief Time after which other engines are slow in turn; zero if it is always the same ones. */
+    Duration slownessPeriod{};
+    /*! @brief Engines report their pace with the first event of a generation, and it is used. */
+    bool reportsPace{};
     /*! @brief Rate at which engines fetch cached tokens from each other, in tokens per second; zero if they can't. */
     double fetchRate{2e6};
     /*! @brief Processes exchange reports on their generations. */
@@ -102,7 +107,7 @@
     {
         InstanceName name;
         ZoneName zone;
-        double slowness{1.0};
+        std::uint32_t index{};
         engines::PrefixCacheModel prefixCache;
         TimePoint busyUntil{};
         std::uint32_t running{};
@@ -113,6 +118,7 @@
         TimePoint at{};
         std::size_t process{};
         engines::GenerationNumber number{};
+        InstanceName engine;
 
         [[nodiscard]] bool operator>(const FirstEvent &other) const noexcept
         {
@@ -123,6 +129,7 @@
     void arrive(const PromptKind &kind);
     void startGeneration(const PromptKind &kind, const engines::PromptChain &chain, std::size_t process,
                          const engines::EngineChoice &choice);
+    [[nodiscard]] double paceOf(const Engine &engine, TimePoint at) const;
     void exchangeReports();
     void deliverFirstEvents();
     [[nodiscard]] double uniform();
@@ -133,6 +140,8 @@
     std::mt19937_64 m_random;
     std::vector<Engine> m_engines;
     std::vector<engines::EngineTable> m_tables;
+    /*! @brief Paces as known to each process. */
+    std::vector<load::LoadTable> m_loads;
     std::priority_queue<FirstEvent, std::vector<FirstEvent>, std::greater<>> m_events;
     EngineLoadOutcome m_outcome;
     TimePoint m_now{std::chrono::seconds{100}};
