Send stage calls by the pace that endpoints report

Cause: An endpoint that has just turned slow gets calls until one of them has ended late; waits are forecast as if the pool had its usual speed until then. Ruled out: The pace at the start of a call for its whole duration, as it changes several times meanwhile; shorter timeouts for endpoints that are fast at the start, as these may be slow at the end. Change: Of equally filled calls the one with the smaller product of pace and slowness is sent; that product also replaces the slowness in the exclusion of slow endpoints and in the drain rate. The expected duration of a call includes the pace expected in the middle of a short call, so slowness is what the pace does not explain. Conclusion: Pools without a pace have the factor 1.

--- a/src/bergamottide/serving/callplanner.cpp
+++ b/src/bergamottide/serving/callplanner.cpp
@@ -38,7 +38,7 @@
     for (Endpoint *endpoint : availableEndpoints(pool, now)) {
         CallCandidate candidate = fillCall(pool, *endpoint, queue, poolZones, now);
         if (!candidate.items.empty()
-            && (bestEndpoint == nullptr || isBetter(candidate, *endpoint, best, *bestEndpoint, now))) {
+            && (bestEndpoint == nullptr || isBetter(pool, candidate, *endpoint, best, *bestEndpoint, now))) {
             bestEndpoint = endpoint;
             best = std::move(candidate);
         }
@@ -58,10 +58,11 @@
 std::vector<Endpoint *> CallPlanner::availableEndpoints(const Pool &pool, TimePoint now) const
 {
     const std::vector<Endpoint *> usable = m_endpoints.usable(pool.name, now);
-    const double lowestSlowness = minSlowness(usable, now);
+    const double shortest = minRelativeDuration(m_endpoints.loads(), usable, *pool.batch, now);
     std::vector<Endpoint *> out;
     for (Endpoint *endpoint : usable) {
-        const bool isSlow = currentSlowness(*endpoint, now) > lowestSlowness * maxRelativeSlowness;
+        const bool isSlow =
+            relativeDuration(m_endpoints.loads(), *endpoint, *pool.batch, now) > shortest * maxRelativeSlowness;
         if (endpoint->inFlight < pool.batch->slots && !isSlow && m_rateLimiter.admits(pool, *endpoint, now)) {
             out.push_back(endpoint);
         }
@@ -69,8 +70,8 @@
     return out;
 }
 
-bool CallPlanner::isBetter(const CallCandidate &candidate, const Endpoint &endpoint, const CallCandidate &other,
-                           const Endpoint &otherEndpoint, TimePoint now)
+bool CallPlanner::isBetter(const Pool &pool, const CallCandidate &candidate, const Endpoint &endpoint,
+                           const CallCandidate &other, const Endpoint &otherEndpoint, TimePoint now) const
 {
     if (candidate.items.size() != other.items.size()) {
         return candidate.items.size() > other.items.size();
@@ -78,7 +79,9 @@
     if (candidate.localItems != other.localItems) {
         return candidate.localItems > other.localItems;
     }
-    return currentSlowness(endpoint, now) < currentSlowness(otherEndpoint, now);
+    const load::LoadTable &loads = m_endpoints.loads();
+    return relativeDuration(loads, endpoint, *pool.batch, now)
+        < relativeDuration(loads, otherEndpoint, *pool.batch, now);
 }
 
 /*
--- a/src/bergamottide/serving/callplanner.h
+++ b/src/bergamottide/serving/callplanner.h
@@ -68,8 +68,8 @@
     [[nodiscard]] CallCandidate fillCall(const Pool &pool, const Endpoint &endpoint, const StageQueue &queue,
                                          const std::set<ZoneName> &poolZones, TimePoint now) const;
     void addTask(const Pool &pool, const PendingTask &pending, CallCandidate &candidate) const;
-    [[nodiscard]] static bool isBetter(const CallCandidate &candidate, const Endpoint &endpoint,
-                                       const CallCandidate &other, const Endpoint &otherEndpoint, TimePoint now);
+    [[nodiscard]] bool isBetter(const Pool &pool, const CallCandidate &candidate, const Endpoint &endpoint,
+                                const CallCandidate &other, const Endpoint &otherEndpoint, TimePoint now) const;
 
     EndpointRegistry &m_endpoints;
     const PendingTasks &m_tasks;
--- a/src/bergamottide/serving/drainrate.cpp
+++ b/src/bergamottide/serving/drainrate.cpp
@@ -33,10 +33,10 @@
  * @brief Returns the slots of the endpoints whose pauses do not outlast those of others by a call, weighted by speed
  * and reduced by their limits; counts at least one of the endpoints without a limit.
  */
-double effectiveSlots(const BatchSpec &spec, const std::vector<Endpoint *> &endpoints, double itemsPerCall,
-                      TimePoint now)
+double effectiveSlots(const BatchSpec &spec, const std::vector<Endpoint *> &endpoints, const load::LoadTable &loads,
+                      double itemsPerCall, TimePoint now)
 {
-    const double maxSlowness = minSlowness(endpoints, now) * maxRelativeSlowness;
+    const double longest = minRelativeDuration(loads, endpoints, spec, now) * maxRelativeSlowness;
     const double callSeconds =
         std::chrono::duration<double>(spec.callTime + scaled(spec.itemTime, itemsPerCall)).count();
     double unlimited = 0.0;
@@ -48,8 +48,8 @@
         if (pauseOf(*endpoint, now) > longestPause) {
             continue;
         }
-        const double slowness = currentSlowness(*endpoint, now);
-        const double slots = slowness > maxSlowness ? 0.0 : spec.slots / slowness;
+        const double duration = relativeDuration(loads, *endpoint, spec, now);
+        const double slots = duration > longest ? 0.0 : spec.slots / duration;
         if (endpoint->requestLimit) {
             limited += std::min(slots, *endpoint->requestLimit * callSeconds);
             continue;
@@ -63,14 +63,14 @@
 
 } // namespace
 
-DrainRate::DrainRate(const BatchSpec &spec, const std::vector<Endpoint *> &endpoints, Duration remainingCallTime,
-                     double itemsPerCall, TimePoint now)
+DrainRate::DrainRate(const BatchSpec &spec, const std::vector<Endpoint *> &endpoints, const load::LoadTable &loads,
+                     Duration remainingCallTime, double itemsPerCall, TimePoint now)
     : m_pause{shortestPause(endpoints, now)}
     , m_remainingCallTime{remainingCallTime}
     , m_callTime{spec.callTime}
     , m_itemTime{spec.itemTime}
     , m_itemsPerCall{itemsPerCall}
-    , m_effectiveSlots{effectiveSlots(spec, endpoints, itemsPerCall, now)}
+    , m_effectiveSlots{effectiveSlots(spec, endpoints, loads, itemsPerCall, now)}
 {
 }
 
--- a/src/bergamottide/serving/drainrate.h
+++ b/src/bergamottide/serving/drainrate.h
@@ -21,12 +21,13 @@
      * @brief Computes the drain rate.
      * @param spec Batching parameters of the pool.
      * @param endpoints Endpoints that accept work.
+     * @param loads Expected load and pace of the endpoints.
      * @param remainingCallTime Sum of the remaining times of all calls in progress.
      * @param itemsPerCall Average number of items in a call while there is a backlog.
      * @param now Current time.
      */
-    DrainRate(const BatchSpec &spec, const std::vector<Endpoint *> &endpoints, Duration remainingCallTime,
-              double itemsPerCall, TimePoint now);
+    DrainRate(const BatchSpec &spec, const std::vector<Endpoint *> &endpoints, const load::LoadTable &loads,
+              Duration remainingCallTime, double itemsPerCall, TimePoint now);
 
     /*! @brief Returns how long a task waits for the calls in progress and a number of pieces queued before it. */
     [[nodiscard]] Duration waitBehind(std::size_t pieces) const;
--- a/src/bergamottide/serving/endpointspeed.cpp
+++ b/src/bergamottide/serving/endpointspeed.cpp
@@ -21,11 +21,22 @@
     return 1.0 + (endpoint.slowness - 1.0) * std::exp(-age / slownessDecaySeconds);
 }
 
-double minSlowness(const std::vector<Endpoint *> &endpoints, TimePoint now)
+double paceOfCall(const load::LoadTable &loads, const Endpoint &endpoint, const BatchSpec &spec, TimePoint now)
+{
+    return loads.expectedPace(endpoint.record.pool, endpoint.record.instance, now + spec.callTime / 2);
+}
+
+double relativeDuration(const load::LoadTable &loads, const Endpoint &endpoint, const BatchSpec &spec, TimePoint now)
+{
+    return paceOfCall(loads, endpoint, spec, now) * currentSlowness(endpoint, now);
+}
+
+double minRelativeDuration(const load::LoadTable &loads, const std::vector<Endpoint *> &endpoints,
+                           const BatchSpec &spec, TimePoint now)
 {
     double lowest = std::numeric_limits<double>::max();
     for (const Endpoint *endpoint : endpoints) {
-        lowest = std::min(lowest, currentSlowness(*endpoint, now));
+        lowest = std::min(lowest, relativeDuration(loads, *endpoint, spec, now));
     }
     return lowest;
 }
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -270,7 +270,11 @@
 
 DrainRate StageScheduler::drainRate(const Pool &pool, const std::vector<Endpoint *> &usable, TimePoint now)
 {
-    return {*pool.batch, usable, remainingCallTime(pool.name, now), m_loads[pool.name].backlogItemsPerCall(*pool.batch),
+    return {*pool.batch,
+            usable,
+            m_endpoints.loads(),
+            remainingCallTime(pool.name, now),
+            m_loads[pool.name].backlogItemsPerCall(*pool.batch),
             now};
 }
 
@@ -317,9 +321,11 @@
     call.incarnation = endpoint.record.incarnation;
     call.address = start.address;
     call.startedAt = now;
-    call.expectedDuration = expectedCallTime(*pool.batch, items.size());
+    const Duration usualDuration = expectedCallTime(*pool.batch, items.size());
+    const double pace = paceOfCall(m_endpoints.loads(), endpoint, *pool.batch, now);
+    call.expectedDuration = scaled(usualDuration, pace);
     call.resultTtl = pool.batch->resultTtl;
-    call.timeoutAt = now + call.expectedDuration * callTimeoutFactor + callTimeoutAllowance;
+    call.timeoutAt = now + std::max(call.expectedDuration, usualDuration) * callTimeoutFactor + callTimeoutAllowance;
     call.items = std::move(items);
     effects.emplace_back(LogLine{Severity::Info,
                                  Part::Entry,
@@ -331,6 +337,7 @@
                                   {"requests", joinAttempts(start)},
                                   {"waiting_tasks", absl::StrCat(queue.size())},
                                   {"result_bytes", absl::StrCat(endpoint.resultBytes)},
+                                  {"pace", absl::StrCat(pace)},
                                   {"slowness", absl::StrCat(currentSlowness(endpoint, now))}}});
     effects.emplace_back(Observe{Metric::StageCallItems, {pool.name.text()}, static_cast<double>(call.items.size())});
     m_endpoints.recordStart(call.endpoint);
--- a/test/bergamottide/serving/endpointpace.cpp
+++ b/test/bergamottide/serving/endpointpace.cpp
@@ -268,3 +268,220 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RunsByPaceTest);
+
+/*! @brief Stage calls to pools that report a pace. */
+class StageCallsByPaceTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StageCallsByPaceTest);
+    CPPUNIT_TEST(equalCallIsSentToTheFasterEndpoint);
+    CPPUNIT_TEST(paceAndSlownessAreMultiplied);
+    CPPUNIT_TEST(paceIsNotCountedAsSlownessToo);
+    CPPUNIT_TEST(callAtAFastPaceTimesOutNoSooner);
+    CPPUNIT_TEST(queueOfASlowPoolDrainsSlowly);
+    CPPUNIT_TEST(moreRequestsAreOnTimeWhileOtherEndpointsTurnSlow);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void equalCallIsSentToTheFasterEndpoint()
+    {
+        for (const bool isFirstFaster : {true, false}) {
+            Process process{2};
+            process.report(0, isFirstFaster ? 1.0 : 1.5);
+            process.report(1, isFirstFaster ? 1.5 : 1.0);
+            process.submit(1, 4);
+            CPPUNIT_ASSERT_EQUAL(nameOf(isFirstFaster ? 0 : 1), process.dispatch().front().instance);
+        }
+    }
+
+    void paceAndSlownessAreMultiplied()
+    {
+        Process process{2};
+        process.report(0, 1.0);
+        process.report(1, 1.4);
+        process.endpoints.find(nameOf(0))->slowness = 1.8;
+        process.endpoints.find(nameOf(0))->slownessUpdatedAt = process.now;
+        process.submit(1, 4);
+        CPPUNIT_ASSERT_EQUAL(nameOf(1), process.dispatch().front().instance);
+    }
+
+    /*! @brief Guards against an endpoint of pace 2 that counts as four times as slow. */
+    void paceIsNotCountedAsSlownessToo()
+    {
+        Process process{1};
+        process.report(0, 2.0);
+        process.submit(1, 8);
+        const auto calls = process.dispatch();
+        process.now += 2 * (std::chrono::milliseconds{150} + 8 * std::chrono::milliseconds{10});
+        process.answer(calls.front());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, process.endpoints.find(nameOf(0))->slowness, 0.05);
+    }
+
+    /*! @brief Guards against calls that are cancelled since a fast endpoint has become a usual one. */
+    void callAtAFastPaceTimesOutNoSooner()
+    {
+        Process process{1};
+        process.report(0, 0.2);
+        process.submit(1, 8);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, process.dispatch().size());
+        process.now += 3 * (std::chrono::milliseconds{150} + 8 * std::chrono::milliseconds{10});
+        process.effects.clear();
+        process.scheduler.handleTimeouts(process.now, process.effects);
+        CPPUNIT_ASSERT(std::ranges::none_of(
+            process.effects, [](const Effect &effect) { return std::holds_alternative<CancelStageCall>(effect); }));
+    }
+
+    /*! @brief Guards against a forecast that admits requests as if a slowed pool had its usual speed. */
+    void queueOfASlowPoolDrainsSlowly()
+    {
+        Process process{3};
+        const Duration usual = process.waitBehind(48);
+        for (std::size_t index = 0; index < 3; ++index) {
+            process.report(index, 2.0);
+        }
+        const double ratio = static_cast<double>(process.waitBehind(48).count()) / static_cast<double>(usual.count());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, ratio, 0.1);
+    }
+
+    /*!
+     * @brief Guards against calls to endpoints that have just turned slow, while faster ones are idle.
+     *
+     * A third of six endpoints takes three times as long, other ones after each second. The load is half of what the
+     * pool serves.
+     */
+    void moreRequestsAreOnTimeWhileOtherEndpointsTurnSlow()
+    {
+        const int with = servedOnTime(true);
+        const int without = servedOnTime(false);
+        CPPUNIT_ASSERT(with > without);
+    }
+
+private:
+    static InstanceName nameOf(std::size_t index)
+    {
+        return InstanceName{"encoder-" + std::to_string(index)};
+    }
+
+    /*! @brief Scheduler of one process. */
+    struct Process
+    {
+        explicit Process(std::size_t count)
+        {
+            EndpointList list;
+            for (std::size_t index = 0; index < count; ++index) {
+                list.push_back({nameOf(index), pool, "10.0.0.1:1", ZoneName{"a"}, 1, false});
+            }
+            endpoints.update(list, now, effects);
+        }
+
+        void report(std::size_t index, double pace)
+        {
+            endpoints.recordLoad(nameOf(index), {0, 0, 1, pace}, now);
+        }
+
+        void submit(std::uint64_t id, std::uint32_t pieces)
+        {
+            StageTask task;
+            task.id = StageTaskId{id};
+            task.pool = pool;
+            task.latestStart = now + std::chrono::seconds{1};
+            task.deadline = now + std::chrono::seconds{20};
+            task.attempt = "attempt-" + std::to_string(id);
+            task.pieces = pieces;
+            task.inputKey = "input";
+            scheduler.submit(std::move(task), now);
+        }
+
+        std::vector<StartStageCall> dispatch()
+        {
+            effects.clear();
+            scheduler.dispatch(*catalog, now, effects);
+            std::vector<StartStageCall> calls;
+            for (const Effect &effect : effects) {
+                if (const auto *call = std::get_if<StartStageCall>(&effect)) {
+                    calls.push_back(*call);
+                }
+            }
+            return calls;
+        }
+
+        void answer(const StartStageCall &call)
+        {
+            StageCallEnded ended{call.call, StageCallStatus::Answered, {}};
+            for (std::size_t item = 0; item < call.items.size(); ++item) {
+                ended.results.push_back({std::to_string(nextHandle++), PieceFailure::None});
+            }
+            scheduler.handleCallEnded(ended, now, effects);
+        }
+
+        [[nodiscard]] Duration waitBehind(std::size_t pieces)
+        {
+            const BatchSpec &spec = *catalog->findPool(pool)->batch;
+            return DrainRate{spec, endpoints.usable(pool, now), endpoints.loads(), Duration::zero(), 8.0, now}
+                .waitBehind(pieces);
+        }
+
+        PoolName pool{"encoders"};
+        TimePoint now{std::chrono::seconds{100}};
+        Effects effects;
+        std::shared_ptr<const Catalog> catalog{ServingFixture::catalog()};
+        EndpointRegistry endpoints;
+        RetryBudget budget{{.ratio = 0.0, .slack = 3.0, .window = std::chrono::seconds{10}, .assumedProcesses = 1}};
+        FetchPaths paths;
+        RateLimiter rateLimiter{[](const InstanceName &, std::uint32_t, TimePoint) {
+            return 0U;
+        }};
+        StageScheduler scheduler{endpoints, budget, rateLimiter, paths, [](const StoredResult &) {
+                                     return false;
+                                 }};
+        std::uint64_t nextHandle{};
+    };
+
+    /*! @brief Returns the number of requests that are complete within 400 ms, about twice the time of a usual call. */
+    static int servedOnTime(bool reportsPace)
+    {
+        constexpr std::size_t count = 6;
+        constexpr Duration step = std::chrono::milliseconds{5};
+        constexpr Duration end = std::chrono::seconds{20};
+        constexpr Duration objective = std::chrono::milliseconds{400};
+        constexpr Duration healthPeriod = std::chrono::milliseconds{100};
+        Process process{count};
+        const TimePoint start = process.now;
+        std::map<std::string, TimePoint> arrivals;
+        std::multimap<TimePoint, StartStageCall> running;
+        const auto paceOf = [&process](std::size_t index) {
+            const auto second =
+                std::chrono::duration_cast<std::chrono::seconds>(process.now.time_since_epoch()).count();
+            return (index + static_cast<std::size_t>(second)) % 3 == 0 ? 3.0 : 1.0;
+        };
+        int onTime = 0;
+        std::uint64_t id = 0;
+        for (; process.now < start + end; process.now += step) {
+            const Duration elapsed = process.now - start;
+            for (std::size_t index = 0; reportsPace && elapsed % healthPeriod == Duration::zero() && index < count;
+                 ++index) {
+                process.report(index, paceOf(index));
+            }
+            while (!running.empty() && running.begin()->first <= process.now) {
+                const StartStageCall call = running.begin()->second;
+                running.erase(running.begin());
+                process.answer(call);
+                for (const StageItem &item : call.items) {
+                    onTime += item.piece == 0 && process.now - arrivals[item.attempt] <= objective ? 1 : 0;
+                }
+            }
+            if (elapsed % std::chrono::milliseconds{100} == Duration::zero()) {
+                process.submit(++id, 4);
+                arrivals["attempt-" + std::to_string(id)] = process.now;
+            }
+            for (const StartStageCall &call : process.dispatch()) {
+                const auto index = static_cast<std::size_t>(std::stoi(call.instance.text().substr(8)));
+                const Duration usual =
+                    std::chrono::milliseconds{150 + 10 * static_cast<std::int64_t>(call.items.size())};
+                running.emplace(process.now + scaled(usual, paceOf(index)), call);
+            }
+        }
+        return onTime;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StageCallsByPaceTest);
