--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -98,7 +98,11 @@
     if (choice) {
         endpoint = m_endpoints.find(choice->engine);
     } else if (!isGeneration) {
-        endpoint = pickLeastLoaded(candidateEndpoints(request), request.triedEndpoints, request.callerRequest->attempt);
+        const std::string &attempt = request.callerRequest->attempt;
+        endpoint = m_endpoints.reportsPace(request.pool)
+            ? pickLessLoadedOfTwo(candidateEndpoints(request), request.triedEndpoints, attempt, m_endpoints.loads(),
+                                  m_now)
+            : pickLeastLoaded(candidateEndpoints(request), request.triedEndpoints, attempt);
     }
     if (endpoint == nullptr) {
         const auto capacity = poolCapacity(request, m_now);
@@ -136,7 +140,7 @@
             start.fetchFrom = source->record.address;
         }
         m_engineTable.recordSent({generationOf(start.run), choice->engine, request.prompt, choice->prefillTokens,
-                                  choice->queuedTokens, choice->expectedFirstEvent},
+                                  choice->queuedTokens, choice->expectedFirstEvent, choice->relativePace},
                                  m_now);
         scheduleInputRelease(request, *choice);
     }
@@ -162,6 +166,7 @@
          {"ahead", absl::StrCat(choice ? static_cast<std::uint64_t>(choice->queuedTokens) : 0)},
          {"expected_ms", absl::StrCat(choice ? choice->expectedFirstEvent.count() / 1000 : 0)},
          {"fetch_from", start.fetchFrom},
+         {"pace", absl::StrCat(m_endpoints.loads().expectedPace(request.pool, start.instance, m_now))},
          {"sends", absl::StrCat(request.triedEndpoints.size())}});
     m_effects.emplace_back(std::move(start));
 }
--- a/src/bergamottide/telemetry/metric.h
+++ b/src/bergamottide/telemetry/metric.h
@@ -50,13 +50,15 @@
     QuarantinedRequests,
     DrainNoticesTotal,
     PauseNoticesTotal,
-    ForecastMarginSeconds
+    ForecastMarginSeconds,
+    MalformedHeadersTotal,
+    EndpointPace
 };
 
 template <>
 struct EnumNames<Metric>
 {
-    static constexpr std::array<std::string_view, 32> names{"bergamottide_requests_total",
+    static constexpr std::array<std::string_view, 34> names{"bergamottide_requests_total",
                                                             "bergamottide_requests_on_time_total",
                                                             "bergamottide_request_seconds",
                                                             "bergamottide_refusals_total",
@@ -87,7 +89,9 @@
                                                             "bergamottide_quarantined_requests",
                                                             "bergamottide_drain_notices_total",
                                                             "bergamottide_pause_notices_total",
-                                                            "bergamottide_forecast_margin_seconds"};
+                                                            "bergamottide_forecast_margin_seconds",
+                                                            "bergamottide_malformed_headers_total",
+                                                            "bergamottide_endpoint_pace"};
 };
 
 /*! @brief Effect: a metric changes. */
