Carry workspace and objective of a stage task to the owner of its queue

Cause: the owner of a stage pool's queue sees the tasks of all processes, but not the workspaces they belong to. Ruled out: the shortest objective of the routes in the owner's configuration (the queue may hold tasks of other routes only). Change: `StageTask::workspace` and `StageTask::objective`, set on submission; fields `workspace` and `objective` of the task between processes. Without them, as from earlier releases, a task is of the anonymous workspace and its objective is unknown. Conclusion: the queue can tell workspaces apart.

--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -310,6 +310,8 @@
     return parse(text, [now](const json &value) {
         StageTask task;
         task.requester = InstanceName{value.at("from").get<std::string>()};
+                 {"objective", task.objective.count()},
+                 {"workspace", task.workspace.text()},
         task.pool = PoolName{value.at("pool").get<std::string>()};
         task.rank = value.at("rank").get<int>();
         task.deadline = now + Duration{value.at("deadline").get<std::int64_t>()};
@@ -333,6 +335,8 @@
         }
         return task;
     });
+        task.objective = Duration{value.value("objective", std::int64_t{})};
+        task.workspace = WorkspaceName{value.value("workspace", std::string{})};
 }
 
 std::string encode(const std::vector<StageOutcome> &outcomes)
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -107,6 +107,8 @@
     task.rank = request.rank;
     task.deadline = inputExpiry(request, spec.dependencies);
     task.latestStart = request.objective - request.expectedRunTime - minimumStageTime(request, spec.level + 1);
+    task.objective = request.route->objective;
+    task.workspace = request.workspace.name;
     task.attempt = request.callerRequest->attempt;
     task.fingerprint = stageFingerprint(request.fingerprint(), stage);
     task.stage = stage;
--- a/src/bergamottide/serving/stagetask.h
+++ b/src/bergamottide/serving/stagetask.h
@@ -48,6 +48,10 @@
     TimePoint deadline{};
     /*! @brief Latest start that can still meet the objective of the request; orders tasks of equal rank. */
     TimePoint latestStart{};
+    /*! @brief Time from the arrival of the request within which its response is on time; zero if unknown. */
+    Duration objective{};
+    /*! @brief Workspace of the request; empty for public routes and in tasks of earlier releases. */
+    WorkspaceName workspace;
     /*! @brief Identifier of the caller's attempt to which the stage belongs. */
     std::string attempt;
     /*! @brief Fingerprint of the stage of the request; the same for a repeated request. */
--- a/test/bergamottide/app/peerwire.cpp
+++ b/test/bergamottide/app/peerwire.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(heartbeatRoundTripsEndpointNotices);
     CPPUNIT_TEST(heartbeatOfAnEarlierReleaseHasNoCrashReports);
     CPPUNIT_TEST(heartbeatWithWrongFieldTypeIsRejected);
+    CPPUNIT_TEST(taskRoundTripsItsWorkspace);
+    CPPUNIT_TEST(taskOfAnEarlierReleaseHasNoWorkspace);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -109,6 +111,30 @@
         text.replace(text.find(field), field.size(), R"("engines":[{"origin":7}])");
         CPPUNIT_ASSERT(!peerwire::decodeHeartbeat(text).ok());
     }
+
+    void taskRoundTripsItsWorkspace()
+    {
+        StageTask task;
+        task.workspace = WorkspaceName{"north"};
+        task.objective = milliseconds{1500};
+        const auto read = peerwire::decodeTask(peerwire::encode(task, TimePoint{}), TimePoint{});
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT_EQUAL(std::string{"north"}, read->workspace.text());
+        CPPUNIT_ASSERT(read->objective == milliseconds{1500});
+    }
+
+    void taskOfAnEarlierReleaseHasNoWorkspace()
+    {
+        std::string text = peerwire::encode(StageTask{}, TimePoint{});
+        for (const std::string field : {R"("objective":0,)", R"(,"workspace":"")"}) {
+            CPPUNIT_ASSERT(text.find(field) != std::string::npos);
+            text.erase(text.find(field), field.size());
+        }
+        const auto read = peerwire::decodeTask(text, TimePoint{});
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT(read->workspace.empty());
+        CPPUNIT_ASSERT(read->objective == Duration::zero());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerWireTest);
