Queue tasks of workspaces above their share last, and publish their wait

Cause: the queue of a stage pool is ordered by latest start, so each workspace receives in proportion to its requests, and all of them are late once one sends more than the pool can serve. Ruled out: a wait for each rank (more than 100 bytes of a heartbeat for each pool); marks that end as soon as nobody else waits (the queue is often empty between two calls, so that marks, log lines and forecasts would change with each call). Change: the key of the queue has the mark of the task's workspace after its rank; a mark changes only while the task is out of the queue. The scheduler updates the shares at each scan, in pools that report a pace, logs a workspace that goes above its share or back, and sets the gauge `bergamottide_workspaces_above_share`. `PoolWait` lists at most 8 such workspaces with the wait of their tasks; forecasts of their requests use it here and, by heartbeat, in the other processes. Counts from before a second of silence are dropped.

--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -1,6 +1,7 @@
 #include "bergamottide/app/peerwire.h"
 
 #include "bergamottide/core/error.h"
+#include "bergamottide/sharing/fairshares.h"
 
 #include <nlohmann/json.hpp>
 
@@ -214,6 +215,13 @@
                                 {"perPiece", wait.timePerPiece.count()},
                                 {"items", wait.itemsPerCall},
                                 {"roomTaken", wait.usedMemoryShare}});
+        if (!wait.aboveShare.empty()) {
+            json &names = out["waits"].back()["above"];
+            for (const WorkspaceName &workspace : wait.aboveShare) {
+                names.push_back(workspace.text());
+            }
+            out["waits"].back()["aboveWait"] = wait.aboveShareWait.count();
+        }
     }
     out["upcoming"] = json::array();
     for (const UpcomingWork &work : heartbeat.upcoming) {
@@ -254,6 +262,14 @@
                                        Duration{wait.at("wait").get<std::int64_t>()},
                                        Duration{wait.at("perPiece").get<std::int64_t>()},
                                        wait.at("items").get<double>(), wait.at("roomTaken").get<double>()});
+            // Absent in heartbeats of earlier releases, and while no workspace is above its share.
+            PoolWait &added = heartbeat.waits.back();
+            for (const json &workspace : wait.value("above", json::array())) {
+                if (added.aboveShare.size() < sharing::FairShares::maxPublished) {
+                    added.aboveShare.emplace_back(workspace.get<std::string>());
+                }
+            }
+            added.aboveShareWait = Duration{wait.value("aboveWait", std::int64_t{})};
         }
         for (const json &work : value.at("upcoming")) {
             heartbeat.upcoming.push_back({PoolName{work.at("pool").get<std::string>()}, work.at("rank").get<int>(),
@@ -294,6 +310,8 @@
                  {"rank", task.rank},
                  {"deadline", (task.deadline - now).count()},
                  {"due", (task.latestStart - now).count()},
+                 {"objective", task.objective.count()},
+                 {"workspace", task.workspace.text()},
                  {"attempt", task.attempt},
                  {"fingerprint", task.fingerprint.text()},
                  {"stage", task.stage},
@@ -310,8 +328,6 @@
     return parse(text, [now](const json &value) {
         StageTask task;
         task.requester = InstanceName{value.at("from").get<std::string>()};
-                 {"objective", task.objective.count()},
-                 {"workspace", task.workspace.text()},
         task.pool = PoolName{value.at("pool").get<std::string>()};
         task.rank = value.at("rank").get<int>();
         task.deadline = now + Duration{value.at("deadline").get<std::int64_t>()};
@@ -319,6 +335,8 @@
         task.attempt = value.at("attempt").get<std::string>();
         // Absent in tasks of earlier releases.
         task.fingerprint = RequestFingerprint{value.value("fingerprint", std::string{})};
+        task.objective = Duration{value.value("objective", std::int64_t{})};
+        task.workspace = WorkspaceName{value.value("workspace", std::string{})};
         task.stage = value.at("stage").get<std::uint32_t>();
         task.pieces = value.at("pieces").get<std::uint32_t>();
         task.inputKey = value.at("key").get<std::string>();
@@ -335,8 +353,6 @@
         }
         return task;
     });
-        task.objective = Duration{value.value("objective", std::int64_t{})};
-        task.workspace = WorkspaceName{value.value("workspace", std::string{})};
 }
 
 std::string encode(const std::vector<StageOutcome> &outcomes)
--- a/src/bergamottide/serving/callplanner.cpp
+++ b/src/bergamottide/serving/callplanner.cpp
@@ -93,8 +93,8 @@
     const QueueKey &first = *queue.begin();
     for (const QueueKey &key : queue) {
         const PendingTask &pending = m_tasks.at(std::get<StageTaskId>(key));
-        const bool isSameUrgency =
-            std::get<bool>(key) == std::get<bool>(first) && std::get<int>(key) == std::get<int>(first);
+        const bool isSameUrgency = std::get<bool>(key) == std::get<bool>(first)
+            && std::get<int>(key) == std::get<int>(first) && std::get<ShareMark>(key) == std::get<ShareMark>(first);
         const bool isPreferredZone =
             pending.task.preferredZone.empty() || pending.task.preferredZone == endpoint.record.zone;
         if (isPreferredZone && isSameUrgency && !m_paths.isBroken(pending.inputZones, endpoint.record.zone, now)) {
--- a/src/bergamottide/serving/heartbeat.h
+++ b/src/bergamottide/serving/heartbeat.h
@@ -51,6 +51,11 @@
     double itemsPerCall{1.0};
     /*! @brief Used fraction of the endpoints' result memory, from 0 to 1. */
     double usedMemoryShare{};
+    /*! @brief Workspaces above their share of a scarce pool; only in one entry of the pool, to keep heartbeats small.
+     */
+    std::vector<WorkspaceName> aboveShare;
+    /*! @brief Wait of new work of these workspaces, of this rank or a less urgent one. */
+    Duration aboveShareWait{};
 };
 
 /*! @brief Number of pieces of admitted requests that have yet to reach a stage pool. */
--- a/src/bergamottide/serving/peers.cpp
+++ b/src/bergamottide/serving/peers.cpp
@@ -491,17 +491,23 @@
 }
 
 std::optional<PoolWait> Peers::reportedWait(const InstanceName &peer, const PoolName &pool, int rank,
-                                            TimePoint now) const
+                                            const WorkspaceName &workspace, TimePoint now) const
 {
     const auto found = m_peers.find(peer);
     if (found == m_peers.end()) {
         return std::nullopt;
     }
     std::optional<PoolWait> longest;
-    const auto findLongest = [&longest, &pool, rank](const PeerState &source) {
+    const auto findLongest = [&longest, &pool, rank, &workspace](const PeerState &source) {
         for (const PoolWait &wait : source.waits) {
-            if (wait.pool == pool && wait.rank <= rank && (!longest || wait.wait > longest->wait)) {
+            if (wait.pool != pool || wait.rank > rank) {
+                continue;
+            }
+            const bool isAboveShare = std::ranges::find(wait.aboveShare, workspace) != wait.aboveShare.end();
+            const Duration ofWorkspace = isAboveShare ? std::max(wait.wait, wait.aboveShareWait) : wait.wait;
+            if (!longest || ofWorkspace > longest->wait) {
                 longest = wait;
+                longest->wait = ofWorkspace;
             }
         }
     };
--- a/src/bergamottide/serving/peers.h
+++ b/src/bergamottide/serving/peers.h
@@ -130,9 +130,10 @@
     /*! @brief Returns whether a peer is alive; a draining peer is, too. */
     [[nodiscard]] bool isLive(const InstanceName &peer, TimePoint now) const;
 
-    /*! @brief Returns the wait that a queue owner reported for a pool: the longest of all ranks up to the given one. */
+    /*! @brief Returns the wait that a queue owner reported for work of a workspace at a pool: the longest of all ranks
+     * up to the given one. */
     [[nodiscard]] std::optional<PoolWait> reportedWait(const InstanceName &peer, const PoolName &pool, int rank,
-                                                       TimePoint now) const;
+                                                       const WorkspaceName &workspace, TimePoint now) const;
 
     /**
      * @brief Returns the number of pieces, of the given rank or a more urgent one, that have yet to reach a pool.
--- a/src/bergamottide/serving/pendingtask.h
+++ b/src/bergamottide/serving/pendingtask.h
@@ -12,6 +12,13 @@
 
 namespace bergamottide::serving {
 
+/*! @brief Whether the workspace of a task has received more than its share of a scarce pool. */
+enum class ShareMark : std::uint8_t
+{
+    Within,
+    Above
+};
+
 /*! @brief A task with pieces in the queue of a stage pool or in calls. */
 struct PendingTask
 {
@@ -29,6 +36,8 @@
     /*! @brief Whether its request is expected to miss its objective. */
     bool isLate{};
     TimePoint lateSince{};
+    /*! @brief Part of the sort key: changed only while the task is not in its queue. */
+    ShareMark share{};
     /*! @brief Until then it is sent only to endpoints of its preferred zone. */
     TimePoint zoneWaitUntil{};
     /*! @brief When the endpoints are expected to have fetched its inputs; set once all pieces are in calls. */
@@ -38,8 +47,9 @@
 
 using PendingTasks = std::map<StageTaskId, PendingTask>;
 
-/*! @brief Sort key of a queue: whether the task is late, its rank, its latest start and its identifier. */
-using QueueKey = std::tuple<bool, int, TimePoint, StageTaskId>;
+/*! @brief Sort key of a queue: whether the task is late, its rank, whether its workspace is above its share, its latest
+ * start and its identifier. */
+using QueueKey = std::tuple<bool, int, ShareMark, TimePoint, StageTaskId>;
 
 /*! @brief Tasks of a pool that have waiting pieces, the next one to serve first. */
 using StageQueue = std::set<QueueKey>;
@@ -47,7 +57,7 @@
 /*! @brief Returns the sort key of a task. */
 [[nodiscard]] inline QueueKey queueKey(const PendingTask &pending)
 {
-    return {pending.isLate, pending.task.rank, pending.task.latestStart, pending.task.id};
+    return {pending.isLate, pending.task.rank, pending.share, pending.task.latestStart, pending.task.id};
 }
 
 /*! @brief Returns the number of waiting pieces of all tasks in a queue. */
--- a/src/bergamottide/serving/poolload.cpp
+++ b/src/bergamottide/serving/poolload.cpp
@@ -56,4 +56,10 @@
     return sum;
 }
 
+double PoolLoad::arrivalRate(int rank, TimePoint now) const
+{
+    const auto found = m_arrivalRates.find(rank);
+    return found == m_arrivalRates.end() ? 0.0 : found->second.perSecond * decayFactor(found->second.updatedAt, now);
+}
+
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/poolload.h
+++ b/src/bergamottide/serving/poolload.h
@@ -44,6 +44,9 @@
      */
     [[nodiscard]] double moreUrgentArrivalRate(int rank, TimePoint now) const;
 
+    /*! @brief Returns the arrival rate of work of a rank, in pieces per second. */
+    [[nodiscard]] double arrivalRate(int rank, TimePoint now) const;
+
 private:
     struct Rate
     {
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -257,14 +257,14 @@
     }
 }
 
-std::optional<PoolEstimate> ServingReducer::poolEstimate(const PoolName &pool, int rank)
+std::optional<PoolEstimate> ServingReducer::poolEstimate(const PoolName &pool, int rank, const WorkspaceName &workspace)
 {
     if (!m_endpoints.canServe(pool)) {
         return std::nullopt;
     }
     const auto owner = m_peers.queueOwner(pool, m_now);
-    const auto wait = owner ? m_peers.reportedWait(owner->instance, pool, rank, m_now)
-                            : m_stageScheduler.expectedWait(pool, rank, *m_catalog, m_now);
+    const auto wait = owner ? m_peers.reportedWait(owner->instance, pool, rank, workspace, m_now)
+                            : m_stageScheduler.expectedWait(pool, rank, workspace, *m_catalog, m_now);
     PoolEstimate out;
     if (wait) {
         out.wait = wait->wait;
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -340,10 +340,11 @@
     return sum;
 }
 
-StageForecast ServingReducer::forecast(const Catalog &catalog)
+/*! @brief Returns a forecast for the stages of a request; the request must outlive it. */
+StageForecast ServingReducer::forecast(const Request &request)
 {
-    return StageForecast{catalog, [this](const PoolName &pool, int rank) {
-                             return poolEstimate(pool, rank);
+    return StageForecast{*request.catalog, [this, &request](const PoolName &pool, int rank) {
+                             return poolEstimate(pool, rank, request.workspace.name);
                          }};
 }
 
@@ -355,7 +356,7 @@
     for (const StageProgress &stage : request.stages) {
         pieces.push_back(stage.pieces);
     }
-    const auto stages = forecast(*request.catalog).totalDuration(*request.route, pieces, request.rank);
+    const auto stages = forecast(request).totalDuration(*request.route, pieces, request.rank);
     if (!stages) {
         return std::nullopt;
     }
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -132,7 +132,7 @@
     void admit(Request request);
     [[nodiscard]] std::optional<ErrorKind> checkAdmission(Request &request);
     [[nodiscard]] Duration minimumStageTime(const Request &request, std::uint32_t belowLevel) const;
-    [[nodiscard]] StageForecast forecast(const Catalog &catalog);
+    [[nodiscard]] StageForecast forecast(const Request &request);
     [[nodiscard]] std::optional<TimePoint> forecastResponse(const Request &request);
     [[nodiscard]] Duration expectedRunTime(const Request &request);
     [[nodiscard]] bool wouldBeTooLate(Request &request);
@@ -150,7 +150,8 @@
     void handOverQueues(const std::function<bool(const PoolName &pool)> &isTakenOver);
     void handOverFormerQueues();
     void sendHeartbeats();
-    [[nodiscard]] std::optional<PoolEstimate> poolEstimate(const PoolName &pool, int rank);
+    [[nodiscard]] std::optional<PoolEstimate> poolEstimate(const PoolName &pool, int rank,
+                                                           const WorkspaceName &workspace);
     [[nodiscard]] std::map<std::pair<PoolName, int>, std::uint64_t> ownUpcomingPieces() const;
 
     // Stages.
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -59,7 +59,7 @@
  */
 void ServingReducer::startLevel(Request &request)
 {
-    const StageForecast stageForecast = forecast(*request.catalog);
+    const StageForecast stageForecast = forecast(request);
     std::map<std::uint32_t, Duration> expected;
     Duration longest{};
     for (std::uint32_t stage = 0; stage < request.stages.size(); ++stage) {
@@ -282,7 +282,7 @@
 bool ServingReducer::isResultMemoryScarce(const StoredResult &result)
 {
     const Endpoint *endpoint = m_endpoints.find(result.endpoint);
-    const auto found = endpoint == nullptr ? std::nullopt : poolEstimate(endpoint->record.pool, 0);
+    const auto found = endpoint == nullptr ? std::nullopt : poolEstimate(endpoint->record.pool, 0, {});
     return found && found->usedMemoryShare > scarceMemoryShare;
 }
 
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -124,6 +124,10 @@
     pending.zoneWaitUntil =
         task.preferredZone.empty() ? now : std::min(now + maxZoneWait, task.latestStart - zoneWaitMargin);
     pending.task = std::move(task);
+    if (sharing::FairShares *shares = sharesOf(pending.task.pool); shares != nullptr) {
+        shares->recordRequested(pending.task.workspace, pending.task.pieces, now);
+    }
+    pending.share = shareMark(pending.task);
     m_queues[pending.task.pool].insert(queueKey(pending));
     m_resultMemory.setReportedUsage(pending.task, now);
     m_loads[pending.task.pool].recordArrival(pending.task.rank, pending.task.pieces, now);
@@ -159,6 +163,9 @@
 {
     for (auto &[name, queue] : m_queues) {
         const Pool *pool = catalog.findPool(name);
+        if (queue.empty() && pool != nullptr && hasWorkspacesAboveShare(name)) {
+            markShares(*pool, queue, now, effects);
+        }
         if (queue.empty() || pool == nullptr || !pool->batch) {
             continue;
         }
@@ -201,6 +208,97 @@
     return first;
 }
 
+/*! @brief Returns the shares of a pool, or null if its endpoints report no pace: such pools are served as before. */
+sharing::FairShares *StageScheduler::sharesOf(const PoolName &pool)
+{
+    return m_endpoints.reportsPace(pool) ? &m_shares[pool] : nullptr;
+}
+
+bool StageScheduler::hasWorkspacesAboveShare(const PoolName &pool) const
+{
+    const auto shares = m_shares.find(pool);
+    return shares != m_shares.end() && shares->second.aboveCount() != 0;
+}
+
+ShareMark StageScheduler::shareMark(const StageTask &task) const
+{
+    const auto shares = m_shares.find(task.pool);
+    const bool isAbove = shares != m_shares.end() && shares->second.isAbove(task.workspace);
+    return isAbove ? ShareMark::Above : ShareMark::Within;
+}
+
+/*! @brief Returns whether tasks of a queue are late, or new ones would wait for half of the shortest objective. */
+bool StageScheduler::isScarce(const Pool &pool, const StageQueue &queue, TimePoint now)
+{
+    if (!queue.empty() && std::get<bool>(*queue.rbegin())) {
+        return true;
+    }
+    Duration shortest = Duration::max();
+    std::size_t pieces = 0;
+    for (const QueueKey &key : queue) {
+        const PendingTask &pending = m_tasks.at(std::get<StageTaskId>(key));
+        pieces += pending.waitingPieces.size();
+        if (pending.task.objective > Duration::zero()) {
+            shortest = std::min(shortest, pending.task.objective);
+        }
+    }
+    return shortest != Duration::max()
+        && drainRate(pool, m_endpoints.usable(pool.name, now), now).waitBehind(pieces) > shortest / 2;
+}
+
+/*
+ * Puts the tasks of workspaces that received more than their share of a scarce pool behind those of the others. In the
+ * order of latest starts alone, a workspace receives what it requests at the expense of all others.
+ */
+void StageScheduler::markShares(const Pool &pool, StageQueue &queue, TimePoint now, Effects &effects)
+{
+    sharing::FairShares *shares = sharesOf(pool.name);
+    if (shares == nullptr) {
+        if (m_shares.erase(pool.name) != 0) {
+            applyShareMarks(queue);
+            effects.emplace_back(Observe{Metric::WorkspacesAboveShare, {pool.name.text()}, 0.0});
+        }
+        return;
+    }
+    sharing::FairShares::PieceCounts waiting;
+    for (const QueueKey &key : queue) {
+        const PendingTask &pending = m_tasks.at(std::get<StageTaskId>(key));
+        waiting[pending.task.workspace] += static_cast<double>(pending.waitingPieces.size());
+    }
+    const std::vector<sharing::ShareChange> changes = shares->update(waiting, isScarce(pool, queue, now), now);
+    if (changes.empty()) {
+        return;
+    }
+    applyShareMarks(queue);
+    for (const sharing::ShareChange &change : changes) {
+        effects.emplace_back(LogLine{Severity::Info,
+                                     Part::Entry,
+                                     change.isAbove ? "Workspace is above its share of a stage pool."
+                                                    : "Workspace is within its share of a stage pool again.",
+                                     {{"workspace", change.workspace.text()}, {"pool", pool.name.text()}}});
+    }
+    effects.emplace_back(
+        Observe{Metric::WorkspacesAboveShare, {pool.name.text()}, static_cast<double>(shares->aboveCount())});
+}
+
+/*! @brief Moves the queued tasks whose mark has changed; the key by which they are found contains the mark. */
+void StageScheduler::applyShareMarks(StageQueue &queue)
+{
+    std::vector<StageTaskId> changed;
+    for (const QueueKey &key : queue) {
+        const PendingTask &pending = m_tasks.at(std::get<StageTaskId>(key));
+        if (pending.share != shareMark(pending.task)) {
+            changed.push_back(pending.task.id);
+        }
+    }
+    for (const StageTaskId task : changed) {
+        PendingTask &pending = m_tasks.at(task);
+        queue.erase(queueKey(pending));
+        pending.share = shareMark(pending.task);
+        queue.insert(queueKey(pending));
+    }
+}
+
 /*
  * Moves tasks that cannot start in time behind all that can. Otherwise a backlog of late tasks would delay the tasks
  * behind it until they are late as well.
@@ -276,6 +374,7 @@
 
 void StageScheduler::dispatchPool(const Pool &pool, StageQueue &queue, TimePoint now, Effects &effects)
 {
+    markShares(pool, queue, now, effects);
     markLate(pool, queue, now);
     while (!queue.empty()) {
         auto planned = m_planner.nextCall(pool, queue, now);
@@ -294,9 +393,13 @@
     start.call = StageCallNumber{m_nextCall++};
     start.instance = endpoint.record.instance;
     start.address = endpoint.record.address;
+    sharing::FairShares *shares = sharesOf(pool.name);
     for (const CallItem &item : items) {
         PendingTask &pending = m_tasks.at(item.task);
         const StageTask &task = pending.task;
+        if (shares != nullptr) {
+            shares->recordSent(task.workspace, 1, now);
+        }
         const Duration timeLeft = task.deadline - now;
         start.items.push_back(
             {task.attempt, task.stage, item.piece, timeLeft, task.inputKey, resultHandles(task.inputs)});
@@ -574,6 +677,10 @@
         return;
     }
     pending.inputsFetchedAt.reset();
+    if (pending.waitingPieces.empty()) {
+        // It is not in the queue, so that its mark may change.
+        pending.share = shareMark(pending.task);
+    }
     pending.waitingPieces.push_back(item.piece);
     m_queues[pending.task.pool].insert(queueKey(pending));
     m_scans[pending.task.pool].isRequested = true;
@@ -671,17 +778,42 @@
         for (const QueueKey &key : queue) {
             ranks.insert(std::get<int>(key));
         }
-        const std::vector<PoolWait> poolWaits = expectedWaits(pool, {ranks.begin(), ranks.end()}, catalog, now);
+        std::vector<PoolWait> poolWaits = expectedWaits(pool, {ranks.begin(), ranks.end()}, catalog, now);
+        publishShares(pool, poolWaits);
         out.insert(out.end(), poolWaits.begin(), poolWaits.end());
     }
     return out;
 }
 
-std::optional<PoolWait> StageScheduler::expectedWait(const PoolName &pool, int rank, const Catalog &catalog,
-                                                     TimePoint now)
+/*! @brief Keeps the workspaces above their share in one entry: that of the most urgent rank at which they wait. */
+void StageScheduler::publishShares(const PoolName &pool, std::vector<PoolWait> &waits) const
+{
+    const auto shares = m_shares.find(pool);
+    if (waits.empty() || shares == m_shares.end()) {
+        return;
+    }
+    const std::map<int, WaitingPieces> pieces = waitingByRank(pool);
+    const auto isWaiting = [&pieces](const PoolWait &wait) {
+        const auto found = pieces.find(wait.rank);
+        return found != pieces.end() && found->second.aboveShare != 0;
+    };
+    const auto first = std::ranges::find_if(waits, isWaiting);
+    PoolWait &chosen = first == waits.end() ? waits.front() : *first;
+    chosen.aboveShare = shares->second.published();
+}
+
+std::optional<PoolWait> StageScheduler::expectedWait(const PoolName &pool, int rank, const WorkspaceName &workspace,
+                                                     const Catalog &catalog, TimePoint now)
 {
-    const std::vector<PoolWait> estimates = expectedWaits(pool, {rank}, catalog, now);
-    return estimates.empty() ? std::nullopt : std::optional{estimates.front()};
+    std::vector<PoolWait> estimates = expectedWaits(pool, {rank}, catalog, now);
+    if (estimates.empty()) {
+        return std::nullopt;
+    }
+    const auto shares = m_shares.find(pool);
+    if (shares != m_shares.end() && shares->second.isAbove(workspace)) {
+        estimates.front().wait = std::max(estimates.front().wait, estimates.front().aboveShareWait);
+    }
+    return estimates.front();
 }
 
 std::vector<PoolWait> StageScheduler::expectedWaits(const PoolName &pool, const std::vector<int> &ranks,
@@ -694,27 +826,39 @@
     }
     const DrainRate rate = drainRate(*spec, usable, now);
     const double memoryInUse = memoryUsage(*spec->batch, usable);
-    const std::map<int, std::size_t> pieces = waitingByRank(pool);
+    const std::map<int, WaitingPieces> pieces = waitingByRank(pool);
     const PoolLoad &load = m_loads[pool];
+    const auto shares = m_shares.find(pool);
+    const bool hasAboveShare = hasWorkspacesAboveShare(pool);
+    const double secondsPerPiece = std::chrono::duration<double>(rate.timePerPiece()).count();
+    // More urgent work that arrives during the wait is served first as well.
+    const auto waitBehind = [&rate, secondsPerPiece](std::size_t ahead, double urgentPerSecond) {
+        const double urgent = std::min(urgentPerSecond * secondsPerPiece, maxUrgentShare);
+        return scaled(rate.waitBehind(ahead), 1.0 / (1.0 - urgent));
+    };
     std::vector<PoolWait> out;
     for (const int rank : ranks) {
         std::size_t ahead = 0;
+        std::size_t ofRankAbove = 0;
         for (const auto &[other, waiting] : pieces) {
-            ahead += other <= rank ? waiting : 0;
+            ahead += other <= rank ? waiting.withinShare : 0;
+            ahead += other < rank ? waiting.aboveShare : 0;
+            ofRankAbove += other == rank ? waiting.aboveShare : 0;
+        }
+        const double urgent = load.moreUrgentArrivalRate(rank, now);
+        out.push_back({pool, rank, waitBehind(ahead, urgent), rate.timePerPiece(), load.itemsPerCall(), memoryInUse});
+        if (hasAboveShare) {
+            const double within = load.arrivalRate(rank, now) * shares->second.requestedFractionWithin();
+            out.back().aboveShareWait = waitBehind(ahead + ofRankAbove, urgent + within);
         }
-        // More urgent work that arrives during the wait is served first as well.
-        const double urgent =
-            load.moreUrgentArrivalRate(rank, now) * std::chrono::duration<double>(rate.timePerPiece()).count();
-        const Duration wait = scaled(rate.waitBehind(ahead), 1.0 / (1.0 - std::min(urgent, maxUrgentShare)));
-        out.push_back({pool, rank, wait, rate.timePerPiece(), load.itemsPerCall(), memoryInUse});
     }
     return out;
 }
 
-/*! @brief Returns the number of waiting pieces of tasks that are not late, by rank. */
-std::map<int, std::size_t> StageScheduler::waitingByRank(const PoolName &pool) const
+/*! @brief Returns the waiting pieces of tasks that are not late, by rank. */
+std::map<int, StageScheduler::WaitingPieces> StageScheduler::waitingByRank(const PoolName &pool) const
 {
-    std::map<int, std::size_t> out;
+    std::map<int, WaitingPieces> out;
     const auto queue = m_queues.find(pool);
     if (queue == m_queues.end()) {
         return out;
@@ -723,7 +867,9 @@
         if (std::get<bool>(key)) {
             break;
         }
-        out[std::get<int>(key)] += m_tasks.at(std::get<StageTaskId>(key)).waitingPieces.size();
+        const std::size_t pieces = m_tasks.at(std::get<StageTaskId>(key)).waitingPieces.size();
+        WaitingPieces &waiting = out[std::get<int>(key)];
+        (std::get<ShareMark>(key) == ShareMark::Above ? waiting.aboveShare : waiting.withinShare) += pieces;
     }
     return out;
 }
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -15,6 +15,7 @@
 #include "bergamottide/serving/resultmemory.h"
 #include "bergamottide/serving/retrybudget.h"
 #include "bergamottide/serving/stagetask.h"
+#include "bergamottide/sharing/fairshares.h"
 
 #include <cstdint>
 #include <functional>
@@ -121,12 +122,13 @@
      * @brief Estimates how long a new task waits for its first call behind the work queued before it.
      * @param pool Pool.
      * @param rank Priority rank of the task.
+     * @param workspace Workspace of the task.
      * @param catalog Current pools.
      * @param now Current time.
      * @return Estimate; nothing if no endpoint of the pool accepts work.
      */
-    [[nodiscard]] std::optional<PoolWait> expectedWait(const PoolName &pool, int rank, const Catalog &catalog,
-                                                       TimePoint now);
+    [[nodiscard]] std::optional<PoolWait> expectedWait(const PoolName &pool, int rank, const WorkspaceName &workspace,
+                                                       const Catalog &catalog, TimePoint now);
 
     /*! @brief Returns the pools with a non-empty queue. */
     [[nodiscard]] std::vector<PoolName> queuedPools() const;
@@ -160,14 +162,28 @@
         std::optional<TimePoint> zoneWaitEnds;
     };
 
+    /*! @brief Waiting pieces of the tasks of a rank that are not late. */
+    struct WaitingPieces
+    {
+        std::size_t withinShare{};
+        std::size_t aboveShare{};
+    };
+
+    [[nodiscard]] sharing::FairShares *sharesOf(const PoolName &pool);
+    [[nodiscard]] bool isScarce(const Pool &pool, const StageQueue &queue, TimePoint now);
+    void markShares(const Pool &pool, StageQueue &queue, TimePoint now, Effects &effects);
+    void applyShareMarks(StageQueue &queue);
+    [[nodiscard]] bool hasWorkspacesAboveShare(const PoolName &pool) const;
+    [[nodiscard]] ShareMark shareMark(const StageTask &task) const;
     void markLate(const Pool &pool, StageQueue &queue, TimePoint now);
     void dropHopelessTasks(const Pool &pool, const StageQueue &queue, const DrainRate &rate, std::size_t ahead,
                            TimePoint now);
     [[nodiscard]] Duration remainingCallTime(const PoolName &pool, TimePoint now) const;
     [[nodiscard]] DrainRate drainRate(const Pool &pool, const std::vector<Endpoint *> &usable, TimePoint now);
-    [[nodiscard]] std::map<int, std::size_t> waitingByRank(const PoolName &pool) const;
+    [[nodiscard]] std::map<int, WaitingPieces> waitingByRank(const PoolName &pool) const;
     [[nodiscard]] std::vector<PoolWait> expectedWaits(const PoolName &pool, const std::vector<int> &ranks,
                                                       const Catalog &catalog, TimePoint now);
+    void publishShares(const PoolName &pool, std::vector<PoolWait> &waits) const;
     [[nodiscard]] static bool isScanDue(const QueueScan &scan, TimePoint now);
     [[nodiscard]] std::optional<TimePoint> firstZoneWaitEnd(const StageQueue &queue, TimePoint now) const;
     void dispatchPool(const Pool &pool, StageQueue &queue, TimePoint now, Effects &effects);
@@ -205,6 +221,8 @@
     std::vector<StageOutcome> m_outcomes;
     std::vector<StoredResult> m_releasedInputs;
     std::map<PoolName, PoolLoad> m_loads;
+    /*! @brief Shares of the workspaces in the pools that report a pace. */
+    std::map<PoolName, sharing::FairShares> m_shares;
     std::uint64_t m_nextCall{1};
     std::size_t m_scanCount{};
 };
--- a/src/bergamottide/sharing/fairshares.cpp
+++ b/src/bergamottide/sharing/fairshares.cpp
@@ -21,8 +21,6 @@
 constexpr double tolerance = 0.1;
 /*! @brief Counts below this number of pieces are removed. */
 constexpr double minPieces = 0.01;
-/*! @brief Maximum number of published workspaces. */
-constexpr std::size_t maxPublished = 8;
 /*! @brief Maximum length of the published names with quotes and commas, in bytes; with the names of the fields it stays
  * below the 100 bytes of a heartbeat that sharing may add for each pool. */
 constexpr std::size_t maxPublishedBytes = 60;
@@ -53,16 +51,27 @@
 
 void FairShares::recordRequested(const WorkspaceName &workspace, std::uint32_t pieces, TimePoint now)
 {
-    decay(now);
-    m_counts[workspace].requested += pieces;
-    m_countsSince = m_countsSince.value_or(now);
+    countsAt(workspace, now).requested += pieces;
 }
 
 void FairShares::recordSent(const WorkspaceName &workspace, std::uint32_t pieces, TimePoint now)
 {
+    countsAt(workspace, now).sent += pieces;
+}
+
+/*! @brief Returns the counts of a workspace. Those from before a second of silence are removed: the pool was idle, or
+ * another process owned its queue. */
+FairShares::Counts &FairShares::countsAt(const WorkspaceName &workspace, TimePoint now)
+{
+    if (!m_counts.empty() && now - m_countedAt >= observationTime) {
+        m_counts.clear();
+    }
+    if (m_counts.empty()) {
+        m_countsSince = now;
+    }
+    m_countedAt = now;
     decay(now);
-    m_counts[workspace].sent += pieces;
-    m_countsSince = m_countsSince.value_or(now);
+    return m_counts[workspace];
 }
 
 void FairShares::decay(TimePoint now)
@@ -78,16 +87,13 @@
     }
     std::erase_if(m_counts,
                   [](const auto &item) { return item.second.requested < minPieces && item.second.sent < minPieces; });
-    if (m_counts.empty()) {
-        m_countsSince.reset();
-    }
 }
 
 std::vector<ShareChange> FairShares::update(const PieceCounts &waiting, bool isScarce, TimePoint now)
 {
     decay(now);
     std::vector<ShareChange> changes;
-    if (isScarce && m_countsSince && now - *m_countsSince >= observationTime) {
+    if (isScarce && now - m_countsSince >= observationTime) {
         for (const WorkspaceName &workspace : findAbove(waiting)) {
             const auto [mark, isNew] = m_above.insert_or_assign(workspace, now);
             if (isNew) {
--- a/src/bergamottide/sharing/fairshares.h
+++ b/src/bergamottide/sharing/fairshares.h
@@ -7,7 +7,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <vector>
 
 namespace bergamottide::sharing {
@@ -22,6 +21,9 @@
 class FairShares
 {
 public:
+    /*! @brief Maximum number of workspaces that are published for a pool. */
+    static constexpr std::size_t maxPublished = 8;
+
     /*! @brief Number of pieces by workspace. */
     using PieceCounts = std::map<WorkspaceName, double>;
 
@@ -71,13 +73,15 @@
         double sent{};
     };
 
+    [[nodiscard]] Counts &countsAt(const WorkspaceName &workspace, TimePoint now);
     void decay(TimePoint now);
     [[nodiscard]] std::vector<WorkspaceName> findAbove(const PieceCounts &waiting) const;
 
     std::map<WorkspaceName, Counts> m_counts;
     TimePoint m_decayedAt{};
-    /*! @brief When the first of the counted pieces was requested. */
-    std::optional<TimePoint> m_countsSince;
+    /*! @brief When the first and the last piece were counted. */
+    TimePoint m_countsSince{};
+    TimePoint m_countedAt{};
     /*! @brief Workspaces above their share, and when this was last found. */
     std::map<WorkspaceName, TimePoint> m_above;
 };
--- a/src/bergamottide/telemetry/metric.h
+++ b/src/bergamottide/telemetry/metric.h
@@ -49,13 +49,14 @@
     EndpointCrashesTotal,
     QuarantinedRequests,
     DrainNoticesTotal,
-    PauseNoticesTotal
+    PauseNoticesTotal,
+    WorkspacesAboveShare
 };
 
 template <>
 struct EnumNames<Metric>
 {
-    static constexpr std::array<std::string_view, 31> names{"bergamottide_requests_total",
+    static constexpr std::array<std::string_view, 32> names{"bergamottide_requests_total",
                                                             "bergamottide_requests_on_time_total",
                                                             "bergamottide_request_seconds",
                                                             "bergamottide_refusals_total",
@@ -85,7 +86,8 @@
                                                             "bergamottide_endpoint_crashes_total",
                                                             "bergamottide_quarantined_requests",
                                                             "bergamottide_drain_notices_total",
-                                                            "bergamottide_pause_notices_total"};
+                                                            "bergamottide_pause_notices_total",
+                                                            "bergamottide_workspaces_above_share"};
 };
 
 /*! @brief Effect: a metric changes. */
--- a/src/bergamottide/telemetry/metricinfo.cpp
+++ b/src/bergamottide/telemetry/metricinfo.cpp
@@ -93,6 +93,11 @@
          "Responses in which an endpoint asked for a time without requests.",
          {"pool"},
          {}},
+        {Metric::WorkspacesAboveShare,
+         gauge,
+         "Workspaces that received more than their share of a scarce stage pool, at the owner of its queue.",
+         {"pool"},
+         {}},
     };
     return table;
 }
--- a/test/bergamottide/app/peerwire.cpp
+++ b/test/bergamottide/app/peerwire.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(heartbeatRoundTripsEndpointNotices);
     CPPUNIT_TEST(heartbeatOfAnEarlierReleaseHasNoCrashReports);
     CPPUNIT_TEST(heartbeatWithWrongFieldTypeIsRejected);
+    CPPUNIT_TEST(heartbeatRoundTripsWorkspacesAboveTheirShare);
+    CPPUNIT_TEST(heartbeatOfAnEarlierReleaseHasNoShares);
     CPPUNIT_TEST(taskRoundTripsItsWorkspace);
     CPPUNIT_TEST(taskOfAnEarlierReleaseHasNoWorkspace);
     CPPUNIT_TEST_SUITE_END();
@@ -112,6 +114,35 @@
         CPPUNIT_ASSERT(!peerwire::decodeHeartbeat(text).ok());
     }
 
+    void heartbeatRoundTripsWorkspacesAboveTheirShare()
+    {
+        Heartbeat heartbeat;
+        heartbeat.waits.push_back({PoolName{"encoders"},
+                                   3,
+                                   milliseconds{200},
+                                   milliseconds{2},
+                                   8.0,
+                                   0.5,
+                                   {WorkspaceName{"north"}, WorkspaceName{}},
+                                   milliseconds{900}});
+        const auto read = peerwire::decodeHeartbeat(peerwire::encode(heartbeat));
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT(read->waits.at(0).aboveShare == heartbeat.waits.at(0).aboveShare);
+        CPPUNIT_ASSERT(read->waits.at(0).aboveShareWait == milliseconds{900});
+    }
+
+    void heartbeatOfAnEarlierReleaseHasNoShares()
+    {
+        Heartbeat heartbeat;
+        heartbeat.waits.push_back({PoolName{"encoders"}, 3, milliseconds{200}, milliseconds{2}, 8.0, 0.5});
+        const std::string text = peerwire::encode(heartbeat);
+        CPPUNIT_ASSERT(text.find("above") == std::string::npos);
+        const auto read = peerwire::decodeHeartbeat(text);
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT(read->waits.at(0).aboveShare.empty());
+        CPPUNIT_ASSERT(read->waits.at(0).aboveShareWait == Duration::zero());
+    }
+
     void taskRoundTripsItsWorkspace()
     {
         StageTask task;
--- a/test/bergamottide/sharing/fairshares.cpp
+++ b/test/bergamottide/sharing/fairshares.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(largeWorkspaceIsAboveWhileOthersWait);
     CPPUNIT_TEST(nobodyIsAboveInAPoolThatIsNotScarce);
     CPPUNIT_TEST(nobodyIsAboveInTheFirstSecond);
+    CPPUNIT_TEST(nobodyIsAboveInTheFirstSecondAfterASilence);
     CPPUNIT_TEST(soleWorkspaceIsNeverAbove);
     CPPUNIT_TEST(workspaceReturnsAfterItsBurst);
     CPPUNIT_TEST(equalWorkspacesAreNotAbove);
@@ -104,6 +105,15 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_shares.aboveCount());
     }
 
+    /*! @brief Guards against counts from before another process owned the queue. */
+    void nobodyIsAboveInTheFirstSecondAfterASilence()
+    {
+        load(seconds{2}, 20, 2, true);
+        m_now += seconds{1};
+        load(milliseconds{900}, 20, 2, true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_shares.aboveCount());
+    }
+
     void soleWorkspaceIsNeverAbove()
     {
         load(seconds{3}, 20, 0, true);
@@ -179,7 +189,7 @@
                 }
                 m_shares.recordRequested(workspace, pieces, m_now);
                 m_shares.recordSent(workspace, pieces / 2, m_now);
-                waiting[workspace] = pieces / 2;
+                waiting[workspace] = pieces / 2.0;
             }
             for (ShareChange &change : m_shares.update(waiting, isScarce, m_now)) {
                 m_changes.push_back(std::move(change));
