--- a/src/bergamottide/serving/servingforecasts.cpp
+++ b/src/bergamottide/serving/servingforecasts.cpp
@@ -45,7 +45,7 @@
         if (request.stages[stage].pieces == 0) {
             continue;
         }
-        const auto estimate = poolEstimate(request.route->stages[stage].pool, request.rank);
+        const auto estimate = poolEstimate(request.route->stages[stage].pool, request.rank, request.workspace.name);
         if (estimate && estimate->wait * contentionDivisor > request.route->objective) {
             return true;
         }
--- a/src/bergamottide/telemetry/metric.h
+++ b/src/bergamottide/telemetry/metric.h
@@ -52,13 +52,14 @@
     PauseNoticesTotal,
     ForecastMarginSeconds,
     MalformedHeadersTotal,
-    EndpointPace
+    EndpointPace,
+    WorkspacesAboveShare
 };
 
 template <>
 struct EnumNames<Metric>
 {
-    static constexpr std::array<std::string_view, 34> names{"bergamottide_requests_total",
+    static constexpr std::array<std::string_view, 35> names{"bergamottide_requests_total",
                                                             "bergamottide_requests_on_time_total",
                                                             "bergamottide_request_seconds",
                                                             "bergamottide_refusals_total",
@@ -91,7 +92,8 @@
                                                             "bergamottide_pause_notices_total",
                                                             "bergamottide_forecast_margin_seconds",
                                                             "bergamottide_malformed_headers_total",
-                                                            "bergamottide_endpoint_pace"};
+                                                            "bergamottide_endpoint_pace",
+                                                            "bergamottide_workspaces_above_share"};
 };
 
 /*! @brief Effect: a metric changes. */
--- a/src/bergamottide/telemetry/metricinfo.cpp
+++ b/src/bergamottide/telemetry/metricinfo.cpp
@@ -108,6 +108,11 @@
          "Pace that endpoints report: how long work takes, relative to the usual time.",
          {"pool"},
          {0.5, 0.75, 1, 1.25, 1.5, 2, 3, 5, 10}},
+        {Metric::WorkspacesAboveShare,
+         gauge,
+         "Workspaces that received more than their share of a scarce stage pool, at the owner of its queue.",
+         {"pool"},
+         {}},
     };
     return table;
 }
--- a/test/bergamottide/app/peerwire.cpp
+++ b/test/bergamottide/app/peerwire.cpp
@@ -16,6 +16,10 @@
     CPPUNIT_TEST(heartbeatRoundTripsEndpointNotices);
     CPPUNIT_TEST(heartbeatOfAnEarlierReleaseHasNoCrashReports);
     CPPUNIT_TEST(heartbeatWithWrongFieldTypeIsRejected);
+    CPPUNIT_TEST(heartbeatRoundTripsWorkspacesAboveTheirShare);
+    CPPUNIT_TEST(heartbeatOfAnEarlierReleaseHasNoShares);
+    CPPUNIT_TEST(taskRoundTripsItsWorkspace);
+    CPPUNIT_TEST(taskOfAnEarlierReleaseHasNoWorkspace);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -109,6 +113,59 @@
         text.replace(text.find(field), field.size(), R"("engines":[{"origin":7}])");
         CPPUNIT_ASSERT(!peerwire::decodeHeartbeat(text).ok());
     }
+
+    void heartbeatRoundTripsWorkspacesAboveTheirShare()
+    {
+        Heartbeat heartbeat;
+        heartbeat.waits.push_back({PoolName{"encoders"},
+                                   3,
+                                   milliseconds{200},
+                                   milliseconds{2},
+                                   8.0,
+                                   0.5,
+                                   {WorkspaceName{"north"}, WorkspaceName{}},
+                                   milliseconds{900}});
+        const auto read = peerwire::decodeHeartbeat(peerwire::encode(heartbeat));
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT(read->waits.at(0).aboveShare == heartbeat.waits.at(0).aboveShare);
+        CPPUNIT_ASSERT(read->waits.at(0).aboveShareWait == milliseconds{900});
+    }
+
+    void heartbeatOfAnEarlierReleaseHasNoShares()
+    {
+        Heartbeat heartbeat;
+        heartbeat.waits.push_back({PoolName{"encoders"}, 3, milliseconds{200}, milliseconds{2}, 8.0, 0.5});
+        const std::string text = peerwire::encode(heartbeat);
+        CPPUNIT_ASSERT(text.find("above") == std::string::npos);
+        const auto read = peerwire::decodeHeartbeat(text);
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT(read->waits.at(0).aboveShare.empty());
+        CPPUNIT_ASSERT(read->waits.at(0).aboveShareWait == Duration::zero());
+    }
+
+    void taskRoundTripsItsWorkspace()
+    {
+        StageTask task;
+        task.workspace = WorkspaceName{"north"};
+        task.objective = milliseconds{1500};
+        const auto read = peerwire::decodeTask(peerwire::encode(task, TimePoint{}), TimePoint{});
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT_EQUAL(std::string{"north"}, read->workspace.text());
+        CPPUNIT_ASSERT(read->objective == milliseconds{1500});
+    }
+
+    void taskOfAnEarlierReleaseHasNoWorkspace()
+    {
+        std::string text = peerwire::encode(StageTask{}, TimePoint{});
+        for (const std::string field : {R"("objective":0,)", R"(,"workspace":"")"}) {
+            CPPUNIT_ASSERT(text.find(field) != std::string::npos);
+            text.erase(text.find(field), field.size());
+        }
+        const auto read = peerwire::decodeTask(text, TimePoint{});
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT(read->workspace.empty());
+        CPPUNIT_ASSERT(read->objective == Duration::zero());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerWireTest);
