Let the settings decide on the margin of forecasts, and let it be negative

Change: the margin is bounded by a third of the objective in both directions, and counts only where the new setting `forecastMargin` is true; its default is false.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -99,6 +99,7 @@
     options.incarnation = static_cast<std::uint64_t>(incarnation);
     options.retries = retryOptions(settings);
     options.releasedRequests = settings.releasedRequests;
+    options.usesForecastMargin = settings.forecastMargin;
     return options;
 }
 
--- a/src/bergamottide/forecasting/forecasterror.cpp
+++ b/src/bergamottide/forecasting/forecasterror.cpp
@@ -15,8 +15,8 @@
 constexpr Duration maxSampleAge = 3 * decayTime;
 /*! @brief Samples needed for a decision; fewer may all come from the same few stage calls. */
 constexpr std::uint64_t minSamples = 20;
-/*! @brief The margin is at most the objective divided by this, so that requests are admitted while the pools have a
- * short queue, whatever the errors were. */
+/*! @brief The margin is at most the objective divided by this, in both directions, so that requests are admitted while
+ * the pools have a short queue and rejected with a long one, whatever the errors were. */
 constexpr int marginDivisor = 3;
 
 } // namespace
@@ -52,7 +52,7 @@
         return Duration::zero();
     }
     const double bound = std::max(static_cast<double>(objective.count()) / marginDivisor, 0.0);
-    return Duration{static_cast<Duration::rep>(std::clamp(m_mean + m_meanDeviation, 0.0, bound))};
+    return Duration{static_cast<Duration::rep>(std::clamp(m_mean + m_meanDeviation, -bound, bound))};
 }
 
 bool ForecastError::isForgotten(TimePoint now) const
--- a/src/bergamottide/forecasting/forecasterror.h
+++ b/src/bergamottide/forecasting/forecasterror.h
@@ -29,8 +29,8 @@
      * @brief Returns the time to add to a forecast so that most responses are not later than the sum.
      * @param objective Objective of the route, which bounds the margin.
      * @param now Current time.
-     * @return Mean plus mean absolute deviation, between zero and a third of the objective; zero without recent
-     * samples.
+     * @return Mean plus mean absolute deviation, at most a third of the objective in either direction; negative if most
+     * responses are earlier than forecast, as those of the less urgent requests are; zero without recent samples.
      */
     [[nodiscard]] Duration margin(Duration objective, TimePoint now) const;
 
--- a/src/bergamottide/serving/servingforecasts.cpp
+++ b/src/bergamottide/serving/servingforecasts.cpp
@@ -31,8 +31,8 @@
 std::optional<Duration> ServingReducer::forecastMargin(const Request &request)
 {
     const auto found = m_forecastErrors.find(request.route->name);
-    if (found == m_forecastErrors.end() || !found->second.isReliable(m_now) || !m_endpoints.reportsPace(request.pool)
-        || !isContended(request)) {
+    if (!m_usesForecastMargin || found == m_forecastErrors.end() || !found->second.isReliable(m_now)
+        || !m_endpoints.reportsPace(request.pool) || !isContended(request)) {
         return std::nullopt;
     }
     return found->second.margin(request.route->objective, m_now);
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -61,6 +61,7 @@
                            return isResultMemoryScarce(result);
                        }}
     , m_heldReleases{m_endpoints}
+    , m_usesForecastMargin{options.usesForecastMargin}
     , m_incarnation{options.incarnation}
     , m_gossipClock{options.incarnation}
     , m_notices{m_gossipClock, m_endpoints}
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -49,6 +49,8 @@
     std::map<ZoneName, RegionName> regions;
     /*! @brief Requests that are never quarantined. */
     std::vector<RequestFingerprint> releasedRequests;
+    /*! @brief Admission allows for the measured error of forecasts. */
+    bool usesForecastMargin{true};
 };
 
 /*! @brief A request in quarantine, for operators. */
@@ -244,6 +246,7 @@
     HeldReleases m_heldReleases;
     engines::EngineTable m_engineTable;
     FirstEventTimes m_firstEventTimes;
+    bool m_usesForecastMargin;
     /*! @brief Errors of forecasts, by the name of the route; only routes of the catalog in effect. */
     std::map<std::string, forecasting::ForecastError> m_forecastErrors;
     std::uint64_t m_incarnation;
--- a/src/bergamottide/serving/servingsettings.cpp
+++ b/src/bergamottide/serving/servingsettings.cpp
@@ -55,6 +55,8 @@
                     "Share of a core that the instance has, in cores."),
         scalarField("linkMbps", &S::linkMbps, numberType(0.0, maxLinkMbps), optional,
                     "Bandwidth of the instance's link, in Mbit/s."),
+        scalarField("forecastMargin", &S::forecastMargin, flagType(), optional,
+                    "Whether admission allows for the measured error of forecasts."),
         listField("releasedRequests", &S::releasedRequests, nameType<RequestFingerprint>(), maxReleasedRequests,
                   "Fingerprints of requests that are never quarantined."),
         scalarField("logLevel", &S::logLevel, choiceType<Severity>(), optional, "Lowest severity that is logged."),
--- a/src/bergamottide/serving/servingsettings.h
+++ b/src/bergamottide/serving/servingsettings.h
@@ -48,6 +48,8 @@
     /*! @brief Network bandwidth of the instance, in Mbit/s. */
     double linkMbps{1000.0};
     Severity logLevel{Severity::Info};
+    /*! @brief Admission allows for the measured error of forecasts. */
+    bool forecastMargin{};
     /*! @brief Requests that are never quarantined. */
     std::vector<RequestFingerprint> releasedRequests;
 
