Let the settings share all stage pools among workspaces

Cause: sharing and filled calls were in effect only in stage pools whose endpoints report a pace, and those of neither deployment do. Change: the setting `shareStagePools`, false by default. Figures: a test of filled calls without a pace. Conclusion: operators who want shares set it; deployments are served as before.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -100,6 +100,7 @@
     options.retries = retryOptions(settings);
     options.releasedRequests = settings.releasedRequests;
     options.usesForecastMargin = settings.forecastMargin;
+    options.sharesAllStagePools = settings.shareStagePools;
     return options;
 }
 
--- a/src/bergamottide/serving/callplanner.cpp
+++ b/src/bergamottide/serving/callplanner.cpp
@@ -32,6 +32,11 @@
 {
 }
 
+void CallPlanner::setFillsAllPools(bool fillsAllPools) noexcept
+{
+    m_fillsAllPools = fillsAllPools;
+}
+
 std::optional<PlannedCall> CallPlanner::nextCall(const Pool &pool, const StageQueue &queue, TimePoint now) const
 {
     std::set<ZoneName> poolZones;
@@ -39,8 +44,8 @@
         poolZones.insert(endpoint->record.zone);
     }
     const std::size_t waiting = countWaitingPieces(queue, m_tasks);
-    const bool isSaturated =
-        waiting > callsOfSaturatedQueue * pool.batch->maxItems && m_endpoints.reportsPace(pool.name);
+    const bool isSaturated = waiting > callsOfSaturatedQueue * pool.batch->maxItems
+        && (m_fillsAllPools || m_endpoints.reportsPace(pool.name));
     Endpoint *bestEndpoint = nullptr;
     CallCandidate best;
     for (Endpoint *endpoint : availableEndpoints(pool, now)) {
--- a/src/bergamottide/serving/callplanner.h
+++ b/src/bergamottide/serving/callplanner.h
@@ -65,6 +65,9 @@
      */
     [[nodiscard]] std::optional<PlannedCall> nextCall(const Pool &pool, const StageQueue &queue, TimePoint now) const;
 
+    /*! @brief Sets whether calls are filled also in saturated pools whose endpoints report no pace. */
+    void setFillsAllPools(bool fillsAllPools) noexcept;
+
 private:
     [[nodiscard]] std::vector<Endpoint *> availableEndpoints(const Pool &pool, TimePoint now) const;
     [[nodiscard]] CallCandidate fillCall(const Pool &pool, const Endpoint &endpoint, const StageQueue &queue,
@@ -77,6 +80,7 @@
     const PendingTasks &m_tasks;
     const RateLimiter &m_rateLimiter;
     const FetchPaths &m_paths;
+    bool m_fillsAllPools{};
 };
 
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -68,6 +68,7 @@
     , m_quarantine{m_gossipClock}
     , m_crashDetector{m_endpoints}
 {
+    m_stageScheduler.setSharesAllPools(options.sharesAllStagePools);
     m_quarantine.setReleased(options.releasedRequests, {});
 }
 
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -51,6 +51,8 @@
     std::vector<RequestFingerprint> releasedRequests;
     /*! @brief Admission allows for the measured error of forecasts. */
     bool usesForecastMargin{true};
+    /*! @brief Scarce stage pools are shared among workspaces also if their endpoints report no pace. */
+    bool sharesAllStagePools{};
 };
 
 /*! @brief A request in quarantine, for operators. */
--- a/src/bergamottide/serving/servingsettings.cpp
+++ b/src/bergamottide/serving/servingsettings.cpp
@@ -57,6 +57,8 @@
                     "Bandwidth of the instance's link, in Mbit/s."),
         scalarField("forecastMargin", &S::forecastMargin, flagType(), optional,
                     "Whether admission allows for the measured error of forecasts."),
+        scalarField("shareStagePools", &S::shareStagePools, flagType(), optional,
+                    "Whether all scarce stage pools are shared among workspaces."),
         listField("releasedRequests", &S::releasedRequests, nameType<RequestFingerprint>(), maxReleasedRequests,
                   "Fingerprints of requests that are never quarantined."),
         scalarField("logLevel", &S::logLevel, choiceType<Severity>(), optional, "Lowest severity that is logged."),
--- a/src/bergamottide/serving/servingsettings.h
+++ b/src/bergamottide/serving/servingsettings.h
@@ -50,6 +50,8 @@
     Severity logLevel{Severity::Info};
     /*! @brief Admission allows for the measured error of forecasts. */
     bool forecastMargin{};
+    /*! @brief Scarce stage pools are shared among workspaces also if their endpoints report no pace. */
+    bool shareStagePools{};
     /*! @brief Requests that are never quarantined. */
     std::vector<RequestFingerprint> releasedRequests;
 
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -108,6 +108,12 @@
 {
 }
 
+void StageScheduler::setSharesAllPools(bool sharesAllPools) noexcept
+{
+    m_sharesAllPools = sharesAllPools;
+    m_planner.setFillsAllPools(sharesAllPools);
+}
+
 void StageScheduler::submit(StageTask task, TimePoint now)
 {
     const StageTaskId id = task.id;
@@ -209,10 +215,10 @@
     return first;
 }
 
-/*! @brief Returns the shares of a pool, or null if its endpoints report no pace: such pools are served as before. */
+/*! @brief Returns the shares of a pool; null if it is not shared among workspaces. */
 sharing::FairShares *StageScheduler::sharesOf(const PoolName &pool)
 {
-    return m_endpoints.reportsPace(pool) ? &m_shares[pool] : nullptr;
+    return m_sharesAllPools || m_endpoints.reportsPace(pool) ? &m_shares[pool] : nullptr;
 }
 
 bool StageScheduler::hasWorkspacesAboveShare(const PoolName &pool) const
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -53,6 +53,10 @@
     StageScheduler(EndpointRegistry &endpoints, RetryBudget &budget, const RateLimiter &rateLimiter, FetchPaths &paths,
                    MemoryPressureCheck isMemoryScarce);
 
+    /*! @brief Sets whether all scarce pools are shared among workspaces and their calls filled, or only those whose
+     * endpoints report a pace. */
+    void setSharesAllPools(bool sharesAllPools) noexcept;
+
     /**
      * @brief Queues a task.
      * @param task Task with an identifier that no other task has.
@@ -225,6 +229,7 @@
     std::map<PoolName, PoolLoad> m_loads;
     /*! @brief Shares of the workspaces in the pools that report a pace. */
     std::map<PoolName, sharing::FairShares> m_shares;
+    bool m_sharesAllPools{};
     std::uint64_t m_nextCall{1};
     std::size_t m_scanCount{};
 };
--- a/test/bergamottide/serving/stagescheduler.cpp
+++ b/test/bergamottide/serving/stagescheduler.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(burstIsServedOnTimeByBatching);
     CPPUNIT_TEST(taskWhoseCallsBreakIsSentAlone);
     CPPUNIT_TEST(callsOfASaturatedPoolAreFilled);
+    CPPUNIT_TEST(callsOfAPoolWithoutPaceAreFilledOnRequest);
     CPPUNIT_TEST(splitTaskIsCompletedByTheNextCall);
     CPPUNIT_TEST(tasksAreNotSplitWhileMemoryIsScarce);
     CPPUNIT_TEST_SUITE_END();
@@ -443,6 +444,15 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{8}, dispatch().front().items.size());
     }
 
+    void callsOfAPoolWithoutPaceAreFilledOnRequest()
+    {
+        m_scheduler.setSharesAllPools(true);
+        for (std::uint64_t task = 1; task <= 4; ++task) {
+            submit(task, 5);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, dispatch().front().items.size());
+    }
+
     void splitTaskIsCompletedByTheNextCall()
     {
         reportPace();
