--- a/src/bergamottide/serving/callplanner.cpp
+++ b/src/bergamottide/serving/callplanner.cpp
@@ -13,8 +13,8 @@
 constexpr double minFillRatio = 0.6;
 /*! @brief Memory usage up to which results of late requests are added, as these are stored longest. */
 constexpr double lateMemoryShare = 0.75;
-/*! @brief Calls' worth of waiting pieces above which calls are filled at the cost of split tasks: the rest of a task
- * goes into the next call, which is sent before the first one has ended only if more endpoints are free. */
+/*! @brief Backlog, in full calls, above which calls are filled at the cost of split tasks. With a shorter one, the rest
+ * of a split task could wait for an endpoint that the whole task would not have needed. */
 constexpr std::size_t callsOfSaturatedQueue = 2;
 /*! @brief Memory usage above which tasks are not split, as the first results of a split task are stored longer. */
 constexpr double splitMemoryShare = 0.6;
