Log the state of the retry budget when a retry is taken or denied

Cause: no log line showed what a process had spent of its retry budget, what it allowed, and among how many processes it divided the slack. Ruled out: a metric for each pool; sums over a sliding window of all processes need single times. Change: `takeRetry` logs both results for runs and restarted stages, with the counts of the window. Conclusion: the lines of all processes give the sum that the fleet's budget bounds.

--- a/src/bergamottide/serving/retrybudget.cpp
+++ b/src/bergamottide/serving/retrybudget.cpp
@@ -35,15 +35,21 @@
 
 bool RetryBudget::tryTakeRetry(const PoolName &pool, TimePoint now, RetryShare share)
 {
-    PoolHistory &history = prunedHistory(pool, now);
-    const double allowed = std::floor(m_options.ratio * assuredRequests(history.requests.size()) + slackOf(share, now));
-    if (static_cast<double>(history.retries.size()) + 1.0 > allowed) {
+    const RetryUsage current = usage(pool, now, share);
+    if (current.taken >= current.allowed) {
         return false;
     }
-    history.retries.push_back(now);
+    m_histories[pool].retries.push_back(now);
     return true;
 }
 
+RetryUsage RetryBudget::usage(const PoolName &pool, TimePoint now, RetryShare share)
+{
+    const PoolHistory &history = prunedHistory(pool, now);
+    const double allowed = m_options.ratio * assuredRequests(history.requests.size()) + slackOf(share, now);
+    return {history.retries.size(), static_cast<std::size_t>(std::max(allowed, 0.0)), effectiveProcessCount(now)};
+}
+
 void RetryBudget::setProcessCount(std::uint32_t processes, TimePoint now)
 {
     if (m_startedAt == TimePoint{}) {
--- a/src/bergamottide/serving/retrybudget.h
+++ b/src/bergamottide/serving/retrybudget.h
@@ -3,6 +3,7 @@
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -31,6 +32,17 @@
     QueueOwner
 };
 
+/*! @brief State of the budget of one pool, for log lines. */
+struct RetryUsage
+{
+    /*! @brief Retries taken within the window. */
+    std::size_t taken{};
+    /*! @brief Retries allowed within the window. */
+    std::size_t allowed{};
+    /*! @brief Number of processes among which the slack is divided. */
+    std::uint32_t processes{1};
+};
+
 /**
  * @brief Share of this process in the retry budget of the fleet.
  *
@@ -55,6 +67,9 @@
      */
     [[nodiscard]] bool tryTakeRetry(const PoolName &pool, TimePoint now, RetryShare share = RetryShare::Process);
 
+    /*! @brief Returns how much of the budget of a pool is used. */
+    [[nodiscard]] RetryUsage usage(const PoolName &pool, TimePoint now, RetryShare share = RetryShare::Process);
+
     /**
      * @brief Sets the number of processes that share the slack, at least one.
      *
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -203,6 +203,7 @@
     [[nodiscard]] bool areInputsUnreachable(const Request &request);
     void removeUnreachable(std::vector<Endpoint *> &endpoints, const std::set<ZoneName> &inputs) const;
     void retryOrFail(Request &request, bool mayHaveRun, ErrorKind otherwise);
+    [[nodiscard]] bool takeRetry(const Request &request);
     void checkStalledRuns();
     [[nodiscard]] bool isStalled(const Request &request) const;
     void endRun(Request &request, std::optional<EndpointOutcome> sign);
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -322,7 +322,7 @@
     if (status >= firstFailureStatus) {
         endRun(*request, EndpointOutcome::Failed);
         const bool again = request->route->mayRunTwice() && request->triedEndpoints.size() < request->route->maxAttempts
-            && m_retryBudget.tryTakeRetry(request->pool, m_now);
+            && takeRetry(*request);
         if (again) {
             startRun(*request);
             return;
@@ -398,7 +398,7 @@
     const std::size_t sends = request.route->maxAttempts + (mayHaveRun ? 0 : 1);
     const bool allowed = !mayHaveRun || request.route->mayRunTwice();
     if (allowed && request.triedEndpoints.size() < sends && request.executions < request.route->maxAttempts
-        && m_retryBudget.tryTakeRetry(request.pool, m_now)) {
+        && takeRetry(request)) {
         log(request, "Retrying request.",
             {{"may_have_run", mayHaveRun ? "yes" : "no"}, {"endpoint", request.endpoint.text()}}, Severity::Warning);
         if (!request.hasReleasedInputs()) {
@@ -421,6 +421,19 @@
            mayHaveRun ? "endpoint failed" : "no endpoint accepted the request");
 }
 
+/*! @brief Takes a retry from the budget of the request's pool, and logs the state of the budget. */
+bool ServingReducer::takeRetry(const Request &request)
+{
+    const bool isTaken = m_retryBudget.tryTakeRetry(request.pool, m_now);
+    const RetryUsage usage = m_retryBudget.usage(request.pool, m_now);
+    log(request, isTaken ? "Retry taken from the budget." : "Request not retried: retry budget exhausted.",
+        {{"pool", request.pool.text()},
+         {"retries", absl::StrCat(usage.taken)},
+         {"allowed", absl::StrCat(usage.allowed)},
+         {"processes", absl::StrCat(usage.processes)}});
+    return isTaken;
+}
+
 bool ServingReducer::isStalled(const Request &request) const
 {
     const Duration longest = std::max(m_firstEventTimes.average(request.pool) * stallFactor, minStallTime);
--- a/src/bergamottide/serving/servingstages.cpp
+++ b/src/bergamottide/serving/servingstages.cpp
@@ -241,8 +241,7 @@
 {
     log(request, "Stage failed.", {{"reason", std::string{enumName(failure)}}, {"level", absl::StrCat(request.level)}},
         Severity::Warning);
-    const bool again = failure == PieceFailure::InputMissing && mayRestartStages(request)
-        && m_retryBudget.tryTakeRetry(request.pool, m_now);
+    const bool again = failure == PieceFailure::InputMissing && mayRestartStages(request) && takeRetry(request);
     if (!again) {
         if (failure == PieceFailure::Late) {
             recordMissedForecast(request);
