--- a/test/bergamottide/serving/retrybudget.cpp
+++ b/test/bergamottide/serving/retrybudget.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -20,6 +21,9 @@
     CPPUNIT_TEST(budgetRecoversAfterWindow);
     CPPUNIT_TEST(retriesOfAllProcessesStayWithinTheBudgetOfTheFleet);
     CPPUNIT_TEST(budgetOfTheFleetHoldsAtOtherSizesAndLoads);
+    CPPUNIT_TEST(budgetOfTheFleetHoldsWhileCallersMoveBetweenProcesses);
+    CPPUNIT_TEST(budgetOfTheFleetHoldsAcrossRestarts);
+    CPPUNIT_TEST(budgetOfTheFleetHoldsInAPartition);
     CPPUNIT_TEST(queueOwnerRetriesForTheFleet);
     CPPUNIT_TEST(successiveQueueOwnersShareTheSlack);
     CPPUNIT_TEST(isolatedQueueOwnerHasTheShareOfAProcess);
@@ -81,6 +85,30 @@
         }
     }
 
+    /*! @brief A process that stops has used its budget; its callers turn to others, whose own requests grow. */
+    void budgetOfTheFleetHoldsWhileCallersMoveBetweenProcesses()
+    {
+        for (const std::uint64_t seed : {5U, 6U, 7U}) {
+            play({.processes = 4, .seed = seed, .restartPeriod = std::chrono::seconds{3}});
+            play({.processes = 4, .seed = seed, .isWave = true, .restartPeriod = std::chrono::seconds{5}});
+            play({.processes = 26, .seed = seed, .stepsPerRequest = 1, .restartPeriod = std::chrono::seconds{1}});
+        }
+    }
+
+    /*! @brief Without requests only the slack remains; a process that has restarted does not know what it has spent. */
+    void budgetOfTheFleetHoldsAcrossRestarts()
+    {
+        play({.processes = 4, .seed = 8, .stepsPerRequest = 1000, .restartPeriod = std::chrono::milliseconds{700}});
+        play({.processes = 26, .seed = 8, .stepsPerRequest = 1000, .restartPeriod = std::chrono::milliseconds{700}});
+    }
+
+    /*! @brief No process hears any other one from some seconds before the retries on. */
+    void budgetOfTheFleetHoldsInAPartition()
+    {
+        play({.processes = 4, .seed = 9, .cutAt = std::chrono::seconds{5}});
+        play({.processes = 26, .seed = 9, .stepsPerRequest = 1, .cutAt = std::chrono::seconds{5}});
+    }
+
     /*! @brief Only the owner of a queue retries stage calls; with the share of one process most failed calls were
      * final.
      */
@@ -129,6 +157,18 @@
         std::uint64_t stepsPerRequest{4};
         /*! @brief The load rises and falls by half with a period of 13 s, instead of one burst. */
         bool isWave{};
+        /*! @brief Time between the stops of two processes, each of which starts again after `downTime`; zero for none.
+         */
+        Duration restartPeriod{};
+        /*! @brief When the processes cease to hear each other; zero if they do not. */
+        Duration cutAt{};
+    };
+
+    /*! @brief A process of the fleet; without a budget while it is down. */
+    struct Process
+    {
+        std::optional<RetryBudget> budget;
+        TimePoint startsAt{};
     };
 
     void play(const Play &play)
@@ -136,25 +176,67 @@
         std::mt19937_64 random{play.seed};
         m_requests.clear();
         m_retries.clear();
-        std::vector<RetryBudget> budgets(play.processes, RetryBudget{options()});
-        for (RetryBudget &budget : budgets) {
-            budget.setProcessCount(play.processes, m_now);
-        }
+        m_processes.assign(play.processes, {});
         const TimePoint start = m_now;
+        TimePoint stopsAt = start + burstBegin;
+        std::size_t stopped = 0;
         for (; m_now < start + std::chrono::seconds{40}; m_now += step) {
+            if (play.restartPeriod > Duration::zero() && m_now >= stopsAt) {
+                m_processes[stopped++ % m_processes.size()] = {std::nullopt, m_now + downTime};
+                stopsAt += play.restartPeriod;
+            }
+            updateProcesses(play.cutAt > Duration::zero() && m_now >= start + play.cutAt);
             const std::uint64_t requests = requestDraws(play, m_now - start);
             for (std::uint64_t request = 0; request < requests; ++request) {
-                if (random() % play.stepsPerRequest != 0) {
-                    continue;
+                if (random() % play.stepsPerRequest == 0) {
+                    sendRequest(random);
                 }
-                budgets[random() % play.processes].recordRequest(PoolName{"pool"}, m_now);
-                m_requests.push_back(m_now);
             }
-            for (RetryBudget &budget : budgets) {
-                if (m_now >= start + burstBegin && budget.tryTakeRetry(PoolName{"pool"}, m_now)) {
-                    m_retries.push_back(m_now);
-                    checkWindow();
-                }
+            if (m_now >= start + burstBegin) {
+                retry();
+            }
+        }
+    }
+
+    /*! @brief Starts the processes that are due, and tells all how many there are. */
+    void updateProcesses(bool isCut)
+    {
+        for (Process &process : m_processes) {
+            if (!process.budget && process.startsAt <= m_now) {
+                process.budget.emplace(options());
+            }
+        }
+        const auto live =
+            std::ranges::count_if(m_processes, [](const Process &process) { return process.budget.has_value(); });
+        for (Process &process : m_processes) {
+            if (process.budget) {
+                process.budget->setProcessCount(isCut ? 1 : static_cast<std::uint32_t>(live), m_now);
+            }
+        }
+    }
+
+    /*! @brief Sends a request to one of the processes that run. */
+    void sendRequest(std::mt19937_64 &random)
+    {
+        std::vector<RetryBudget *> running;
+        for (Process &process : m_processes) {
+            if (process.budget) {
+                running.push_back(&*process.budget);
+            }
+        }
+        if (running.empty()) {
+            return;
+        }
+        running[random() % running.size()]->recordRequest(PoolName{"pool"}, m_now);
+        m_requests.push_back(m_now);
+    }
+
+    void retry()
+    {
+        for (Process &process : m_processes) {
+            if (process.budget && process.budget->tryTakeRetry(PoolName{"pool"}, m_now)) {
+                m_retries.push_back(m_now);
+                checkWindow();
             }
         }
     }
@@ -172,6 +254,7 @@
     static constexpr Duration step = std::chrono::milliseconds{10};
     static constexpr Duration burstBegin = std::chrono::seconds{20};
     static constexpr Duration burstEnd = std::chrono::seconds{25};
+    static constexpr Duration downTime = std::chrono::milliseconds{500};
 
     [[nodiscard]] static double countBetween(const std::vector<TimePoint> &times, TimePoint after, TimePoint until)
     {
@@ -216,6 +299,7 @@
     }
 
     TimePoint m_now{std::chrono::seconds{100}};
+    std::vector<Process> m_processes;
     std::vector<TimePoint> m_requests;
     std::vector<TimePoint> m_retries;
 };
