Let processes behind a partition keep their share of the retry slack

Cause: the shares of peers that are not heard went to the others after one window. Behind a partition of 2 and 2 processes each group then spends the whole slack. Class of fault: silence taken for absence. Evidence: budgetOfTheFleetHoldsInAPartition failed before (105 retries of 104 allowed), passes now. Ruled out: isolated single processes, whose count of peers is not updated without heartbeats; the expiry of the peer table (60 s), which serves other purposes. Change: the largest number of processes of the last ten minutes counts. shareDoesNotGrowWhenPeersDisappear stated the growth after one window; it now states that the share stays for nine minutes and grows after ten. Conclusion: the bound holds for partitions up to ten minutes. A fleet that shrinks for good has its former shares until then.

--- a/src/bergamottide/serving/retrybudget.cpp
+++ b/src/bergamottide/serving/retrybudget.cpp
@@ -14,6 +14,9 @@
  * predecessor has spent. */
 constexpr double startSlackShare = 1.0 / 3.0;
 
+/*! @brief Time for which a process that is no longer heard keeps its share of the slack: a partition may hide it. */
+constexpr Duration processMemory = std::chrono::minutes{10};
+
 /*! @brief Part of the ratio that requests of the last window give; without it, a new process would retry nothing for a
  * window. */
 constexpr double recentRequestsShare = 0.25;
@@ -78,8 +81,7 @@
 
 std::uint32_t RetryBudget::effectiveProcessCount(TimePoint now)
 {
-    const TimePoint oldest = now - m_options.window;
-    // A count still applies for one window after a smaller one has been set.
+    const TimePoint oldest = now - processMemory;
     while (m_processCounts.size() > 1 && m_processCounts[1].first <= oldest) {
         m_processCounts.pop_front();
     }
--- a/src/bergamottide/serving/retrybudget.h
+++ b/src/bergamottide/serving/retrybudget.h
@@ -75,8 +75,8 @@
     /**
      * @brief Sets the number of processes that share the slack, at least one.
      *
-     * The largest number within the last window counts: processes that disappeared may have spent their share already,
-     * or be spending it on the other side of a network partition.
+     * The largest number of the last ten minutes counts: processes that are no longer heard may be spending their share
+     * on the other side of a network partition.
      */
     void setProcessCount(std::uint32_t processes, TimePoint now);
 
--- a/test/bergamottide/serving/retrybudget.cpp
+++ b/test/bergamottide/serving/retrybudget.cpp
@@ -51,7 +51,12 @@
         budget.setProcessCount(1, m_now);
         m_now += std::chrono::seconds{8};
         CPPUNIT_ASSERT_EQUAL(6, spend(budget));
-        m_now += std::chrono::seconds{11};
+        for (int window = 0; window < 50; ++window) {
+            m_now += std::chrono::seconds{11};
+            budget.setProcessCount(1, m_now);
+            CPPUNIT_ASSERT_EQUAL(6, spend(budget));
+        }
+        m_now += std::chrono::minutes{2};
         budget.setProcessCount(1, m_now);
         CPPUNIT_ASSERT_EQUAL(33, spend(budget));
     }
