Read the software versions of endpoints, and log them with the stream that a request resumes

Cause: a line of a sent request told neither the software version of its endpoint nor whether it resumes a stream, of which attempt and after which event, so the hypotheses on the mixed streams could not be told apart in the logs. Change: `version` of an endpoint's entry and `Resumes` of a request are decoded; the compact form of entries carries the version, and entries in the form of earlier releases are still read. `Request sent to endpoint.` has `software`, `after_event` and `resumes`. Conclusion: no decision changes.

--- a/src/bergamottide/core/ids.h
+++ b/src/bergamottide/core/ids.h
@@ -80,6 +80,8 @@
 using AdapterName = Name<struct AdapterTag>;
 /*! @brief Name of a request kind. */
 using KindName = Name<struct KindTag>;
+/*! @brief Version of the software of an endpoint; empty if unknown. */
+using SoftwareVersion = Name<struct SoftwareVersionTag>;
 
 /*! @brief Identity of one request, 128 bits, unique over all entries. */
 struct RequestId
--- a/src/bergamottide/serving/events.h
+++ b/src/bergamottide/serving/events.h
@@ -70,6 +70,14 @@
     std::string pieceKey;
     /*! @brief Last event ID that the caller received on an earlier attempt (`Last-Event-ID`). */
     std::string lastEventId;
+    /*! @brief Attempt that brought the first event of the stream that the caller resumes; empty for a new stream. */
+    std::string resumedAttempt;
+
+    /*! @brief Returns whether the caller resumes a stream of an earlier attempt. */
+    [[nodiscard]] bool resumesStream() const noexcept
+    {
+        return !lastEventId.empty() || !resumedAttempt.empty();
+    }
 };
 
 /*! @brief Entry of the platform's endpoint list. */
@@ -84,6 +92,8 @@
     bool draining{};
     /*! @brief Changes with each start of the instance; zero if unknown. */
     std::uint64_t incarnation{};
+    /*! @brief Version of its software, not of its weights; endpoints of several versions may serve a pool. */
+    SoftwareVersion softwareVersion;
     /*! @brief Remaining warm-up time when the entry was written; zero if warm. */
     Duration remainingWarmup{};
     /*! @brief End of the warm-up by the local clock; set by `EndpointDirectory`. */
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -166,6 +166,9 @@
          {"ahead", absl::StrCat(choice ? static_cast<std::uint64_t>(choice->queuedTokens) : 0)},
          {"expected_ms", absl::StrCat(choice ? choice->expectedFirstEvent.count() / 1000 : 0)},
          {"fetch_from", start.fetchFrom},
+         {"software", endpoint->record.softwareVersion.text()},
+         {"after_event", start.lastEventId},
+         {"resumes", request.callerRequest->resumedAttempt},
          {"pace", absl::StrCat(m_endpoints.loads().expectedPace(request.pool, start.instance, m_now))},
          {"sends", absl::StrCat(request.triedEndpoints.size())}});
     m_effects.emplace_back(std::move(start));
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -19,14 +19,10 @@
     request.query = "q=1";
     request.authority = "example:80";
     request.body = "body";
-    request.headers = {{"attempt-id", "a1"},
-                       {"deadline-ms", "4000"},
-                       {"x-api-key", "key"},
-                       {"token-counts", "1460,80"},
-                       {"prompt-prefix", "5c1e07a2:800,91bd3f06:660"},
-                       {"pieces", "2,0"},
-                       {"piece-key", "input"},
-                       {"model", "m"}};
+    request.headers = {
+        {"attempt-id", "a1"}, {"resumes", "a0"},           {"deadline-ms", "4000"},
+        {"x-api-key", "key"}, {"token-counts", "1460,80"}, {"prompt-prefix", "5c1e07a2:800,91bd3f06:660"},
+        {"pieces", "2,0"},    {"piece-key", "input"},      {"model", "m"}};
     return request;
 }
 
@@ -168,6 +164,9 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1460}, read->promptTokens);
         CPPUNIT_ASSERT_EQUAL(std::string{"91bd3f06"}, read->prompt.back().id);
         CPPUNIT_ASSERT((read->pieces == std::vector<std::uint32_t>{2, 0}));
+        CPPUNIT_ASSERT(read->resumesStream());
+        CPPUNIT_ASSERT_EQUAL(std::string{"a0"}, read->resumedAttempt);
+        CPPUNIT_ASSERT_EQUAL(std::string{"a0"}, std::string{headerValue(read->headers, "resumes")});
     }
 
     void rejectsMalformedHeaders()
@@ -378,6 +377,14 @@
         CPPUNIT_ASSERT_EQUAL(original->draining, record->draining);
         CPPUNIT_ASSERT_EQUAL(original->incarnation, record->incarnation);
         CPPUNIT_ASSERT(original->remainingWarmup == record->remainingWarmup);
+        CPPUNIT_ASSERT_EQUAL(std::string{"v1"}, record->softwareVersion.text());
+        CPPUNIT_ASSERT_EQUAL(std::string{"v1"}, original->softwareVersion.text());
+        CPPUNIT_ASSERT(platform::decodeEndpoint("i-1",
+                                                R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,)"
+                                                R"("state":"ready","version":7})")
+                           ->softwareVersion.empty());
+        const auto former = platform::decodeEndpoint("i-1", R"(["s","10.0.0.1:80","a",4,true,5,0])");
+        CPPUNIT_ASSERT(former.ok() && former->softwareVersion.empty());
         CPPUNIT_ASSERT(!platform::decodeEndpoint("i-1", R"(["s",7])").ok());
         CPPUNIT_ASSERT(!platform::decodeEndpoint("i-1", R"(["s",7,"a",4,true,0,0])").ok());
     }
