Tests of streams before endpoints of several software versions, which fail

Ruled out: nothing yet. Change: the simulated fleet has engines with versions, streams with events, and callers that resume a stream at any process.

--- /dev/null
+++ b/test/bergamottide/serving/streamversions.cpp
@@ -0,0 +1,193 @@
+#include "servingfixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace bergamottide;
+using namespace bergamottide::serving;
+using bergamottide::test::ServingFixture;
+
+/*! @brief Streams in a pool whose endpoints run several versions of their software. */
+class StreamVersionsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StreamVersionsTest);
+    CPPUNIT_TEST(interruptedStreamContinuesAtTheVersionThatBeganIt);
+    CPPUNIT_TEST(interruptedStreamIsAbortedWithoutAnEndpointOfItsVersion);
+    CPPUNIT_TEST(streamWithoutEventsMayChangeTheVersion);
+    CPPUNIT_TEST(streamResumedByItsCallerContinuesAtItsVersion);
+    CPPUNIT_TEST(resumedStreamIsRejectedWithoutAnEndpointOfItsVersion);
+    CPPUNIT_TEST(unknownStreamIsRejectedWhileVersionsAreMixed);
+    CPPUNIT_TEST(unknownStreamContinuesAtTheOnlyVersion);
+    CPPUNIT_TEST(unknownStreamIsRejectedWhileAFormerVersionIsRemembered);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /*! @brief The endpoints of the other version are idle, while the one of the stream's version is not. */
+    void interruptedStreamContinuesAtTheVersionThatBeganIt()
+    {
+        for (std::uint64_t call = 1; call <= 20; ++call) {
+            ServingFixture fixture{mixedEndpoints()};
+            const StartRun first = beginStream(fixture, call);
+            sendEvents(fixture, first.run);
+            fixture.apply(RunFailed{first.run, RunFailure::Broken});
+            const auto *retry = fixture.effect<StartRun>();
+            CPPUNIT_ASSERT(retry != nullptr);
+            CPPUNIT_ASSERT_EQUAL(versionOf(first.instance), versionOf(retry->instance));
+        }
+    }
+
+    void interruptedStreamIsAbortedWithoutAnEndpointOfItsVersion()
+    {
+        ServingFixture fixture{mixedEndpoints()};
+        const StartRun first = beginStream(fixture, 1);
+        sendEvents(fixture, first.run);
+        fixture.apply(EndpointsChanged{without(versionOf(first.instance))});
+        fixture.apply(RunFailed{first.run, RunFailure::Broken});
+        CPPUNIT_ASSERT(fixture.effect<StartRun>() == nullptr);
+        CPPUNIT_ASSERT(fixture.effect<AbortStream>() != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.reducer().requestsInProgress());
+    }
+
+    void streamWithoutEventsMayChangeTheVersion()
+    {
+        ServingFixture fixture{mixedEndpoints()};
+        const StartRun first = beginStream(fixture, 1);
+        fixture.apply(EndpointsChanged{without(versionOf(first.instance))});
+        fixture.apply(RunFailed{first.run, RunFailure::Broken});
+        const auto *retry = fixture.effect<StartRun>();
+        CPPUNIT_ASSERT(retry != nullptr);
+        CPPUNIT_ASSERT(versionOf(first.instance) != versionOf(retry->instance));
+    }
+
+    /*! @brief The first attempt has ended, and its endpoint is gone. */
+    void streamResumedByItsCallerContinuesAtItsVersion()
+    {
+        for (std::uint64_t call = 1; call <= 20; ++call) {
+            ServingFixture fixture{mixedEndpoints()};
+            const StartRun first = beginStream(fixture, call);
+            sendEvents(fixture, first.run);
+            fixture.apply(CallerDisconnected{CallId{call}});
+            fixture.apply(EndpointsChanged{without(first.instance)});
+            fixture.apply(resumption(fixture, call + 100, call));
+            const auto *second = fixture.effect<StartRun>();
+            CPPUNIT_ASSERT(second != nullptr);
+            CPPUNIT_ASSERT_EQUAL(versionOf(first.instance), versionOf(second->instance));
+            CPPUNIT_ASSERT_EQUAL(std::string{"1"}, second->lastEventId);
+            // Resumed once more, the stream is still named by the attempt that began it.
+            fixture.apply(CallerDisconnected{CallId{call + 100}});
+            fixture.apply(resumption(fixture, call + 200, call));
+            CPPUNIT_ASSERT(fixture.effect<StartRun>() != nullptr);
+            CPPUNIT_ASSERT_EQUAL(versionOf(first.instance), versionOf(fixture.effect<StartRun>()->instance));
+        }
+    }
+
+    void resumedStreamIsRejectedWithoutAnEndpointOfItsVersion()
+    {
+        ServingFixture fixture{mixedEndpoints()};
+        const StartRun first = beginStream(fixture, 1);
+        sendEvents(fixture, first.run);
+        fixture.apply(CallerDisconnected{CallId{1}});
+        fixture.apply(EndpointsChanged{without(versionOf(first.instance))});
+        checkRejected(fixture, resumption(fixture, 2, 1));
+    }
+
+    void unknownStreamIsRejectedWhileVersionsAreMixed()
+    {
+        ServingFixture fixture{mixedEndpoints()};
+        checkRejected(fixture, resumption(fixture, 2, 1));
+    }
+
+    void unknownStreamContinuesAtTheOnlyVersion()
+    {
+        ServingFixture fixture{without("v2")};
+        fixture.apply(resumption(fixture, 2, 1));
+        CPPUNIT_ASSERT(fixture.effect<StartRun>() != nullptr);
+    }
+
+    void unknownStreamIsRejectedWhileAFormerVersionIsRemembered()
+    {
+        ServingFixture fixture{mixedEndpoints()};
+        fixture.apply(EndpointsChanged{without("v1")});
+        checkRejected(fixture, resumption(fixture, 2, 1));
+        fixture.advanceClock(std::chrono::minutes{2});
+        fixture.apply(resumption(fixture, 3, 1));
+        CPPUNIT_ASSERT(fixture.effect<StartRun>() != nullptr);
+    }
+
+private:
+    /*! @brief Returns the endpoints of the fixture, with six engines of two versions. */
+    [[nodiscard]] static std::shared_ptr<const EndpointList> mixedEndpoints()
+    {
+        auto list = std::make_shared<EndpointList>(*ServingFixture::endpoints());
+        std::erase_if(*list, [](const EndpointRecord &record) { return record.pool == PoolName{"engines"}; });
+        for (int engine = 1; engine <= 6; ++engine) {
+            EndpointRecord record{InstanceName{"engine-" + std::to_string(engine)},
+                                  PoolName{"engines"},
+                                  "10.0.0.1:1",
+                                  ZoneName{"a"},
+                                  4,
+                                  false};
+            record.softwareVersion = SoftwareVersion{versionOf(record.instance)};
+            list->push_back(std::move(record));
+        }
+        return list;
+    }
+
+    [[nodiscard]] static std::shared_ptr<const EndpointList> without(const std::string &version)
+    {
+        auto list = std::make_shared<EndpointList>(*mixedEndpoints());
+        std::erase_if(*list,
+                      [&version](const EndpointRecord &record) { return record.softwareVersion.text() == version; });
+        return list;
+    }
+
+    [[nodiscard]] static std::shared_ptr<const EndpointList> without(const InstanceName &engine)
+    {
+        auto list = std::make_shared<EndpointList>(*mixedEndpoints());
+        std::erase_if(*list, [&engine](const EndpointRecord &record) { return record.instance == engine; });
+        return list;
+    }
+
+    [[nodiscard]] static std::string versionOf(const InstanceName &engine)
+    {
+        return (engine.text().back() - '0') % 2 == 1 ? "v1" : "v2";
+    }
+
+    [[nodiscard]] static StartRun beginStream(ServingFixture &fixture, std::uint64_t call)
+    {
+        fixture.apply(fixture.arrival("/summary/1", call));
+        const auto *start = fixture.effect<StartRun>();
+        CPPUNIT_ASSERT(start != nullptr);
+        return *start;
+    }
+
+    static void sendEvents(ServingFixture &fixture, RunNumber run)
+    {
+        fixture.apply(RunHeadReceived{run, ServingFixture::responseHead()});
+        fixture.apply(RunBodyReceived{run, "id: 0\ndata: a\n\nid: 1\ndata: b\n\n"});
+    }
+
+    /*! @brief Returns a request by which the caller of a stream resumes it after its second event. */
+    [[nodiscard]] static RequestArrived resumption(const ServingFixture &fixture, std::uint64_t call,
+                                                   std::uint64_t resumed)
+    {
+        RequestArrived arrival = fixture.arrival("/summary/1", call);
+        arrival.request.lastEventId = "1";
+        arrival.request.resumedAttempt = "attempt-" + std::to_string(resumed);
+        return arrival;
+    }
+
+    static void checkRejected(ServingFixture &fixture, const RequestArrived &arrival)
+    {
+        fixture.apply(arrival);
+        const auto *error = fixture.effect<SendErrorResponse>();
+        CPPUNIT_ASSERT(error != nullptr);
+        CPPUNIT_ASSERT(error->kind == ErrorKind::Unavailable);
+        CPPUNIT_ASSERT(fixture.effect<StartRun>() == nullptr);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StreamVersionsTest);
--- a/test/support/servingfleet.cpp
+++ b/test/support/servingfleet.cpp
@@ -22,6 +22,9 @@
 /*! @brief Time until the platform's list drops an instance that has crashed. */
 constexpr Duration listDelay = std::chrono::milliseconds{3000};
 constexpr Duration callerPatience = std::chrono::seconds{6};
+/*! @brief Time after which a caller resumes a stream that has broken off. */
+constexpr Duration shortestReturn = std::chrono::milliseconds{5};
+constexpr Duration longestReturn = std::chrono::milliseconds{100};
 constexpr int statusMisdirected = 421;
 constexpr int statusUnavailable = 503;
 
@@ -124,6 +127,15 @@
 void ServingFleet::restart(std::size_t process, Duration downTime)
 {
     m_processes[process].reducer.reset();
+    std::vector<CallId> broken;
+    for (const auto &[call, sent] : m_calls) {
+        if (sent.process == process) {
+            broken.push_back(call);
+        }
+    }
+    for (const CallId call : broken) {
+        recordEnd(call, &CallerResults::failed);
+    }
     for (Engine &engine : m_engines) {
         std::erase_if(engine.runs, [process](const auto &entry) { return entry.second.process == process; });
     }
@@ -157,9 +169,23 @@
     if (!m_processes[process].reducer) {
         return;
     }
+    m_streams.push_back({target, {}, {}, 0, 0, false});
+    ++m_results[target].sent;
+    sendAttempt(process, m_streams.size() - 1);
+}
+
+/*! @brief Sends an attempt at a stream; one after the first event resumes it. */
+void ServingFleet::sendAttempt(std::size_t process, std::size_t stream)
+{
+    const Stream &sent = m_streams[stream];
+    const std::string &target = sent.target;
     CallerRequest request;
     request.call = CallId{m_nextNumber++};
     request.attempt = "attempt-" + std::to_string(static_cast<std::uint64_t>(request.call));
+    if (sent.events > 0) {
+        request.lastEventId = std::to_string(sent.events - 1);
+        request.resumedAttempt = sent.firstAttempt;
+    }
     request.method = "POST";
     request.host = "example";
     request.path = target;
@@ -167,11 +193,52 @@
     request.apiKey = "key";
     request.body = "body of " + target;
     request.deadline = callerPatience;
-    m_calls[request.call] = target;
-    ++m_results[target].sent;
+    m_calls[request.call] = {target, request.attempt, process, stream};
     apply(process, RequestArrived{std::move(request)});
 }
 
+void ServingFleet::recordEvents(CallId call)
+{
+    const auto found = m_calls.find(call);
+    if (found == m_calls.end()) {
+        return;
+    }
+    Stream &stream = m_streams[found->second.stream];
+    stream.firstAttempt = stream.events == 0 ? found->second.attempt : stream.firstAttempt;
+    stream.versions.insert(m_versions[found->second.attempt]);
+    ++stream.events;
+}
+
+/*! @brief Lets the caller of a stream that has broken off resume it once, at any process. */
+void ServingFleet::resumeStream(std::size_t stream)
+{
+    Stream &broken = m_streams[stream];
+    if (!m_options.callersResume || broken.events == 0 || broken.isResumed) {
+        return;
+    }
+    broken.isResumed = true;
+    broken.eventsBeforeResumption = broken.events;
+    schedule(between(shortestReturn, longestReturn), [this, stream] {
+        std::size_t process = 0;
+        do {
+            process = m_random.below(static_cast<std::uint32_t>(m_processes.size()));
+        } while (!m_processes[process].reducer);
+        sendAttempt(process, stream);
+    });
+}
+
+StreamResults ServingFleet::streams() const
+{
+    StreamResults out;
+    for (const Stream &stream : m_streams) {
+        out.begun += stream.events > 0 ? 1 : 0;
+        out.resumed += stream.isResumed ? 1 : 0;
+        out.continued += stream.isResumed && stream.events > stream.eventsBeforeResumption ? 1 : 0;
+        out.mixed += stream.versions.size() > 1 ? 1 : 0;
+    }
+    return out;
+}
+
 void ServingFleet::send(const std::string &target)
 {
     send(m_random.below(static_cast<std::uint32_t>(m_processes.size())), target);
@@ -220,14 +287,20 @@
         recordEnd(finished->call, &CallerResults::completed);
     } else if (const auto *aborted = std::get_if<AbortStream>(&effect)) {
         recordEnd(aborted->call, &CallerResults::failed);
+    } else if (const auto *events = std::get_if<SendStreamEvents>(&effect)) {
+        recordEvents(events->call);
     }
 }
 
 void ServingFleet::recordEnd(CallId call, std::size_t CallerResults::*outcome)
 {
     const auto node = m_calls.extract(call);
-    if (!node.empty()) {
-        ++(m_results[node.mapped()].*outcome);
+    if (node.empty()) {
+        return;
+    }
+    ++(m_results[node.mapped().target].*outcome);
+    if (outcome != &CallerResults::completed) {
+        resumeStream(node.mapped().stream);
     }
 }
 
@@ -256,7 +329,8 @@
         return;
     }
     const std::uint64_t number = m_nextNumber++;
-    engine->runs[number] = {process, incarnation, start.run, start.request->attempt, start.request->target};
+    const std::uint64_t nextEvent = start.lastEventId.empty() ? 0 : std::stoull(start.lastEventId) + 1;
+    engine->runs[number] = {process, incarnation, start.run, start.request->attempt, start.request->target, nextEvent};
     schedule(between(shortestQueueTime, longestQueueTime),
              [this, index = m_engineByAddress[start.address], instance = start.instance, number] {
                  beginRun(index, instance, number);
@@ -314,6 +388,7 @@
     const Run run = found->second;
     applyTo(run.process, run.incarnation, EndpointResponded{instance, notice(m_engines[engine], run.incarnation)});
     applyTo(run.process, run.incarnation, RunHeadReceived{run.run, successHead()});
+    sendEvent(engine, number);
     if (!run.target.starts_with(crashingPath)) {
         schedule(between(shortestRun, longestRun),
                  [this, engine, instance, number] { completeRun(engine, instance, number); });
@@ -327,17 +402,37 @@
     });
 }
 
+/*! @brief Sends the next event of a run. */
+void ServingFleet::sendEvent(std::size_t engine, std::uint64_t number)
+{
+    const auto found = m_engines[engine].runs.find(number);
+    if (!m_options.callersResume || found == m_engines[engine].runs.end()) {
+        return;
+    }
+    Run &run = found->second;
+    m_versions[run.attempt] = m_engines[engine].softwareVersion;
+    const std::string event = "id: " + std::to_string(run.nextEvent++) + "\ndata: x\n\n";
+    applyTo(run.process, run.incarnation, RunBodyReceived{run.run, event});
+}
+
 void ServingFleet::completeRun(std::size_t engine, const InstanceName &instance, std::uint64_t number)
 {
     if (m_engines[engine].instance != instance) {
         return;
     }
+    sendEvent(engine, number);
     const auto node = m_engines[engine].runs.extract(number);
     if (!node.empty()) {
         applyTo(node.mapped().process, node.mapped().incarnation, RunCompleted{node.mapped().run});
     }
 }
 
+void ServingFleet::replaceEngine(std::size_t engine, const std::string &softwareVersion)
+{
+    crashEngine(engine);
+    m_engines[engine].nextVersion = SoftwareVersion{softwareVersion};
+}
+
 void ServingFleet::crashEngine(std::size_t engine)
 {
     Engine &crashed = m_engines[engine];
@@ -357,6 +452,7 @@
     schedule(restartTime, [this, engine] {
         m_engines[engine].instance = InstanceName{"engine-" + std::to_string(m_nextNumber++)};
         m_engines[engine].isRunning = true;
+        m_engines[engine].softwareVersion = m_engines[engine].nextVersion;
         m_engines[engine].limit.reset();
         m_engines[engine].toldAt.clear();
         m_listed.insert(m_engines[engine].instance);
@@ -383,6 +479,7 @@
         if (engine != m_engines.end()) {
             list->push_back({instance, PoolName{"engines"}, engine->address, ZoneName{"zone-0"}, 64, false});
             list->back().isEvacuated = engine->isEvacuated;
+            list->back().softwareVersion = engine->softwareVersion;
         }
     }
     for (std::size_t process = 0; process < m_processes.size(); ++process) {
--- a/test/support/servingfleet.h
+++ b/test/support/servingfleet.h
@@ -23,6 +23,21 @@
     /*! @brief Percentage of heartbeats, and of their responses, that are lost. */
     std::uint32_t lostHeartbeats{};
     std::uint64_t seed{1};
+    /*! @brief Streams have events, and callers resume a stream that breaks off after its first event. */
+    bool callersResume{};
+};
+
+/*! @brief What became of the streams of callers that resume them. */
+struct StreamResults
+{
+    /*! @brief Streams of which a caller has received an event. */
+    std::size_t begun{};
+    /*! @brief Streams that a caller has resumed. */
+    std::size_t resumed{};
+    /*! @brief Resumed streams of which a caller has received a further event. */
+    std::size_t continued{};
+    /*! @brief Streams with events of several software versions. */
+    std::size_t mixed{};
 };
 
 /*! @brief A request that reached an engine. */
@@ -110,6 +125,12 @@
     /*! @brief Returns the name of the instance that runs at an engine's address. */
     [[nodiscard]] const InstanceName &engineInstance(std::size_t engine) const;
 
+    /*! @brief Replaces an engine by one with another version of its software; its runs break off. */
+    void replaceEngine(std::size_t engine, const std::string &softwareVersion);
+
+    /*! @brief Returns what became of the streams; empty unless callers resume them. */
+    [[nodiscard]] StreamResults streams() const;
+
     /*! @brief Crashes an engine, which is replaced like one that a request has crashed. */
     void crashEngine(std::size_t engine);
 
@@ -144,6 +165,7 @@
         serving::RunNumber run{};
         std::string attempt;
         std::string target;
+        std::uint64_t nextEvent{};
     };
 
     struct Engine
@@ -155,18 +177,46 @@
         std::optional<double> limit;
         std::optional<Duration> pause;
         bool isDraining{};
+        SoftwareVersion softwareVersion;
+        /*! @brief Version of the instance that replaces it. */
+        SoftwareVersion nextVersion;
         /*! @brief When each process, by its incarnation, first got a response that names a limit. */
         std::map<std::uint64_t, TimePoint> toldAt;
         std::map<std::uint64_t, Run> runs;
     };
 
+    /*! @brief A stream as its caller sees it, over all attempts. */
+    struct Stream
+    {
+        std::string target;
+        /*! @brief Attempt that brought the first event. */
+        std::string firstAttempt;
+        std::set<SoftwareVersion> versions;
+        std::size_t events{};
+        std::size_t eventsBeforeResumption{};
+        bool isResumed{};
+    };
+
+    /*! @brief Request of a caller in progress. */
+    struct Call
+    {
+        std::string target;
+        std::string attempt;
+        std::size_t process{};
+        std::size_t stream{};
+    };
+
     void start(std::size_t process);
+    void sendAttempt(std::size_t process, std::size_t stream);
+    void recordEvents(CallId call);
+    void resumeStream(std::size_t stream);
     void apply(std::size_t process, const serving::Event &event);
     void applyTo(std::size_t process, std::uint64_t incarnation, const serving::Event &event);
     void handle(std::size_t process, const serving::Effect &effect);
     void startRun(std::size_t process, const serving::StartRun &start);
     [[nodiscard]] serving::EndpointNotice notice(Engine &engine, std::uint64_t incarnation) const;
     void beginRun(std::size_t engine, const InstanceName &instance, std::uint64_t number);
+    void sendEvent(std::size_t engine, std::uint64_t number);
     void completeRun(std::size_t engine, const InstanceName &instance, std::uint64_t number);
     void checkEndpoint(std::size_t process, const serving::CheckEndpoint &check);
     void exchangeHeartbeats(std::size_t process, const std::string &address);
@@ -187,7 +237,10 @@
     std::vector<Engine> m_engines;
     std::map<std::string, std::size_t> m_engineByAddress;
     std::set<InstanceName> m_listed;
-    std::map<CallId, std::string> m_calls;
+    std::map<CallId, Call> m_calls;
+    std::vector<Stream> m_streams;
+    /*! @brief Software version of the engine at which the latest run of an attempt began. */
+    std::map<std::string, SoftwareVersion> m_versions;
     std::map<std::string, CallerResults> m_results;
     std::vector<EngineArrival> m_arrivals;
     std::vector<PauseNotice> m_pauses;
