Continue an interrupted stream only at the software version that began it

Cause: a stream that breaks off was continued at the best engine of its pool, whatever its version. Class of fault: endpoints taken as alike because they share a pool. Evidence: two tests of StreamVersionsTest failed before and pass now: continued at v1 instead of v2, and continued where no engine of its version was left. Third test: a run without a forwarded event still changes the version. Ruled out: pinning at the first send; a run that brought no event binds nothing, and a retry at another version is better for the caller if one version fails. Change: the first forwarded event fixes the version. Region and version are one filter, applied before ejections are weighed, so ejected endpoints of the version are used if all of its are ejected. Without an endpoint the stream is aborted at once and takes nothing from the retry budget. A started stream that finds no endpoint after its stages is aborted, not answered with an error.

--- a/src/bergamottide/serving/endpointregistry.cpp
+++ b/src/bergamottide/serving/endpointregistry.cpp
@@ -139,14 +139,14 @@
     return endpoint != nullptr && endpoint->record.incarnation == incarnation;
 }
 
-std::vector<Endpoint *> EndpointRegistry::usable(const PoolName &pool, TimePoint now) const
+std::vector<Endpoint *> EndpointRegistry::usable(const PoolName &pool, TimePoint now, const Filter &filter) const
 {
     const std::vector<Endpoint *> &candidates = endpointsOf(pool);
     std::vector<Endpoint *> healthy;
     std::vector<Endpoint *> all;
     healthy.reserve(candidates.size());
     for (Endpoint *endpoint : candidates) {
-        if (!endpoint->acceptsWork()) {
+        if (!endpoint->acceptsWork() || (filter && !filter(*endpoint))) {
             continue;
         }
         all.push_back(endpoint);
--- a/src/bergamottide/serving/endpointregistry.h
+++ b/src/bergamottide/serving/endpointregistry.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -112,12 +113,16 @@
     [[nodiscard]] Endpoint *find(const InstanceName &instance);
     [[nodiscard]] const Endpoint *find(const InstanceName &instance) const;
 
+    /*! @brief Tells whether an endpoint may serve a request. */
+    using Filter = std::function<bool(const Endpoint &endpoint)>;
+
     /**
      * @brief Returns the endpoints of a pool that accept work and are not ejected, or the ejected ones if all are.
      * @param pool Pool.
      * @param now Current time.
+     * @param filter Selects the endpoints to consider; all if empty.
      */
-    [[nodiscard]] std::vector<Endpoint *> usable(const PoolName &pool, TimePoint now) const;
+    [[nodiscard]] std::vector<Endpoint *> usable(const PoolName &pool, TimePoint now, const Filter &filter = {}) const;
 
     /*!
      * @brief Tells whether an endpoint has not restarted since it had an incarnation.
--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -91,6 +91,10 @@
     InstanceName endpoint;
     /*! @brief Incarnation of that endpoint when the run was sent. */
     std::uint64_t endpointIncarnation{};
+    /*! @brief Software version of that endpoint. */
+    SoftwareVersion endpointVersion;
+    /*! @brief Software version that the stream must continue at; empty as long as any will do. */
+    std::optional<SoftwareVersion> streamVersion;
     /*! @brief Endpoints to which the request was sent, in order. */
     std::vector<InstanceName> triedEndpoints;
     /*! @brief Number of failed runs that may have executed the request. */
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -259,7 +259,7 @@
     request.expectedResponseAt = m_now;
     request.pool = selectPool(*route, request.callerRequest->attempt);
     request.prompt = engines::chainOf(request.callerRequest->model, request.callerRequest->prompt);
-    if (!hasAllowedEndpoint(request)) {
+    if (allowedEndpoints(request).empty()) {
         return ErrorKind::Unavailable;
     }
     request.stages.resize(route->stages.size());
@@ -320,10 +320,7 @@
     if (pool == nullptr) {
         return std::nullopt;
     }
-    std::vector<Endpoint *> endpoints = m_endpoints.usable(request.pool, m_now);
-    std::erase_if(endpoints,
-                  [this, &request](const Endpoint *endpoint) { return !isRegionAllowed(request, *endpoint); });
-    return m_rateLimiter.capacity(*pool, endpoints, m_now, at);
+    return m_rateLimiter.capacity(*pool, allowedEndpoints(request), m_now, at);
 }
 
 /*
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -195,8 +195,8 @@
     void startRun(Request &request);
     [[nodiscard]] bool delayRun(Request &request, TimePoint until);
     void startDelayedRuns();
-    [[nodiscard]] bool isRegionAllowed(const Request &request, const Endpoint &endpoint) const;
-    [[nodiscard]] bool hasAllowedEndpoint(const Request &request) const;
+    [[nodiscard]] bool isAllowed(const Request &request, const Endpoint &endpoint) const;
+    [[nodiscard]] std::vector<Endpoint *> allowedEndpoints(const Request &request) const;
     [[nodiscard]] std::vector<Endpoint *> candidateEndpoints(const Request &request);
     [[nodiscard]] std::set<ZoneName> inputZones(const Request &request);
     void recordFetch(const Request &request, bool isFetched);
@@ -204,6 +204,7 @@
     void removeUnreachable(std::vector<Endpoint *> &endpoints, const std::set<ZoneName> &inputs) const;
     void retryOrFail(Request &request, bool mayHaveRun, ErrorKind otherwise);
     [[nodiscard]] bool takeRetry(const Request &request);
+    void abortStream(Request &request, const std::string &reason);
     void checkStalledRuns();
     [[nodiscard]] bool isStalled(const Request &request) const;
     void endRun(Request &request, std::optional<EndpointOutcome> sign);
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -40,31 +40,31 @@
 
 } // namespace
 
-/*! @brief Returns whether the request may run in the endpoint's region. */
-bool ServingReducer::isRegionAllowed(const Request &request, const Endpoint &endpoint) const
+/*! @brief Returns whether the request may run in the endpoint's region and at its software version. */
+bool ServingReducer::isAllowed(const Request &request, const Endpoint &endpoint) const
 {
-    return m_regions.allows(*request.route, request.workspace, endpoint.record.zone);
+    // What endpoints of two versions write does not fit together in one stream, and endpoints do not check it.
+    const bool isVersionAllowed = !request.streamVersion || *request.streamVersion == endpoint.record.softwareVersion;
+    return isVersionAllowed && m_regions.allows(*request.route, request.workspace, endpoint.record.zone);
 }
 
-/*! @brief Returns whether any usable endpoint of the request's pool lies in an allowed region. */
-bool ServingReducer::hasAllowedEndpoint(const Request &request) const
+/*! @brief Returns the usable endpoints of the request's pool at which it may run. */
+std::vector<Endpoint *> ServingReducer::allowedEndpoints(const Request &request) const
 {
-    return std::ranges::any_of(m_endpoints.usable(request.pool, m_now), [this, &request](const Endpoint *endpoint) {
-        return isRegionAllowed(request, *endpoint);
-    });
+    return m_endpoints.usable(request.pool, m_now,
+                              [this, &request](const Endpoint &endpoint) { return isAllowed(request, endpoint); });
 }
 
 /*! @brief Returns the endpoints to which the request may be sent now. */
 std::vector<Endpoint *> ServingReducer::candidateEndpoints(const Request &request)
 {
-    std::vector<Endpoint *> out = m_endpoints.usable(request.pool, m_now);
+    std::vector<Endpoint *> out = allowedEndpoints(request);
     const Pool *pool = request.catalog->findPool(request.pool);
     if (m_paths.hasFailures()) {
         removeUnreachable(out, inputZones(request));
     }
     std::erase_if(out, [this, &request, pool](const Endpoint *endpoint) {
-        return !isRegionAllowed(request, *endpoint)
-            || (pool != nullptr && !m_rateLimiter.admits(*pool, *endpoint, m_now));
+        return pool != nullptr && !m_rateLimiter.admits(*pool, *endpoint, m_now);
     });
     return out;
 }
@@ -104,6 +104,10 @@
                                   m_now)
             : pickLeastLoaded(candidateEndpoints(request), request.triedEndpoints, attempt);
     }
+    if (endpoint == nullptr && request.isStreamStarted) {
+        abortStream(request, "no endpoint available to continue it");
+        return;
+    }
     if (endpoint == nullptr) {
         const auto capacity = poolCapacity(request, m_now);
         const auto nextAt = capacity ? capacity->nextAt : std::nullopt;
@@ -151,6 +155,7 @@
     request.isStallDetected = false;
     request.endpoint = start.instance;
     request.endpointIncarnation = endpoint->record.incarnation;
+    request.endpointVersion = endpoint->record.softwareVersion;
     request.triedEndpoints.push_back(start.instance);
     request.head.reset();
     request.body.clear();
@@ -290,6 +295,7 @@
     }
     std::string events = request->eventSplitter.append(event.bytes);
     if (!events.empty()) {
+        request->streamVersion = request->endpointVersion;
         // The engine has fetched its inputs by the first event. Releasing them now relieves the stage pools; a stream
         // that fails later has to repeat its stages.
         for (StageProgress &stage : request->stages) {
@@ -400,8 +406,9 @@
     // A request that was not executed may be sent to one more endpoint than `maxAttempts`.
     const std::size_t sends = request.route->maxAttempts + (mayHaveRun ? 0 : 1);
     const bool allowed = !mayHaveRun || request.route->mayRunTwice();
-    if (allowed && request.triedEndpoints.size() < sends && request.executions < request.route->maxAttempts
-        && takeRetry(request)) {
+    const bool hasEndpoint = !request.streamVersion || !allowedEndpoints(request).empty();
+    if (allowed && hasEndpoint && request.triedEndpoints.size() < sends
+        && request.executions < request.route->maxAttempts && takeRetry(request)) {
         log(request, "Retrying request.",
             {{"may_have_run", mayHaveRun ? "yes" : "no"}, {"endpoint", request.endpoint.text()}}, Severity::Warning);
         if (!request.hasReleasedInputs()) {
@@ -414,10 +421,7 @@
         }
     }
     if (request.isStreamStarted) {
-        m_effects.emplace_back(AbortStream{request.callerRequest->call});
-        log(request, "Stream aborted.", {{"reason", "endpoint failed"}, {"endpoint", request.endpoint.text()}},
-            Severity::Warning);
-        finish(request, "broken_off");
+        abortStream(request, hasEndpoint ? "endpoint failed" : "no endpoint of the stream's software version");
         return;
     }
     reject(request, request.mayHaveRun ? ErrorKind::BadGateway : otherwise,
@@ -437,6 +441,14 @@
     return isTaken;
 }
 
+/*! @brief Closes a stream whose response has started, so that its caller may resume it. */
+void ServingReducer::abortStream(Request &request, const std::string &reason)
+{
+    m_effects.emplace_back(AbortStream{request.callerRequest->call});
+    log(request, "Stream aborted.", {{"reason", reason}, {"endpoint", request.endpoint.text()}}, Severity::Warning);
+    finish(request, "broken_off");
+}
+
 bool ServingReducer::isStalled(const Request &request) const
 {
     const Duration longest = std::max(m_firstEventTimes.average(request.pool) * stallFactor, minStallTime);
