Continue streams that callers resume at the software version that began them

Cause: `Last-Event-Id` was passed on and `Resumes` read by nobody; the process that gets the new attempt need not be the one that began the stream. Class of fault: a decision that needs what another process knows. Ruled out: choosing the version by a hash of the attempt: the set of versions changes between two attempts. Full knowledge in every process: grows with the fleet. Asking only when needed: the process that knows may just have died. Change: each process tells the relays in its heartbeats which version it has sent a stream to, already before the first event; the key holds the workspace, and a record ends with its caller's deadline. An attempt that resumes a stream takes the version from there, else from the relays, which are asked while its stages run. If nobody knows it, the only version of the pool is taken; if there was another one in the last minute, or no endpoint of the version is left, the attempt is rejected at once. A resumption chooses its pool as the attempt that began the stream did.

--- a/src/bergamottide/app/peerport.cpp
+++ b/src/bergamottide/app/peerport.cpp
@@ -2,6 +2,9 @@
 
 #include "bergamottide/app/peerwire.h"
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
 #include <utility>
 
 namespace bergamottide {
@@ -13,6 +16,8 @@
 constexpr std::string_view heartbeatPath = "/peer/heartbeat";
 constexpr std::string_view taskPath = "/peer/task";
 constexpr std::string_view releasedPath = "/peer/released";
+/*! @brief Its query is the key of a stream in decimal digits; the body of the response is a software version. */
+constexpr std::string_view streamPath = "/peer/stream";
 constexpr std::string_view storeDataPath = "/peer/published";
 
 /*! @brief Time for which sent bytes may stay unacknowledged before the connection is closed. */
@@ -81,6 +86,10 @@
         receiveTask(request, responder);
         return;
     }
+    if (request.path == streamPath) {
+        answerStreamLookup(request, *responder);
+        return;
+    }
     if (request.path == releasedPath) {
         auto handles = peerwire::decodeHandles(request.body);
         responder->respond({handles.ok() ? 200 : 400, {}, {}});
@@ -127,6 +136,17 @@
     m_heartbeatClient.call(peer.address, std::move(request), std::move(hooks));
 }
 
+void PeerPort::answerStreamLookup(const HttpRequest &request, HttpResponder &responder)
+{
+    std::uint64_t key = 0;
+    if (!absl::SimpleAtoi(request.query, &key)) {
+        responder.respond({400, {}, {}});
+        return;
+    }
+    const auto version = m_hooks.streamVersion(StreamKey{key});
+    responder.respond({version ? 200 : 204, {}, version ? version->text() : std::string{}});
+}
+
 void PeerPort::receiveTask(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
     auto task = peerwire::decodeTask(request.body, m_loop.now());
@@ -233,6 +253,23 @@
                       std::move(hooks));
 }
 
+void PeerPort::carryOut(const LookUpStream &effect)
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.path = streamPath;
+    request.query = absl::StrCat(static_cast<std::uint64_t>(effect.stream));
+    HttpCallHooks hooks;
+    hooks.done = [this, call = effect.call](const HttpResponse &answer) {
+        const bool isKnown = answer.status == 200;
+        m_hooks.submit(StreamLookupEnded{call, isKnown ? std::optional{SoftwareVersion{answer.body}} : std::nullopt});
+    };
+    hooks.failed = [this, call = effect.call](HttpFailure) {
+        m_hooks.submit(StreamLookupEnded{call, std::nullopt});
+    };
+    m_heartbeatClient.call(effect.address, std::move(request), std::move(hooks));
+}
+
 void PeerPort::logMalformedMessage(const absl::Status &status)
 {
     m_hooks.log({Severity::Warning,
--- a/src/bergamottide/app/peerport.h
+++ b/src/bergamottide/app/peerport.h
@@ -24,6 +24,8 @@
     std::function<void(serving::Event event)> submit;
     /*! @brief Returns the heartbeat to send to the peer at an address. */
     std::function<serving::Heartbeat(const std::string &to)> heartbeat;
+    /*! @brief Returns the software version that began a stream; nothing if it is unknown. */
+    std::function<std::optional<SoftwareVersion>(serving::StreamKey stream)> streamVersion;
     std::function<void(const LogLine &line)> log;
 };
 
@@ -71,10 +73,12 @@
     void carryOut(const serving::CancelDelegatedTask &effect);
     void carryOut(const serving::CompletePeerTask &effect);
     void carryOut(const serving::NotifyReleasedResults &effect);
+    void carryOut(const serving::LookUpStream &effect);
 
 private:
     void handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
     void receiveTask(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
+    void answerStreamLookup(const HttpRequest &request, HttpResponder &responder);
     [[nodiscard]] absl::StatusOr<std::string> receiveHeartbeat(const std::string &text);
     void handleTaskAnswer(serving::StageTaskId task, const InstanceName &peer, const HttpResponse &answer);
     void logMalformedMessage(const absl::Status &status);
--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -179,6 +179,28 @@
     return report;
 }
 
+/*! @brief Encodes streams as arrays by version, since there is one for each request in progress. */
+json toJson(const std::vector<StreamReport> &reports)
+{
+    json out = json::object();
+    for (const StreamReport &report : reports) {
+        out[report.version.text()].push_back({static_cast<std::uint64_t>(report.stream), report.timeLeft.count()});
+    }
+    return out;
+}
+
+std::vector<StreamReport> streamReportsFromJson(const json &value)
+{
+    std::vector<StreamReport> out;
+    for (const auto &[version, streams] : value.items()) {
+        for (const json &stream : streams) {
+            out.push_back({StreamKey{stream.at(0).get<std::uint64_t>()}, SoftwareVersion{version},
+                           Duration{stream.at(1).get<std::int64_t>()}});
+        }
+    }
+    return out;
+}
+
 /*! @brief Parses and decodes a message; every JSON error becomes a `MalformedBody` status. */
 template <typename Decode>
 auto parse(const std::string &text, Decode decode) -> absl::StatusOr<decltype(decode(json{}))>
@@ -237,6 +259,9 @@
     if (!heartbeat.notices.empty()) {
         out["notices"] = toJson(heartbeat.notices);
     }
+    if (!heartbeat.streams.empty()) {
+        out["streams"] = toJson(heartbeat.streams);
+    }
     return dump(out);
 }
 
@@ -288,6 +313,7 @@
         for (const json &report : value.value("notices", json::array())) {
             heartbeat.notices.push_back(noticeReportFromJson(report));
         }
+        heartbeat.streams = streamReportsFromJson(value.value("streams", json::object()));
         return heartbeat;
     });
 }
--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -339,6 +339,9 @@
     hooks.heartbeat = [this](const std::string &to) {
         return m_reducer.heartbeat(to, m_loop.now());
     };
+    hooks.streamVersion = [this](StreamKey stream) {
+        return m_reducer.streamVersion(stream);
+    };
     hooks.log = [this](const LogLine &line) {
         log(line);
     };
@@ -550,6 +553,11 @@
     m_peers.carryOut(effect);
 }
 
+void ServingApp::carryOut(const LookUpStream &effect)
+{
+    m_peers.carryOut(effect);
+}
+
 void ServingApp::carryOut(const SendHeartbeat &effect)
 {
     m_peers.carryOut(effect);
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -154,6 +154,7 @@
     void carryOut(const serving::CancelDelegatedTask &effect);
     void carryOut(const serving::CompletePeerTask &effect);
     void carryOut(const serving::NotifyReleasedResults &effect);
+    void carryOut(const serving::LookUpStream &effect);
     void carryOut(const serving::SendHeartbeat &effect);
     void carryOut(const serving::Drained &effect);
     void carryOut(const LogLine &effect);
--- a/src/bergamottide/serving/events.h
+++ b/src/bergamottide/serving/events.h
@@ -299,6 +299,14 @@
     std::vector<std::string> handles;
 };
 
+/*! @brief Event: a peer has told which software version began a stream, or could not. */
+struct StreamLookupEnded
+{
+    CallId call{};
+    /*! @brief Nothing if the peer does not know the stream or did not respond. */
+    std::optional<SoftwareVersion> version;
+};
+
 /*! @brief Event: settings that can be reloaded at run time have changed. */
 struct SettingsChanged
 {
@@ -322,7 +330,7 @@
 using Event = std::variant<RequestArrived, CallerDisconnected, EndpointResponded, RunHeadReceived, RunBodyReceived,
                            RunCompleted, RunFailed, EndpointChecked, StageCallEnded, CatalogChanged, EndpointsChanged,
                            PeerTaskArrived, PeerTaskCancelled, DelegatedTaskEnded, HeartbeatReceived,
-                           PeerReleasedResults, SettingsChanged, DrainRequested, Tick>;
+                           PeerReleasedResults, StreamLookupEnded, SettingsChanged, DrainRequested, Tick>;
 
 /*! @brief Kind of an error response that this process sends instead of an endpoint. */
 enum class ErrorKind : std::uint8_t
@@ -484,6 +492,14 @@
     std::vector<std::string> handles;
 };
 
+/*! @brief Effect: asks a peer which software version began a stream; `StreamLookupEnded` follows. */
+struct LookUpStream
+{
+    CallId call{};
+    StreamKey stream{};
+    std::string address;
+};
+
 /*! @brief Effect: sends a heartbeat to an address. */
 struct SendHeartbeat
 {
@@ -497,8 +513,8 @@
 
 using Effect = std::variant<SendErrorResponse, SendResponse, BeginStream, SendStreamEvents, FinishStream, AbortStream,
                             StartRun, CancelRun, CheckEndpoint, StartStageCall, CancelStageCall, ReleaseResults,
-                            DelegateTask, CancelDelegatedTask, CompletePeerTask, NotifyReleasedResults, SendHeartbeat,
-                            Drained, LogLine, Observe>;
+                            DelegateTask, CancelDelegatedTask, CompletePeerTask, NotifyReleasedResults, LookUpStream,
+                            SendHeartbeat, Drained, LogLine, Observe>;
 using Effects = std::vector<Effect>;
 
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/heartbeat.h
+++ b/src/bergamottide/serving/heartbeat.h
@@ -92,6 +92,20 @@
     bool isDraining{};
 };
 
+/*! @brief Identifies a stream: digest of the workspace and of the attempt that brought its first event. */
+enum class StreamKey : std::uint64_t
+{
+};
+
+/*! @brief Stream that a process has sent to an endpoint. */
+struct StreamReport
+{
+    StreamKey stream{};
+    SoftwareVersion version;
+    /*! @brief Time until its caller no longer waits for it. */
+    Duration timeLeft{};
+};
+
 /*! @brief State that a process sends to a peer in each heartbeat. */
 struct Heartbeat
 {
@@ -132,6 +146,8 @@
     std::vector<CrashReport> crashes;
     /*! @brief Limits and drains of endpoints that the receiver has not acknowledged. */
     std::vector<NoticeReport> notices;
+    /*! @brief Streams of this process that the receiver, a relay, has not acknowledged. */
+    std::vector<StreamReport> streams;
 };
 
 /*! @brief Interval of heartbeats; several fit into the peer timeout, so that a lost one does no harm. */
--- a/src/bergamottide/serving/membershipview.cpp
+++ b/src/bergamottide/serving/membershipview.cpp
@@ -100,6 +100,17 @@
     return m_isRelay;
 }
 
+std::vector<PeerInfo> MembershipView::otherRelays() const
+{
+    std::vector<PeerInfo> out;
+    for (const Relay &relay : m_relays) {
+        if (relay.info.instance != m_self.instance) {
+            out.push_back(relay.info);
+        }
+    }
+    return out;
+}
+
 const std::vector<InstanceName> &MembershipView::partners() const noexcept
 {
     return m_partners;
--- a/src/bergamottide/serving/membershipview.h
+++ b/src/bergamottide/serving/membershipview.h
@@ -97,6 +97,9 @@
     /*! @brief Returns whether this process is a relay. */
     [[nodiscard]] bool isRelay() const noexcept;
 
+    /*! @brief Returns the relays without this process. */
+    [[nodiscard]] std::vector<PeerInfo> otherRelays() const;
+
     /*!
      * @brief Returns the peers with which this process exchanges heartbeats.
      *
--- a/src/bergamottide/serving/peers.cpp
+++ b/src/bergamottide/serving/peers.cpp
@@ -291,6 +291,10 @@
     heartbeat.wantsRoster = membership.isPartner(receiver) || !membership.hearsRelay();
     heartbeat.acknowledgedGossip = receiver == nullptr ? 0 : receiver->gossipVersion;
     addRoster(heartbeat, receiver, now);
+    if (receiver != nullptr && !receiver->isRelay) {
+        // It asks the relays.
+        heartbeat.streams.clear();
+    }
     if (!heartbeat.isRelay) {
         // Reported to both relays, the work would be counted twice.
         const bool isFirst = membership.partners().empty() || receiver == nullptr
@@ -457,6 +461,11 @@
     return view(now).live().size();
 }
 
+std::vector<PeerInfo> Peers::relays(TimePoint now) const
+{
+    return view(now).otherRelays();
+}
+
 bool Peers::isRelay(TimePoint now) const
 {
     return view(now).isRelay();
--- a/src/bergamottide/serving/peers.h
+++ b/src/bergamottide/serving/peers.h
@@ -86,6 +86,9 @@
     /*! @brief Returns the number of live peers that do not drain, without this process. */
     [[nodiscard]] std::size_t liveCount(TimePoint now) const;
 
+    /*! @brief Returns the relays without this process. */
+    [[nodiscard]] std::vector<PeerInfo> relays(TimePoint now) const;
+
     /*! @brief Tells if this process is a relay. */
     [[nodiscard]] bool isRelay(TimePoint now) const;
 
--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -95,6 +95,10 @@
     SoftwareVersion endpointVersion;
     /*! @brief Software version that the stream must continue at; empty as long as any will do. */
     std::optional<SoftwareVersion> streamVersion;
+    /*! @brief Number of peers that have yet to tell which version began the stream. */
+    std::size_t pendingLookups{};
+    /*! @brief The run starts once that version is known. */
+    bool awaitsVersion{};
     /*! @brief Endpoints to which the request was sent, in order. */
     std::vector<InstanceName> triedEndpoints;
     /*! @brief Number of failed runs that may have executed the request. */
@@ -118,6 +122,12 @@
         return *cachedFingerprint;
     }
 
+    /*! @brief Returns the attempt that names the stream: the one that brought its first event. */
+    [[nodiscard]] const std::string &streamAttempt() const noexcept
+    {
+        return callerRequest->resumedAttempt.empty() ? callerRequest->attempt : callerRequest->resumedAttempt;
+    }
+
     /*! @brief Returns whether inputs that another run would need have been released. */
     [[nodiscard]] bool hasReleasedInputs() const noexcept
     {
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -222,6 +222,7 @@
     }
     m_quarantine.merge(event.heartbeat.crashes, m_now);
     m_notices.merge(event.heartbeat.notices, m_now, m_effects);
+    m_streamVersions.merge(event.heartbeat.streams, m_now);
     const std::size_t after = m_peers.liveCount(m_now);
     m_retryBudget.setProcessCount(static_cast<std::uint32_t>(after + 1), m_now);
     if (before != after) {
@@ -252,6 +253,7 @@
 {
     m_nextHeartbeatAt = m_now + m_peers.heartbeatInterval();
     m_quarantine.removeExpired(m_now);
+    m_streamVersions.removeExpired(m_now);
     for (std::string &address : m_peers.takeDueAddresses(m_now)) {
         m_effects.emplace_back(SendHeartbeat{std::move(address)});
     }
@@ -329,6 +331,7 @@
     heartbeat.gossipSince = m_gossipClock.sendSince(m_peers.acknowledgedGossip(to, now));
     heartbeat.crashes = m_quarantine.reportsSince(heartbeat.gossipSince, now);
     heartbeat.notices = m_notices.reportsSince(heartbeat.gossipSince, now);
+    heartbeat.streams = m_streamVersions.reportsSince(heartbeat.gossipSince, now);
     m_peers.fillHeartbeat(heartbeat, to, now);
     return heartbeat;
 }
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -65,6 +65,7 @@
     , m_incarnation{options.incarnation}
     , m_gossipClock{options.incarnation}
     , m_notices{m_gossipClock, m_endpoints}
+    , m_streamVersions{m_gossipClock}
     , m_quarantine{m_gossipClock}
     , m_crashDetector{m_endpoints}
 {
@@ -147,6 +148,7 @@
 {
     m_endpoints.update(*event.endpoints, m_now, m_effects);
     m_notices.updateEndpoints(m_now, m_effects);
+    m_streamVersions.updateEndpoints(*event.endpoints, m_now);
     m_stageScheduler.requestScans();
     updateEngines();
     m_peers.setCanOwnQueues(canServe());
@@ -210,6 +212,9 @@
                     {"expected_ms", milliseconds(admitted.expectedResponseAt - m_now)},
                     {"objective_ms", milliseconds(admitted.objective - m_now)},
                     {"limit_ms", milliseconds(admitted.deadline - m_now)}}));
+    if (needsLookup(admitted)) {
+        lookUpVersion(admitted);
+    }
     advance(admitted);
 }
 
@@ -257,9 +262,11 @@
     }
     request.objective = m_now + route->objective;
     request.expectedResponseAt = m_now;
-    request.pool = selectPool(*route, request.callerRequest->attempt);
+    request.pool = selectPool(*route, request.streamAttempt());
+    resolveVersion(request);
     request.prompt = engines::chainOf(request.callerRequest->model, request.callerRequest->prompt);
-    if (allowedEndpoints(request).empty()) {
+    const bool isUnknown = needsLookup(request) && m_peers.relays(m_now).empty();
+    if (isUnknown || allowedEndpoints(request).empty()) {
         return ErrorKind::Unavailable;
     }
     request.stages.resize(route->stages.size());
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -22,6 +22,7 @@
 #include "bergamottide/serving/retrybudget.h"
 #include "bergamottide/serving/stageforecast.h"
 #include "bergamottide/serving/stagescheduler.h"
+#include "bergamottide/serving/streamversions.h"
 
 #include <cstdint>
 #include <functional>
@@ -106,6 +107,9 @@
      */
     [[nodiscard]] Heartbeat heartbeat(const std::string &to, TimePoint now);
 
+    /*! @brief Returns the software version that began a stream; nothing if this process does not know it. */
+    [[nodiscard]] std::optional<SoftwareVersion> streamVersion(StreamKey stream) const;
+
     /*! @brief Returns the requests that are rejected because endpoints crash when they run them. */
     [[nodiscard]] std::vector<QuarantinedRequest> quarantinedRequests(TimePoint now) const;
 
@@ -129,6 +133,7 @@
     void on(const DelegatedTaskEnded &event);
     void on(const HeartbeatReceived &event);
     void on(const PeerReleasedResults &event);
+    void on(const StreamLookupEnded &event);
     void on(const SettingsChanged &event);
     void on(const DrainRequested &event);
     void on(const Tick &event);
@@ -191,6 +196,12 @@
     void releaseFetchedInputs();
     [[nodiscard]] std::optional<engines::EngineChoice> chooseEngine(const Request &request);
 
+    // Resumed streams.
+    void resolveVersion(Request &request);
+    [[nodiscard]] bool needsLookup(const Request &request) const;
+    void lookUpVersion(Request &request);
+    void recordVersion(const Request &request, const SoftwareVersion &version);
+
     // Runs.
     void startRun(Request &request);
     [[nodiscard]] bool delayRun(Request &request, TimePoint until);
@@ -258,6 +269,7 @@
     std::map<RunNumber, CallId> m_runs;
     GossipClock m_gossipClock;
     EndpointNotices m_notices;
+    StreamVersions m_streamVersions;
     /*! @brief Fair shares in the pools whose endpoints are all bounded. */
     std::map<PoolName, FairAdmission> m_fairAdmissions;
     Quarantine m_quarantine;
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -92,6 +92,10 @@
 
 void ServingReducer::startRun(Request &request)
 {
+    if (request.pendingLookups > 0) {
+        request.awaitsVersion = true;
+        return;
+    }
     const bool isGeneration = request.route->kind == RouteKind::Streaming;
     const auto choice = isGeneration ? chooseEngine(request) : std::nullopt;
     Endpoint *endpoint = nullptr;
@@ -156,6 +160,7 @@
     request.endpoint = start.instance;
     request.endpointIncarnation = endpoint->record.incarnation;
     request.endpointVersion = endpoint->record.softwareVersion;
+    recordVersion(request, request.endpointVersion);
     request.triedEndpoints.push_back(start.instance);
     request.head.reset();
     request.body.clear();
--- /dev/null
+++ b/src/bergamottide/serving/streamversions.cpp
@@ -0,0 +1,112 @@
+#include "bergamottide/serving/streamversions.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace bergamottide::serving {
+
+namespace {
+
+/*! @brief Time for which a version without endpoints still counts for its pool; callers rarely wait longer. */
+constexpr Duration formerVersionMemory = std::chrono::seconds{60};
+/*! @brief Maximum number of streams of peers; bounds the memory. Further ones stay unknown. */
+constexpr std::size_t maxReportedStreams = 100'000;
+
+} // namespace
+
+StreamVersions::StreamVersions(GossipClock &clock)
+    : m_own{clock}
+{
+}
+
+StreamKey StreamVersions::keyOf(const WorkspaceName &workspace, const std::string &attempt)
+{
+    const std::uint64_t seed = XXH3_64bits(workspace.text().data(), workspace.text().size());
+    return StreamKey{XXH3_64bits_withSeed(attempt.data(), attempt.size(), seed)};
+}
+
+void StreamVersions::updateEndpoints(const EndpointList &endpoints, TimePoint now)
+{
+    for (auto &[pool, versions] : m_pools) {
+        std::erase_if(versions,
+                      [now](const auto &entry) { return entry.second && now - *entry.second >= formerVersionMemory; });
+        for (auto &[version, goneAt] : versions) {
+            goneAt = goneAt.value_or(now);
+        }
+    }
+    for (const EndpointRecord &record : endpoints) {
+        m_pools[record.pool][record.softwareVersion].reset();
+    }
+}
+
+void StreamVersions::record(StreamKey stream, const SoftwareVersion &version, TimePoint expiresAt)
+{
+    const auto known = m_own.entries().find(stream);
+    if (known != m_own.entries().end() && known->second.record.version == version) {
+        known->second.record.expiresAt = std::max(known->second.record.expiresAt, expiresAt);
+        return;
+    }
+    m_own.change(stream) = {version, expiresAt};
+}
+
+std::optional<SoftwareVersion> StreamVersions::find(StreamKey stream) const
+{
+    if (const auto own = m_own.entries().find(stream); own != m_own.entries().end()) {
+        return own->second.record.version;
+    }
+    const auto reported = m_reported.find(stream);
+    return reported == m_reported.end() ? std::nullopt : std::optional{reported->second.version};
+}
+
+std::optional<SoftwareVersion> StreamVersions::onlyVersion(const PoolName &pool, TimePoint now) const
+{
+    const auto versions = m_pools.find(pool);
+    if (versions == m_pools.end()) {
+        return std::nullopt;
+    }
+    std::optional<SoftwareVersion> only;
+    for (const auto &[version, goneAt] : versions->second) {
+        if (goneAt && now - *goneAt >= formerVersionMemory) {
+            continue;
+        }
+        if (only) {
+            return std::nullopt;
+        }
+        only = version;
+    }
+    return only;
+}
+
+void StreamVersions::merge(const std::vector<StreamReport> &reports, TimePoint now)
+{
+    for (const StreamReport &report : reports) {
+        if (m_reported.size() >= maxReportedStreams && !m_reported.contains(report.stream)) {
+            continue;
+        }
+        m_reported[report.stream] = {report.version, now + report.timeLeft};
+    }
+}
+
+std::vector<StreamReport> StreamVersions::reportsSince(std::uint64_t since, TimePoint now) const
+{
+    std::vector<StreamReport> out;
+    for (const auto &[stream, entry] : m_own.entries()) {
+        if (entry.version > since && entry.record.expiresAt > now) {
+            out.push_back({stream, entry.record.version, entry.record.expiresAt - now});
+        }
+    }
+    return out;
+}
+
+void StreamVersions::removeExpired(TimePoint now)
+{
+    auto &own = m_own.entries();
+    for (auto next = own.begin(); next != own.end();) {
+        next = next->second.record.expiresAt <= now ? m_own.erase(next) : std::next(next);
+    }
+    std::erase_if(m_reported, [now](const auto &entry) { return entry.second.expiresAt <= now; });
+}
+
+} // namespace bergamottide::serving
--- /dev/null
+++ b/src/bergamottide/serving/streamversions.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "bergamottide/core/ids.h"
+#include "bergamottide/core/time.h"
+#include "bergamottide/serving/events.h"
+#include "bergamottide/serving/gossiptable.h"
+#include "bergamottide/serving/heartbeat.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bergamottide::serving {
+
+/**
+ * @brief Software versions at which streams continue.
+ *
+ * What endpoints of two versions write does not fit together, and endpoints do not check it: a stream that breaks off
+ * may continue only at the version that began it. Its caller may resume it at any process, so each process tells the
+ * relays which version it has chosen, already when it sends a request. Where nothing is known of a stream, the only
+ * version of its pool is taken, if there was no other one for a while.
+ */
+class StreamVersions
+{
+public:
+    /**
+     * @brief Creates an empty table.
+     * @param clock Numbers the changes; must outlive the table.
+     */
+    explicit StreamVersions(GossipClock &clock);
+
+    /**
+     * @brief Returns the key of a stream.
+     * @param workspace Workspace of the caller; other workspaces cannot resume the stream.
+     * @param attempt Attempt that brought the first event.
+     */
+    [[nodiscard]] static StreamKey keyOf(const WorkspaceName &workspace, const std::string &attempt);
+
+    /*! @brief Updates the versions of all pools. */
+    void updateEndpoints(const EndpointList &endpoints, TimePoint now);
+
+    /**
+     * @brief Records the version of a stream; a later one replaces it until the first event is sent.
+     * @param stream Stream.
+     * @param version Version of the endpoint that the request is sent to.
+     * @param expiresAt When the caller no longer waits, and thus will not resume the stream.
+     */
+    void record(StreamKey stream, const SoftwareVersion &version, TimePoint expiresAt);
+
+    /*! @brief Returns the version of a stream; nothing if it is unknown. */
+    [[nodiscard]] std::optional<SoftwareVersion> find(StreamKey stream) const;
+
+    /*! @brief Returns the version of a pool's endpoints; nothing if there are several, or were a short time ago. */
+    [[nodiscard]] std::optional<SoftwareVersion> onlyVersion(const PoolName &pool, TimePoint now) const;
+
+    /*! @brief Adds the streams of a peer. */
+    void merge(const std::vector<StreamReport> &reports, TimePoint now);
+
+    /**
+     * @brief Returns the streams of this process that have been recorded since a version of the clock.
+     * @param since Version; zero for all.
+     * @param now Current time.
+     */
+    [[nodiscard]] std::vector<StreamReport> reportsSince(std::uint64_t since, TimePoint now) const;
+
+    /*! @brief Removes the streams whose callers no longer wait. */
+    void removeExpired(TimePoint now);
+
+private:
+    struct Stream
+    {
+        SoftwareVersion version;
+        TimePoint expiresAt{};
+    };
+
+    /*! @brief Versions of a pool, each with the time at which its last endpoint was removed; none while it has one. */
+    using PoolVersions = std::map<SoftwareVersion, std::optional<TimePoint>>;
+
+    GossipTable<StreamKey, Stream> m_own;
+    /*! @brief Streams of peers. */
+    std::map<StreamKey, Stream> m_reported;
+    std::map<PoolName, PoolVersions> m_pools;
+};
+
+} // namespace bergamottide::serving
--- a/test/bergamottide/app/peerwire.cpp
+++ b/test/bergamottide/app/peerwire.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 using namespace bergamottide;
 using namespace bergamottide::serving;
 using std::chrono::milliseconds;
@@ -14,6 +16,7 @@
     CPPUNIT_TEST(heartbeatWithoutEngineReportsIsAccepted);
     CPPUNIT_TEST(heartbeatRoundTripsCrashReports);
     CPPUNIT_TEST(heartbeatRoundTripsEndpointNotices);
+    CPPUNIT_TEST(heartbeatRoundTripsStreams);
     CPPUNIT_TEST(heartbeatOfAnEarlierReleaseHasNoCrashReports);
     CPPUNIT_TEST(heartbeatWithWrongFieldTypeIsRejected);
     CPPUNIT_TEST(heartbeatRoundTripsWorkspacesAboveTheirShare);
@@ -55,6 +58,27 @@
         CPPUNIT_ASSERT(read->engines.empty());
     }
 
+    void heartbeatRoundTripsStreams()
+    {
+        constexpr StreamKey key{0xfedcba9876543210};
+        Heartbeat heartbeat;
+        heartbeat.streams = {{key, SoftwareVersion{"v1"}, milliseconds{900}},
+                             {StreamKey{2}, SoftwareVersion{}, milliseconds{5}},
+                             {StreamKey{3}, SoftwareVersion{"v1"}, milliseconds{7}}};
+        const std::string text = peerwire::encode(heartbeat);
+        const auto read = peerwire::decodeHeartbeat(text);
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, read->streams.size());
+        const auto found = std::ranges::find(read->streams, key, &StreamReport::stream);
+        CPPUNIT_ASSERT(found != read->streams.end());
+        CPPUNIT_ASSERT_EQUAL(std::string{"v1"}, found->version.text());
+        CPPUNIT_ASSERT(found->timeLeft == milliseconds{900});
+        CPPUNIT_ASSERT(peerwire::decodeHeartbeat(peerwire::encode(Heartbeat{}))->streams.empty());
+        std::string wrong = text;
+        wrong.replace(wrong.find("900000"), 6, "\"soon\"");
+        CPPUNIT_ASSERT(!peerwire::decodeHeartbeat(wrong).ok());
+    }
+
     void heartbeatRoundTripsCrashReports()
     {
         constexpr std::uint64_t version = 0xfedcba9876543210;
--- a/test/support/servingfleet.cpp
+++ b/test/support/servingfleet.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Duration step = std::chrono::milliseconds{10};
+constexpr Duration connectTimeout = std::chrono::milliseconds{400};
 constexpr Duration networkDelay = std::chrono::milliseconds{1};
 constexpr Duration shortestQueueTime = std::chrono::milliseconds{20};
 constexpr Duration longestQueueTime = std::chrono::milliseconds{150};
@@ -279,6 +280,8 @@
         }
     } else if (const auto *check = std::get_if<CheckEndpoint>(&effect)) {
         checkEndpoint(process, *check);
+    } else if (const auto *lookup = std::get_if<LookUpStream>(&effect)) {
+        lookUpStream(process, *lookup);
     } else if (const auto *heartbeat = std::get_if<SendHeartbeat>(&effect)) {
         exchangeHeartbeats(process, heartbeat->address);
     } else if (const auto *error = std::get_if<SendErrorResponse>(&effect)) {
@@ -487,6 +490,17 @@
     }
 }
 
+void ServingFleet::lookUpStream(std::size_t process, const LookUpStream &lookup)
+{
+    const ServingReducer *peer = m_processes[m_processByAddress.at(lookup.address)].reducer.get();
+    const Duration delay = peer == nullptr ? connectTimeout : networkDelay;
+    schedule(delay,
+             [this, process, incarnation = m_processes[process].incarnation, lookup,
+              version = peer == nullptr ? std::nullopt : peer->streamVersion(lookup.stream)] {
+                 applyTo(process, incarnation, StreamLookupEnded{lookup.call, version});
+             });
+}
+
 void ServingFleet::exchangeHeartbeats(std::size_t process, const std::string &address)
 {
     const auto peer = m_processByAddress.find(address);
--- a/test/support/servingfleet.h
+++ b/test/support/servingfleet.h
@@ -219,6 +219,7 @@
     void sendEvent(std::size_t engine, std::uint64_t number);
     void completeRun(std::size_t engine, const InstanceName &instance, std::uint64_t number);
     void checkEndpoint(std::size_t process, const serving::CheckEndpoint &check);
+    void lookUpStream(std::size_t process, const serving::LookUpStream &lookup);
     void exchangeHeartbeats(std::size_t process, const std::string &address);
     void deliverHeartbeat(std::size_t from, std::size_t to);
     void recordEnd(CallId call, std::size_t CallerResults::*outcome);
