Name the reason if a resumed stream is rejected on arrival; test lookups through sockets

Cause: an attempt that is rejected since its stream's version is unknown or has no endpoint was logged as "no endpoint is expected to respond in time". Change: the reason; `PeerPort::address` for tests with ports that the system chooses.

--- a/src/bergamottide/app/peerport.cpp
+++ b/src/bergamottide/app/peerport.cpp
@@ -74,6 +74,11 @@
     return m_server.listen();
 }
 
+std::string PeerPort::address() const
+{
+    return m_server.address();
+}
+
 void PeerPort::handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
     if (request.path == heartbeatPath) {
--- a/src/bergamottide/app/peerport.h
+++ b/src/bergamottide/app/peerport.h
@@ -61,6 +61,9 @@
     /*! @brief Starts to listen. */
     [[nodiscard]] absl::Status listen();
 
+    /*! @brief Returns the address it listens on, with the port that the system has chosen. */
+    [[nodiscard]] std::string address() const;
+
     /*! @brief Sets the handlers of peers' requests for the store's data. */
     void setStoreHandlers(StoreHandlers handlers);
 
--- a/src/bergamottide/serving/servingcrashes.cpp
+++ b/src/bergamottide/serving/servingcrashes.cpp
@@ -92,7 +92,7 @@
             continue;
         }
         const ErrorKind kind = request.hasProvablyNotRun() ? ErrorKind::Quarantined : ErrorKind::BadGateway;
-        reject(request, kind, rejectionReason(ErrorKind::Quarantined));
+        reject(request, kind, rejectionReason(request, ErrorKind::Quarantined));
     }
 }
 
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -194,7 +194,7 @@
 {
     const CallId call = request.callerRequest->call;
     if (const auto error = checkAdmission(request)) {
-        reject(request, *error, rejectionReason(*error));
+        reject(request, *error, rejectionReason(request, *error));
         return;
     }
     const auto [entry, isNew] = m_requests.emplace(call, std::move(request));
@@ -218,7 +218,7 @@
     advance(admitted);
 }
 
-std::string ServingReducer::rejectionReason(ErrorKind kind) const
+std::string ServingReducer::rejectionReason(const Request &request, ErrorKind kind) const
 {
     if (kind == ErrorKind::Quarantined) {
         return "endpoints crash when they run it";
@@ -229,6 +229,12 @@
     if (!m_catalog) {
         return "no configuration loaded";
     }
+    if (request.streamVersion && allowedEndpoints(request).empty()) {
+        return "no endpoint of the stream's software version";
+    }
+    if (request.route != nullptr && needsLookup(request)) {
+        return "software version of the resumed stream is unknown";
+    }
     return m_draining ? "process is draining" : "no endpoint is expected to respond in time";
 }
 
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -232,7 +232,7 @@
     void reject(Request &request, ErrorKind kind, const std::string &reason);
     void finish(Request &request, std::string_view outcome);
     void recordMetrics(const Request &request, std::string_view outcome);
-    [[nodiscard]] std::string rejectionReason(ErrorKind kind) const;
+    [[nodiscard]] std::string rejectionReason(const Request &request, ErrorKind kind) const;
     void expireRequests();
 
     Request *find(CallId call);
--- /dev/null
+++ b/test/bergamottide/app/peerport.cpp
@@ -0,0 +1,79 @@
+#include "bergamottide/app/peerport.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <vector>
+
+using namespace bergamottide;
+using namespace bergamottide::serving;
+
+/*! @brief Calls between two processes through sockets. */
+class PeerPortTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PeerPortTest);
+    CPPUNIT_TEST(looksUpTheVersionOfAStream);
+    CPPUNIT_TEST(lookupAtAPeerThatIsGoneEndsWithoutAVersion);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void looksUpTheVersionOfAStream()
+    {
+        CPPUNIT_ASSERT(m_asked.listen().ok());
+        CPPUNIT_ASSERT(lookUp(known, m_asked.address()) == std::optional{SoftwareVersion{"v1"}});
+        CPPUNIT_ASSERT(lookUp(StreamKey{7}, m_asked.address()) == std::nullopt);
+    }
+
+    void lookupAtAPeerThatIsGoneEndsWithoutAVersion()
+    {
+        CPPUNIT_ASSERT(m_asked.listen().ok());
+        const std::string address = m_asked.address();
+        m_server.reset();
+        CPPUNIT_ASSERT(lookUp(known, address) == std::nullopt);
+    }
+
+private:
+    static constexpr StreamKey known{0xfedcba9876543210};
+    static constexpr CallId call{3};
+
+    /*! @brief Asks a peer and returns its answer. */
+    [[nodiscard]] std::optional<SoftwareVersion> lookUp(StreamKey stream, const std::string &address)
+    {
+        m_ended.clear();
+        m_asking.carryOut(LookUpStream{call, stream, address});
+        while (m_ended.empty()) {
+            m_loop.runOnce(std::chrono::milliseconds{10});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_ended.size());
+        CPPUNIT_ASSERT(m_ended.front().call == call);
+        return m_ended.front().version;
+    }
+
+    [[nodiscard]] PeerPortHooks hooks()
+    {
+        PeerPortHooks hooks;
+        hooks.submit = [this](const Event &event) {
+            if (const auto *ended = std::get_if<StreamLookupEnded>(&event)) {
+                m_ended.push_back(*ended);
+            }
+        };
+        hooks.heartbeat = [](const std::string &) {
+            return Heartbeat{};
+        };
+        hooks.streamVersion = [](StreamKey stream) {
+            return stream == known ? std::optional{SoftwareVersion{"v1"}} : std::nullopt;
+        };
+        hooks.log = [](const LogLine &) {
+        };
+        return hooks;
+    }
+
+    SystemClock m_clock;
+    Loop m_loop{m_clock};
+    std::vector<StreamLookupEnded> m_ended;
+    std::optional<PeerPort> m_server{std::in_place, m_loop, "127.0.0.1:0", hooks()};
+    PeerPort &m_asked{*m_server};
+    PeerPort m_asking{m_loop, "127.0.0.1:0", hooks()};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerPortTest);
