Count seeds that are not heard among the processes that share the retry slack

What callers saw: as with partitions before; processes that restart behind one take themselves for a smaller fleet. Cause: the memory of ten minutes ends with the process. In groups of two, each of four restarted processes would take a third of the slack and more after its first window. Evidence: ServingReducerTest::slackIsSharedWithSeedsThatAreNotHeard failed without the change (2 processes instead of 4). Change: the number of processes is at least that of the seed addresses and this process. Ruled out: assuming sixteen processes for ten minutes; the slack of a small fleet would be a quarter after each restart.

--- a/src/bergamottide/serving/peers.cpp
+++ b/src/bergamottide/serving/peers.cpp
@@ -71,6 +71,11 @@
     }
 }
 
+std::size_t Peers::otherSeeds() const noexcept
+{
+    return m_seeds.size();
+}
+
 void Peers::handleHeartbeat(const Heartbeat &heartbeat, TimePoint now)
 {
     if (heartbeat.from.instance == m_self.instance) {
--- a/src/bergamottide/serving/peers.h
+++ b/src/bergamottide/serving/peers.h
@@ -49,6 +49,9 @@
     /*! @brief Adds seed addresses; earlier ones are kept. */
     void addSeeds(const std::vector<std::string> &seeds);
 
+    /*! @brief Returns the number of seed addresses without that of this process. */
+    [[nodiscard]] std::size_t otherSeeds() const noexcept;
+
     /*! @brief Applies a heartbeat that was received as a request or as the response to one. */
     void handleHeartbeat(const Heartbeat &heartbeat, TimePoint now);
 
--- a/src/bergamottide/serving/servingpeers.cpp
+++ b/src/bergamottide/serving/servingpeers.cpp
@@ -224,7 +224,9 @@
     m_notices.merge(event.heartbeat.notices, m_now, m_effects);
     m_streamVersions.merge(event.heartbeat.streams, m_now);
     const std::size_t after = m_peers.liveCount(m_now);
-    m_retryBudget.setProcessCount(static_cast<std::uint32_t>(after + 1), m_now);
+    // A process that starts behind a partition has not heard the seeds on the other side.
+    const std::size_t processes = std::max(after, m_peers.otherSeeds()) + 1;
+    m_retryBudget.setProcessCount(static_cast<std::uint32_t>(processes), m_now);
     if (before != after) {
         m_effects.emplace_back(Observe{Metric::PeersLive, {}, static_cast<double>(after)});
         m_effects.emplace_back(
--- a/test/bergamottide/serving/servingreducer.cpp
+++ b/test/bergamottide/serving/servingreducer.cpp
@@ -2,6 +2,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
 using namespace bergamottide;
 using namespace bergamottide::serving;
 using bergamottide::test::ServingFixture;
@@ -30,6 +35,7 @@
     CPPUNIT_TEST(interruptedStreamRepeatsItsStages);
     CPPUNIT_TEST(requestThatCannotBeOnTimeIsRejectedOnArrival);
     CPPUNIT_TEST(missingInputsRestartStages);
+    CPPUNIT_TEST(slackIsSharedWithSeedsThatAreNotHeard);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -68,6 +74,29 @@
         CPPUNIT_ASSERT(m_fixture.effect<SendErrorResponse>() == nullptr);
     }
 
+    /*! @brief A process that starts behind a partition hears only the processes on its side. */
+    void slackIsSharedWithSeedsThatAreNotHeard()
+    {
+        ServingFixture fixture{ServingFixture::endpoints(), {"10.0.0.9:1", "10.0.0.8:1", "10.0.0.7:1", "10.0.0.6:1"}};
+        Heartbeat heartbeat;
+        heartbeat.from = {InstanceName{"entry-2"}, "10.0.0.8:1"};
+        for (int second = 0; second < 12; ++second) {
+            fixture.apply(HeartbeatReceived{heartbeat});
+            fixture.advanceClock(std::chrono::seconds{1});
+        }
+        fixture.apply(fixture.arrival("/lookup/1"));
+        const RunFailed failure{fixture.effect<StartRun>()->run, RunFailure::Broken};
+        std::vector<std::pair<std::string, std::string>> fields;
+        for (const Effect &effect : fixture.reducer().apply(failure, fixture.now())) {
+            const auto *line = std::get_if<LogLine>(&effect);
+            if (line != nullptr && line->text == "Retry taken from the budget.") {
+                fields = line->fields;
+            }
+        }
+        CPPUNIT_ASSERT(std::ranges::find(fields, std::pair<std::string, std::string>{"processes", "4"})
+                       != fields.end());
+    }
+
     void missingInputsRestartStages()
     {
         RequestArrived arrival = m_fixture.arrival("/report/1");
