Avoid a false warning of the sanitizer build about an optional version

Cause: GCC 12 with the sanitizers takes the value of an empty optional for read (maybe-uninitialized, an error here); the plain build does not warn, so it was found in the sanitizer build only. Change: a pointer to the only version instead of a copy. Conclusion: no change of behaviour.

--- a/src/bergamottide/serving/streamversions.cpp
+++ b/src/bergamottide/serving/streamversions.cpp
@@ -66,17 +66,17 @@
     if (versions == m_pools.end()) {
         return std::nullopt;
     }
-    std::optional<SoftwareVersion> only;
+    const SoftwareVersion *only = nullptr;
     for (const auto &[version, goneAt] : versions->second) {
         if (goneAt && now - *goneAt >= formerVersionMemory) {
             continue;
         }
-        if (only) {
+        if (only != nullptr) {
             return std::nullopt;
         }
-        only = version;
+        only = &version;
     }
-    return only;
+    return only == nullptr ? std::nullopt : std::optional{*only};
 }
 
 void StreamVersions::merge(const std::vector<StreamReport> &reports, TimePoint now)
