--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -63,7 +63,7 @@
     if (m_paths.hasFailures()) {
         removeUnreachable(out, inputZones(request));
     }
-    std::erase_if(out, [this, &request, pool](const Endpoint *endpoint) {
+    std::erase_if(out, [this, pool](const Endpoint *endpoint) {
         return pool != nullptr && !m_rateLimiter.admits(*pool, *endpoint, m_now);
     });
     return out;
