Bound the lifetime and the number of own streams

Cause: a record lasted as long as the caller's deadline, which the caller names, and own records had no bound on their number. Change: ten minutes and 100,000 at most; pools without versions are dropped.

--- a/src/bergamottide/serving/servingstreams.cpp
+++ b/src/bergamottide/serving/servingstreams.cpp
@@ -77,7 +77,7 @@
     }
     const TimePoint expiresAt =
         std::max(request.deadline, request.arrivedAt + request.callerRequest->deadline.value_or(Duration::zero()));
-    m_streamVersions.record(keyOf(request), version, expiresAt);
+    m_streamVersions.record(keyOf(request), version, expiresAt, m_now);
 }
 
 std::optional<SoftwareVersion> ServingReducer::streamVersion(StreamKey stream) const
--- a/src/bergamottide/serving/streamversions.cpp
+++ b/src/bergamottide/serving/streamversions.cpp
@@ -11,8 +11,10 @@
 
 /*! @brief Time for which a version without endpoints still counts for its pool; callers rarely wait longer. */
 constexpr Duration formerVersionMemory = std::chrono::seconds{60};
-/*! @brief Maximum number of streams of peers; bounds the memory. Further ones stay unknown. */
-constexpr std::size_t maxReportedStreams = 100'000;
+/*! @brief Longest time for which a stream is known; callers name their deadlines themselves. */
+constexpr Duration maxStreamLifetime = std::chrono::minutes{10};
+/*! @brief Maximum number of own streams, and of those of peers; further ones stay unknown. */
+constexpr std::size_t maxStreams = 100'000;
 
 } // namespace
 
@@ -36,14 +38,19 @@
             goneAt = goneAt.value_or(now);
         }
     }
+    std::erase_if(m_pools, [](const auto &entry) { return entry.second.empty(); });
     for (const EndpointRecord &record : endpoints) {
         m_pools[record.pool][record.softwareVersion].reset();
     }
 }
 
-void StreamVersions::record(StreamKey stream, const SoftwareVersion &version, TimePoint expiresAt)
+void StreamVersions::record(StreamKey stream, const SoftwareVersion &version, TimePoint expiresAt, TimePoint now)
 {
+    expiresAt = std::min(expiresAt, now + maxStreamLifetime);
     const auto known = m_own.entries().find(stream);
+    if (known == m_own.entries().end() && m_own.entries().size() >= maxStreams) {
+        return;
+    }
     if (known != m_own.entries().end() && known->second.record.version == version) {
         known->second.record.expiresAt = std::max(known->second.record.expiresAt, expiresAt);
         return;
@@ -82,10 +89,10 @@
 void StreamVersions::merge(const std::vector<StreamReport> &reports, TimePoint now)
 {
     for (const StreamReport &report : reports) {
-        if (m_reported.size() >= maxReportedStreams && !m_reported.contains(report.stream)) {
+        if (m_reported.size() >= maxStreams && !m_reported.contains(report.stream)) {
             continue;
         }
-        m_reported[report.stream] = {report.version, now + report.timeLeft};
+        m_reported[report.stream] = {report.version, now + std::min(report.timeLeft, maxStreamLifetime)};
     }
 }
 
--- a/src/bergamottide/serving/streamversions.h
+++ b/src/bergamottide/serving/streamversions.h
@@ -45,9 +45,10 @@
      * @brief Records the version of a stream; a later one replaces it until the first event is sent.
      * @param stream Stream.
      * @param version Version of the endpoint that the request is sent to.
-     * @param expiresAt When the caller no longer waits, and thus will not resume the stream.
+     * @param expiresAt When the caller no longer waits, and thus will not resume the stream; at most ten minutes count.
+     * @param now Current time.
      */
-    void record(StreamKey stream, const SoftwareVersion &version, TimePoint expiresAt);
+    void record(StreamKey stream, const SoftwareVersion &version, TimePoint expiresAt, TimePoint now);
 
     /*! @brief Returns the version of a stream; nothing if it is unknown. */
     [[nodiscard]] std::optional<SoftwareVersion> find(StreamKey stream) const;
--- a/test/bergamottide/serving/streamversions.cpp
+++ b/test/bergamottide/serving/streamversions.cpp
@@ -22,6 +22,9 @@
     CPPUNIT_TEST(unknownStreamIsRejectedWhileVersionsAreMixed);
     CPPUNIT_TEST(unknownStreamContinuesAtTheOnlyVersion);
     CPPUNIT_TEST(unknownStreamIsRejectedWhileAFormerVersionIsRemembered);
+    CPPUNIT_TEST(streamsOfOtherWorkspacesAreUnknown);
+    CPPUNIT_TEST(streamsAreForgottenWhateverTheDeadline);
+    CPPUNIT_TEST(numberOfStreamsIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -117,6 +120,37 @@
         CPPUNIT_ASSERT(fixture.effect<StartRun>() != nullptr);
     }
 
+    void streamsOfOtherWorkspacesAreUnknown()
+    {
+        const StreamKey north = StreamVersions::keyOf(WorkspaceName{"north"}, "attempt");
+        CPPUNIT_ASSERT(north == StreamVersions::keyOf(WorkspaceName{"north"}, "attempt"));
+        CPPUNIT_ASSERT(north != StreamVersions::keyOf(WorkspaceName{"south"}, "attempt"));
+    }
+
+    void streamsAreForgottenWhateverTheDeadline()
+    {
+        GossipClock clock{1};
+        StreamVersions versions{clock};
+        const TimePoint now{std::chrono::seconds{100}};
+        versions.record(StreamKey{1}, SoftwareVersion{"v1"}, now + std::chrono::hours{200}, now);
+        versions.merge({{StreamKey{2}, SoftwareVersion{"v1"}, std::chrono::hours{200}}}, now);
+        CPPUNIT_ASSERT(versions.find(StreamKey{1}) && versions.find(StreamKey{2}));
+        versions.removeExpired(now + std::chrono::minutes{10});
+        CPPUNIT_ASSERT(!versions.find(StreamKey{1}) && !versions.find(StreamKey{2}));
+    }
+
+    void numberOfStreamsIsBounded()
+    {
+        GossipClock clock{1};
+        StreamVersions versions{clock};
+        const TimePoint now{std::chrono::seconds{100}};
+        for (std::uint64_t stream = 0; stream < 100'001; ++stream) {
+            versions.record(StreamKey{stream}, SoftwareVersion{"v1"}, now + std::chrono::seconds{5}, now);
+        }
+        CPPUNIT_ASSERT(versions.find(StreamKey{99'999}));
+        CPPUNIT_ASSERT(!versions.find(StreamKey{100'000}));
+    }
+
 private:
     /*! @brief Returns the endpoints of the fixture, with six engines of two versions. */
     [[nodiscard]] static std::shared_ptr<const EndpointList> mixedEndpoints()
