Log the parts of the prompt of a request that is sent to an endpoint

Cause: no log line names the parts of a prompt, so the logs cannot show what requests on crashed engines have in common. Ruled out: the fingerprints of parts alone; a reader of the logs needs what callers send.

--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -2,6 +2,7 @@
 #include "bergamottide/serving/servingreducer.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <array>
@@ -38,6 +39,12 @@
     return status >= firstSuccess && status < firstBeyond;
 }
 
+/*! @brief Returns the identities of the parts of a prompt, for log lines. */
+std::string joinedParts(const std::vector<PromptPart> &prompt)
+{
+    return absl::StrJoin(prompt, ",", [](std::string *out, const PromptPart &part) { absl::StrAppend(out, part.id); });
+}
+
 } // namespace
 
 /*! @brief Returns whether the request may run in the endpoint's region and at its software version. */
@@ -179,6 +186,7 @@
          {"software", endpoint->record.softwareVersion.text()},
          {"after_event", start.lastEventId},
          {"resumes", request.callerRequest->resumedAttempt},
+         {"prompt", joinedParts(request.callerRequest->prompt)},
          {"pace", absl::StrCat(m_endpoints.loads().expectedPace(request.pool, start.instance, m_now))},
          {"sends", absl::StrCat(request.triedEndpoints.size())}});
     m_effects.emplace_back(std::move(start));
