--- a/test/support/servingfleet.cpp
+++ b/test/support/servingfleet.cpp
@@ -26,6 +26,7 @@
 /*! @brief Time after which a caller resumes a stream that has broken off. */
 constexpr Duration shortestReturn = std::chrono::milliseconds{5};
 constexpr Duration longestReturn = std::chrono::milliseconds{100};
+constexpr std::uint64_t tokensOfPart = 100;
 constexpr int statusMisdirected = 421;
 constexpr int statusUnavailable = 503;
 
@@ -165,12 +166,12 @@
     }
 }
 
-void ServingFleet::send(std::size_t process, const std::string &target)
+void ServingFleet::send(std::size_t process, const std::string &target, const std::vector<std::string> &prompt)
 {
     if (!m_processes[process].reducer) {
         return;
     }
-    m_streams.push_back({target, {}, {}, 0, 0, false});
+    m_streams.push_back({target, prompt, {}, {}, 0, 0, false});
     ++m_results[target].sent;
     sendAttempt(process, m_streams.size() - 1);
 }
@@ -194,6 +195,9 @@
     request.apiKey = "key";
     request.body = "body of " + target;
     request.deadline = callerPatience;
+    for (const std::string &part : sent.prompt) {
+        request.prompt.push_back({part, tokensOfPart});
+    }
     m_calls[request.call] = {target, request.attempt, process, stream};
     apply(process, RequestArrived{std::move(request)});
 }
@@ -240,9 +244,9 @@
     return out;
 }
 
-void ServingFleet::send(const std::string &target)
+void ServingFleet::send(const std::string &target, const std::vector<std::string> &prompt)
 {
-    send(m_random.below(static_cast<std::uint32_t>(m_processes.size())), target);
+    send(m_random.below(static_cast<std::uint32_t>(m_processes.size())), target, prompt);
 }
 
 void ServingFleet::apply(std::size_t process, const Event &event)
@@ -317,8 +321,10 @@
         apply(process, RunFailed{start.run, RunFailure::ConnectFailed});
         return;
     }
-    m_arrivals.push_back(
-        {m_now, engine->instance, process, m_now - m_processes[process].startedAt, start.request->target, toldFor});
+    const bool hasCrashingPart =
+        std::ranges::any_of(start.request->prompt, [](const PromptPart &part) { return part.id == crashingPart; });
+    m_arrivals.push_back({m_now, engine->instance, process, m_now - m_processes[process].startedAt,
+                          start.request->target, toldFor, hasCrashingPart});
     if (engine->instance != start.instance) {
         apply(process, RunHeadReceived{start.run, rejectionHead(statusMisdirected)});
         return;
@@ -333,7 +339,9 @@
     }
     const std::uint64_t number = m_nextNumber++;
     const std::uint64_t nextEvent = start.lastEventId.empty() ? 0 : std::stoull(start.lastEventId) + 1;
-    engine->runs[number] = {process, incarnation, start.run, start.request->attempt, start.request->target, nextEvent};
+    const bool crashesEngine = hasCrashingPart || start.request->target.starts_with(crashingPath);
+    engine->runs[number] = {process,   incarnation,  start.run, start.request->attempt, start.request->target,
+                            nextEvent, crashesEngine};
     schedule(between(shortestQueueTime, longestQueueTime),
              [this, index = m_engineByAddress[start.address], instance = start.instance, number] {
                  beginRun(index, instance, number);
@@ -392,7 +400,7 @@
     applyTo(run.process, run.incarnation, EndpointResponded{instance, notice(m_engines[engine], run.incarnation)});
     applyTo(run.process, run.incarnation, RunHeadReceived{run.run, successHead()});
     sendEvent(engine, number);
-    if (!run.target.starts_with(crashingPath)) {
+    if (!run.crashesEngine) {
         schedule(between(shortestRun, longestRun),
                  [this, engine, instance, number] { completeRun(engine, instance, number); });
         return;
--- a/test/support/servingfleet.h
+++ b/test/support/servingfleet.h
@@ -51,6 +51,8 @@
     std::string target;
     /*! @brief How long the process had known a limit from the engine's own responses; negative if it did not. */
     Duration toldFor{};
+    /*! @brief Its prompt contains `crashingPart`. */
+    bool hasCrashingPart{};
 };
 
 /*! @brief A rejection by which an engine asked a process for a time without requests. */
@@ -77,7 +79,8 @@
 /**
  * @brief Simulates serving processes that exchange heartbeats, and model engines that crash, on a virtual clock.
  *
- * An engine that begins to run a request to `crashingPath` crashes soon afterwards, which breaks all its connections.
+ * An engine that begins to run a request to `crashingPath`, or one with `crashingPart` in its prompt, crashes soon
+ * afterwards, which breaks all its connections.
  * Another instance starts at its address some seconds later. The platform's list follows with a delay.
  */
 class ServingFleet
@@ -85,6 +88,8 @@
 public:
     /*! @brief Path prefix of requests that crash the engine that runs them. */
     static constexpr std::string_view crashingPath = "/summary/crash";
+    /*! @brief Part of a prompt that crashes the engine that runs a request with it. */
+    static constexpr std::string_view crashingPart = "crash";
 
     explicit ServingFleet(const ServingFleetOptions &options);
 
@@ -95,11 +100,12 @@
      * @brief Sends a caller's request to a process; one that is down ignores it.
      * @param process Position of the process.
      * @param target Path; requests of the same path are the same request.
+     * @param prompt Identities of the parts of the prompt.
      */
-    void send(std::size_t process, const std::string &target);
+    void send(std::size_t process, const std::string &target, const std::vector<std::string> &prompt = {});
 
     /*! @brief Sends a request to a random process. */
-    void send(const std::string &target);
+    void send(const std::string &target, const std::vector<std::string> &prompt = {});
 
     /*! @brief Kills a process and starts it again after some time, without what it knew. */
     void restart(std::size_t process, Duration downTime);
@@ -142,7 +148,7 @@
     /*! @brief Returns the rejections with a pause. */
     [[nodiscard]] const std::vector<PauseNotice> &pauses() const noexcept;
 
-    /*! @brief Returns when requests to `crashingPath` crashed engines, in order. */
+    /*! @brief Returns when requests crashed engines, in order. */
     [[nodiscard]] const std::vector<TimePoint> &requestCrashes() const noexcept;
 
     /*! @brief Returns the results of requests whose path begins with a prefix. */
@@ -166,6 +172,7 @@
         std::string attempt;
         std::string target;
         std::uint64_t nextEvent{};
+        bool crashesEngine{};
     };
 
     struct Engine
@@ -189,6 +196,7 @@
     struct Stream
     {
         std::string target;
+        std::vector<std::string> prompt;
         /*! @brief Attempt that brought the first event. */
         std::string firstAttempt;
         std::set<SoftwareVersion> versions;
