Quarantine the parts of prompts that crash engines

What callers saw: streams broke off and pools lost their engines, one every 0.4 s, as long as requests with a certain part in their prompts came; no two of these were alike. Cause: the quarantine knows whole requests only. A request that differs in its last part starts with no evidence, so each one may crash three engines. Class of fault: a key of the evidence that is finer than what it has to bound. Ruled out: the pair of route and workspace (its sound requests are served meanwhile); all parts of a prompt together (the others vary); the prefix up to a part (the rule holds whatever else the request has); parts across workspaces (one could reject another's requests). Change: the parts of suspects are suspects of the same crash, but the last one; four crashes that no single request explains quarantine a part; parts that cannot be told apart are quarantined together, so only requests with all of them are rejected; a success clears its parts in the whole fleet. A stream that has begun goes on, but is not retried.

--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -133,20 +133,29 @@
 {
     json out = json::array();
     for (const CrashReport &report : reports) {
-        out.push_back({{"endpoint", report.endpoint.text()},
-                       {"incarnation", report.incarnation},
-                       {"age", report.age.count()},
-                       {"suspects", toJson(report.suspects)},
-                       {"cleared", toJson(report.cleared)}});
+        json item{{"endpoint", report.endpoint.text()},
+                  {"incarnation", report.incarnation},
+                  {"age", report.age.count()},
+                  {"suspects", toJson(report.suspects)},
+                  {"cleared", toJson(report.cleared)}};
+        if (!report.suspectParts.empty() || !report.clearedParts.empty()) {
+            item["suspectParts"] = toJson(report.suspectParts);
+            item["clearedParts"] = toJson(report.clearedParts);
+        }
+        out.push_back(std::move(item));
     }
     return out;
 }
 
 CrashReport crashReportFromJson(const json &value)
 {
-    return {InstanceName{value.at("endpoint").get<std::string>()}, Duration{value.at("age").get<std::int64_t>()},
-            fingerprintsFromJson(value.at("suspects")), fingerprintsFromJson(value.at("cleared")),
-            value.value("incarnation", std::uint64_t{})};
+    return {InstanceName{value.at("endpoint").get<std::string>()},
+            Duration{value.at("age").get<std::int64_t>()},
+            fingerprintsFromJson(value.at("suspects")),
+            fingerprintsFromJson(value.at("cleared")),
+            value.value("incarnation", std::uint64_t{}),
+            fingerprintsFromJson(value.value("suspectParts", json::array())),
+            fingerprintsFromJson(value.value("clearedParts", json::array()))};
 }
 
 json toJson(const std::vector<NoticeReport> &reports)
--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -104,7 +104,7 @@
     return options;
 }
 
-std::string toJson(const std::vector<QuarantinedRequest> &requests)
+std::string toJson(const std::vector<QuarantinedRequest> &requests, const std::vector<QuarantinedParts> &parts)
 {
     nlohmann::json out = nlohmann::json::array();
     for (const QuarantinedRequest &request : requests) {
@@ -112,6 +112,15 @@
                        {"crashes", request.crashes},
                        {"secondsLeft", request.timeLeft / std::chrono::seconds{1}}});
     }
+    for (const QuarantinedParts &item : parts) {
+        nlohmann::json fingerprints = nlohmann::json::array();
+        for (const RequestFingerprint &part : item.parts) {
+            fingerprints.push_back(part.text());
+        }
+        out.push_back({{"parts", std::move(fingerprints)},
+                       {"crashes", item.crashes},
+                       {"secondsLeft", item.timeLeft / std::chrono::seconds{1}}});
+    }
     return out.dump();
 }
 
@@ -148,7 +157,8 @@
                 if (request.path == quarantinePath) {
                     responder->respond({200,
                                         {{"content-type", "application/json"}},
-                                        toJson(m_reducer.quarantinedRequests(m_loop.now()))});
+                                        toJson(m_reducer.quarantinedRequests(m_loop.now()),
+                                               m_reducer.quarantinedParts(m_loop.now()))});
                     return;
                 }
                 responder->respond({200, {{"content-type", "text/plain; version=0.0.4"}}, m_metrics.text()});
--- a/src/bergamottide/serving/crashdetector.cpp
+++ b/src/bergamottide/serving/crashdetector.cpp
@@ -11,11 +11,11 @@
 /*! @brief Time for which a crashed endpoint is remembered; the platform lists it for some seconds more. */
 constexpr Duration crashMemory = std::chrono::seconds{30};
 
-std::string join(const std::set<RequestFingerprint> &requests)
+std::string join(const std::set<RequestFingerprint> &fingerprints)
 {
     std::string out;
-    for (const RequestFingerprint &request : requests) {
-        absl::StrAppend(&out, out.empty() ? "" : ",", request.text());
+    for (const RequestFingerprint &fingerprint : fingerprints) {
+        absl::StrAppend(&out, out.empty() ? "" : ",", fingerprint.text());
     }
     return out;
 }
@@ -51,11 +51,11 @@
     if (work.startedAt > broken.at) {
         return std::nullopt;
     }
-    broken.requests.insert(work.requests.begin(), work.requests.end());
+    broken.suspects.insert(work.suspects);
     if (isNew) {
         effects.emplace_back(CheckEndpoint{work.endpoint, endpoint->record.address});
     }
-    return broken.hasCrashed ? std::optional{EndpointCrash{work.endpoint, incarnation, broken.requests}} : std::nullopt;
+    return broken.hasCrashed ? std::optional{EndpointCrash{work.endpoint, incarnation, broken.suspects}} : std::nullopt;
 }
 
 std::optional<EndpointCrash> CrashDetector::handleChecked(const EndpointChecked &event, Effects &effects)
@@ -72,13 +72,14 @@
                                  {{"endpoint", event.instance.text()},
                                   {"pool", broken.pool.text()},
                                   {"state", std::string{enumName(event.state)}},
-                                  {"requests", join(broken.requests)}}});
+                                  {"requests", join(broken.suspects.requests)},
+                                  {"parts", join(broken.suspects.parts)}}});
     if (!broken.hasCrashed) {
         m_broken.erase(found);
         return std::nullopt;
     }
     effects.emplace_back(Observe{Metric::EndpointCrashesTotal, {broken.pool.text()}, 1.0});
-    return EndpointCrash{event.instance, broken.incarnation, broken.requests};
+    return EndpointCrash{event.instance, broken.incarnation, broken.suspects};
 }
 
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/crashdetector.h
+++ b/src/bergamottide/serving/crashdetector.h
@@ -4,11 +4,10 @@
 #include "bergamottide/core/time.h"
 #include "bergamottide/serving/endpointregistry.h"
 #include "bergamottide/serving/events.h"
-#include "bergamottide/serving/requestfingerprint.h"
+#include "bergamottide/serving/suspects.h"
 
 #include <map>
 #include <optional>
-#include <set>
 
 namespace bergamottide::serving {
 
@@ -18,8 +17,8 @@
     PoolName pool;
     InstanceName endpoint;
     TimePoint startedAt{};
-    /*! @brief Request of a run, or stages of the requests in a stage call. */
-    std::set<RequestFingerprint> requests;
+    /*! @brief Request of a run, or stages of the requests in a stage call, and the prompt parts of a run. */
+    Suspects suspects;
     /*! @brief Incarnation of the endpoint when the work was sent. */
     std::uint64_t incarnation{};
 };
@@ -29,7 +28,7 @@
 {
     InstanceName endpoint;
     std::uint64_t incarnation{};
-    std::set<RequestFingerprint> requests;
+    Suspects suspects;
 };
 
 /**
@@ -71,7 +70,7 @@
         TimePoint at{};
         PoolName pool;
         std::uint64_t incarnation{};
-        std::set<RequestFingerprint> requests;
+        Suspects suspects;
         bool hasCrashed{};
     };
 
--- a/src/bergamottide/serving/heartbeat.h
+++ b/src/bergamottide/serving/heartbeat.h
@@ -77,6 +77,10 @@
     std::vector<RequestFingerprint> cleared;
     /*! @brief Incarnation of the endpoint that crashed; an instance may start again under its name. */
     std::uint64_t incarnation{};
+    /*! @brief Prompt parts of the suspects, as fingerprints. */
+    std::vector<RequestFingerprint> suspectParts;
+    /*! @brief Prompt parts with which a request has succeeded. */
+    std::vector<RequestFingerprint> clearedParts;
 };
 
 /*! @brief Limit and drain that an endpoint has announced. */
--- a/src/bergamottide/serving/quarantine.cpp
+++ b/src/bergamottide/serving/quarantine.cpp
@@ -10,24 +10,49 @@
 
 /*! @brief Number of crashes for which a request is quarantined. Fewer would reject requests that met crashes by chance.
  */
-constexpr std::size_t quarantineThreshold = 3;
+constexpr std::size_t requestThreshold = 3;
+/*! @brief Number of crashes for which a prompt part is quarantined; it may be in many requests that met crashes by
+ * chance.
+ */
+constexpr std::size_t partThreshold = 4;
+/*! @brief Crashes that a suspect must have without another one to be told from it; one may be seen in part only. */
+constexpr std::size_t minDistinctCrashes = 2;
 /*! @brief Age at which a report expires. */
 constexpr Duration reportLifetime = std::chrono::hours{1};
-/*! @brief Maximum number of crashes that are remembered. */
-constexpr std::size_t maxReports = 128;
-/*! @brief Maximum number of suspects of a crash, and of cleared ones; exceeds the slots of an endpoint. */
+/*! @brief Maximum number of suspects of a crash, and of cleared ones, of each kind; exceeds the slots of an endpoint.
+ */
 constexpr std::size_t maxSuspects = 256;
-/*! @brief Shortest time for which a success keeps a request from becoming a suspect. */
+/*! @brief Shortest time for which a success keeps a request or prompt part from becoming a suspect. */
 constexpr Duration successMemory = std::chrono::seconds{30};
-constexpr std::size_t maxSuccesses = 2048;
+constexpr std::size_t maxSuccesses = 8192;
 
-void insertBounded(std::set<RequestFingerprint> &requests, const RequestFingerprint &request)
+void insertBounded(std::set<RequestFingerprint> &fingerprints, const RequestFingerprint &fingerprint)
 {
-    if (requests.size() < maxSuspects) {
-        requests.insert(request);
+    if (fingerprints.size() < maxSuspects) {
+        fingerprints.insert(fingerprint);
     }
 }
 
+/*! @brief Returns the times of some crashes, earliest first. */
+template <typename CrashSet>
+std::vector<TimePoint> timesOf(const CrashSet &crashes, const std::vector<TimePoint> &times)
+{
+    std::vector<TimePoint> out;
+    for (std::size_t position = 0; position < times.size(); ++position) {
+        if (crashes.test(position)) {
+            out.push_back(times[position]);
+        }
+    }
+    return out;
+}
+
+/*! @brief Returns whether a suspect has been in enough crashes without another one. */
+template <typename CrashSet>
+bool isDistinct(const CrashSet &crashes, const CrashSet &others)
+{
+    return (crashes & ~others).count() >= minDistinctCrashes;
+}
+
 } // namespace
 
 Quarantine::Quarantine(GossipClock &clock)
@@ -36,9 +61,12 @@
 {
 }
 
-void Quarantine::recordCrash(const CrashKey &crash, const std::set<RequestFingerprint> &requests, TimePoint now)
+void Quarantine::recordCrash(const CrashKey &crash, const Suspects &suspects, TimePoint now)
 {
-    merge({{crash.first, Duration::zero(), {requests.begin(), requests.end()}, {}, crash.second}}, now);
+    CrashReport report{crash.first, Duration::zero(), {}, {}, crash.second, {}, {}};
+    report.suspects.assign(suspects.requests.begin(), suspects.requests.end());
+    report.suspectParts.assign(suspects.parts.begin(), suspects.parts.end());
+    merge({report}, now);
 }
 
 void Quarantine::merge(const std::vector<CrashReport> &reports, TimePoint now)
@@ -60,15 +88,9 @@
     const auto found = m_crashes.entries().find(key);
     const bool isNew = found == m_crashes.entries().end();
     Crash merged = isNew ? Crash{now - report.age, {}, {}} : found->second.record;
-    for (const RequestFingerprint &request : report.cleared) {
-        insertBounded(merged.cleared, request);
-    }
-    for (const RequestFingerprint &request : report.suspects) {
-        insertBounded(isCleared(request, now) ? merged.cleared : merged.suspects, request);
-    }
-    std::erase_if(merged.suspects,
-                  [&merged](const RequestFingerprint &request) { return merged.cleared.contains(request); });
-    if (!isNew && merged.suspects == found->second.record.suspects && merged.cleared == found->second.record.cleared) {
+    mergeSuspects(merged.requests, report.suspects, report.cleared, now);
+    mergeSuspects(merged.parts, report.suspectParts, report.clearedParts, now);
+    if (!isNew && merged.requests == found->second.record.requests && merged.parts == found->second.record.parts) {
         return;
     }
     if (isNew && m_crashes.entries().size() >= maxReports) {
@@ -77,27 +99,42 @@
     m_crashes.change(key) = std::move(merged);
 }
 
-bool Quarantine::isCleared(const RequestFingerprint &request, TimePoint now)
+void Quarantine::mergeSuspects(SuspectSet &into, const std::vector<RequestFingerprint> &suspects,
+                               const std::vector<RequestFingerprint> &cleared, TimePoint now)
 {
-    return m_released.contains(request) || m_succeeded.contains(request, now);
+    for (const RequestFingerprint &fingerprint : cleared) {
+        insertBounded(into.cleared, fingerprint);
+    }
+    for (const RequestFingerprint &fingerprint : suspects) {
+        insertBounded(isCleared(fingerprint, now) ? into.cleared : into.suspects, fingerprint);
+    }
+    std::erase_if(into.suspects,
+                  [&into](const RequestFingerprint &fingerprint) { return into.cleared.contains(fingerprint); });
+}
+
+bool Quarantine::isCleared(const RequestFingerprint &fingerprint, TimePoint now)
+{
+    return m_released.contains(fingerprint) || m_succeeded.contains(fingerprint, now);
 }
 
-void Quarantine::recordSuccess(const RequestFingerprint &request, TimePoint now)
+void Quarantine::recordSuccess(const RequestFingerprint &fingerprint, TimePoint now)
 {
-    m_succeeded.insert(request, now);
-    clear(request);
+    m_succeeded.insert(fingerprint, now);
+    clear(fingerprint);
 }
 
-void Quarantine::clear(const RequestFingerprint &request)
+void Quarantine::clear(const RequestFingerprint &fingerprint)
 {
     bool isChanged = false;
     for (const auto &[key, entry] : m_crashes.entries()) {
-        if (!entry.record.suspects.contains(request)) {
+        const bool isPart = entry.record.parts.suspects.contains(fingerprint);
+        if (!isPart && !entry.record.requests.suspects.contains(fingerprint)) {
             continue;
         }
         Crash &crash = m_crashes.change(key);
-        crash.suspects.erase(request);
-        insertBounded(crash.cleared, request);
+        SuspectSet &cleared = isPart ? crash.parts : crash.requests;
+        cleared.suspects.erase(fingerprint);
+        insertBounded(cleared.cleared, fingerprint);
         isChanged = true;
     }
     if (isChanged) {
@@ -105,12 +142,12 @@
     }
 }
 
-void Quarantine::setReleased(const std::vector<RequestFingerprint> &requests, TimePoint now)
+void Quarantine::setReleased(const std::vector<RequestFingerprint> &fingerprints, TimePoint now)
 {
     removeExpired(now);
-    m_released = {requests.begin(), requests.end()};
-    for (const RequestFingerprint &request : m_released) {
-        clear(request);
+    m_released = {fingerprints.begin(), fingerprints.end()};
+    for (const RequestFingerprint &fingerprint : m_released) {
+        clear(fingerprint);
     }
 }
 
@@ -128,74 +165,131 @@
     }
 }
 
+/*! @brief Returns whether a crash has a suspect that is quarantined. */
+bool Quarantine::isEvidence(const Crash &crash) const
+{
+    return std::ranges::any_of(crash.requests.suspects,
+                               [this](const RequestFingerprint &request) { return m_quarantined.contains(request); })
+        || std::ranges::any_of(m_quarantinedParts, [&crash](const auto &entry) {
+               return std::ranges::includes(crash.parts.suspects, entry.first);
+           });
+}
+
 /*! @brief Drops the oldest crash, preferably one without a quarantined suspect. */
 void Quarantine::evictOldest()
 {
     auto &entries = m_crashes.entries();
     const auto oldest = std::ranges::min_element(entries, {}, [this](const auto &item) {
-        const Crash &crash = item.second.record;
-        const bool isEvidence = std::ranges::any_of(
-            crash.suspects, [this](const RequestFingerprint &request) { return m_quarantined.contains(request); });
-        return std::pair{isEvidence, crash.at};
+        return std::pair{isEvidence(item.second.record), item.second.record.at};
     });
     m_crashes.erase(oldest);
 }
 
-/*! @brief Returns the crashes under each request, for requests with enough crashes for a quarantine. */
-std::map<RequestFingerprint, std::set<Quarantine::CrashKey>> Quarantine::repeatedSuspects() const
+/*! @brief Returns the suspect that first had enough crashes, and of several the one with the most. */
+std::optional<Quarantine::Verdict> Quarantine::nextVerdict(const CrashesBySuspect &suspects, std::size_t threshold,
+                                                           const std::vector<TimePoint> &times)
 {
-    std::map<RequestFingerprint, std::set<CrashKey>> out;
-    for (const auto &[key, entry] : m_crashes.entries()) {
-        for (const RequestFingerprint &request : entry.record.suspects) {
-            out[request].insert(key);
+    std::optional<Verdict> first;
+    std::pair<TimePoint, std::ptrdiff_t> least;
+    for (const auto &[suspect, crashes] : suspects) {
+        if (crashes.count() < threshold) {
+            continue;
+        }
+        const std::vector<TimePoint> at = timesOf(crashes, times);
+        const std::pair order{at.at(threshold - 1), -static_cast<std::ptrdiff_t>(at.size())};
+        if (!first || order < least) {
+            least = order;
+            first = Verdict{suspect, crashes, at.at(at.size() - threshold) + reportLifetime};
         }
     }
-    std::erase_if(out, [](const auto &item) { return item.second.size() < quarantineThreshold; });
-    return out;
+    return first;
+}
+
+/*! @brief Removes crashes that have been explained. */
+void Quarantine::disregard(CrashesBySuspect &suspects, const CrashSet &crashes)
+{
+    for (auto &[suspect, others] : suspects) {
+        others &= ~crashes;
+    }
 }
 
 /*
- * Quarantines the request that first had enough crashes, and disregards its crashes for all others, until no request is
+ * Quarantines the suspect that first had enough crashes, and disregards its crashes for all others, until no suspect is
  * left with enough of them. Otherwise requests that merely ran beside a query of death would be quarantined, too.
  */
 void Quarantine::evaluate()
 {
-    auto suspects = repeatedSuspects();
-    const auto before = std::exchange(m_quarantined, {});
-    while (!suspects.empty()) {
-        const auto first = std::ranges::min_element(suspects, {}, [this](const auto &item) {
-            // Of requests that had enough crashes at the same time, the one with more of them comes first.
-            return std::pair{crashTimes(item.second).at(quarantineThreshold - 1),
-                             -static_cast<std::ptrdiff_t>(item.second.size())};
-        });
-        const RequestFingerprint request = first->first;
-        const std::set<CrashKey> explained = first->second;
-        m_quarantined[request] = crashTimes(explained).at(explained.size() - quarantineThreshold) + reportLifetime;
-        if (!before.contains(request)) {
-            m_changes.started.push_back(request);
+    std::vector<std::pair<TimePoint, const Crash *>> crashes;
+    for (const auto &[key, entry] : m_crashes.entries()) {
+        crashes.emplace_back(entry.record.at, &entry.record);
+    }
+    std::ranges::stable_sort(crashes, {}, &std::pair<TimePoint, const Crash *>::first);
+    CrashesBySuspect requests;
+    CrashesBySuspect parts;
+    std::vector<TimePoint> times;
+    for (const auto &[at, crash] : crashes) {
+        for (const RequestFingerprint &request : crash->requests.suspects) {
+            requests[request].set(times.size());
         }
-        for (auto &[other, crashes] : suspects) {
-            std::erase_if(crashes, [&explained](const CrashKey &crash) { return explained.contains(crash); });
+        for (const RequestFingerprint &part : crash->parts.suspects) {
+            parts[part].set(times.size());
         }
-        std::erase_if(suspects, [](const auto &item) { return item.second.size() < quarantineThreshold; });
+        times.push_back(at);
     }
-    for (const auto &[request, until] : before) {
-        if (!m_quarantined.contains(request)) {
-            m_changes.ended.push_back(request);
+    const auto requestsBefore = std::exchange(m_quarantined, {});
+    const auto partsBefore = std::exchange(m_quarantinedParts, {});
+    evaluateParts(std::move(parts), requests, times);
+    evaluateRequests(std::move(requests), times);
+    recordChanges(requestsBefore, partsBefore);
+}
+
+/*! @brief Quarantines prompt parts; requests lose the crashes that these explain. */
+void Quarantine::evaluateParts(CrashesBySuspect parts, CrashesBySuspect &requests, const std::vector<TimePoint> &times)
+{
+    const CrashesBySuspect allParts = parts;
+    const CrashesBySuspect allRequests = requests;
+    while (const auto verdict = nextVerdict(parts, partThreshold, times)) {
+        parts.erase(verdict->suspect);
+        const bool isOneRequest = std::ranges::any_of(
+            allRequests, [&verdict](const auto &request) { return !isDistinct(verdict->crashes, request.second); });
+        if (isOneRequest) {
+            continue;
+        }
+        PartCombination combination{verdict->suspect};
+        for (const auto &[part, crashes] : allParts) {
+            if (!isDistinct(verdict->crashes, crashes)) {
+                combination.insert(part);
+            }
         }
+        m_quarantinedParts.emplace(std::move(combination), verdict->endsAt);
+        disregard(parts, verdict->crashes);
+        disregard(requests, verdict->crashes);
     }
 }
 
-/*! @brief Returns the times of crashes, earliest first. */
-std::vector<TimePoint> Quarantine::crashTimes(const std::set<CrashKey> &crashes) const
+void Quarantine::evaluateRequests(CrashesBySuspect requests, const std::vector<TimePoint> &times)
 {
-    std::vector<TimePoint> times;
-    times.reserve(crashes.size());
-    for (const CrashKey &crash : crashes) {
-        times.push_back(m_crashes.entries().at(crash).record.at);
+    while (const auto verdict = nextVerdict(requests, requestThreshold, times)) {
+        m_quarantined[verdict->suspect] = verdict->endsAt;
+        requests.erase(verdict->suspect);
+        disregard(requests, verdict->crashes);
     }
-    std::ranges::sort(times);
-    return times;
+}
+
+void Quarantine::recordChanges(const std::map<RequestFingerprint, TimePoint> &requestsBefore,
+                               const std::map<PartCombination, TimePoint> &partsBefore)
+{
+    const auto appendMissing = [](const auto &from, const auto &in, auto &to) {
+        for (const auto &[key, until] : from) {
+            if (!in.contains(key)) {
+                to.push_back(key);
+            }
+        }
+    };
+    appendMissing(m_quarantined, requestsBefore, m_changes.started);
+    appendMissing(requestsBefore, m_quarantined, m_changes.ended);
+    appendMissing(m_quarantinedParts, partsBefore, m_changes.startedParts);
+    appendMissing(partsBefore, m_quarantinedParts, m_changes.endedParts);
 }
 
 const std::map<RequestFingerprint, TimePoint> &Quarantine::quarantined() const noexcept
@@ -203,15 +297,29 @@
     return m_quarantined;
 }
 
+const std::map<PartCombination, TimePoint> &Quarantine::quarantinedParts() const noexcept
+{
+    return m_quarantinedParts;
+}
+
 QuarantineChanges Quarantine::takeChanges()
 {
     return std::exchange(m_changes, {});
 }
 
-std::size_t Quarantine::crashCount(const RequestFingerprint &request) const
+std::size_t Quarantine::crashCount(const RequestFingerprint &fingerprint) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_crashes.entries(), [&fingerprint](const auto &item) {
+        const Crash &crash = item.second.record;
+        return crash.requests.suspects.contains(fingerprint) || crash.parts.suspects.contains(fingerprint);
+    }));
+}
+
+std::size_t Quarantine::crashCount(const PartCombination &parts) const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_crashes.entries(), [&request](const auto &item) { return item.second.record.suspects.contains(request); }));
+    return static_cast<std::size_t>(std::ranges::count_if(m_crashes.entries(), [&parts](const auto &item) {
+        return std::ranges::includes(item.second.record.parts.suspects, parts);
+    }));
 }
 
 std::vector<CrashReport> Quarantine::reportsSince(std::uint64_t since, TimePoint now) const
@@ -224,9 +332,11 @@
         const Crash &crash = entry.record;
         out.push_back({key.first,
                        now - crash.at,
-                       {crash.suspects.begin(), crash.suspects.end()},
-                       {crash.cleared.begin(), crash.cleared.end()},
-                       key.second});
+                       {crash.requests.suspects.begin(), crash.requests.suspects.end()},
+                       {crash.requests.cleared.begin(), crash.requests.cleared.end()},
+                       key.second,
+                       {crash.parts.suspects.begin(), crash.parts.suspects.end()},
+                       {crash.parts.cleared.begin(), crash.parts.cleared.end()}});
     }
     return out;
 }
--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,8 @@
     std::shared_ptr<const CallerRequest> callerRequest;
     /*! @brief Computed on first use. */
     mutable std::optional<RequestFingerprint> cachedFingerprint;
+    /*! @brief Computed on first use. */
+    mutable std::optional<std::set<RequestFingerprint>> cachedPartFingerprints;
     /*! @brief Catalog in effect on arrival; used until the request ends. */
     std::shared_ptr<const Catalog> catalog;
     const Route *route{};
@@ -122,6 +125,15 @@
         return *cachedFingerprint;
     }
 
+    /*! @brief Returns the fingerprints of the shared parts of the prompt; the workspace must be known. */
+    [[nodiscard]] const std::set<RequestFingerprint> &partFingerprints() const
+    {
+        if (!cachedPartFingerprints) {
+            cachedPartFingerprints = partFingerprintsOf(workspace.name, *callerRequest);
+        }
+        return *cachedPartFingerprints;
+    }
+
     /*! @brief Returns the attempt that names the stream: the one that brought its first event. */
     [[nodiscard]] const std::string &streamAttempt() const noexcept
     {
--- a/src/bergamottide/serving/requestfingerprint.cpp
+++ b/src/bergamottide/serving/requestfingerprint.cpp
@@ -7,7 +7,9 @@
 #include <absl/strings/str_cat.h>
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <array>
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -17,6 +19,18 @@
 
 /*! @brief Bytes of the digest that a fingerprint keeps. */
 constexpr std::size_t fingerprintBytes = 16;
+/*! @brief Maximum number of prompt parts with a fingerprint; bounds the work for each request. */
+constexpr std::size_t maxParts = 64;
+
+RequestFingerprint partFingerprint(const WorkspaceName &workspace, const std::string &part)
+{
+    // The first byte differs from that of the digested text of any request.
+    const std::string text = absl::StrCat("part:", workspace.text().size(), ":", workspace.text(), part);
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    EVP_Digest(text.data(), text.size(), digest.data(), nullptr, EVP_sha256(), nullptr);
+    const absl::string_view kept{reinterpret_cast<const char *>(digest.data()), fingerprintBytes};
+    return RequestFingerprint{absl::BytesToHexString(kept)};
+}
 
 } // namespace
 
@@ -45,4 +59,14 @@
     return RequestFingerprint{absl::StrCat(request.text(), ".", stage)};
 }
 
+std::set<RequestFingerprint> partFingerprintsOf(const WorkspaceName &workspace, const CallerRequest &request)
+{
+    std::set<RequestFingerprint> out;
+    const std::size_t shared = request.prompt.empty() ? 0 : request.prompt.size() - 1;
+    for (std::size_t part = 0; part < std::min(shared, maxParts); ++part) {
+        out.insert(partFingerprint(workspace, request.prompt[part].id));
+    }
+    return out;
+}
+
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/servingcrashes.cpp
+++ b/src/bergamottide/serving/servingcrashes.cpp
@@ -1,15 +1,26 @@
 #include "bergamottide/serving/servingreducer.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
+#include <string>
 
 namespace bergamottide::serving {
 
+namespace {
+
+std::string joined(const PartCombination &parts)
+{
+    return absl::StrJoin(parts, ",", [](std::string *out, const RequestFingerprint &part) { *out += part.text(); });
+}
+
+} // namespace
+
 void ServingReducer::recordBroken(const EndpointWork &work)
 {
     if (const auto crash = m_crashDetector.recordBroken(work, m_now, m_effects)) {
-        m_quarantine.recordCrash({crash->endpoint, crash->incarnation}, crash->requests, m_now);
+        m_quarantine.recordCrash({crash->endpoint, crash->incarnation}, crash->suspects, m_now);
     }
 }
 
@@ -19,7 +30,7 @@
         if (m_endpoints.isCurrent(crash->endpoint, crash->incarnation)) {
             m_endpoints.recordCrash(crash->endpoint, m_now, m_effects);
         }
-        m_quarantine.recordCrash({crash->endpoint, crash->incarnation}, crash->requests, m_now);
+        m_quarantine.recordCrash({crash->endpoint, crash->incarnation}, crash->suspects, m_now);
     }
 }
 
@@ -36,14 +47,48 @@
     const bool hasSucceeded = event.status == StageCallStatus::Answered
         && std::ranges::all_of(event.results, [](const PieceResult &result) { return !result.handle.empty(); });
     if (hasSucceeded) {
-        for (const RequestFingerprint &stage : work->requests) {
+        for (const RequestFingerprint &stage : work->suspects.requests) {
             m_quarantine.recordSuccess(stage, m_now);
         }
     }
 }
 
-/*! @brief Returns until when a request, or one of its stages, is quarantined; nothing if it is not. */
+/*! @brief Returns what is suspect if an endpoint crashes under a request. */
+Suspects ServingReducer::suspectsOf(const Request &request)
+{
+    return {{request.fingerprint()}, request.partFingerprints()};
+}
+
+/*! @brief Clears a request and the parts of its prompt: an endpoint has run it successfully. */
+void ServingReducer::recordSuccess(const Request &request)
+{
+    m_quarantine.recordSuccess(request.fingerprint(), m_now);
+    for (const RequestFingerprint &part : request.partFingerprints()) {
+        m_quarantine.recordSuccess(part, m_now);
+    }
+}
+
+/*! @brief Returns until when a request, one of its stages or its prompt is quarantined; nothing if none is. */
 std::optional<TimePoint> ServingReducer::quarantineEnd(const Request &request) const
+{
+    const auto requestEnd = requestQuarantineEnd(request);
+    return requestEnd ? requestEnd : promptQuarantineEnd(request);
+}
+
+/*! @brief Returns until when a request is quarantined since all of some parts of its prompt are. */
+std::optional<TimePoint> ServingReducer::promptQuarantineEnd(const Request &request) const
+{
+    std::optional<TimePoint> latest;
+    for (const auto &[parts, until] : m_quarantine.quarantinedParts()) {
+        if (std::ranges::includes(request.partFingerprints(), parts)) {
+            latest = std::max(latest.value_or(until), until);
+        }
+    }
+    return latest;
+}
+
+/*! @brief Returns until when a request itself, or one of its stages, is quarantined; nothing if it is not. */
+std::optional<TimePoint> ServingReducer::requestQuarantineEnd(const Request &request) const
 {
     const auto &quarantined = m_quarantine.quarantined();
     // The fingerprint takes time that is linear in the body.
@@ -66,6 +111,14 @@
     }
     m_effects.emplace_back(
         Observe{Metric::QuarantinedRequests, {}, static_cast<double>(m_quarantine.quarantined().size())});
+    m_effects.emplace_back(
+        Observe{Metric::QuarantinedPrompts, {}, static_cast<double>(m_quarantine.quarantinedParts().size())});
+    logQuarantineChanges(changes);
+    endQuarantinedRequests();
+}
+
+void ServingReducer::logQuarantineChanges(const QuarantineChanges &changes)
+{
     for (const RequestFingerprint &request : changes.started) {
         m_effects.emplace_back(
             LogLine{Severity::Warning,
@@ -77,9 +130,26 @@
         m_effects.emplace_back(
             LogLine{Severity::Info, Part::Entry, "Request no longer quarantined.", {{"fingerprint", request.text()}}});
     }
+    for (const PartCombination &parts : changes.startedParts) {
+        m_effects.emplace_back(
+            LogLine{Severity::Warning,
+                    Part::Entry,
+                    "Prompt parts quarantined.",
+                    {{"parts", joined(parts)}, {"crashes", absl::StrCat(m_quarantine.crashCount(parts))}}});
+    }
+    for (const PartCombination &parts : changes.endedParts) {
+        m_effects.emplace_back(
+            LogLine{Severity::Info, Part::Entry, "Prompt parts no longer quarantined.", {{"parts", joined(parts)}}});
+    }
+}
+
+void ServingReducer::endQuarantinedRequests()
+{
     std::vector<CallId> quarantined;
     for (const auto &[call, request] : m_requests) {
-        if (quarantineEnd(request)) {
+        // A stream that has begun crashes its endpoint at once, or completes and clears the parts of its prompt.
+        const bool mayContinue = request.isStreamStarted && request.run && !requestQuarantineEnd(request);
+        if (!mayContinue && quarantineEnd(request)) {
             quarantined.push_back(call);
         }
     }
@@ -105,4 +175,13 @@
     return out;
 }
 
+std::vector<QuarantinedParts> ServingReducer::quarantinedParts(TimePoint now) const
+{
+    std::vector<QuarantinedParts> out;
+    for (const auto &[parts, until] : m_quarantine.quarantinedParts()) {
+        out.push_back({parts, m_quarantine.crashCount(parts), until - now});
+    }
+    return out;
+}
+
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -48,7 +48,7 @@
     std::uint64_t incarnation{};
     /*! @brief Region of each availability zone. */
     std::map<ZoneName, RegionName> regions;
-    /*! @brief Requests that are never quarantined. */
+    /*! @brief Requests and prompt parts that are never quarantined. */
     std::vector<RequestFingerprint> releasedRequests;
     /*! @brief Admission allows for the measured error of forecasts. */
     bool usesForecastMargin{true};
@@ -64,6 +64,14 @@
     Duration timeLeft{};
 };
 
+/*! @brief Prompt parts in quarantine, for operators; requests that have all of them are rejected. */
+struct QuarantinedParts
+{
+    PartCombination parts;
+    std::size_t crashes{};
+    Duration timeLeft{};
+};
+
 /**
  * @brief Handles the requests of a serving process as a deterministic state machine without I/O.
  *
@@ -113,6 +121,9 @@
     /*! @brief Returns the requests that are rejected because endpoints crash when they run them. */
     [[nodiscard]] std::vector<QuarantinedRequest> quarantinedRequests(TimePoint now) const;
 
+    /*! @brief Returns the prompt parts whose requests are rejected because endpoints crash when they run them. */
+    [[nodiscard]] std::vector<QuarantinedParts> quarantinedParts(TimePoint now) const;
+
     /*! @brief Returns whether the process is ready: it has a catalog and endpoints, and is not draining. */
     [[nodiscard]] bool canServe() const;
 
@@ -225,8 +236,14 @@
     // Requests that crash endpoints.
     void recordBroken(const EndpointWork &work);
     void recordStageCall(const StageCallEnded &event);
+    void recordSuccess(const Request &request);
     void enforceQuarantine();
+    void logQuarantineChanges(const QuarantineChanges &changes);
+    void endQuarantinedRequests();
+    [[nodiscard]] static Suspects suspectsOf(const Request &request);
     [[nodiscard]] std::optional<TimePoint> quarantineEnd(const Request &request) const;
+    [[nodiscard]] std::optional<TimePoint> requestQuarantineEnd(const Request &request) const;
+    [[nodiscard]] std::optional<TimePoint> promptQuarantineEnd(const Request &request) const;
 
     // Responses.
     void reject(Request &request, ErrorKind kind, const std::string &reason);
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -329,17 +329,14 @@
         return;
     }
     if (!request->head || (request->isStreamStarted && request->eventSplitter.hasPartialEvent())) {
-        recordBroken({request->pool,
-                      request->endpoint,
-                      request->runStartedAt,
-                      {request->fingerprint()},
+        recordBroken({request->pool, request->endpoint, request->runStartedAt, suspectsOf(*request),
                       request->endpointIncarnation});
         failRun(*request, request->head ? "stream ends within an event" : "response without headers");
         return;
     }
     const int status = request->head->status;
     if (isSuccess(status)) {
-        m_quarantine.recordSuccess(request->fingerprint(), m_now);
+        recordSuccess(*request);
     }
     if (status >= firstFailureStatus) {
         endRun(*request, EndpointOutcome::Failed);
@@ -391,11 +388,8 @@
         retryOrFail(*request, false, ErrorKind::Unavailable);
         return;
     }
-    recordBroken({request->pool,
-                  request->endpoint,
-                  request->runStartedAt,
-                  {request->fingerprint()},
-                  request->endpointIncarnation});
+    recordBroken(
+        {request->pool, request->endpoint, request->runStartedAt, suspectsOf(*request), request->endpointIncarnation});
     failRun(*request, "connection lost or response incomplete");
 }
 
@@ -418,7 +412,7 @@
 {
     // A request that was not executed may be sent to one more endpoint than `maxAttempts`.
     const std::size_t sends = request.route->maxAttempts + (mayHaveRun ? 0 : 1);
-    const bool allowed = !mayHaveRun || request.route->mayRunTwice();
+    const bool allowed = (!mayHaveRun || request.route->mayRunTwice()) && !quarantineEnd(request);
     const bool hasEndpoint = !request.streamVersion || !allowedEndpoints(request).empty();
     if (allowed && hasEndpoint && request.triedEndpoints.size() < sends
         && request.executions < request.route->maxAttempts && takeRetry(request)) {
--- a/src/bergamottide/serving/servingsettings.cpp
+++ b/src/bergamottide/serving/servingsettings.cpp
@@ -60,7 +60,7 @@
         scalarField("shareStagePools", &S::shareStagePools, flagType(), optional,
                     "Whether all scarce stage pools are shared among workspaces."),
         listField("releasedRequests", &S::releasedRequests, nameType<RequestFingerprint>(), maxReleasedRequests,
-                  "Fingerprints of requests that are never quarantined."),
+                  "Fingerprints of requests and prompt parts that are never quarantined."),
         scalarField("logLevel", &S::logLevel, choiceType<Severity>(), optional, "Lowest severity that is logged."),
     };
     return table;
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -682,7 +682,7 @@
         found->second.pool, found->second.endpoint, found->second.startedAt, {}, found->second.incarnation};
     for (const CallItem &item : found->second.items) {
         if (const auto pending = m_tasks.find(item.task); pending != m_tasks.end()) {
-            work.requests.insert(pending->second.task.fingerprint);
+            work.suspects.requests.insert(pending->second.task.fingerprint);
         }
     }
     return work;
--- a/src/bergamottide/telemetry/metric.h
+++ b/src/bergamottide/telemetry/metric.h
@@ -48,6 +48,7 @@
     BrokenRunsTotal,
     EndpointCrashesTotal,
     QuarantinedRequests,
+    QuarantinedPrompts,
     DrainNoticesTotal,
     PauseNoticesTotal,
     ForecastMarginSeconds,
@@ -59,7 +60,7 @@
 template <>
 struct EnumNames<Metric>
 {
-    static constexpr std::array<std::string_view, 35> names{"bergamottide_requests_total",
+    static constexpr std::array<std::string_view, 36> names{"bergamottide_requests_total",
                                                             "bergamottide_requests_on_time_total",
                                                             "bergamottide_request_seconds",
                                                             "bergamottide_refusals_total",
@@ -88,6 +89,7 @@
                                                             "bergamottide_broken_runs_total",
                                                             "bergamottide_endpoint_crashes_total",
                                                             "bergamottide_quarantined_requests",
+                                                            "bergamottide_quarantined_prompts",
                                                             "bergamottide_drain_notices_total",
                                                             "bergamottide_pause_notices_total",
                                                             "bergamottide_forecast_margin_seconds",
--- a/test/bergamottide/serving/requestfingerprint.cpp
+++ b/test/bergamottide/serving/requestfingerprint.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(repeatedRequestHasTheSameFingerprint);
     CPPUNIT_TEST(requestsThatDifferHaveDifferentFingerprints);
     CPPUNIT_TEST(fieldsAreKeptApart);
+    CPPUNIT_TEST(partsAreKeptApartByWorkspaceOnly);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -50,6 +51,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{6}, seen.size());
     }
 
+    void partsAreKeptApartByWorkspaceOnly()
+    {
+        CallerRequest first = request();
+        first.prompt = {{"p", 10}, {"q", 20}, {"own", 30}};
+        CallerRequest second = request();
+        second.model = "another model";
+        second.body = "body of another request";
+        second.prompt = {{"q", 10}, {"p", 20}, {"another", 30}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, partFingerprintsOf(m_north, first).size());
+        CPPUNIT_ASSERT(partFingerprintsOf(m_north, first) == partFingerprintsOf(m_north, second));
+        for (const RequestFingerprint &part : partFingerprintsOf(WorkspaceName{"south"}, first)) {
+            CPPUNIT_ASSERT(!partFingerprintsOf(m_north, first).contains(part));
+        }
+        first.prompt.clear();
+        CPPUNIT_ASSERT(partFingerprintsOf(m_north, first).empty());
+    }
+
     /*! @brief A caller must not get the fingerprint of another workspace by moving bytes from one field to the next. */
     void fieldsAreKeptApart()
     {
