Test the retry budget with partitions, restarts and moving callers at once

Ruled out: counting one process behind a partition; processes that hear nobody are not told a count. No change of logic. Conclusion: the bound holds for these at once.

--- a/test/bergamottide/serving/retrybudget.cpp
+++ b/test/bergamottide/serving/retrybudget.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(budgetOfTheFleetHoldsWhileCallersMoveBetweenProcesses);
     CPPUNIT_TEST(budgetOfTheFleetHoldsAcrossRestarts);
     CPPUNIT_TEST(budgetOfTheFleetHoldsInAPartition);
+    CPPUNIT_TEST(budgetOfTheFleetHoldsWithPartitionsAndRestartsAtOnce);
     CPPUNIT_TEST(queueOwnerRetriesForTheFleet);
     CPPUNIT_TEST(successiveQueueOwnersShareTheSlack);
     CPPUNIT_TEST(isolatedQueueOwnerHasTheShareOfAProcess);
@@ -117,6 +118,26 @@
     /*! @brief Only the owner of a queue retries stage calls; with the share of one process most failed calls were
      * final.
      */
+    /*! @brief Callers move with each restart; processes that start behind the partition hear of no other one. */
+    void budgetOfTheFleetHoldsWithPartitionsAndRestartsAtOnce()
+    {
+        for (const std::uint64_t seed : {1U, 2U, 3U}) {
+            for (const Duration restartPeriod : {std::chrono::milliseconds{700}, std::chrono::milliseconds{3000}}) {
+                Play play{.processes = 4, .seed = seed, .isWave = true, .restartPeriod = restartPeriod};
+                play.cutAt = std::chrono::seconds{15};
+                play.healsAt = std::chrono::seconds{28};
+                play.isUnheard = true;
+                this->play(play);
+                play.processes = 27;
+                play.stepsPerRequest = 1;
+                this->play(play);
+                play.processes = 300;
+                play.requestsPerDraw = 4;
+                this->play(play);
+            }
+        }
+    }
+
     void queueOwnerRetriesForTheFleet()
     {
         RetryBudget budget = budgetAfterFirstWindow(25);
@@ -167,6 +188,12 @@
         Duration restartPeriod{};
         /*! @brief When the processes cease to hear each other; zero if they do not. */
         Duration cutAt{};
+        /*! @brief When they hear each other again; zero if they do not. */
+        Duration healsAt{};
+        /*! @brief Processes that hear no other one keep the count that they had, or none, instead of counting one. */
+        bool isUnheard{};
+        /*! @brief Requests that come at once. */
+        std::uint64_t requestsPerDraw{1};
     };
 
     /*! @brief A process of the fleet; without a budget while it is down. */
@@ -190,8 +217,9 @@
                 m_processes[stopped++ % m_processes.size()] = {std::nullopt, m_now + downTime};
                 stopsAt += play.restartPeriod;
             }
-            updateProcesses(play.cutAt > Duration::zero() && m_now >= start + play.cutAt);
-            const std::uint64_t requests = requestDraws(play, m_now - start);
+            const bool hasHealed = play.healsAt > Duration::zero() && m_now >= start + play.healsAt;
+            updateProcesses(play, play.cutAt > Duration::zero() && m_now >= start + play.cutAt && !hasHealed);
+            const std::uint64_t requests = requestDraws(play, m_now - start) * play.requestsPerDraw;
             for (std::uint64_t request = 0; request < requests; ++request) {
                 if (random() % play.stepsPerRequest == 0) {
                     sendRequest(random);
@@ -204,7 +232,7 @@
     }
 
     /*! @brief Starts the processes that are due, and tells all how many there are. */
-    void updateProcesses(bool isCut)
+    void updateProcesses(const Play &play, bool isCut)
     {
         for (Process &process : m_processes) {
             if (!process.budget && process.startsAt <= m_now) {
@@ -214,7 +242,7 @@
         const auto live =
             std::ranges::count_if(m_processes, [](const Process &process) { return process.budget.has_value(); });
         for (Process &process : m_processes) {
-            if (process.budget) {
+            if (process.budget && !(isCut && play.isUnheard)) {
                 process.budget->setProcessCount(isCut ? 1 : static_cast<std::uint32_t>(live), m_now);
             }
         }
