Run the tests of the two suites in several processes

Ruled out: fewer tests. Change: `--shard N OF` runs every OF-th test from the N-th on; test.sh runs as many shards as half of the cores. Each test runs once. Conclusion: the closing line adds up all shards.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,17 +11,14 @@
 passed=0
 failed=0
 failures=()
-# Runs one test program, keeps its output beside it and adds up its closing line.
-run() {
-    local log line
-    log=$1.log
-    "$@" 2>&1 | tee "$log"
-    local code=${PIPESTATUS[0]}
+# Adds up the closing line of a test program: add_up NAME LOG EXIT_STATUS.
+add_up() {
+    local name=$1 log=$2 code=$3 line
     line=$(grep -E '^[0-9]+ passed, [0-9]+ failed' "$log" | tail -n 1)
     mapfile -t -O "${#failures[@]}" failures < <(grep -E '^failed: ' "$log")
     if [ -z "$line" ]; then
         failed=$((failed + 1))
-        echo "no result from: $*"
+        echo "no result from: $name"
         return
     fi
     local here_passed here_failed
@@ -33,10 +30,28 @@
         failed=$((failed + 1))
     fi
 }
-run "$build/bergamottide_test" --known-red "$root/KNOWN-RED.txt"
+# Runs one test program and keeps its output beside it.
+run() {
+    "$@" 2>&1 | tee "$1.log"
+    add_up "$*" "$1.log" "${PIPESTATUS[0]}"
+}
+# Runs a test program in several processes, each with a part of the tests.
+run_shards() {
+    local shards=$((($(nproc) + 1) / 2)) shard pids=()
+    for ((shard = 0; shard < shards; ++shard)); do
+        "$@" --shard "$shard" "$shards" >"$1.$shard.log" 2>&1 &
+        pids+=($!)
+    done
+    for ((shard = 0; shard < shards; ++shard)); do
+        wait "${pids[shard]}"
+        add_up "$* --shard $shard $shards" "$1.$shard.log" $?
+        cat "$1.$shard.log"
+    done
+}
+run_shards "$build/bergamottide_test" --known-red "$root/KNOWN-RED.txt"
 # Contexts of h2o stay until the process ends; the file names them.
 export LSAN_OPTIONS=suppressions=$root/test/lsan.supp:print_suppressions=0
-run "$build-asan/bergamottide_test" --known-red "$root/KNOWN-RED.txt"
+run_shards "$build-asan/bergamottide_test" --known-red "$root/KNOWN-RED.txt"
 if [ -x "$build/bergamottide_processtest" ]; then
     run "$build/bergamottide_processtest" --known-red "$root/KNOWN-RED.txt"
 fi
--- a/test/main.cpp
+++ b/test/main.cpp
@@ -7,7 +7,9 @@
 #include <cppunit/TestRunner.h>
 #include <cppunit/extensions/TestFactoryRegistry.h>
 
+#include <algorithm>
 #include <csignal>
+#include <cstddef>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -26,6 +28,9 @@
     /*! @brief Names of tests that may fail, one at the start of each line of the file. */
     std::set<std::string> knownRed;
     bool list{};
+    /*! @brief Run only every `shards`-th test, beginning with this one. */
+    std::size_t shard{};
+    std::size_t shards{1};
 };
 
 std::set<std::string> readKnownRed(const std::string &path)
@@ -54,6 +59,11 @@
             options.list = true;
             continue;
         }
+        if (argument == "--shard" && index + 2 < argc) {
+            options.shard = std::stoul(argv[++index]);
+            options.shards = std::max(std::stoul(argv[++index]), 1UL);
+            continue;
+        }
         options.filter = argument;
     }
     return options;
@@ -93,6 +103,12 @@
     std::vector<CppUnit::Test *> tests;
     collect(all, options.filter, tests);
 
+    std::vector<CppUnit::Test *> ofShard;
+    for (std::size_t index = options.shard; index < tests.size(); index += options.shards) {
+        ofShard.push_back(tests[index]);
+    }
+    tests = std::move(ofShard);
+
     CppUnit::TestResult result;
     CppUnit::TestResultCollector collector;
     CppUnit::BriefTestProgressListener progress;
