Accept all waiting connections in a round of the loop

What callers saw: if most new connections of a zone go to one process, they wait to be read, and callers leave after a second. Cause: the server accepted one connection in each round of its loop, while a round of a busy process takes long. Evidence: HttpTest::acceptsWaitingConnectionsTogether failed before (7 of 40 connections served in eight rounds), passes now. Ruled out: an unbounded number; other sockets have to get their turn. Change: up to 64 connections a round. Conclusion: waiting connections are read in the next round.

--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr std::uint64_t idleTimeoutMs = 60'000;
+/*! @brief Maximum number of connections accepted in one round of the loop. */
+constexpr int maxAccepts = 64;
 
 std::string textOf(const h2o_iovec_t &vector)
 {
@@ -307,8 +309,12 @@
             return;
         }
         auto *state = static_cast<State *>(listener->data);
-        h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
-        if (socket != nullptr) {
+        // One connection a round would keep the others waiting while the loop has much to do.
+        for (int count = 0; count < maxAccepts; ++count) {
+            h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
+            if (socket == nullptr) {
+                return;
+            }
             detectSilence(h2o_socket_get_fd(socket), state->options.unacknowledgedTimeout);
             h2o_accept(&state->accept, socket);
         }
--- a/test/bergamottide/net/http.cpp
+++ b/test/bergamottide/net/http.cpp
@@ -1,12 +1,18 @@
 #include "bergamottide/core/error.h"
 #include "bergamottide/net/httpclient.h"
 #include "bergamottide/net/httpserver.h"
+#include "bergamottide/net/socketaddress.h"
 #include "support/certificates.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
+#include <vector>
+
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace bergamottide;
 
@@ -32,9 +38,32 @@
     CPPUNIT_TEST(speaksTlsAndTakesARenewedCertificate);
     CPPUNIT_TEST(clientRefusesAnUnknownAuthority);
     CPPUNIT_TEST(refusesACertificateThatCannotBeRead);
+    CPPUNIT_TEST(acceptsWaitingConnectionsTogether);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /*! @brief A loop with much to do has few rounds, and callers leave if they are not read within a second. */
+    void acceptsWaitingConnectionsTogether()
+    {
+        constexpr int connections = 40;
+        constexpr int rounds = 8;
+        int handled = 0;
+        HttpServer server{m_loop, {"127.0.0.1:0", {}, 1 << 20}, [&handled](HttpRequest, auto responder) {
+                              ++handled;
+                              responder->respond({200, {}, "x"});
+                          }};
+        CPPUNIT_ASSERT(server.listen().ok());
+        std::vector<int> callers;
+        for (int index = 0; index < connections; ++index) {
+            callers.push_back(connectAndAsk(server.address()));
+        }
+        for (int round = 0; round < rounds; ++round) {
+            m_loop.runOnce(Duration::zero());
+        }
+        CPPUNIT_ASSERT_EQUAL(connections, handled);
+        std::ranges::for_each(callers, ::close);
+    }
+
     void answersWholeBodies()
     {
         HttpServer server{m_loop, {"127.0.0.1:0", {}, 1 << 20}, [](HttpRequest request, auto responder) {
@@ -200,6 +229,19 @@
     }
 
 private:
+    /*! @brief Opens a connection and sends a request over it, both before the server's loop runs. */
+    static int connectAndAsk(const std::string &address)
+    {
+        auto server = parseSocketAddress(address);
+        CPPUNIT_ASSERT(server.ok());
+        const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        CPPUNIT_ASSERT_EQUAL(0, connect(descriptor, server->native(), server->length));
+        const std::string request = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+        CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(request.size()),
+                             ::send(descriptor, request.data(), request.size(), 0));
+        return descriptor;
+    }
+
     static HttpServer::Handler answerOk()
     {
         return [](HttpRequest, const std::shared_ptr<HttpResponder> &responder) {
