--- a/test/bergamottide/net/http.cpp
+++ b/test/bergamottide/net/http.cpp
@@ -54,6 +54,7 @@
                           }};
         CPPUNIT_ASSERT(server.listen().ok());
         std::vector<int> callers;
+        callers.reserve(connections);
         for (int index = 0; index < connections; ++index) {
             callers.push_back(connectAndAsk(server.address()));
         }
