Join fingerprints in one place, and evaluate crash reports only if one is new

Two functions joined fingerprints for log lines; each heartbeat with reports had all crashes evaluated again, whether it told anything new or not. Ruled out: nothing. Change: `joinedFingerprints`; `mergeReport` returns whether it changed a record; two comments say more. Figures: QuarantineTest 19, QuarantinedRequestTest 20, RequestFingerprintTest 4, PromptPartFleetTest 10, QuarantineFleetTest 10 passed, 0 failed. Conclusion: decisions are the same.

--- a/src/bergamottide/serving/crashdetector.cpp
+++ b/src/bergamottide/serving/crashdetector.cpp
@@ -1,7 +1,5 @@
 #include "bergamottide/serving/crashdetector.h"
 
-#include <absl/strings/str_cat.h>
-
 #include <string>
 
 namespace bergamottide::serving {
@@ -11,15 +9,6 @@
 /*! @brief Time for which a crashed endpoint is remembered; the platform lists it for some seconds more. */
 constexpr Duration crashMemory = std::chrono::seconds{30};
 
-std::string join(const std::set<RequestFingerprint> &fingerprints)
-{
-    std::string out;
-    for (const RequestFingerprint &fingerprint : fingerprints) {
-        absl::StrAppend(&out, out.empty() ? "" : ",", fingerprint.text());
-    }
-    return out;
-}
-
 } // namespace
 
 CrashDetector::CrashDetector(EndpointRegistry &endpoints)
@@ -72,8 +61,8 @@
                                  {{"endpoint", event.instance.text()},
                                   {"pool", broken.pool.text()},
                                   {"state", std::string{enumName(event.state)}},
-                                  {"requests", join(broken.suspects.requests)},
-                                  {"parts", join(broken.suspects.parts)}}});
+                                  {"requests", joinedFingerprints(broken.suspects.requests)},
+                                  {"parts", joinedFingerprints(broken.suspects.parts)}}});
     if (!broken.hasCrashed) {
         m_broken.erase(found);
         return std::nullopt;
--- a/src/bergamottide/serving/quarantine.cpp
+++ b/src/bergamottide/serving/quarantine.cpp
@@ -15,7 +15,8 @@
  * chance.
  */
 constexpr std::size_t partThreshold = 4;
-/*! @brief Crashes that a suspect must have without another one to be told from it; one may be seen in part only. */
+/*! @brief Number of crashes without another suspect that tell a suspect from it. A single one is no proof, as the
+ * report of a crash may lack the runs of a process that has stopped. */
 constexpr std::size_t minDistinctCrashes = 2;
 /*! @brief Age at which a report expires. */
 constexpr Duration reportLifetime = std::chrono::hours{1};
@@ -71,18 +72,17 @@
 
 void Quarantine::merge(const std::vector<CrashReport> &reports, TimePoint now)
 {
-    if (reports.empty()) {
-        return;
-    }
+    bool isChanged = false;
     for (const CrashReport &report : reports) {
-        if (report.age < reportLifetime) {
-            mergeReport(report, now);
-        }
+        isChanged = (report.age < reportLifetime && mergeReport(report, now)) || isChanged;
+    }
+    if (isChanged) {
+        evaluate();
     }
-    evaluate();
 }
 
-void Quarantine::mergeReport(const CrashReport &report, TimePoint now)
+/*! @brief Applies a report, and returns whether it says anything new. */
+bool Quarantine::mergeReport(const CrashReport &report, TimePoint now)
 {
     const CrashKey key{report.endpoint, report.incarnation};
     const auto found = m_crashes.entries().find(key);
@@ -91,12 +91,13 @@
     mergeSuspects(merged.requests, report.suspects, report.cleared, now);
     mergeSuspects(merged.parts, report.suspectParts, report.clearedParts, now);
     if (!isNew && merged.requests == found->second.record.requests && merged.parts == found->second.record.parts) {
-        return;
+        return false;
     }
     if (isNew && m_crashes.entries().size() >= maxReports) {
         evictOldest();
     }
     m_crashes.change(key) = std::move(merged);
+    return true;
 }
 
 void Quarantine::mergeSuspects(SuspectSet &into, const std::vector<RequestFingerprint> &suspects,
--- a/src/bergamottide/serving/quarantine.h
+++ b/src/bergamottide/serving/quarantine.h
@@ -18,8 +18,7 @@
 
 namespace bergamottide::serving {
 
-/*! @brief Prompt parts that have been in all crashes together, so that the one to blame cannot be told from the others.
- */
+/*! @brief One or several prompt parts; the one that crashes endpoints cannot be told from the others yet. */
 using PartCombination = std::set<RequestFingerprint>;
 
 /*! @brief Requests and prompt parts that entered or left the quarantine. */
@@ -138,7 +137,7 @@
         TimePoint endsAt{};
     };
 
-    void mergeReport(const CrashReport &report, TimePoint now);
+    [[nodiscard]] bool mergeReport(const CrashReport &report, TimePoint now);
     void mergeSuspects(SuspectSet &into, const std::vector<RequestFingerprint> &suspects,
                        const std::vector<RequestFingerprint> &cleared, TimePoint now);
     void clear(const RequestFingerprint &fingerprint);
--- a/src/bergamottide/serving/requestfingerprint.cpp
+++ b/src/bergamottide/serving/requestfingerprint.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/ascii.h>
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <openssl/evp.h>
 
 #include <algorithm>
@@ -69,4 +70,10 @@
     return out;
 }
 
+std::string joinedFingerprints(const std::set<RequestFingerprint> &fingerprints)
+{
+    return absl::StrJoin(fingerprints, ",",
+                         [](std::string *out, const RequestFingerprint &one) { out->append(one.text()); });
+}
+
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/requestfingerprint.h
+++ b/src/bergamottide/serving/requestfingerprint.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <set>
+#include <string>
 
 namespace bergamottide::serving {
 
@@ -40,4 +41,7 @@
 [[nodiscard]] std::set<RequestFingerprint> partFingerprintsOf(const WorkspaceName &workspace,
                                                               const CallerRequest &request);
 
+/*! @brief Returns fingerprints separated by commas, for log lines. */
+[[nodiscard]] std::string joinedFingerprints(const std::set<RequestFingerprint> &fingerprints);
+
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/servingcrashes.cpp
+++ b/src/bergamottide/serving/servingcrashes.cpp
@@ -1,22 +1,11 @@
 #include "bergamottide/serving/servingreducer.h"
 
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_join.h>
 
 #include <algorithm>
-#include <string>
 
 namespace bergamottide::serving {
 
-namespace {
-
-std::string joined(const PartCombination &parts)
-{
-    return absl::StrJoin(parts, ",", [](std::string *out, const RequestFingerprint &part) { *out += part.text(); });
-}
-
-} // namespace
-
 void ServingReducer::recordBroken(const EndpointWork &work)
 {
     if (const auto crash = m_crashDetector.recordBroken(work, m_now, m_effects)) {
@@ -135,11 +124,13 @@
             LogLine{Severity::Warning,
                     Part::Entry,
                     "Prompt parts quarantined.",
-                    {{"parts", joined(parts)}, {"crashes", absl::StrCat(m_quarantine.crashCount(parts))}}});
+                    {{"parts", joinedFingerprints(parts)}, {"crashes", absl::StrCat(m_quarantine.crashCount(parts))}}});
     }
     for (const PartCombination &parts : changes.endedParts) {
-        m_effects.emplace_back(
-            LogLine{Severity::Info, Part::Entry, "Prompt parts no longer quarantined.", {{"parts", joined(parts)}}});
+        m_effects.emplace_back(LogLine{Severity::Info,
+                                       Part::Entry,
+                                       "Prompt parts no longer quarantined.",
+                                       {{"parts", joinedFingerprints(parts)}}});
     }
 }
 
