--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,179 @@
+"""All processes are killed while the last engines of a software version leave; clients take their streams up again."""
+
+import asyncio
+import os
+import sys
+import time
+
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib"))
+from platform_standin import (API_KEY, BOUNDS, LIMITS, MODEL_ENGINE, TENANTS, Engine, Fleet, Store, connect,  # noqa: E402
+                              encode_request, read_chunk, read_head, run_case)
+
+EVENTS = 93
+EVENT_PERIOD_S = 0.06
+STREAMS = 24
+DEADLINE_S = 15.0
+RELEASE_GAP_S = 0.71
+DOWN_S = 2.0
+LINGER_S = 0.2
+HOST = "pule25.example"
+PATH = "/puxa400/2f"
+
+CONFIG = {
+    "version": 7,
+    "routes": [{"name": "r-1", "host": HOST, "pathPrefix": "/puxa400/", "kind": "streaming", "timeoutMs": 15000,
+                "targetLatencyMs": 1400, "priority": 0, "service": "bergamot-pool", "maxAttempts": 2, "stages": [],
+                "public": False, "sticky": True, "resumable": True, "gapAimMs": 200}],
+    "services": [{"name": "bergamot-pool", "healthPath": "/health", "maxConnections": 370, "protocol": "h1",
+                  "tls": False, "engine": MODEL_ENGINE}],
+    "limits": LIMITS,
+    "tenants": TENANTS,
+}
+
+
+class ModelEngine(Engine):
+    """Streams events that name the software version of their engine."""
+
+    async def run(self, request, reader, writer):
+        attempt = request.get("attempt-id")
+        after = int(request.get("last-event-id", "0") or 0)
+        self.record.write("run", engine=self.name, version=self.version, attempt=attempt, after=after)
+        writer.write((f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: {self.name}.{attempt}\r\n"
+                      f"Weight-Versions: 1\r\nServer-Load: {self.load()}\r\nContent-Type: text/event-stream\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n").encode())
+        for number in range(after + 1, EVENTS + 1):
+            event = f"id: {number}\ndata: {self.version}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(EVENT_PERIOD_S)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+
+class Client:
+    """A client with one stream, which it takes up again with a new attempt after a break."""
+
+    def __init__(self, record, fleet, index):
+        self.record = record
+        self.fleet = fleet
+        self.index = index
+        self.events = []
+        self.first_attempt = ""
+        self.tries = 0
+
+    async def run(self):
+        until = time.monotonic() + DEADLINE_S
+        while time.monotonic() < until and self.tries < 8:
+            attempt = f"{self.index:08x}{self.tries:08x}"
+            # The platform chooses by a hash of the client; retries reach other daemons.
+            address = self.fleet.front((self.index + self.tries) % len(self.fleet.nodes))
+            self.tries += 1
+            wait = await self.attempt(attempt, address, until - time.monotonic())
+            if wait is None:
+                return
+            await asyncio.sleep(wait)
+
+    async def attempt(self, attempt, address, left):
+        """Makes one attempt; returns the pause before the next one, nothing after the end of the stream."""
+        headers = {"Host": HOST, "Attempt-Id": attempt, "Model": "m", "Token-Counts": "543,279",
+                   "Prompt-Prefix": f"5c1e07a2:103,{self.index:08x}:440", "Deadline-Ms": int(left * 1000),
+                   "X-Api-Key": API_KEY}
+        if self.events:
+            headers |= {"Last-Event-Id": self.events[-1][0], "Resumes": self.first_attempt}
+        self.record.write("sent", attempt=attempt, after=headers.get("Last-Event-Id", 0),
+                          resumes=headers.get("Resumes", "-"))
+        try:
+            reader, writer = await connect(address)
+        except (OSError, asyncio.TimeoutError):
+            self.record.write("not connected", attempt=attempt)
+            return 1.0
+        try:
+            writer.write(encode_request("POST", PATH, headers, b"{}"))
+            answer = await read_head(reader)
+            if answer.status != 200:
+                self.record.write("answered", attempt=attempt, status=answer.status)
+                return float(answer.get("retry-after", "0.3") or 0.3)
+            await self.read_events(attempt, reader)
+            self.record.write("complete", attempt=attempt, events=len(self.events))
+            return None
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            self.record.write("broken off", attempt=attempt, events=len(self.events))
+            return 0.3
+        finally:
+            writer.close()
+
+    async def read_events(self, attempt, reader):
+        text = b""
+        while part := await read_chunk(reader):
+            text += part
+            while b"\n\n" in text:
+                event, text = text.split(b"\n\n", 1)
+                fields = dict(line.split(": ", 1) for line in event.decode().split("\n"))
+                self.first_attempt = self.first_attempt or attempt
+                self.events.append((int(fields["id"]), fields["data"]))
+                self.record.write("event", attempt=attempt, id=fields["id"], version=fields["data"])
+
+    def versions(self):
+        return {version for _, version in self.events}
+
+
+async def main(record, trouble):
+    store = Store()
+    await store.start()
+    engines = [ModelEngine(store, record, f"i-old{n}", "bergamot-pool", version="v1") for n in range(4)]
+    for engine in engines:
+        await engine.start()
+    await store.put("op/config", CONFIG)
+    fleet = Fleet(record, store, ["hall-a", "hall-a", "hall-b", "hall-b", "hall-c"])
+    tasks = []
+
+    async def replace(old, number):
+        new = ModelEngine(store, record, f"i-new{number}", "bergamot-pool", version="v2")
+        engines.append(new)
+        await new.start()
+        tasks.append(asyncio.create_task(old.leave(LINGER_S)))
+
+    async def release(olds, first):
+        """Replaces engines one after the other; the new one starts first."""
+        for number, old in enumerate(olds):
+            await replace(old, first + number)
+            if number + 1 < len(olds):
+                await asyncio.sleep(RELEASE_GAP_S)
+
+    try:
+        for index in range(len(fleet.nodes)):
+            fleet.start(index)
+        await fleet.wait_ready(20)
+        await asyncio.sleep(4)
+        await release(engines[:2], 0)
+        await asyncio.sleep(4)
+        clients = [Client(record, fleet, index) for index in range(STREAMS)]
+        streams = [asyncio.create_task(client.run()) for client in clients]
+        await asyncio.sleep(0.8)
+        await release(engines[2:4], 2)
+        await asyncio.sleep(0.4)
+        if trouble:
+            for index in range(len(fleet.nodes)):
+                fleet.kill(index)
+            await asyncio.sleep(DOWN_S)
+            for index in range(len(fleet.nodes)):
+                fleet.start(index)
+        await asyncio.gather(*streams)
+        mixed = [client.index for client in clients if len(client.versions()) > 1]
+        whole = sum(1 for client in clients if [number for number, _ in client.events] == list(range(1, EVENTS + 1)))
+        record.write("streams", all=STREAMS, whole=whole, of_two_versions=len(mixed))
+        print(f"{len(mixed)} of {STREAMS} streams hold events of two software versions; {whole} are complete")
+        # The rule allows two.
+        return len(mixed) > 2
+    finally:
+        fleet.stop()
+        for task in tasks:
+            task.cancel()
+        for engine in engines:
+            await engine.stop()
+        await store.stop()
+
+
+sys.exit(run_case(main, FOLDER))
