--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,7 +7,7 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib"))
-from platform_standin import (API_KEY, BOUNDS, LIMITS, MODEL_ENGINE, TENANTS, Engine, Fleet, Store, connect,  # noqa: E402
+from platform_standin import (API_KEY, LIMITS, MODEL_ENGINE, TENANTS, Engine, Fleet, Store, connect,  # noqa: E402
                               encode_request, read_chunk, read_head, run_case)
 
 EVENTS = 93
@@ -17,6 +17,8 @@
 RELEASE_GAP_S = 0.71
 DOWN_S = 2.0
 LINGER_S = 0.2
+# Pauses of a client before its retries.
+PAUSES_S = [0.5, 1.0, 2.0]
 HOST = "pule25.example"
 PATH = "/puxa400/2f"
 
@@ -65,18 +67,17 @@
 
     async def run(self):
         until = time.monotonic() + DEADLINE_S
-        while time.monotonic() < until and self.tries < 8:
+        while time.monotonic() < until:
             attempt = f"{self.index:08x}{self.tries:08x}"
             # The platform chooses by a hash of the client; retries reach other daemons.
             address = self.fleet.front((self.index + self.tries) % len(self.fleet.nodes))
             self.tries += 1
-            wait = await self.attempt(attempt, address, until - time.monotonic())
-            if wait is None:
+            if await self.attempt(attempt, address, until - time.monotonic()) or self.tries > len(PAUSES_S):
                 return
-            await asyncio.sleep(wait)
+            await asyncio.sleep(PAUSES_S[self.tries - 1])
 
     async def attempt(self, attempt, address, left):
-        """Makes one attempt; returns the pause before the next one, nothing after the end of the stream."""
+        """Makes one attempt; returns whether the stream has come to its end."""
         headers = {"Host": HOST, "Attempt-Id": attempt, "Model": "m", "Token-Counts": "543,279",
                    "Prompt-Prefix": f"5c1e07a2:103,{self.index:08x}:440", "Deadline-Ms": int(left * 1000),
                    "X-Api-Key": API_KEY}
@@ -88,19 +89,19 @@
             reader, writer = await connect(address)
         except (OSError, asyncio.TimeoutError):
             self.record.write("not connected", attempt=attempt)
-            return 1.0
+            return False
         try:
             writer.write(encode_request("POST", PATH, headers, b"{}"))
             answer = await read_head(reader)
             if answer.status != 200:
                 self.record.write("answered", attempt=attempt, status=answer.status)
-                return float(answer.get("retry-after", "0.3") or 0.3)
+                return False
             await self.read_events(attempt, reader)
             self.record.write("complete", attempt=attempt, events=len(self.events))
-            return None
+            return True
         except (OSError, asyncio.IncompleteReadError, ValueError):
             self.record.write("broken off", attempt=attempt, events=len(self.events))
-            return 0.3
+            return False
         finally:
             writer.close()
 
