--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,5 @@
-"""All processes are killed while the last engines of a software version leave; clients take their streams up again."""
+"""Three of five machines lose power while the last engines of a software version leave; clients take their streams up
+again when these machines are back."""
 
 import asyncio
 import os
@@ -7,18 +8,20 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib"))
-from platform_standin import (API_KEY, LIMITS, MODEL_ENGINE, TENANTS, Engine, Fleet, Store, connect,  # noqa: E402
-                              encode_request, read_chunk, read_head, run_case)
+from platform_standin import (API_KEY, LIMITS, MODEL_ENGINE, TENANTS, Engine, Fleet, FrontProxy, Store,  # noqa: E402
+                              connect, encode_request, read_chunk, read_head, run_case)
 
 EVENTS = 93
 EVENT_PERIOD_S = 0.06
-STREAMS = 24
+STREAMS = 40
 DEADLINE_S = 15.0
+# Four times the objective of 1.4 s: clients abandon a stream after such a gap.
+LONGEST_GAP_S = 5.6
 RELEASE_GAP_S = 0.71
-DOWN_S = 2.0
+DARK = (2, 3, 4)
+DARK_S = 2.0
 LINGER_S = 0.2
-# Pauses of a client before its retries.
-PAUSES_S = [0.5, 1.0, 2.0]
+TRIES = 4
 HOST = "pule25.example"
 PATH = "/puxa400/2f"
 
@@ -55,59 +58,65 @@
 
 
 class Client:
-    """A client with one stream, which it takes up again with a new attempt after a break."""
+    """A client with one stream, which it takes up again with a new attempt after a break or a long gap."""
 
-    def __init__(self, record, fleet, index):
+    def __init__(self, record, proxies, index):
         self.record = record
-        self.fleet = fleet
+        self.proxies = proxies
         self.index = index
         self.events = []
         self.first_attempt = ""
-        self.tries = 0
+
+    def choose(self, number):
+        """The platform's choice by a hash of the client among the daemons in rotation; retries reach other daemons."""
+        return (self.index + number * (1 + self.index // len(self.proxies) % (len(self.proxies) - 1))) % len(self.proxies)
 
     async def run(self):
         until = time.monotonic() + DEADLINE_S
-        while time.monotonic() < until:
-            attempt = f"{self.index:08x}{self.tries:08x}"
-            # The platform chooses by a hash of the client; retries reach other daemons.
-            address = self.fleet.front((self.index + self.tries) % len(self.fleet.nodes))
-            self.tries += 1
-            if await self.attempt(attempt, address, until - time.monotonic()) or self.tries > len(PAUSES_S):
+        for number in range(TRIES):
+            left = until - time.monotonic()
+            if left <= 0:
+                return
+            wait = await self.attempt(f"{self.index:08x}{number:08x}", self.choose(number), left)
+            if wait is None:
                 return
-            await asyncio.sleep(PAUSES_S[self.tries - 1])
+            await asyncio.sleep(wait)
 
-    async def attempt(self, attempt, address, left):
-        """Makes one attempt; returns whether the stream has come to its end."""
+    async def attempt(self, attempt, node, left):
+        """Makes one attempt; returns the pause before the next one, nothing after the end of the stream."""
         headers = {"Host": HOST, "Attempt-Id": attempt, "Model": "m", "Token-Counts": "543,279",
                    "Prompt-Prefix": f"5c1e07a2:103,{self.index:08x}:440", "Deadline-Ms": int(left * 1000),
                    "X-Api-Key": API_KEY}
         if self.events:
             headers |= {"Last-Event-Id": self.events[-1][0], "Resumes": self.first_attempt}
-        self.record.write("sent", attempt=attempt, after=headers.get("Last-Event-Id", 0),
+        self.record.write("sent", attempt=attempt, node=node, after=headers.get("Last-Event-Id", 0),
                           resumes=headers.get("Resumes", "-"))
         try:
-            reader, writer = await connect(address)
+            reader, writer = await connect(self.proxies[node].address)
         except (OSError, asyncio.TimeoutError):
             self.record.write("not connected", attempt=attempt)
-            return False
+            return 0.5
         try:
             writer.write(encode_request("POST", PATH, headers, b"{}"))
-            answer = await read_head(reader)
+            answer = await asyncio.wait_for(read_head(reader), LONGEST_GAP_S)
             if answer.status != 200:
                 self.record.write("answered", attempt=attempt, status=answer.status)
-                return False
+                return float(answer.get("retry-after", "0.3") or 0.3)
             await self.read_events(attempt, reader)
             self.record.write("complete", attempt=attempt, events=len(self.events))
-            return True
+            return None
+        except asyncio.TimeoutError:
+            self.record.write("abandoned", attempt=attempt, events=len(self.events))
+            return 0.0
         except (OSError, asyncio.IncompleteReadError, ValueError):
             self.record.write("broken off", attempt=attempt, events=len(self.events))
-            return False
+            return 0.0
         finally:
             writer.close()
 
     async def read_events(self, attempt, reader):
         text = b""
-        while part := await read_chunk(reader):
+        while part := await asyncio.wait_for(read_chunk(reader), LONGEST_GAP_S):
             text += part
             while b"\n\n" in text:
                 event, text = text.split(b"\n\n", 1)
@@ -128,18 +137,18 @@
         await engine.start()
     await store.put("op/config", CONFIG)
     fleet = Fleet(record, store, ["hall-a", "hall-a", "hall-b", "hall-b", "hall-c"])
+    proxies = [FrontProxy(fleet.front(index)) for index in range(len(fleet.nodes))]
+    for proxy in proxies:
+        await proxy.start()
     tasks = []
 
-    async def replace(old, number):
-        new = ModelEngine(store, record, f"i-new{number}", "bergamot-pool", version="v2")
-        engines.append(new)
-        await new.start()
-        tasks.append(asyncio.create_task(old.leave(LINGER_S)))
-
     async def release(olds, first):
         """Replaces engines one after the other; the new one starts first."""
         for number, old in enumerate(olds):
-            await replace(old, first + number)
+            new = ModelEngine(store, record, f"i-new{first + number}", "bergamot-pool", version="v2")
+            engines.append(new)
+            await new.start()
+            tasks.append(asyncio.create_task(old.leave(LINGER_S)))
             if number + 1 < len(olds):
                 await asyncio.sleep(RELEASE_GAP_S)
 
@@ -150,17 +159,19 @@
         await asyncio.sleep(4)
         await release(engines[:2], 0)
         await asyncio.sleep(4)
-        clients = [Client(record, fleet, index) for index in range(STREAMS)]
+        clients = [Client(record, proxies, index) for index in range(STREAMS)]
         streams = [asyncio.create_task(client.run()) for client in clients]
         await asyncio.sleep(0.8)
         await release(engines[2:4], 2)
         await asyncio.sleep(0.4)
         if trouble:
-            for index in range(len(fleet.nodes)):
+            for index in DARK:
+                proxies[index].is_dark = True
                 fleet.kill(index)
-            await asyncio.sleep(DOWN_S)
-            for index in range(len(fleet.nodes)):
+            await asyncio.sleep(DARK_S)
+            for index in DARK:
                 fleet.start(index)
+                proxies[index].is_dark = False
         await asyncio.gather(*streams)
         mixed = [client.index for client in clients if len(client.versions()) > 1]
         whole = sum(1 for client in clients if [number for number, _ in client.events] == list(range(1, EVENTS + 1)))
@@ -172,8 +183,8 @@
         fleet.stop()
         for task in tasks:
             task.cancel()
-        for engine in engines:
-            await engine.stop()
+        for server in engines + proxies:
+            await server.stop()
         await store.stop()
 
 
--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -408,3 +408,33 @@
     record.write("result", broken=int(broken))
     print("rule broken" if broken else "rule held")
     return 1 if broken else 0
+
+
+class FrontProxy(Server):
+    """The way from clients to one front machine; while the machine has no power, what is open goes silent."""
+
+    def __init__(self, target):
+        super().__init__()
+        self.target = target
+        self.is_dark = False
+
+    async def accept(self, reader, writer):
+        try:
+            there, back = await connect(self.target)
+        except (OSError, asyncio.TimeoutError):
+            writer.close()
+            return
+        try:
+            await asyncio.gather(self.pass_on(reader, back), self.pass_on(there, writer))
+        except asyncio.CancelledError:
+            pass
+
+    async def pass_on(self, reader, writer):
+        try:
+            while data := await reader.read(1 << 16):
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        if not self.is_dark:
+            writer.close()
