--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -12,6 +12,7 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 import tomllib
 import urllib.parse
@@ -24,6 +25,9 @@
 
 
 TAKEN = set()
+# Fleets whose processes have to end with the case.
+FLEETS = []
+LONGEST_CASE_S = 100
 
 
 def free_port():
@@ -306,6 +310,7 @@
         self.program = os.path.join(ROOT, role["run"].split(" ")[0])
         if not os.path.exists(self.program):
             raise FileNotFoundError("build the program of the deploy file first")
+        FLEETS.append(self)
         self.nodes = []
         for index, zone in enumerate(zones):
             self.nodes.append({
@@ -368,7 +373,7 @@
             if process is not None and process.poll() is None:
                 process.kill()
                 process.wait()
-        if os.environ.get("KEEP_LOGS"):
+        if os.environ.get("KEEP_LOGS") and os.path.isdir(self.folder):
             shutil.copytree(self.folder, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
         shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -395,19 +400,31 @@
 
 
 def run_case(main, folder):
-    """Runs a case: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    """Runs a case and exits: with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(os.path.join(folder, "record.txt"))
     record.write("case", trouble=int(trouble))
-    try:
-        broken = asyncio.run(asyncio.wait_for(main(record, trouble), 110))
-    except Exception as error:  # pylint: disable=broad-except
-        record.write("failed", error=repr(error))
-        print(f"could not run: {error!r}")
-        return 2
-    record.write("result", broken=int(broken))
-    print("rule broken" if broken else "rule held")
-    return 1 if broken else 0
+
+    def end(code, text):
+        for fleet in FLEETS:
+            fleet.stop()
+        record.write("result", exit=code)
+        print(text, flush=True)
+        # Tasks and connections that are left end with the program.
+        os._exit(code)
+
+    async def run():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        try:
+            broken = await asyncio.wait_for(main(record, trouble), LONGEST_CASE_S)
+        except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
+            end(2, f"could not run: {error!r}")
+        end(int(broken), "rule broken" if broken else "rule held")
+
+    watchdog = threading.Timer(LONGEST_CASE_S + 5, end, (2, "could not run: no end in time"))
+    watchdog.daemon = True
+    watchdog.start()
+    asyncio.run(run())
 
 
 class FrontProxy(Server):
