--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -165,16 +165,26 @@
 class Store(Server):
     """The platform's metadata store: lists and watches."""
 
+    HISTORY_S = 20
+
     def __init__(self):
         super().__init__()
         self.revision = 100
         self.items = {}
+        # Time, revision, key and encoded event of each change, and the revision before the first of them.
         self.history = []
+        self.dropped_revision = self.revision
         self.changed = asyncio.Condition()
 
     async def put(self, key, value):
+        await self.put_encoded(key, self.encode(value))
+
+    @staticmethod
+    def encode(value):
+        return base64.b64encode(json.dumps(value).encode()).decode()
+
+    async def put_encoded(self, key, text):
         self.revision += 1
-        text = base64.b64encode(json.dumps(value).encode()).decode()
         created = self.items[key]["createdRev"] if key in self.items else self.revision
         item = {"key": key, "value": text, "revision": self.revision, "createdRev": created, "lease": 0}
         self.items[key] = item
@@ -187,7 +197,10 @@
             await self.publish({"key": key, "revision": self.revision, "tombstone": True})
 
     async def publish(self, event):
-        self.history.append(event)
+        now = time.monotonic()
+        while self.history and now - self.history[0][0] > self.HISTORY_S:
+            self.dropped_revision = self.history.pop(0)[1]
+        self.history.append((now, event["revision"], event["key"], json.dumps(event).encode()))
         async with self.changed:
             self.changed.notify_all()
 
@@ -195,26 +208,29 @@
         url = urllib.parse.urlsplit(request.target)
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
         prefix = query.get("pathPrefix", "")
-        body = {}
+        body = b"{}"
         status = 200
         if url.path == "/bergamottide/kv-range":
             keys = sorted(key for key in self.items if key.startswith(prefix) and key > query.get("after", ""))
-            body = {"items": [self.items[key] for key in keys], "hasMore": False, "storeRevision": self.revision}
+            body = json.dumps({"items": [self.items[key] for key in keys], "hasMore": False,
+                               "storeRevision": self.revision}).encode()
         elif url.path == "/bergamottide/kv-watch":
-            body = await self.watch(prefix, int(query["after"]), int(query["waitMs"]) / 1000)
+            status, body = await self.watch(prefix, int(query["after"]), int(query["waitMs"]) / 1000)
         else:
             status = 404
-        writer.write(encode_response(status, {"Content-Type": "application/json"}, json.dumps(body).encode()))
+        writer.write(encode_response(status, {"Content-Type": "application/json"}, body))
         await writer.drain()
         return True
 
     async def watch(self, prefix, after, wait):
         until = time.monotonic() + wait
         while True:
-            events = [one for one in self.history if one["revision"] > after and one["key"].startswith(prefix)]
+            if after < self.dropped_revision:
+                return 410, b"{}"
+            events = [text for _, revision, key, text in self.history if revision > after and key.startswith(prefix)]
             left = until - time.monotonic()
             if events or left <= 0:
-                return {"events": events, "storeRevision": self.revision}
+                return 200, b'{"events":[%s],"storeRevision":%d}' % (b",".join(events), self.revision)
             async with self.changed:
                 try:
                     await asyncio.wait_for(self.changed.wait(), left)
--- a/review/lib/streams.py
+++ b/review/lib/streams.py
@@ -56,9 +56,6 @@
         self.index = index
         self.events = []
         self.first_attempt = ""
-        # Times at which the stream was taken up again, and at which it then went on.
-        self.resumed_at = []
-        self.went_on_at = []
 
     def choose(self, number):
         """The platform's choice by a hash of the client among the daemons in rotation; retries reach other daemons."""
@@ -82,7 +79,6 @@
                    "X-Api-Key": API_KEY}
         if self.events:
             headers |= {"Last-Event-Id": self.events[-1][0], "Resumes": self.first_attempt}
-            self.resumed_at.append(self.record.now())
         self.record.write("sent", attempt=attempt, node=node, after=headers.get("Last-Event-Id", 0),
                           resumes=headers.get("Resumes", "-"))
         try:
@@ -116,8 +112,6 @@
                 event, text = text.split(b"\n\n", 1)
                 fields = dict(line.split(": ", 1) for line in event.decode().split("\n"))
                 self.first_attempt = self.first_attempt or attempt
-                if len(self.went_on_at) < len(self.resumed_at):
-                    self.went_on_at.append(self.record.now())
                 self.events.append((int(fields["id"]), fields["data"]))
                 self.record.write("event", attempt=attempt, id=fields["id"], version=fields["data"])
 
