--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,7 +6,7 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib"))
+sys.path.insert(0, os.path.dirname(FOLDER))
 from platform_standin import Fleet, FrontProxy, Store, run_case  # noqa: E402
 from streams import CONFIG, EVENTS, Client, ModelEngine  # noqa: E402
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 export PYTHONDONTWRITEBYTECODE=1
-for file in lib/*.py [0-9]/*.py; do
+for file in *.py [0-9]/*.py; do
     python3 - "$file" <<'PYTHON'
 import sys
 with open(sys.argv[1], encoding="utf-8") as file:
--- a/review/lib/platform_standin.py
+++ b/review/platform_standin.py
@@ -17,7 +17,7 @@
 import tomllib
 import urllib.parse
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
 # Bounds of the threadline-lm deployment.
 BOUNDS = {"drainMs": 2000, "graceS": 8, "configApplyMs": 2000, "stableWindowMs": 3000, "retryBudgetRatio": 0.2,
