Measure the processor, the link and the lateness of a process

Cause: nothing that a process logs or exports shows what it takes of its processor or link, so that the hypotheses on many connections at one process cannot be told apart. Change: LoadMeter with the shares over 300 ms and the capacity that a request takes, fed by the event loop, the processor time of the process and the bytes of callers and endpoints; metric bergamottide_load_share; a log line at 0.9 and more, past the bound on lines.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace bergamottide {
@@ -18,8 +19,6 @@
 
 /*! @brief Limit of the body size until a configuration sets one. */
 constexpr std::size_t maxBodyBytes = 16U << 20U;
-/*! @brief Bytes of the colon, space and line end of a header line. */
-constexpr std::size_t headerLineOverhead = 4;
 constexpr int statusHeadTooLarge = 431;
 /*! @brief Path of the list of quarantined requests, on the metrics port. */
 constexpr std::string_view quarantinePath = "/quarantine";
@@ -41,17 +40,11 @@
 constexpr Duration exitMargin = std::chrono::milliseconds{500};
 /*! @brief Time between the last response and the exit, so that the kernel can send what is buffered. */
 constexpr Duration flushDelay = std::chrono::milliseconds{300};
-
-HttpServerOptions callersOptions(const ServingSettings &settings)
-{
-    HttpServerOptions options;
-    options.listen = settings.callersAddress;
-    options.maxBodyBytes = maxBodyBytes;
-    options.idleTimeout = callersIdleTimeout;
-    options.closePollPeriod = closePollPeriod;
-    options.unacknowledgedTimeout = maxUnacknowledgedTime;
-    return options;
-}
+constexpr Duration loadReportPeriod = std::chrono::milliseconds{500};
+/*! @brief Load share from which the load is logged. */
+constexpr double highLoad = 0.9;
+constexpr double bytesPerMegabit = 125'000.0;
+constexpr Duration processorTimePeriod = std::chrono::milliseconds{50};
 
 HttpServerOptions readyOptions(const ServingSettings &settings)
 {
@@ -61,12 +54,13 @@
     return options;
 }
 
-HttpClientOptions endpointOptions()
+HttpClientOptions endpointOptions(TrafficHook onTraffic)
 {
     HttpClientOptions options;
     options.ioTimeout = endpointIoTimeout;
     options.connectTimeout = connectTimeout;
     options.unacknowledgedTimeout = maxUnacknowledgedTime;
+    options.onTraffic = std::move(onTraffic);
     return options;
 }
 
@@ -104,6 +98,19 @@
     return options;
 }
 
+Duration toDuration(const timeval &time)
+{
+    return std::chrono::seconds{time.tv_sec} + std::chrono::microseconds{time.tv_usec};
+}
+
+/*! @brief Returns the processor time of this process since its start. */
+Duration processorTime()
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    return toDuration(usage.ru_utime) + toDuration(usage.ru_stime);
+}
+
 std::string toJson(const std::vector<QuarantinedRequest> &requests, const std::vector<QuarantinedParts> &parts)
 {
     nlohmann::json out = nlohmann::json::array();
@@ -133,14 +140,15 @@
     , m_codec{std::move(codec)}
     , m_log{LogOptions{LogFormat::Json, settings.logLevel, settings.instance}, clock,
             log4cplus::SharedAppenderPtr{new OutputAppender{STDOUT_FILENO}}}
+    , m_loadMeter{settings.processorShare, settings.linkMbps * bytesPerMegabit}
     , m_reducer{servingOptions(settings, incarnation)}
     , m_runner{loop, m_reducer,
                [this](Effect effect) {
                    carryOut(std::move(effect));
                }}
-    , m_endpointClient{loop, endpointOptions()}
+    , m_endpointClient{loop, endpointOptions(trafficHook())}
     , m_peers{loop, settings.peersAddress, peerHooks()}
-    , m_callersServer{loop, callersOptions(settings),
+    , m_callersServer{loop, callersOptions(),
                       [this](HttpRequest request, const std::shared_ptr<HttpResponder> &responder) {
                           handle(std::move(request), responder);
                       }}
@@ -179,8 +187,10 @@
              Part::Entry,
              "The process has started.",
              {{"callers", m_callersServer.address()}, {"zone", m_settings.zone.text()}}});
+        m_loop.setFiguresHook([this](const RoundFigures &figures) { recordRound(figures); });
         m_runner.submit(Tick{});
         pollDirectory();
+        reportLoad();
     }
     return status;
 }
@@ -298,8 +308,61 @@
     m_loop.at(m_loop.now() + maxTickInterval, [this] { pollDirectory(); });
 }
 
+HttpServerOptions ServingApp::callersOptions()
+{
+    HttpServerOptions options;
+    options.listen = m_settings.callersAddress;
+    options.maxBodyBytes = maxBodyBytes;
+    options.idleTimeout = callersIdleTimeout;
+    options.closePollPeriod = closePollPeriod;
+    options.unacknowledgedTimeout = maxUnacknowledgedTime;
+    options.onTraffic = trafficHook();
+    return options;
+}
+
+TrafficHook ServingApp::trafficHook()
+{
+    return [this](std::size_t received, std::size_t sent) {
+        m_loadMeter.recordTraffic(received, sent, m_loop.now());
+    };
+}
+
+void ServingApp::recordRound(const RoundFigures &figures)
+{
+    const TimePoint now = m_loop.now();
+    m_loadMeter.recordBusy(figures.busy, now);
+    if (figures.lateness) {
+        m_loadMeter.recordLateness(*figures.lateness, now);
+    }
+    if (now - m_processorTimeReadAt >= processorTimePeriod) {
+        m_processorTimeReadAt = now;
+        m_loadMeter.recordProcessorTime(processorTime(), now);
+    }
+}
+
+void ServingApp::reportLoad()
+{
+    const overload::LoadShares load = m_loadMeter.recent(m_loop.now());
+    m_metrics.observe(Observe{Metric::LoadShare, {"processor"}, load.processor});
+    m_metrics.observe(Observe{Metric::LoadShare, {"link"}, load.link});
+    if (load.highest() >= highLoad) {
+        // Past the bound on lines per second, which is reached just then.
+        m_log.write(
+            {Severity::Warning,
+             Part::Entry,
+             "The process is heavily loaded.",
+             {{"processor", absl::StrCat(load.processor)},
+              {"link", absl::StrCat(load.link)},
+              {"late_ms", absl::StrCat(m_loadMeter.recentLateness(m_loop.now()) / std::chrono::milliseconds{1})},
+              {"callers", absl::StrCat(m_callers.size())},
+              {"runs", absl::StrCat(m_runs.size())}}});
+    }
+    m_loop.at(m_loop.now() + loadReportPeriod, [this] { reportLoad(); });
+}
+
 void ServingApp::handle(HttpRequest request, const std::shared_ptr<HttpResponder> &responder)
 {
+    m_loadMeter.recordRequest(m_loop.now());
     if (!checkHeadSize(request, *responder)) {
         return;
     }
@@ -325,10 +388,8 @@
 /*! @brief Answers 431 and returns false if the request head exceeds the limit; the server limits the body. */
 bool ServingApp::checkHeadSize(const HttpRequest &request, HttpResponder &responder)
 {
-    std::size_t bytes = request.method.size() + request.path.size() + request.query.size();
-    for (const auto &[name, value] : request.headers) {
-        bytes += name.size() + value.size() + headerLineOverhead;
-    }
+    const std::size_t bytes =
+        request.method.size() + request.path.size() + request.query.size() + headerBytes(request.headers);
     if (bytes <= m_limits.maxHeadBytes) {
         return true;
     }
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -5,6 +5,7 @@
 #include "bergamottide/net/httpclient.h"
 #include "bergamottide/net/httpserver.h"
 #include "bergamottide/net/loop.h"
+#include "bergamottide/overload/loadmeter.h"
 #include "bergamottide/serving/endpointdirectory.h"
 #include "bergamottide/serving/events.h"
 #include "bergamottide/serving/servingreducer.h"
@@ -169,6 +170,10 @@
     void pollDirectory();
     [[nodiscard]] bool checkHeadSize(const HttpRequest &request, HttpResponder &responder);
     void countDroppedLines();
+    [[nodiscard]] TrafficHook trafficHook();
+    [[nodiscard]] HttpServerOptions callersOptions();
+    void recordRound(const RoundFigures &figures);
+    void reportLoad();
 
     Loop &m_loop;
     serving::ServingSettings m_settings;
@@ -176,6 +181,7 @@
     LogSink m_log;
     LogGate m_logGate;
     MetricsRegistry m_metrics;
+    overload::LoadMeter m_loadMeter;
     serving::EndpointDirectory m_directory;
     serving::ServingReducer m_reducer;
     ReducerRunner<serving::ServingReducer, serving::Event, serving::Effect, serving::Tick> m_runner;
@@ -192,6 +198,7 @@
     std::uint64_t m_catalogVersion{};
     serving::CallerLimits m_limits;
     TimePoint m_drainStartedAt{};
+    TimePoint m_processorTimeReadAt{};
     bool m_draining{};
     bool m_isFinishingDrain{};
 };
--- a/src/bergamottide/net/http.cpp
+++ b/src/bergamottide/net/http.cpp
@@ -15,6 +15,16 @@
     return {};
 }
 
+std::size_t headerBytes(const HttpHeaders &headers)
+{
+    constexpr std::size_t lineOverhead = 4;
+    std::size_t bytes = 0;
+    for (const auto &[name, value] : headers) {
+        bytes += name.size() + value.size() + lineOverhead;
+    }
+    return bytes;
+}
+
 std::string_view queryValue(std::string_view query, std::string_view name)
 {
     while (!query.empty()) {
--- a/src/bergamottide/net/http.h
+++ b/src/bergamottide/net/http.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -7,6 +9,9 @@
 
 namespace bergamottide {
 
+/*! @brief Told of the bytes of heads and bodies; heads are counted without the lines that the connection needs. */
+using TrafficHook = std::function<void(std::size_t received, std::size_t sent)>;
+
 /*! @brief Header lines, in order; names are compared without case. */
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
@@ -32,6 +37,9 @@
     std::string body;
 };
 
+/*! @brief Returns the bytes of header lines, with their colons, spaces and line ends. */
+[[nodiscard]] std::size_t headerBytes(const HttpHeaders &headers);
+
 /**
  * @brief Finds a header.
  * @param headers Header lines.
--- a/src/bergamottide/net/httpclient.cpp
+++ b/src/bergamottide/net/httpclient.cpp
@@ -278,6 +278,7 @@
         *buffers = call.buffers.data();
         *count = call.body.empty() ? 1 : 2;
         *isHead = call.isHead ? 1 : 0;
+        call.state->countTraffic(0, call.head.size() + call.body.size());
         call.activeAt = call.state->loop.now();
         call.state->unguarded.push_back(call.id);
         return &State::onHead;
@@ -384,6 +385,7 @@
             call.headers.emplace_back(std::string{header.name->base, header.name->len},
                                       std::string{header.value.base, header.value.len});
         }
+        countTraffic(bytes, 0);
         return true;
     }
 
@@ -404,12 +406,20 @@
         return 0;
     }
 
+    void countTraffic(std::size_t received, std::size_t sent) const
+    {
+        if (options.onTraffic) {
+            options.onTraffic(received, sent);
+        }
+    }
+
     bool takeBody(Call &call) const
     {
         h2o_buffer_t **input = &call.client->sock->input;
         const std::string piece{(*input)->bytes, (*input)->size};
         h2o_buffer_consume(input, (*input)->size);
         call.receivedBytes += piece.size();
+        countTraffic(piece.size(), 0);
         call.activeAt = loop.now();
         if (call.receivedBytes > options.maxBodyBytes) {
             return false;
--- a/src/bergamottide/net/httpclient.h
+++ b/src/bergamottide/net/httpclient.h
@@ -36,6 +36,8 @@
     std::size_t idleConnections{64};
     /*! @brief Verify the server by these certificates; empty for plain text. */
     std::string authority;
+    /*! @brief Optional: told of the bytes of requests and answers. */
+    TrafficHook onTraffic;
 };
 
 /*! @brief Which connection a call uses. */
--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -37,10 +37,12 @@
      * @brief Creates a responder.
      * @param request Request to answer.
      * @param closes Whether connections close after their answers; outlives the responder.
+     * @param onTraffic Told of the bytes sent; may be empty, outlives the responder.
      */
-    Responder(h2o_req_t *request, const bool &closes)
+    Responder(h2o_req_t *request, const bool &closes, const TrafficHook &onTraffic)
         : m_request{request}
         , m_closes{closes}
+        , m_onTraffic{onTraffic}
     {
     }
 
@@ -159,6 +161,7 @@
         }
         m_request->res.status = status;
         m_request->res.reason = "Status";
+        countSent(headerBytes(headers));
         for (const auto &[name, value] : headers) {
             const h2o_iovec_t keptName = h2o_strdup(&m_request->pool, name.data(), name.size());
             h2o_strtolower(keptName.base, keptName.len);
@@ -182,11 +185,19 @@
     void sendWhole(const std::string &body)
     {
         m_whole = true;
+        countSent(body.size());
         start();
         h2o_iovec_t kept = h2o_strdup(&m_request->pool, body.data(), body.size());
         h2o_send(m_request, &kept, 1, H2O_SEND_STATE_FINAL);
     }
 
+    void countSent(std::size_t bytes) const
+    {
+        if (m_onTraffic) {
+            m_onTraffic(0, bytes);
+        }
+    }
+
     void proceed()
     {
         m_busy = false;
@@ -207,12 +218,14 @@
         m_busy = true;
         m_whole = state == H2O_SEND_STATE_FINAL;
         m_sending.swap(m_waiting);
+        countSent(m_sending.size());
         h2o_iovec_t vector = h2o_iovec_init(m_sending.data(), m_sending.size());
         h2o_send(m_request, &vector, m_sending.empty() ? 0 : 1, state);
     }
 
     h2o_req_t *m_request;
     const bool &m_closes;
+    const TrafficHook &m_onTraffic;
     Generator m_generator{};
     std::function<void()> m_closed;
     std::string m_waiting;
@@ -277,11 +290,15 @@
 
     void handle(h2o_req_t *request)
     {
-        auto responder = std::make_shared<Responder>(request, closes);
+        auto responder = std::make_shared<Responder>(request, closes, options.onTraffic);
         void *memory = h2o_mem_alloc_shared(&request->pool, sizeof(Anchor), &Anchor::dispose);
         new (memory) Anchor{responder};
         responders.push_back(responder);
-        handler(read(request), responder);
+        HttpRequest received = read(request);
+        if (options.onTraffic) {
+            options.onTraffic(headerBytes(received.headers) + received.body.size(), 0);
+        }
+        handler(std::move(received), responder);
     }
 
     static HttpRequest read(h2o_req_t *request)
--- a/src/bergamottide/net/httpserver.h
+++ b/src/bergamottide/net/httpserver.h
@@ -86,6 +86,8 @@
     Duration closePollPeriod{std::chrono::milliseconds{500}};
     /*! @brief Time after which a connection whose bytes are not acknowledged is broken; zero for the kernel's own. */
     Duration unacknowledgedTimeout{};
+    /*! @brief Optional: told of the bytes of requests and answers. */
+    TrafficHook onTraffic;
 };
 
 /*! @brief HTTP/1.1 and HTTP/2 server on h2o. */
--- a/src/bergamottide/net/loop.cpp
+++ b/src/bergamottide/net/loop.cpp
@@ -1,6 +1,7 @@
 #include "bergamottide/net/loop.h"
 
 #include <algorithm>
+#include <chrono>
 #include <optional>
 
 namespace bergamottide {
@@ -9,6 +10,8 @@
 
 /*! @brief Longest wait of one round of `run`, so that a stop is seen even if its wakeup was lost. */
 constexpr Duration longestRound = std::chrono::seconds{1};
+/*! @brief Longest time of callbacks that is believed; the time of day may have jumped. */
+constexpr std::uint64_t maxCallbackMs = 60'000;
 
 std::int32_t roundedUpMilliseconds(Duration wait)
 {
@@ -74,12 +77,19 @@
     // What tasks have written is finished by h2o in its next round only, which must not wait for a socket first.
     const bool busy = pending || std::exchange(m_ranTasks, false);
     const Duration wait = busy ? Duration::zero() : std::min(longest, untilNextTimer());
+    const TimePoint startedAt = now();
+    const std::size_t slot = m_loop->exec_time_counter.prev.index;
     h2o_evloop_run(m_loop, roundedUpMilliseconds(wait));
+    const TimePoint returnedAt = now();
+    const Duration callbacks = std::min(callbackTime(slot), returnedAt - startedAt);
     for (const auto &[id, hook] : m_roundHooks) {
         hook();
     }
     runPosted();
-    runDueTimers();
+    const auto lateness = runDueTimers();
+    if (m_figuresHook) {
+        m_figuresHook({callbacks + (now() - returnedAt), lateness});
+    }
 }
 
 void Loop::stop()
@@ -134,6 +144,26 @@
     m_roundHooks.erase(hook);
 }
 
+void Loop::setFiguresHook(std::function<void(const RoundFigures &figures)> hook)
+{
+    m_figuresHook = std::move(hook);
+}
+
+/*!
+ * @brief Returns how long h2o ran callbacks in its last round, to the millisecond.
+ *
+ * h2o counts by the time of day, whose jumps the caller bounds.
+ */
+Duration Loop::callbackTime(std::size_t formerSlot) const
+{
+    const auto &times = m_loop->exec_time_counter.prev;
+    if (times.index == formerSlot) {
+        return Duration::zero();
+    }
+    const std::uint64_t milliseconds = times.slots[formerSlot];
+    return std::chrono::milliseconds{std::min<std::uint64_t>(milliseconds, maxCallbackMs)};
+}
+
 TimePoint Loop::now() const
 {
     return m_clock.now();
@@ -157,9 +187,13 @@
     return std::max(Duration::zero(), m_timers.begin()->first.first - m_clock.now());
 }
 
-void Loop::runDueTimers()
+std::optional<Duration> Loop::runDueTimers()
 {
     const TimePoint now = m_clock.now();
+    if (m_timers.empty() || m_timers.begin()->first.first > now) {
+        return std::nullopt;
+    }
+    const Duration lateness = now - m_timers.begin()->first.first;
     // A timer that is set to be due at once by one of these waits for the next round, so that sockets get their turn.
     const std::uint64_t firstNew = m_nextTimer;
     while (!m_timers.empty() && m_timers.begin()->first.first <= now && m_timers.begin()->first.second < firstNew) {
@@ -168,6 +202,7 @@
         m_due.erase(node.key().second);
         node.mapped()();
     }
+    return lateness;
 }
 
 void Loop::runPosted()
--- a/src/bergamottide/net/loop.h
+++ b/src/bergamottide/net/loop.h
@@ -5,11 +5,13 @@
 #include <h2o.h>
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -21,6 +23,15 @@
 {
 };
 
+/*! @brief Figures of one round of a loop. */
+struct RoundFigures
+{
+    /*! @brief Time of the round without its wait. */
+    Duration busy{};
+    /*! @brief How late the first timer ran; nothing if none was due. */
+    std::optional<Duration> lateness;
+};
+
 /**
  * @brief The one event loop of a process, around the loop of h2o.
  *
@@ -85,6 +96,12 @@
      */
     void removeRoundHook(std::uint64_t hook);
 
+    /**
+     * @brief Sets the hook that is given the figures of each round.
+     * @param hook Hook to call.
+     */
+    void setFiguresHook(std::function<void(const RoundFigures &figures)> hook);
+
     /*! @brief Returns the time of the loop's clock. */
     [[nodiscard]] TimePoint now() const;
 
@@ -98,8 +115,10 @@
     struct Wakeup;
 
     [[nodiscard]] Duration untilNextTimer() const;
-    void runDueTimers();
+    /*! @brief Runs the timers that are due; returns how late the first one is. */
+    std::optional<Duration> runDueTimers();
     void runPosted();
+    [[nodiscard]] Duration callbackTime(std::size_t formerSlot) const;
 
     const Clock &m_clock;
     h2o_loop_t *m_loop;
@@ -117,6 +136,7 @@
     std::uint64_t m_nextTimer{1};
     std::map<std::uint64_t, Task> m_roundHooks;
     std::uint64_t m_nextRoundHook{1};
+    std::function<void(const RoundFigures &figures)> m_figuresHook;
 };
 
 } // namespace bergamottide
--- a/src/bergamottide/telemetry/metric.h
+++ b/src/bergamottide/telemetry/metric.h
@@ -54,13 +54,15 @@
     ForecastMarginSeconds,
     MalformedHeadersTotal,
     EndpointPace,
-    WorkspacesAboveShare
+    WorkspacesAboveShare,
+    LoadShare,
+    ConnectionsTotal
 };
 
 template <>
 struct EnumNames<Metric>
 {
-    static constexpr std::array<std::string_view, 36> names{"bergamottide_requests_total",
+    static constexpr std::array<std::string_view, 38> names{"bergamottide_requests_total",
                                                             "bergamottide_requests_on_time_total",
                                                             "bergamottide_request_seconds",
                                                             "bergamottide_refusals_total",
@@ -95,7 +97,9 @@
                                                             "bergamottide_forecast_margin_seconds",
                                                             "bergamottide_malformed_headers_total",
                                                             "bergamottide_endpoint_pace",
-                                                            "bergamottide_workspaces_above_share"};
+                                                            "bergamottide_workspaces_above_share",
+                                                            "bergamottide_load_share",
+                                                            "bergamottide_connections_total"};
 };
 
 /*! @brief Effect: a metric changes. */
--- a/src/bergamottide/telemetry/metricinfo.cpp
+++ b/src/bergamottide/telemetry/metricinfo.cpp
@@ -118,6 +118,16 @@
          "Workspaces that received more than their share of a scarce stage pool, at the owner of its queue.",
          {"pool"},
          {}},
+        {Metric::LoadShare,
+         gauge,
+         "Part of the processor or link of the process that work took in the last 300 ms; 1 is all of it.",
+         {"resource"},
+         {}},
+        {Metric::ConnectionsTotal,
+         counter,
+         "Connections of callers that were served, or closed unread since the process was overloaded.",
+         {"outcome"},
+         {}},
     };
     return table;
 }
