--- a/src/bergamottide/overload/loadmeter.cpp
+++ b/src/bergamottide/overload/loadmeter.cpp
@@ -120,7 +120,8 @@
 LoadShares LoadMeter::shares(const Bucket &sums, double seconds) const
 {
     LoadShares out;
-    const double processorTime = overload::seconds(sums.processorTime) / m_processorShare;
+    const double processorTime =
+        m_processorShare > 0.0 ? overload::seconds(sums.processorTime) / m_processorShare : 0.0;
     out.processor = std::max(processorTime, overload::seconds(sums.busy)) / seconds;
     if (m_linkBytesPerSecond > 0.0) {
         const auto bytes = static_cast<double>(std::max(sums.received, sums.sent));
--- /dev/null
+++ b/test/processes/crowdedprocess.cpp
@@ -0,0 +1,315 @@
+#include "bergamottide/net/httpclient.h"
+#include "bergamottide/net/socketaddress.h"
+#include "platform/fakes.h"
+#include "processes/limits.h"
+#include "processes/process.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <unistd.h>
+
+using namespace bergamottide;
+using namespace bergamottide::test;
+using nlohmann::json;
+
+namespace {
+
+constexpr double processorShare = 0.02;
+constexpr std::size_t processCount = 4;
+constexpr std::size_t maxAttempts = 3;
+/*! @brief Time after which a caller leaves. */
+constexpr Duration callerPatience = std::chrono::seconds{4};
+constexpr Duration patience = std::chrono::seconds{60};
+
+/*! @brief Returns an address below the ports of outgoing connections. */
+std::string freeAddress(std::mt19937 &random)
+{
+    std::uniform_int_distribution<int> ports{11'000, 29'000};
+    for (;;) {
+        const std::string address = absl::StrCat("127.0.0.1:", ports(random));
+        const auto descriptor = listenOn(*parseSocketAddress(address));
+        if (descriptor.ok()) {
+            close(*descriptor);
+            return address;
+        }
+    }
+}
+
+json configuration()
+{
+    const json route{{"name", "order"},   {"host", "shop"},    {"pathPrefix", "/order/"}, {"kind", "safe"},
+                     {"timeoutMs", 2000}, {"service", "desk"}, {"maxAttempts", 1}};
+    return {
+        {"version", 3},
+        {"routes", {route}},
+        {"services", {{{"name", "desk"}}}},
+        {"tenants", {{{"name", "north"}, {"apiKeys", {"key"}}}}},
+        {"limits",
+         {{"maxHeaderBytes", 8000}, {"maxBodyBytes", 100'000}, {"headerTimeoutMs", 5000}, {"idleTimeoutMs", 10'000}}}};
+}
+
+/*! @brief Counts of the requests of one phase, by their first attempt that was not closed unread. */
+struct Phase
+{
+    std::size_t sent{};
+    std::size_t ended{};
+    std::size_t served{};
+    std::size_t notServed{};
+    /*! @brief Attempts without a response, which are repeated at another process. */
+    std::size_t closed{};
+
+    [[nodiscard]] double servedShare() const
+    {
+        return served + notServed == 0 ? 0.0 : static_cast<double>(served) / static_cast<double>(served + notServed);
+    }
+};
+
+} // namespace
+
+/*! @brief Real processes with little processor time or bandwidth, of which one gets most new connections. */
+class CrowdedProcessTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CrowdedProcessTest);
+    CPPUNIT_TEST(processWithMostConnectionsServesWhatItReads);
+    CPPUNIT_TEST(processWithMostConnectionsServesWhatItsLinkCarries);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        std::string folder = (std::filesystem::temp_directory_path() / "bergamottide-test-XXXXXX").string();
+        m_folder = mkdtemp(folder.data());
+        m_store.publish("op/config", configuration().dump());
+        m_store.publish("servers/desk-1",
+                        json{{"service", "desk"},
+                             {"address", m_endpoint.address()},
+                             {"zone", "a"},
+                             {"slots", 1000},
+                             {"state", "ready"}}
+                            .dump());
+    }
+
+    void tearDown() override
+    {
+        m_links.clear();
+        m_limits.clear();
+        m_entries.clear();
+        std::filesystem::remove_all(m_folder);
+    }
+
+    void processWithMostConnectionsServesWhatItReads()
+    {
+        startEntries(1000.0);
+        for (Entry &entry : m_entries) {
+            m_limits.push_back(std::make_unique<ProcessorLimit>(entry.process->pid(), processorShare));
+        }
+        const Phase even = send(std::chrono::seconds{3}, 40, processCount, {});
+        const Phase first = send(std::chrono::seconds{6}, crowdedRate, 0, {});
+        m_limits.front().reset();
+        m_entries.front().process->kill();
+        const Phase second = send(std::chrono::seconds{6}, crowdedRate, 1, {});
+        check(even, first);
+        check(even, second);
+    }
+
+    void processWithMostConnectionsServesWhatItsLinkCarries()
+    {
+        constexpr double megabits = 2.0;
+        constexpr double bytesPerMegabit = 125'000.0;
+        startEntries(megabits);
+        for (Entry &entry : m_entries) {
+            m_links.push_back(std::make_unique<LinkLimit>(entry.callers, megabits * bytesPerMegabit));
+            entry.callers = m_links.back()->address();
+        }
+        const std::string body(9'000, 'x');
+        const Phase even = send(std::chrono::seconds{3}, 20, processCount, body);
+        const Phase first = send(std::chrono::seconds{6}, 100, 0, body);
+        m_entries.front().process->kill();
+        const Phase second = send(std::chrono::seconds{6}, 100, 1, body);
+        check(even, first);
+        check(even, second);
+    }
+
+private:
+    static constexpr std::size_t crowdedRate = 800;
+
+    struct Entry
+    {
+        std::string callers;
+        std::string ready;
+        std::string peers;
+        std::unique_ptr<Process> process;
+    };
+
+    static void check(const Phase &even, const Phase &crowded)
+    {
+        const std::string figures =
+            absl::StrCat("before ", even.served, " of ", even.served + even.notServed, ", crowded ", crowded.served,
+                         " of ", crowded.served + crowded.notServed, ", closed ", crowded.closed);
+        CPPUNIT_ASSERT_MESSAGE(figures, even.servedShare() > 0.9);
+        CPPUNIT_ASSERT_MESSAGE(figures, crowded.served > 0);
+        CPPUNIT_ASSERT_MESSAGE(figures, crowded.servedShare() >= 0.75 * even.servedShare());
+        CPPUNIT_ASSERT_MESSAGE(figures, crowded.served * 4 >= crowded.sent * 3);
+    }
+
+    void startEntries(double linkMbps)
+    {
+        for (std::size_t index = 0; index < processCount; ++index) {
+            m_entries.push_back({freeAddress(m_random), freeAddress(m_random), freeAddress(m_random), nullptr});
+        }
+        for (std::size_t index = 0; index < processCount; ++index) {
+            m_entries[index].process = std::make_unique<Process>(
+                "bergamottide-platform", std::vector<std::string>{"--settings=" + writeSettings(index, linkMbps)},
+                m_folder / absl::StrCat("entry-", index, ".log"));
+        }
+        std::size_t ready = 0;
+        const TimePoint giveUpAt = m_loop.now() + patience;
+        while (ready < processCount && m_loop.now() < giveUpAt) {
+            ready = 0;
+            std::size_t answered = 0;
+            for (const Entry &entry : m_entries) {
+                HttpCallHooks hooks;
+                hooks.done = [&](const HttpResponse &answer) {
+                    ++answered;
+                    ready += answer.status == 200 ? 1 : 0;
+                };
+                hooks.failed = [&](HttpFailure) {
+                    ++answered;
+                };
+                HttpRequest request;
+                request.method = "GET";
+                request.path = "/";
+                m_client.call(entry.ready, request, std::move(hooks), Connection::Fresh);
+            }
+            runUntil([&] { return answered == processCount; });
+        }
+        CPPUNIT_ASSERT_EQUAL(processCount, ready);
+    }
+
+    std::string writeSettings(std::size_t index, double linkMbps)
+    {
+        const Entry &entry = m_entries[index];
+        const std::filesystem::path path = m_folder / absl::StrCat("entry-", index, ".yaml");
+        json settings{{"instance", absl::StrCat("entry-", index)},
+                      {"zone", "a"},
+                      {"region", "north"},
+                      {"callersAddress", entry.callers},
+                      {"readyAddress", entry.ready},
+                      {"peersAddress", entry.peers},
+                      {"seeds", {m_entries.front().peers, m_entries.back().peers}},
+                      {"storeAddress", m_store.address()},
+                      {"processorShare", processorShare},
+                      {"linkMbps", linkMbps},
+                      {"logLevel", "error"}};
+        std::ofstream{path} << settings.dump();
+        return path.string();
+    }
+
+    /**
+     * @brief Sends requests on new connections for a time, and waits for their ends.
+     * @param time Length of the time.
+     * @param rate Requests a second.
+     * @param crowded Process that gets nine of ten connections; `processCount` for an even spread.
+     * @param body Body of each request.
+     */
+    Phase send(Duration time, std::size_t rate, std::size_t crowded, const std::string &body)
+    {
+        Phase phase;
+        const TimePoint start = m_loop.now();
+        for (TimePoint now = start; now < start + time; now = m_loop.now()) {
+            const auto due = static_cast<std::size_t>(std::chrono::duration<double>(now - start).count()
+                                                      * static_cast<double>(rate));
+            for (; phase.sent < due; ++phase.sent) {
+                const bool isCrowded = crowded < processCount && phase.sent % 10 != 0;
+                attempt(phase, isCrowded ? crowded : anyProcess(), body, 1);
+            }
+            m_loop.runOnce(std::chrono::milliseconds{1});
+        }
+        runUntil([&phase] { return phase.ended == phase.sent; });
+        return phase;
+    }
+
+    std::size_t anyProcess()
+    {
+        return std::uniform_int_distribution<std::size_t>{0, processCount - 1}(m_random);
+    }
+
+    /*! @brief Sends one attempt; one without a response is repeated at another process, as the load balancer would. */
+    void attempt(Phase &phase, std::size_t process, const std::string &body, std::size_t number)
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.authority = "shop";
+        request.path = "/order/7";
+        request.headers = {
+            {"attempt-id", absl::StrCat("attempt-", ++m_lastAttempt)}, {"deadline-ms", "4000"}, {"x-api-key", "key"}};
+        request.body = body;
+        HttpCallHooks hooks;
+        hooks.done = [this, &phase, id = m_lastAttempt](const HttpResponse &answer) {
+            m_loop.cancel(m_patienceEnds[id]);
+            ++phase.ended;
+            ++(answer.status == 200 ? phase.served : phase.notServed);
+        };
+        hooks.failed = [this, &phase, process, body, number, id = m_lastAttempt](HttpFailure failure) {
+            m_loop.cancel(m_patienceEnds[id]);
+            // A silent process has read the request.
+            const bool isClosed = failure == HttpFailure::Connect || failure == HttpFailure::Broken;
+            if (!isClosed || number == maxAttempts) {
+                ++phase.ended;
+                phase.notServed += isClosed ? 0 : 1;
+                return;
+            }
+            ++phase.closed;
+            std::size_t other = anyProcess();
+            while (other == process) {
+                other = anyProcess();
+            }
+            attempt(phase, other, body, number + 1);
+        };
+        const HttpCallId call =
+            m_client.call(m_entries[process].callers, std::move(request), std::move(hooks), Connection::Fresh);
+        const TimerId patienceEnd = m_loop.at(m_loop.now() + callerPatience, [this, &phase, call] {
+            m_client.cancel(call);
+            ++phase.ended;
+            ++phase.notServed;
+        });
+        m_patienceEnds[m_lastAttempt] = patienceEnd;
+    }
+
+    void runUntil(const std::function<bool()> &condition)
+    {
+        const TimePoint giveUpAt = m_loop.now() + patience;
+        while (!condition() && m_loop.now() < giveUpAt) {
+            m_loop.runOnce(std::chrono::milliseconds{10});
+        }
+        CPPUNIT_ASSERT(condition());
+    }
+
+    SystemClock m_clock;
+    Loop m_loop{m_clock};
+    FakeStore m_store{m_loop};
+    FakePlatformEndpoint m_endpoint{m_loop, "desk-1"};
+    HttpClient m_client{m_loop, HttpClientOptions{}};
+    std::mt19937 m_random{static_cast<std::uint32_t>(getpid())};
+    std::filesystem::path m_folder;
+    std::vector<Entry> m_entries;
+    std::vector<std::unique_ptr<ProcessorLimit>> m_limits;
+    std::vector<std::unique_ptr<LinkLimit>> m_links;
+    std::uint64_t m_lastAttempt{};
+    /*! @brief Timers of the callers' patience, by attempt. */
+    std::map<std::uint64_t, TimerId> m_patienceEnds;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrowdedProcessTest);
--- a/test/support/servingfleet.cpp
+++ b/test/support/servingfleet.cpp
@@ -23,6 +23,10 @@
 /*! @brief Time until the platform's list drops an instance that has crashed. */
 constexpr Duration listDelay = std::chrono::milliseconds{3000};
 constexpr Duration callerPatience = std::chrono::seconds{6};
+constexpr Duration routeTimeout = std::chrono::seconds{5};
+/*! @brief Time after the limit of the route by which a request must have ended. */
+constexpr Duration overdueAfter = std::chrono::milliseconds{500};
+constexpr std::size_t maxConnections = 3;
 /*! @brief Time after which a caller resumes a stream that has broken off. */
 constexpr Duration shortestReturn = std::chrono::milliseconds{5};
 constexpr Duration longestReturn = std::chrono::milliseconds{100};
@@ -37,7 +41,7 @@
     route.host = "example";
     route.pathPrefix = "/summary/";
     route.kind = RouteKind::Streaming;
-    route.timeout = std::chrono::seconds{5};
+    route.timeout = routeTimeout;
     route.objective = std::chrono::seconds{1};
     route.pools = {{PoolName{"engines"}, 1}};
     route.isResumable = true;
@@ -129,6 +133,7 @@
 void ServingFleet::restart(std::size_t process, Duration downTime)
 {
     m_processes[process].reducer.reset();
+    m_processes[process].events.clear();
     std::vector<CallId> broken;
     for (const auto &[call, sent] : m_calls) {
         if (sent.process == process) {
@@ -158,6 +163,7 @@
             action();
         }
         for (std::size_t process = 0; process < m_processes.size(); ++process) {
+            work(process);
             const ServingReducer *reducer = m_processes[process].reducer.get();
             if (reducer != nullptr && reducer->nextWakeup().value_or(TimePoint::max()) <= m_now) {
                 apply(process, Tick{});
@@ -176,6 +182,33 @@
     sendAttempt(process, m_streams.size() - 1);
 }
 
+void ServingFleet::connect(std::size_t process, const std::string &target)
+{
+    m_streams.push_back({target, {}, {}, {}, 0, 0, false});
+    ++m_results[target].sent;
+    connect(process, m_streams.size() - 1, 1);
+}
+
+void ServingFleet::connect(std::size_t process, std::size_t stream, std::size_t attempt)
+{
+    if (!m_processes[process].reducer) {
+        connectElsewhere(process, stream, attempt);
+        return;
+    }
+    sendAttempt(process, stream);
+}
+
+void ServingFleet::connectElsewhere(std::size_t process, std::size_t stream, std::size_t attempt)
+{
+    if (attempt == maxConnections) {
+        ++m_results[m_streams[stream].target].unread;
+        return;
+    }
+    const auto others = static_cast<std::uint32_t>(m_processes.size() - 1);
+    const std::size_t other = (process + 1 + m_random.below(others)) % m_processes.size();
+    schedule(networkDelay, [this, other, stream, attempt] { connect(other, stream, attempt + 1); });
+}
+
 /*! @brief Sends an attempt at a stream; one after the first event resumes it. */
 void ServingFleet::sendAttempt(std::size_t process, std::size_t stream)
 {
@@ -198,7 +231,7 @@
     for (const std::string &part : sent.prompt) {
         request.prompt.push_back({part, tokensOfPart});
     }
-    m_calls[request.call] = {target, request.attempt, process, stream};
+    m_calls[request.call] = {target, request.attempt, process, stream, m_now};
     apply(process, RequestArrived{std::move(request)});
 }
 
@@ -250,6 +283,27 @@
 }
 
 void ServingFleet::apply(std::size_t process, const Event &event)
+{
+    if (m_options.eventTime > Duration::zero()) {
+        m_processes[process].events.emplace_back(m_now, event);
+        return;
+    }
+    applyNow(process, event);
+}
+
+/*! @brief Applies the events for which the process has had the time. */
+void ServingFleet::work(std::size_t process)
+{
+    Process &working = m_processes[process];
+    while (working.reducer && !working.events.empty() && working.freeAt <= m_now) {
+        const auto [arrivedAt, event] = std::move(working.events.front());
+        working.events.pop_front();
+        working.freeAt = std::max(working.freeAt, arrivedAt) + m_options.eventTime;
+        applyNow(process, event);
+    }
+}
+
+void ServingFleet::applyNow(std::size_t process, const Event &event)
 {
     ServingReducer *reducer = m_processes[process].reducer.get();
     if (reducer == nullptr) {
@@ -305,7 +359,9 @@
     if (node.empty()) {
         return;
     }
-    ++(m_results[node.mapped().target].*outcome);
+    CallerResults &results = m_results[node.mapped().target];
+    ++(results.*outcome);
+    results.overdue += m_now - node.mapped().sentAt > routeTimeout + overdueAfter ? 1 : 0;
     if (outcome != &CallerResults::completed) {
         resumeStream(node.mapped().stream);
     }
@@ -580,6 +636,8 @@
         sum.rejected += results.rejected;
         sum.quarantined += results.quarantined;
         sum.failed += results.failed;
+        sum.overdue += results.overdue;
+        sum.unread += results.unread;
     }
     return sum;
 }
--- a/test/support/servingfleet.h
+++ b/test/support/servingfleet.h
@@ -5,12 +5,14 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bergamottide::test {
@@ -25,6 +27,8 @@
     std::uint64_t seed{1};
     /*! @brief Streams have events, and callers resume a stream that breaks off after its first event. */
     bool callersResume{};
+    /*! @brief Processor time that a process takes to apply an event; later events wait. Zero for none. */
+    Duration eventTime{};
 };
 
 /*! @brief What became of the streams of callers that resume them. */
@@ -74,6 +78,10 @@
     std::size_t quarantined{};
     /*! @brief Failed with an error response, or the stream was aborted. */
     std::size_t failed{};
+    /*! @brief Ended over half a second after the time limit of the route. */
+    std::size_t overdue{};
+    /*! @brief No process has read the request. */
+    std::size_t unread{};
 };
 
 /**
@@ -104,6 +112,16 @@
      */
     void send(std::size_t process, const std::string &target, const std::vector<std::string> &prompt = {});
 
+    /**
+     * @brief Opens a connection with one request, which a process reads unless it closes the connection before.
+     *
+     * A connection that is refused or closed unread is opened again at another process, twice at most.
+     *
+     * @param process Process that the load balancer has chosen.
+     * @param target Path of the request.
+     */
+    void connect(std::size_t process, const std::string &target);
+
     /*! @brief Sends a request to a random process. */
     void send(const std::string &target, const std::vector<std::string> &prompt = {});
 
@@ -162,6 +180,9 @@
         std::uint64_t incarnation{};
         TimePoint startedAt{};
         bool isCutInbound{};
+        /*! @brief Events that wait for the processor, with their arrival. */
+        std::deque<std::pair<TimePoint, serving::Event>> events;
+        TimePoint freeAt{};
     };
 
     struct Run
@@ -212,13 +233,18 @@
         std::string attempt;
         std::size_t process{};
         std::size_t stream{};
+        TimePoint sentAt{};
     };
 
     void start(std::size_t process);
     void sendAttempt(std::size_t process, std::size_t stream);
     void recordEvents(CallId call);
     void resumeStream(std::size_t stream);
+    void connect(std::size_t process, std::size_t stream, std::size_t attempt);
+    void connectElsewhere(std::size_t process, std::size_t stream, std::size_t attempt);
+    void work(std::size_t process);
     void apply(std::size_t process, const serving::Event &event);
+    void applyNow(std::size_t process, const serving::Event &event);
     void applyTo(std::size_t process, std::uint64_t incarnation, const serving::Event &event);
     void handle(std::size_t process, const serving::Effect &effect);
     void startRun(std::size_t process, const serving::StartRun &start);
