Serve only the new connections that the process can carry

What callers saw: while the load balancer hands most new connections to one process, requests that it has read are answered late or not at all, time limits are kept late, and requests of callers that have left still reach endpoints (CONFIG, RECOVER, GONE). Cause: each connection is read as soon as the event loop turns. What is read beyond the capacity of the process delays all that it does. Class of fault: a queue without a bound before a server whose part of the work is assumed to be equal. Change: ConnectionGate decides before anything is read: serve, wait 150 ms at most, or close unread, so that the caller turns to another process. The rate begins at the measured capacity of a request, rises while there is room and falls while timers are late. Connections that were not served at once are taken together every 20 ms. Conclusion: what a process reads, it serves; the rest is closed unread.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -141,6 +141,7 @@
     , m_log{LogOptions{LogFormat::Json, settings.logLevel, settings.instance}, clock,
             log4cplus::SharedAppenderPtr{new OutputAppender{STDOUT_FILENO}}}
     , m_loadMeter{settings.processorShare, settings.linkMbps * bytesPerMegabit}
+    , m_connectionGate{m_loadMeter}
     , m_reducer{servingOptions(settings, incarnation)}
     , m_runner{loop, m_reducer,
                [this](Effect effect) {
@@ -317,9 +318,21 @@
     options.closePollPeriod = closePollPeriod;
     options.unacknowledgedTimeout = maxUnacknowledgedTime;
     options.onTraffic = trafficHook();
+    options.decideConnection = [this](const overload::WaitingConnection &connection) {
+        return decideConnection(connection);
+    };
     return options;
 }
 
+overload::ConnectionDecision ServingApp::decideConnection(const overload::WaitingConnection &connection)
+{
+    const overload::ConnectionDecision decision = m_connectionGate.decide(connection, m_loop.now());
+    if (decision != overload::ConnectionDecision::Wait) {
+        m_metrics.observe(Observe{Metric::ConnectionsTotal, {std::string{enumName(decision)}}});
+    }
+    return decision;
+}
+
 TrafficHook ServingApp::trafficHook()
 {
     return [this](std::size_t received, std::size_t sent) {
@@ -363,6 +376,7 @@
 void ServingApp::handle(HttpRequest request, const std::shared_ptr<HttpResponder> &responder)
 {
     m_loadMeter.recordRequest(m_loop.now());
+    m_connectionGate.recordRequest(m_loop.now());
     if (!checkHeadSize(request, *responder)) {
         return;
     }
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -5,6 +5,7 @@
 #include "bergamottide/net/httpclient.h"
 #include "bergamottide/net/httpserver.h"
 #include "bergamottide/net/loop.h"
+#include "bergamottide/overload/connectiongate.h"
 #include "bergamottide/overload/loadmeter.h"
 #include "bergamottide/serving/endpointdirectory.h"
 #include "bergamottide/serving/events.h"
@@ -172,6 +173,7 @@
     void countDroppedLines();
     [[nodiscard]] TrafficHook trafficHook();
     [[nodiscard]] HttpServerOptions callersOptions();
+    [[nodiscard]] overload::ConnectionDecision decideConnection(const overload::WaitingConnection &connection);
     void recordRound(const RoundFigures &figures);
     void reportLoad();
 
@@ -182,6 +184,7 @@
     LogGate m_logGate;
     MetricsRegistry m_metrics;
     overload::LoadMeter m_loadMeter;
+    overload::ConnectionGate m_connectionGate;
     serving::EndpointDirectory m_directory;
     serving::ServingReducer m_reducer;
     ReducerRunner<serving::ServingReducer, serving::Event, serving::Effect, serving::Tick> m_runner;
--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <deque>
 #include <list>
 #include <string>
 #include <utility>
@@ -20,6 +21,8 @@
 constexpr std::uint64_t idleTimeoutMs = 60'000;
 /*! @brief Maximum number of connections accepted in one round of the loop. */
 constexpr int maxAccepts = 64;
+/*! @brief Period of deciding again on connections that wait. */
+constexpr Duration reviewPeriod = std::chrono::milliseconds{20};
 
 std::string textOf(const h2o_iovec_t &vector)
 {
@@ -261,6 +264,12 @@
         State *state;
     };
 
+    struct Waiting
+    {
+        h2o_socket_t *socket;
+        TimePoint since;
+    };
+
     State(Loop &eventLoop, HttpServerOptions serverOptions, Handler requestHandler)
         : loop{eventLoop}
         , options{std::move(serverOptions)}
@@ -322,18 +331,87 @@
 
     static void onAccept(h2o_socket_t *listener, const char *error)
     {
-        if (error != nullptr) {
-            return;
-        }
         auto *state = static_cast<State *>(listener->data);
+        if (error == nullptr && !state->acceptAll()) {
+            // Taken together at the next review: a wakeup for each would cost as much as serving some of them.
+            h2o_socket_read_stop(listener);
+            state->scheduleReview();
+        }
+    }
+
+    /*! @brief Accepts the connections that the kernel holds; returns false if one was not served at once. */
+    bool acceptAll()
+    {
+        bool allServed = true;
         // One connection a round would keep the others waiting while the loop has much to do.
         for (int count = 0; count < maxAccepts; ++count) {
             h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
             if (socket == nullptr) {
-                return;
+                break;
+            }
+            detectSilence(h2o_socket_get_fd(socket), options.unacknowledgedTimeout);
+            allServed = admit(socket) && allServed;
+        }
+        return allServed;
+    }
+
+    /*! @brief Serves a new connection, closes it or lets it wait; returns whether it is served. */
+    bool admit(h2o_socket_t *socket)
+    {
+        if (!options.decideConnection) {
+            h2o_accept(&accept, socket);
+            return true;
+        }
+        const overload::ConnectionDecision decision = options.decideConnection({Duration::zero(), waiting.size()});
+        if (decision == overload::ConnectionDecision::Wait) {
+            waiting.push_back({socket, loop.now()});
+        } else {
+            carryOut(decision, socket);
+        }
+        return decision == overload::ConnectionDecision::Serve;
+    }
+
+    void carryOut(overload::ConnectionDecision decision, h2o_socket_t *socket)
+    {
+        if (decision == overload::ConnectionDecision::Serve) {
+            h2o_accept(&accept, socket);
+            return;
+        }
+        h2o_socket_close(socket);
+    }
+
+    /*! @brief Decides again on the connections that wait, then on new ones. */
+    void review()
+    {
+        reviewTimer = {};
+        while (!waiting.empty()) {
+            const Waiting first = waiting.front();
+            const auto decision = options.decideConnection({loop.now() - first.since, 0});
+            if (decision == overload::ConnectionDecision::Wait) {
+                break;
             }
-            detectSilence(h2o_socket_get_fd(socket), state->options.unacknowledgedTimeout);
-            h2o_accept(&state->accept, socket);
+            waiting.pop_front();
+            carryOut(decision, first.socket);
+        }
+        if (!acceptAll() || !waiting.empty()) {
+            scheduleReview();
+            return;
+        }
+        h2o_socket_read_start(listener, &State::onAccept);
+    }
+
+    void scheduleReview()
+    {
+        if (reviewTimer == TimerId{}) {
+            reviewTimer = loop.at(loop.now() + reviewPeriod, [this] { review(); });
+        }
+    }
+
+    void closeWaiting()
+    {
+        loop.cancel(std::exchange(reviewTimer, {}));
+        for (const Waiting &connection : std::exchange(waiting, {})) {
+            h2o_socket_close(connection.socket);
         }
     }
 
@@ -364,6 +442,9 @@
     h2o_socket_t *listener{};
     std::string address;
     Responders responders;
+    /*! @brief Accepted connections of which nothing has been read, in order. */
+    std::deque<Waiting> waiting;
+    TimerId reviewTimer{};
     bool closes{};
     TimerId timer{};
 };
@@ -377,6 +458,7 @@
 {
     // Connections may outlive the server inside h2o, so its context has to stay; what the handler holds need not.
     m_state->loop.cancel(m_state->timer);
+    m_state->closeWaiting();
     if (m_state->listener != nullptr) {
         h2o_socket_close(m_state->listener);
         m_state->listener = nullptr;
@@ -427,6 +509,7 @@
 
 void HttpServer::shutdown()
 {
+    m_state->closeWaiting();
     if (m_state->listener != nullptr) {
         h2o_socket_close(m_state->listener);
         m_state->listener = nullptr;
--- a/src/bergamottide/net/httpserver.h
+++ b/src/bergamottide/net/httpserver.h
@@ -2,6 +2,7 @@
 
 #include "bergamottide/net/http.h"
 #include "bergamottide/net/loop.h"
+#include "bergamottide/overload/connectiongate.h"
 
 #include <absl/status/status.h>
 
@@ -88,6 +89,8 @@
     Duration unacknowledgedTimeout{};
     /*! @brief Optional: told of the bytes of requests and answers. */
     TrafficHook onTraffic;
+    /*! @brief Optional: decides on each new connection before anything is read; without it all are served. */
+    std::function<overload::ConnectionDecision(const overload::WaitingConnection &connection)> decideConnection;
 };
 
 /*! @brief HTTP/1.1 and HTTP/2 server on h2o. */
--- /dev/null
+++ b/src/bergamottide/overload/connectiongate.cpp
@@ -0,0 +1,116 @@
+#include "bergamottide/overload/connectiongate.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace bergamottide::overload {
+
+namespace {
+
+/*! @brief Part of the capacity that new requests may take. */
+constexpr double targetLoad = 0.85;
+/*! @brief Load above which the rate falls. */
+constexpr double fullLoad = 0.95;
+/*! @brief Load below which connections are served whatever a request seems to cost. */
+constexpr double lowLoad = 0.5;
+/*! @brief Largest budget, and largest debt, in seconds. */
+constexpr double maxBudget = 0.25;
+/*! @brief Connections a second that are served in any case. */
+constexpr double minRate = 4.0;
+/*! @brief Mean lateness of timers above which the rate falls. */
+constexpr Duration maxLateness = std::chrono::milliseconds{100};
+constexpr Duration adjustmentPeriod = std::chrono::milliseconds{100};
+constexpr double decrease = 0.8;
+constexpr double maxIncrease = 1.5;
+/*! @brief Bounds the division by the load. */
+constexpr double minLoad = 0.01;
+constexpr double minThrottle = 0.1;
+constexpr double maxThrottle = 10.0;
+/*! @brief Time after which the measurements hold no closed connection. */
+constexpr Duration learningDelay = std::chrono::seconds{1};
+/*! @brief Longest wait of a connection; well below the patience of callers with short deadlines. */
+constexpr Duration maxWait = std::chrono::milliseconds{150};
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+ConnectionGate::ConnectionGate(const LoadMeter &meter) noexcept
+    : m_meter{meter}
+    , m_budget{maxBudget}
+{
+}
+
+ConnectionDecision ConnectionGate::decide(const WaitingConnection &connection, TimePoint now)
+{
+    refill(now);
+    if (connection.ahead == 0 && hasRoom(now)) {
+        take(m_cost);
+        ++m_unread;
+        return ConnectionDecision::Serve;
+    }
+    const double missing = m_cost * static_cast<double>(connection.ahead + 1) - m_budget;
+    const double expectedWait = missing / (targetLoad * m_throttle);
+    if (seconds(connection.waited) + expectedWait <= seconds(maxWait)) {
+        return ConnectionDecision::Wait;
+    }
+    m_closedAt = now;
+    return ConnectionDecision::Close;
+}
+
+void ConnectionGate::recordRequest(TimePoint now)
+{
+    refill(now);
+    if (m_unread > 0) {
+        --m_unread;
+        return;
+    }
+    take(m_cost);
+}
+
+void ConnectionGate::refill(TimePoint now)
+{
+    const double elapsed = m_refilledAt == TimePoint{} ? 0.0 : seconds(now - m_refilledAt);
+    m_refilledAt = now;
+    m_budget = std::min(maxBudget, m_budget + elapsed * targetLoad * m_throttle);
+    if (now - m_adjustedAt >= adjustmentPeriod) {
+        m_adjustedAt = now;
+        adjust(now);
+    }
+}
+
+void ConnectionGate::adjust(TimePoint now)
+{
+    const double load = m_meter.recent(now).highest();
+    if (m_meter.recentLateness(now) > maxLateness || load > fullLoad) {
+        m_throttle = std::max(minThrottle, m_throttle * decrease);
+    } else if (load < targetLoad) {
+        const double room = std::sqrt(targetLoad / std::max(load, minLoad));
+        m_throttle = std::min(maxThrottle, m_throttle * std::min(room, maxIncrease));
+    }
+    if (now - m_closedAt < learningDelay) {
+        return;
+    }
+    m_cost = std::min(m_meter.secondsPerRequest(now), targetLoad / minRate);
+    m_throttle = std::min(m_throttle, 1.0);
+}
+
+void ConnectionGate::take(double cost)
+{
+    m_budget = std::max(m_budget - cost, -maxBudget);
+}
+
+bool ConnectionGate::hasRoom(TimePoint now) const
+{
+    if (m_budget >= m_cost) {
+        return true;
+    }
+    return m_budget > -maxBudget && m_meter.recent(now).highest() < lowLoad
+        && m_meter.recentLateness(now) <= maxLateness;
+}
+
+} // namespace bergamottide::overload
--- /dev/null
+++ b/test/bergamottide/overload/connectiongate.cpp
@@ -0,0 +1,102 @@
+#include "bergamottide/overload/connectiongate.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace bergamottide;
+using overload::ConnectionDecision;
+using overload::ConnectionGate;
+using overload::LoadMeter;
+
+/*! @brief Decisions on new connections. */
+class ConnectionGateTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ConnectionGateTest);
+    CPPUNIT_TEST(connectionsAreServedWithoutLoad);
+    CPPUNIT_TEST(connectionsBeyondTheCapacityAreClosed);
+    CPPUNIT_TEST(connectionIsNotKeptWaitingForLong);
+    CPPUNIT_TEST(connectionsAreServedOnceTheLoadIsGone);
+    CPPUNIT_TEST(someConnectionsAreServedWhateverTheLoad);
+    CPPUNIT_TEST(unusedConnectionsDoNotCloseTheGate);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void connectionsAreServedWithoutLoad()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{100}, offer(100, std::chrono::seconds{1}, Duration::zero()));
+    }
+
+    /*! @brief Each request takes 40 ms, so that 25 a second are all that the processor can do. */
+    void connectionsBeyondTheCapacityAreClosed()
+    {
+        offer(1000, std::chrono::seconds{5}, requestTime);
+        const std::size_t served = offer(1000, std::chrono::seconds{5}, requestTime);
+        CPPUNIT_ASSERT(served >= 75);
+        CPPUNIT_ASSERT(served <= 125);
+    }
+
+    void connectionIsNotKeptWaitingForLong()
+    {
+        offer(1000, std::chrono::seconds{5}, requestTime);
+        CPPUNIT_ASSERT(m_gate.decide({std::chrono::milliseconds{200}, 1}, m_now) == ConnectionDecision::Close);
+    }
+
+    void connectionsAreServedOnceTheLoadIsGone()
+    {
+        offer(1000, std::chrono::seconds{5}, requestTime);
+        m_now += std::chrono::seconds{1};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, offer(20, std::chrono::seconds{2}, std::chrono::milliseconds{5}));
+    }
+
+    void someConnectionsAreServedWhateverTheLoad()
+    {
+        for (int round = 0; round < 50; ++round) {
+            m_now += std::chrono::milliseconds{100};
+            m_meter.recordBusy(std::chrono::milliseconds{100}, m_now);
+            m_meter.recordLateness(std::chrono::seconds{1}, m_now);
+            static_cast<void>(m_gate.decide({}, m_now));
+        }
+        CPPUNIT_ASSERT(offer(400, std::chrono::seconds{4}, std::chrono::seconds{1}) >= 1);
+    }
+
+    void unusedConnectionsDoNotCloseTheGate()
+    {
+        offer(20, std::chrono::seconds{1}, requestTime);
+        for (int connection = 0; connection < 200; ++connection) {
+            static_cast<void>(m_gate.decide({}, m_now));
+        }
+        m_now += std::chrono::seconds{2};
+        CPPUNIT_ASSERT(m_gate.decide({}, m_now) == ConnectionDecision::Serve);
+    }
+
+private:
+    static constexpr Duration requestTime = std::chrono::milliseconds{40};
+
+    /*! @brief Offers connections evenly over a time, each with a request that takes processor time at once; returns the
+     * number that is served. */
+    std::size_t offer(int count, Duration time, Duration processorTime)
+    {
+        std::size_t served = 0;
+        for (int connection = 0; connection < count; ++connection) {
+            m_now += time / count;
+            m_freeAt = std::max(m_freeAt, m_now);
+            if (m_gate.decide({}, m_now) != ConnectionDecision::Serve) {
+                continue;
+            }
+            ++served;
+            m_meter.recordRequest(m_now);
+            m_gate.recordRequest(m_now);
+            m_meter.recordBusy(processorTime, m_now);
+            m_meter.recordLateness(m_freeAt - m_now, m_now);
+            m_freeAt += processorTime;
+        }
+        return served;
+    }
+
+    TimePoint m_now{std::chrono::seconds{100}};
+    /*! @brief When the processor has done what was begun. */
+    TimePoint m_freeAt{};
+    LoadMeter m_meter{1.0, 0.0};
+    ConnectionGate m_gate{m_meter};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionGateTest);
--- a/test/support/servingfleet.h
+++ b/test/support/servingfleet.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "bergamottide/overload/connectiongate.h"
+#include "bergamottide/overload/loadmeter.h"
 #include "bergamottide/placement/random.h"
 #include "bergamottide/serving/servingreducer.h"
 
@@ -173,6 +175,14 @@
     [[nodiscard]] CallerResults results(const std::string &prefix) const;
 
 private:
+    /*! @brief Connection that a process has accepted and not read. */
+    struct Connection
+    {
+        std::size_t stream{};
+        std::size_t attempt{};
+        TimePoint since{};
+    };
+
     struct Process
     {
         serving::PeerInfo self;
@@ -183,6 +193,9 @@
         /*! @brief Events that wait for the processor, with their arrival. */
         std::deque<std::pair<TimePoint, serving::Event>> events;
         TimePoint freeAt{};
+        std::unique_ptr<overload::LoadMeter> load;
+        std::unique_ptr<overload::ConnectionGate> gate;
+        std::deque<Connection> connections;
     };
 
     struct Run
@@ -242,6 +255,9 @@
     void resumeStream(std::size_t stream);
     void connect(std::size_t process, std::size_t stream, std::size_t attempt);
     void connectElsewhere(std::size_t process, std::size_t stream, std::size_t attempt);
+    [[nodiscard]] bool carryOut(overload::ConnectionDecision decision, std::size_t process,
+                                const Connection &connection);
+    void reviewConnections(std::size_t process);
     void work(std::size_t process);
     void apply(std::size_t process, const serving::Event &event);
     void applyNow(std::size_t process, const serving::Event &event);
