--- a/test/platform/fakes.cpp
+++ b/test/platform/fakes.cpp
@@ -43,6 +43,9 @@
 
 void FakeStore::publish(const std::string &key, const std::string &value)
 {
+    if (m_keepsHistory && m_items.contains(key)) {
+        m_history.emplace_back(key, m_items[key]);
+    }
     m_items[key] = {value, ++m_revision};
     answerWaitingWatches(200);
 }
@@ -82,6 +85,11 @@
     m_discardedRevision = m_revision;
 }
 
+void FakeStore::keepHistory()
+{
+    m_keepsHistory = true;
+}
+
 void FakeStore::cutWatches()
 {
     m_discardedRevision = ++m_revision;
@@ -134,6 +142,11 @@
 std::string FakeStore::page(const std::string &field, std::uint64_t after) const
 {
     json items = json::array();
+    for (const auto &[key, item] : m_history) {
+        if (after > 0 && item.revision > after) {
+            items.push_back({{"key", key}, {"revision", item.revision}, {"value", absl::Base64Escape(item.value)}});
+        }
+    }
     for (const auto &[key, item] : m_items) {
         if (item.revision <= after || (item.isRemoved && after == 0)) {
             continue;
--- a/test/platform/fakes.h
+++ b/test/platform/fakes.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bergamottide::test {
@@ -37,6 +38,9 @@
     /*! @brief Discards the history: watches from before the current revision are answered 410. */
     void discardHistory();
 
+    /*! @brief Returns each version of a value to watches from now on, not only the newest. */
+    void keepHistory();
+
     /*! @brief Discards the history and closes the connections of waiting watches. */
     void cutWatches();
 
@@ -74,6 +78,9 @@
     std::string m_splitAfter;
     /*! @brief Oldest revision from which watches can start. */
     std::uint64_t m_discardedRevision{};
+    /*! @brief Former values of keys that watches return too; only if the store keeps its history. */
+    std::vector<std::pair<std::string, Item>> m_history;
+    bool m_keepsHistory{};
     std::uint64_t m_revision{7};
     std::size_t m_requestCount{};
     bool m_isUnavailable{};
--- a/test/platform/storewatch.cpp
+++ b/test/platform/storewatch.cpp
@@ -71,6 +71,12 @@
         return m_watch.isUnavailable();
     }
 
+    /*! @brief Returns the number of items that were reported. */
+    [[nodiscard]] std::size_t changeCount() const noexcept
+    {
+        return m_changeCount;
+    }
+
     /*! @brief Returns the number of requests from followers. */
     [[nodiscard]] std::size_t followerRequestCount() const noexcept
     {
@@ -111,6 +117,7 @@
     {
         for (const StoreItem &item : items) {
             m_values[item.key] = item.value;
+            ++m_changeCount;
         }
         m_relay.notifyFollowers();
     }
@@ -126,6 +133,7 @@
     std::vector<std::string> m_relays;
     bool m_isFleetKnown{true};
     std::size_t m_followerRequestCount{};
+    std::size_t m_changeCount{};
     HttpClient m_client;
     StoreWatch m_watch;
     StoreRelay m_relay;
@@ -153,6 +161,8 @@
     CPPUNIT_TEST(listPagesOfDifferentRevisionsAreUpdated);
     CPPUNIT_TEST(listOlderThanTheHistoryIsReadAgain);
     CPPUNIT_TEST(followersStayWithAReaderWhoseWatchIsCut);
+    CPPUNIT_TEST(newestValueIsReadThoughTheHistoryIsTooLarge);
+    CPPUNIT_TEST(onlyTheNewestVersionOfAValueIsReported);
     CPPUNIT_TEST(logReturnsEachChangeOnce);
     CPPUNIT_TEST(logRecordsDifferencesToANewList);
     CPPUNIT_TEST(logReportsDiscardedHistory);
@@ -385,6 +395,34 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"2"}, m_relayProcess.value("servers/a"));
     }
 
+    /*! @brief The changes since a revision are larger than the largest response that is read. */
+    void newestValueIsReadThoughTheHistoryIsTooLarge()
+    {
+        m_store.publish("op/config", "first");
+        m_store.keepHistory();
+        m_relayProcess.start();
+        runUntil([this] { return m_relayProcess.value("op/config") == "first"; });
+        publishLargeVersions();
+        runUntil([this] { return m_relayProcess.value("op/config").ends_with("last"); });
+        m_store.publish("op/config", "after");
+        runUntil([this] { return m_relayProcess.value("op/config") == "after"; });
+    }
+
+    /*! @brief Former versions of a value are passed over. */
+    void onlyTheNewestVersionOfAValueIsReported()
+    {
+        m_store.publish("op/config", "first");
+        m_store.keepHistory();
+        m_relayProcess.start();
+        runUntil([this] { return m_relayProcess.value("op/config") == "first"; });
+        const std::size_t before = m_relayProcess.changeCount();
+        for (int version = 0; version < 20; ++version) {
+            m_store.publish("op/config", std::to_string(version));
+        }
+        runUntil([this] { return m_relayProcess.value("op/config") == "19"; });
+        CPPUNIT_ASSERT(m_relayProcess.changeCount() - before <= 3);
+    }
+
     void logReturnsEachChangeOnce()
     {
         ChangeLog log;
@@ -433,6 +471,15 @@
         return out;
     }
 
+    /*! @brief Publishes 14 MB of versions, of which the last one ends with `last`. */
+    void publishLargeVersions()
+    {
+        constexpr std::size_t valueBytes = 900'000;
+        for (int version = 0; version < 12; ++version) {
+            m_store.publish("op/config", std::string(valueBytes, 'x') + (version == 11 ? "last" : ""));
+        }
+    }
+
     void startRelayAndFollower()
     {
         m_relayProcess.start();
