Check the heads of answers over the bytes that the HTTP client reads

Cause: the check compared without case and blanks, the client behind it compares bytes; the check ended at the first empty line, also at one of blanks only, which the client takes for a folded line, and at that of an interim answer. Ruled out: failing all of these as broken; RFC 9112 allows `Chunked` and blanks behind a value. Change: checkHead goes through interim heads to the final one, rewrites what HTTP/1.1 takes for equal in place, and fails as malformed what readers take differently: folded lines, blanks before a colon, lines without one, lengths that differ, statuses below 100. A head, or interim answers, past maxHeadBytes end the call. Tests: each of these through the real client, and 300 heads drawn by a grammar (seed 1). The former checks stand unchanged on the new function.

--- a/src/bergamottide/net/headcheck.cpp
+++ b/src/bergamottide/net/headcheck.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <absl/strings/string_view.h>
 
 #include <algorithm>
 #include <string>
@@ -12,6 +13,22 @@
 
 /*! @brief Digits of the largest length taken; more would not fit the integers of the client. */
 constexpr std::size_t maxLengthDigits = 18;
+constexpr absl::string_view protocol = "HTTP/1.";
+/*! @brief Position of the status in a status line such as `HTTP/1.1 200 OK`. */
+constexpr std::size_t statusAt = 9;
+constexpr absl::string_view switchingProtocols = "101";
+
+/*! @brief Headers of one head that say how its body ends. */
+struct Framing
+{
+    std::string length;
+    std::string encoding;
+};
+
+absl::string_view textOf(std::span<const char> bytes)
+{
+    return {bytes.data(), bytes.size()};
+}
 
 bool isLength(absl::string_view value)
 {
@@ -19,40 +36,92 @@
         && std::all_of(value.begin(), value.end(), [](char digit) { return absl::ascii_isdigit(digit); });
 }
 
-bool isKnownEncoding(absl::string_view value)
+/*! @brief Writes a value to the end of its place behind blanks, since h2o cuts the leading blanks only. */
+void rewrite(std::span<char> place, const std::string &value)
 {
-    return absl::EqualsIgnoreCase(value, "chunked") || absl::EqualsIgnoreCase(value, "identity");
+    std::fill(place.begin(), place.end(), ' ');
+    std::copy(value.begin(), value.end(), place.end() - static_cast<std::ptrdiff_t>(value.size()));
 }
 
-bool lineIsSound(absl::string_view line)
+/*! @brief Returns false if the value is another one than that of a former header of the same name. */
+bool keep(std::string &former, const std::string &value)
 {
-    const auto colon = line.find(':');
-    if (colon == absl::string_view::npos) {
-        return true;
+    const bool isEqual = former.empty() || former == value;
+    former = value;
+    return isEqual;
+}
+
+bool checkLine(std::span<char> line, Framing &framing)
+{
+    const absl::string_view text = textOf(line);
+    const auto colon = text.find(':');
+    if (colon == absl::string_view::npos || absl::ascii_isspace(text.front())) {
+        return false;
     }
-    const absl::string_view name = absl::StripAsciiWhitespace(line.substr(0, colon));
-    const absl::string_view value = absl::StripAsciiWhitespace(line.substr(colon + 1));
+    const absl::string_view name = text.substr(0, colon);
+    if (absl::ascii_isspace(name.empty() ? ' ' : name.back())) {
+        return false;
+    }
+    const std::span<char> place = line.subspan(colon + 1);
+    const std::string value = absl::AsciiStrToLower(absl::StripAsciiWhitespace(textOf(place)));
     if (absl::EqualsIgnoreCase(name, "content-length")) {
-        return isLength(value);
+        rewrite(place, value);
+        return isLength(value) && keep(framing.length, value);
+    }
+    if (absl::EqualsIgnoreCase(name, "transfer-encoding")) {
+        rewrite(place, value);
+        return (value == "chunked" || value == "identity") && keep(framing.encoding, value);
     }
-    return !absl::EqualsIgnoreCase(name, "transfer-encoding") || isKnownEncoding(value);
+    return true;
+}
+
+/*! @brief Returns whether another head follows this status line; a change of protocol is final. */
+bool isInterim(absl::string_view statusLine)
+{
+    const absl::string_view status = statusLine.substr(statusAt);
+    return status.front() == '1' && !absl::StartsWith(status, switchingProtocols);
+}
+
+bool isStatusLine(absl::string_view line)
+{
+    return absl::StartsWith(line, protocol) && line.size() >= statusAt + switchingProtocols.size()
+        && line[statusAt - 1] == ' ' && absl::ascii_isdigit(line[statusAt]) && line[statusAt] != '0';
 }
 
 } // namespace
 
-bool framingIsSound(std::string_view input)
+HeadState checkHead(std::span<char> input)
 {
-    for (auto end = input.find('\n'); end != std::string_view::npos; end = input.find('\n')) {
-        const absl::string_view line = absl::StripAsciiWhitespace(absl::string_view{input.data(), end});
+    bool isAtStatus = true;
+    bool isLastHead = true;
+    Framing framing;
+    for (auto end = textOf(input).find('\n'); end != absl::string_view::npos; end = textOf(input).find('\n')) {
+        std::span<char> line = input.first(end);
+        if (!line.empty() && line.back() == '\r') {
+            line = line.first(line.size() - 1);
+        }
+        input = input.subspan(end + 1);
+        if (isAtStatus) {
+            if (!isStatusLine(textOf(line))) {
+                return HeadState::Malformed;
+            }
+            isLastHead = !isInterim(textOf(line));
+            framing = {};
+            isAtStatus = false;
+            continue;
+        }
         if (line.empty()) {
-            return true;
+            if (isLastHead) {
+                return HeadState::Sound;
+            }
+            isAtStatus = true;
+            continue;
         }
-        if (!lineIsSound(line)) {
-            return false;
+        if (!checkLine(line, framing)) {
+            return HeadState::Malformed;
         }
-        input.remove_prefix(end + 1);
     }
-    return true;
+    return HeadState::Incomplete;
 }
 
 } // namespace bergamottide::internal
--- a/src/bergamottide/net/httpclient.cpp
+++ b/src/bergamottide/net/httpclient.cpp
@@ -79,6 +79,8 @@
         HttpHeaders headers;
         std::string received;
         std::size_t receivedBytes{};
+        /*! @brief Bytes read before the head was whole, interim answers included. */
+        std::size_t headBytes{};
         /*! @brief Reader of h2o that waits behind the check of the head; null until the check is in place. */
         h2o_socket_cb headReader{};
     };
@@ -315,12 +317,15 @@
         // h2o keeps its client in the socket, and the client keeps the call.
         auto *client = static_cast<h2o_http1client_t *>(socket->data);
         auto &call = *static_cast<Call *>(client->data);
-        const std::string_view input{socket->input->bytes, socket->input->size};
-        if (error != nullptr || internal::framingIsSound(input)) {
+        const std::size_t maxBytes = call.state->options.maxHeadBytes;
+        const auto state = internal::checkHead({socket->input->bytes, socket->input->size});
+        call.headBytes += socket->bytes_read;
+        const bool isEndless = state == internal::HeadState::Incomplete && call.headBytes > maxBytes;
+        if (error != nullptr || (state != internal::HeadState::Malformed && !isEndless)) {
             call.headReader(socket, error);
             return;
         }
-        call.state->fail(call, HttpFailure::Malformed);
+        call.state->fail(call, isEndless ? HttpFailure::TooLarge : HttpFailure::Malformed);
         h2o_http1client_cancel(client);
     }
 
--- a/test/bergamottide/net/headcheck.cpp
+++ b/test/bergamottide/net/headcheck.cpp
@@ -8,7 +8,10 @@
 #include <unistd.h>
 
 #include <optional>
+#include <random>
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace bergamottide;
 
@@ -20,29 +23,34 @@
     CPPUNIT_TEST(looksNoFurtherThanTheHead);
     CPPUNIT_TEST(clientSurvivesABrokenLength);
     CPPUNIT_TEST(clientSurvivesAnUnknownEncoding);
+    CPPUNIT_TEST(clientReadsCodingsHoweverTheyAreSpelled);
+    CPPUNIT_TEST(clientSurvivesFramingBehindAnInterimAnswer);
+    CPPUNIT_TEST(clientSurvivesLinesThatReadersTakeDifferently);
+    CPPUNIT_TEST(clientEndsHeadsWithoutEnd);
+    CPPUNIT_TEST(clientSurvivesDrawnHeads);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void takesOrdinaryHeads()
     {
-        CPPUNIT_ASSERT(internal::framingIsSound("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n"));
-        CPPUNIT_ASSERT(internal::framingIsSound("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n"));
-        CPPUNIT_ASSERT(internal::framingIsSound("HTTP/1.1 200 OK\r\nX: y"));
-        CPPUNIT_ASSERT(internal::framingIsSound(""));
+        CPPUNIT_ASSERT(isSound("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n"));
+        CPPUNIT_ASSERT(isSound("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n"));
+        CPPUNIT_ASSERT(isSound("HTTP/1.1 200 OK\r\nX: y"));
+        CPPUNIT_ASSERT(isSound(""));
     }
 
     void refusesFramingThatIsNone()
     {
-        CPPUNIT_ASSERT(!internal::framingIsSound("HTTP/1.1 200 OK\r\ncontent-length: minus\r\n"));
-        CPPUNIT_ASSERT(!internal::framingIsSound("HTTP/1.1 200 OK\r\ncontent-length: -1\r\n"));
-        CPPUNIT_ASSERT(!internal::framingIsSound("HTTP/1.1 200 OK\r\ncontent-length:\r\n"));
-        CPPUNIT_ASSERT(!internal::framingIsSound("HTTP/1.1 200 OK\r\ncontent-length: 99999999999999999999\r\n"));
-        CPPUNIT_ASSERT(!internal::framingIsSound("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n"));
+        CPPUNIT_ASSERT(!isSound("HTTP/1.1 200 OK\r\ncontent-length: minus\r\n"));
+        CPPUNIT_ASSERT(!isSound("HTTP/1.1 200 OK\r\ncontent-length: -1\r\n"));
+        CPPUNIT_ASSERT(!isSound("HTTP/1.1 200 OK\r\ncontent-length:\r\n"));
+        CPPUNIT_ASSERT(!isSound("HTTP/1.1 200 OK\r\ncontent-length: 99999999999999999999\r\n"));
+        CPPUNIT_ASSERT(!isSound("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n"));
     }
 
     void looksNoFurtherThanTheHead()
     {
-        CPPUNIT_ASSERT(internal::framingIsSound("HTTP/1.1 200 OK\r\n\r\ncontent-length: minus\r\n"));
+        CPPUNIT_ASSERT(isSound("HTTP/1.1 200 OK\r\n\r\ncontent-length: minus\r\n"));
     }
 
     void clientSurvivesABrokenLength()
@@ -55,33 +63,140 @@
         CPPUNIT_ASSERT(failureOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: x\r\n\r\n{}") == HttpFailure::Malformed);
     }
 
+    /*! @brief HTTP/1.1 compares names of codings without case, and blanks around a value do not belong to it. */
+    void clientReadsCodingsHoweverTheyAreSpelled()
+    {
+        for (const std::string coding : {"Chunked", "CHUNKED", "chunked ", " \tchunked\t ", "chunked"}) {
+            const std::string bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding:" + coding + "\r\n\r\n2\r\n{}\r\n0\r\n\r\n";
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(coding, std::string{"{}"}, bodyOf(bytes));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string{"{}"}, bodyOf("HTTP/1.1 200 OK\r\nContent-Length: 2 \r\n\r\n{}"));
+    }
+
+    void clientSurvivesFramingBehindAnInterimAnswer()
+    {
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        for (const std::string header : {"Transfer-Encoding: x", "Content-Length: minus", "Transfer-Encoding:"}) {
+            const std::string bytes = interim + "HTTP/1.1 200 OK\r\n" + header + "\r\n\r\n{}";
+            CPPUNIT_ASSERT_MESSAGE(header, failureOf(bytes) == HttpFailure::Malformed);
+        }
+    }
+
+    void clientSurvivesLinesThatReadersTakeDifferently()
+    {
+        for (const std::string lines :
+             {" \r\nTransfer-Encoding: x", "Transfer-Encoding :x", "Transfer-Encoding:\r\n x", "no colon",
+              "Content-Length: 2\r\nContent-Length: 3", "Transfer-Encoding: gzip, chunked"}) {
+            CPPUNIT_ASSERT_MESSAGE(lines,
+                                   failureOf("HTTP/1.1 200 OK\r\n" + lines + "\r\n\r\n{}") == HttpFailure::Malformed);
+        }
+        CPPUNIT_ASSERT(failureOf("\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: x\r\n\r\n") == HttpFailure::Malformed);
+        CPPUNIT_ASSERT(failureOf("HTTP/1.1 099 None\r\n\r\n") == HttpFailure::Malformed);
+    }
+
+    void clientEndsHeadsWithoutEnd()
+    {
+        const std::string many(200'000, 'x');
+        CPPUNIT_ASSERT(failureOf("HTTP/1.1 200 OK\r\nX: " + many) == HttpFailure::TooLarge);
+        std::string interims;
+        while (interims.size() < many.size()) {
+            interims += "HTTP/1.1 102 Processing\r\n\r\n";
+        }
+        CPPUNIT_ASSERT(failureOf(interims) == HttpFailure::TooLarge);
+    }
+
+    /*! @brief Heads drawn by a grammar, through the check and the client: each ends in an answer or a failure. */
+    void clientSurvivesDrawnHeads()
+    {
+        const std::vector<std::string> parts{"HTTP/1.1 200 OK\r\n",
+                                             "HTTP/1.1 100 Continue\r\n",
+                                             "Content-Length: 2\r\n",
+                                             "Content-Length: ",
+                                             "content-length: 0x2\r\n",
+                                             "Transfer-Encoding: ",
+                                             "transfer-encoding:chunked\r\n",
+                                             "Chunked",
+                                             "identity",
+                                             "minus",
+                                             "\r\n",
+                                             "\n",
+                                             "\r",
+                                             " ",
+                                             "\t",
+                                             "X: y\r\n",
+                                             ":",
+                                             "2\r\n{}\r\n0\r\n\r\n",
+                                             "{}",
+                                             std::string(1, '\0')};
+        std::mt19937 random{1};
+        for (int count = 0; count < 300; ++count) {
+            std::string bytes = count % 4 == 0 ? "" : "HTTP/1.1 200 OK\r\n";
+            for (std::size_t left = 1 + random() % 9; left > 0; --left) {
+                bytes += parts[random() % parts.size()];
+            }
+            static_cast<void>(exchange(bytes));
+        }
+    }
+
 private:
-    /*! @brief Calls a server that answers any request with these bytes. */
+    static bool isSound(std::string bytes)
+    {
+        return internal::checkHead(bytes) != internal::HeadState::Malformed;
+    }
+
     static std::optional<HttpFailure> failureOf(const std::string &bytes)
+    {
+        return exchange(bytes).failure;
+    }
+
+    static std::string bodyOf(const std::string &bytes)
+    {
+        return exchange(bytes).body;
+    }
+
+    struct Result
+    {
+        std::optional<HttpFailure> failure;
+        bool isWhole{};
+        std::string body;
+    };
+
+    /*! @brief Calls a server that answers any request with these bytes. */
+    static Result exchange(const std::string &bytes)
     {
         const int listener = *listenOn(*parseSocketAddress("127.0.0.1:0"));
         const std::string address = boundAddress(listener);
         SystemClock clock;
         Loop loop{clock};
         HttpClient client{loop, {}};
-        std::optional<HttpFailure> failure;
+        Result result;
         HttpCallHooks hooks;
-        hooks.failed = [&failure](HttpFailure reason) {
-            failure = reason;
+        hooks.failed = [&result](HttpFailure reason) {
+            result.failure = reason;
+        };
+        hooks.done = [&result](HttpResponse answer) {
+            result.isWhole = true;
+            result.body = std::move(answer.body);
         };
         client.call(address, {"GET", "/", "", {}, ""}, hooks);
         int connection = -1;
-        for (int round = 0; round < maxRounds && !failure; ++round) {
+        std::size_t sent = 0;
+        for (int round = 0; round < maxRounds && !result.failure && !result.isWhole; ++round) {
             loop.runOnce(roundWait);
             if (connection < 0) {
                 connection = accept(listener, nullptr, nullptr);
                 continue;
             }
-            static_cast<void>(send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
+            const auto part = send(connection, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+            sent += part > 0 ? static_cast<std::size_t>(part) : 0;
+            if (sent == bytes.size()) {
+                shutdown(connection, SHUT_WR);
+            }
         }
         close(connection);
         close(listener);
-        return failure;
+        CPPUNIT_ASSERT_MESSAGE(bytes, result.failure || result.isWhole);
+        return result;
     }
 
     static constexpr int maxRounds = 500;
