Ask the relays before the version of a resumed stream is guessed

Cause: a process that has just started takes the only version it sees for the one that began the stream, though its relays know better. Class of fault: absence of knowledge taken for knowledge. Ruled out: rejecting all unknown streams at such a process, since all would be lost after a restart of the fleet. Conclusion: a version is guessed only where no process that answers knows another.

--- a/src/bergamottide/serving/servingstreams.cpp
+++ b/src/bergamottide/serving/servingstreams.cpp
@@ -22,7 +22,8 @@
         return;
     }
     request.streamVersion = m_streamVersions.find(keyOf(request));
-    if (!request.streamVersion) {
+    // A process that has just started does not know which versions there were; its relays may know the stream.
+    if (!request.streamVersion && (m_streamVersions.remembersFormerVersions(m_now) || m_peers.relays(m_now).empty())) {
         request.streamVersion = m_streamVersions.onlyVersion(request.pool, m_now);
     }
 }
@@ -56,6 +57,9 @@
         return;
     }
     request->pendingLookups = 0;
+    if (!request->streamVersion) {
+        request->streamVersion = m_streamVersions.onlyVersion(request->pool, m_now);
+    }
     if (!request->streamVersion) {
         reject(*request, ErrorKind::Unavailable, "software version of the resumed stream is unknown");
         return;
--- a/src/bergamottide/serving/streamversions.cpp
+++ b/src/bergamottide/serving/streamversions.cpp
@@ -31,6 +31,7 @@
 
 void StreamVersions::updateEndpoints(const EndpointList &endpoints, TimePoint now)
 {
+    m_knownSince = m_knownSince.value_or(now);
     for (auto &[pool, versions] : m_pools) {
         std::erase_if(versions,
                       [now](const auto &entry) { return entry.second && now - *entry.second >= formerVersionMemory; });
@@ -86,6 +87,11 @@
     return only == nullptr ? std::nullopt : std::optional{*only};
 }
 
+bool StreamVersions::remembersFormerVersions(TimePoint now) const
+{
+    return m_knownSince && now - *m_knownSince >= formerVersionMemory;
+}
+
 void StreamVersions::merge(const std::vector<StreamReport> &reports, TimePoint now)
 {
     for (const StreamReport &report : reports) {
--- a/src/bergamottide/serving/streamversions.h
+++ b/src/bergamottide/serving/streamversions.h
@@ -56,6 +56,9 @@
     /*! @brief Returns the version of a pool's endpoints; nothing if there are several, or were a short time ago. */
     [[nodiscard]] std::optional<SoftwareVersion> onlyVersion(const PoolName &pool, TimePoint now) const;
 
+    /*! @brief Returns whether the endpoints have been known for as long as a former version counts. */
+    [[nodiscard]] bool remembersFormerVersions(TimePoint now) const;
+
     /*! @brief Adds the streams of a peer. */
     void merge(const std::vector<StreamReport> &reports, TimePoint now);
 
@@ -83,6 +86,8 @@
     /*! @brief Streams of peers. */
     std::map<StreamKey, Stream> m_reported;
     std::map<PoolName, PoolVersions> m_pools;
+    /*! @brief When the endpoints were first known. */
+    std::optional<TimePoint> m_knownSince;
 };
 
 } // namespace bergamottide::serving
--- a/test/bergamottide/serving/streamversions.cpp
+++ b/test/bergamottide/serving/streamversions.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(resumedStreamIsRejectedWithoutAnEndpointOfItsVersion);
     CPPUNIT_TEST(unknownStreamIsRejectedWhileVersionsAreMixed);
     CPPUNIT_TEST(unknownStreamContinuesAtTheOnlyVersion);
+    CPPUNIT_TEST(processThatHasJustStartedAsksBeforeItGuesses);
     CPPUNIT_TEST(unknownStreamIsRejectedWhileAFormerVersionIsRemembered);
     CPPUNIT_TEST(streamsOfOtherWorkspacesAreUnknown);
     CPPUNIT_TEST(streamsAreForgottenWhateverTheDeadline);
@@ -110,6 +111,26 @@
         CPPUNIT_ASSERT(fixture.effect<StartRun>() != nullptr);
     }
 
+    /*! @brief The process has just started; a relay knows that a former version began the stream. */
+    void processThatHasJustStartedAsksBeforeItGuesses()
+    {
+        for (const std::string known : {"v1", "v2", ""}) {
+            ServingFixture fixture{without("v1")};
+            Heartbeat relay;
+            relay.from = {InstanceName{"entry-2"}, "10.0.0.8:1", 1.0};
+            relay.isRelay = true;
+            fixture.apply(HeartbeatReceived{relay});
+            fixture.apply(resumption(fixture, 2, 1));
+            CPPUNIT_ASSERT(fixture.effect<StartRun>() == nullptr);
+            CPPUNIT_ASSERT(fixture.effect<LookUpStream>() != nullptr);
+            const auto answer = known.empty() ? std::nullopt : std::optional{SoftwareVersion{known}};
+            fixture.apply(StreamLookupEnded{CallId{2}, answer});
+            // Without an answer no process knows another version.
+            CPPUNIT_ASSERT_EQUAL(known != "v1", fixture.effect<StartRun>() != nullptr);
+            CPPUNIT_ASSERT_EQUAL(known == "v1", fixture.effect<SendErrorResponse>() != nullptr);
+        }
+    }
+
     void unknownStreamIsRejectedWhileAFormerVersionIsRemembered()
     {
         ServingFixture fixture{mixedEndpoints()};
