--- a/test/bergamottide/net/headcheck.cpp
+++ b/test/bergamottide/net/headcheck.cpp
@@ -4,6 +4,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <absl/strings/str_cat.h>
+
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -67,7 +69,8 @@
     void clientReadsCodingsHoweverTheyAreSpelled()
     {
         for (const std::string coding : {"Chunked", "CHUNKED", "chunked ", " \tchunked\t ", "chunked"}) {
-            const std::string bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding:" + coding + "\r\n\r\n2\r\n{}\r\n0\r\n\r\n";
+            const std::string bytes =
+                absl::StrCat("HTTP/1.1 200 OK\r\nTransfer-Encoding:", coding, "\r\n\r\n2\r\n{}\r\n0\r\n\r\n");
             CPPUNIT_ASSERT_EQUAL_MESSAGE(coding, std::string{"{}"}, bodyOf(bytes));
         }
         CPPUNIT_ASSERT_EQUAL(std::string{"{}"}, bodyOf("HTTP/1.1 200 OK\r\nContent-Length: 2 \r\n\r\n{}"));
@@ -77,7 +80,7 @@
     {
         const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
         for (const std::string header : {"Transfer-Encoding: x", "Content-Length: minus", "Transfer-Encoding:"}) {
-            const std::string bytes = interim + "HTTP/1.1 200 OK\r\n" + header + "\r\n\r\n{}";
+            const std::string bytes = absl::StrCat(interim, "HTTP/1.1 200 OK\r\n", header, "\r\n\r\n{}");
             CPPUNIT_ASSERT_MESSAGE(header, failureOf(bytes) == HttpFailure::Malformed);
         }
     }
