--- a/src/bergamottide/overload/connectiongate.cpp
+++ b/src/bergamottide/overload/connectiongate.cpp
@@ -16,7 +16,7 @@
 constexpr double lowLoad = 0.5;
 /*! @brief Largest budget, and largest debt, in seconds. */
 constexpr double maxBudget = 0.25;
-/*! @brief Connections a second that are served in any case. */
+/*! @brief Bounds the learned cost: connections a second that it allows before the rate falls. */
 constexpr double minRate = 4.0;
 /*! @brief Mean lateness of timers above which the rate falls. */
 constexpr Duration maxLateness = std::chrono::milliseconds{100};
