Serve one new connection a second whatever open connections take

What callers see: a process that is ready takes no new connection while requests on open connections use all that the gate allows, since these are always read and hold its budget in debt. New connections are then closed unread for as long as that lasts. Cause: the budget had no part that open connections could not use. Ruled out: a share of the budget for new connections: at full load it would add to the overload in proportion. Change: a connection is served if none has been for a second. Test: requestsOnOpenConnectionsLeaveRoomForNewOnes, open connections that bring twice what the processor can do for five seconds: fewer than four new connections were served before, at least four now. Conclusion: a lower bound for new connections; the cost is one request a second.

--- a/src/bergamottide/overload/connectiongate.cpp
+++ b/src/bergamottide/overload/connectiongate.cpp
@@ -29,6 +29,8 @@
 constexpr double maxThrottle = 10.0;
 /*! @brief Time after which the measurements hold no closed connection. */
 constexpr Duration learningDelay = std::chrono::seconds{1};
+/*! @brief Time after which a connection is served whatever open connections take. */
+constexpr Duration maxPause = std::chrono::seconds{1};
 /*! @brief Longest wait of a connection; well below the patience of callers with short deadlines. */
 constexpr Duration maxWait = std::chrono::milliseconds{150};
 
@@ -48,8 +50,9 @@
 ConnectionDecision ConnectionGate::decide(const WaitingConnection &connection, TimePoint now)
 {
     refill(now);
-    if (connection.ahead == 0 && hasRoom(now)) {
+    if (connection.ahead == 0 && (hasRoom(now) || isOverdue(now))) {
         take(m_cost);
+        m_servedAt = now;
         ++m_unread;
         return ConnectionDecision::Serve;
     }
@@ -113,4 +116,9 @@
         && m_meter.recentLateness(now) <= maxLateness;
 }
 
+bool ConnectionGate::isOverdue(TimePoint now) const
+{
+    return now - m_servedAt >= maxPause;
+}
+
 } // namespace bergamottide::overload
--- a/src/bergamottide/overload/connectiongate.h
+++ b/src/bergamottide/overload/connectiongate.h
@@ -46,7 +46,8 @@
  *
  * A load balancer may hand most connections of a fleet to one process. What that process reads beyond its capacity
  * delays all else that it does. The rate begins at what a request has taken so far, rises while capacity is left and
- * falls while events wait. Requests on open connections are always read, and count.
+ * falls while events wait. Requests on open connections are always read, and count; whatever they take, a new
+ * connection is served from time to time.
  */
 class ConnectionGate
 {
@@ -72,6 +73,7 @@
     void adjust(TimePoint now);
     void take(double cost);
     [[nodiscard]] bool hasRoom(TimePoint now) const;
+    [[nodiscard]] bool isOverdue(TimePoint now) const;
 
     const LoadMeter &m_meter;
     /*! @brief Capacity that new requests may take, in seconds of the scarcer of processor and link. */
@@ -82,6 +84,7 @@
     /*! @brief Allowed rate relative to that which follows from the cost. */
     double m_throttle{1.0};
     TimePoint m_closedAt{};
+    TimePoint m_servedAt{};
     /*! @brief Served connections whose first request has not been read. */
     std::size_t m_unread{};
     TimePoint m_refilledAt{};
--- a/test/bergamottide/overload/connectiongate.cpp
+++ b/test/bergamottide/overload/connectiongate.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(connectionsAreServedOnceTheLoadIsGone);
     CPPUNIT_TEST(someConnectionsAreServedWhateverTheLoad);
     CPPUNIT_TEST(unusedConnectionsDoNotCloseTheGate);
+    CPPUNIT_TEST(requestsOnOpenConnectionsLeaveRoomForNewOnes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -68,6 +69,24 @@
         CPPUNIT_ASSERT(m_gate.decide({}, m_now) == ConnectionDecision::Serve);
     }
 
+    /*! @brief Open connections bring twice as many requests as the processor can do. */
+    void requestsOnOpenConnectionsLeaveRoomForNewOnes()
+    {
+        offer(1000, std::chrono::seconds{2}, requestTime);
+        std::size_t served = 0;
+        for (int round = 0; round < 250; ++round) {
+            m_now += std::chrono::milliseconds{20};
+            readRequest(requestTime);
+            if (m_gate.decide({}, m_now) != ConnectionDecision::Serve) {
+                continue;
+            }
+            ++served;
+            readRequest(requestTime);
+        }
+        CPPUNIT_ASSERT(served >= 4);
+        CPPUNIT_ASSERT(served <= 25);
+    }
+
 private:
     static constexpr Duration requestTime = std::chrono::milliseconds{40};
 
@@ -78,20 +97,25 @@
         std::size_t served = 0;
         for (int connection = 0; connection < count; ++connection) {
             m_now += time / count;
-            m_freeAt = std::max(m_freeAt, m_now);
             if (m_gate.decide({}, m_now) != ConnectionDecision::Serve) {
                 continue;
             }
             ++served;
-            m_meter.recordRequest(m_now);
-            m_gate.recordRequest(m_now);
-            m_meter.recordBusy(processorTime, m_now);
-            m_meter.recordLateness(m_freeAt - m_now, m_now);
-            m_freeAt += processorTime;
+            readRequest(processorTime);
         }
         return served;
     }
 
+    void readRequest(Duration processorTime)
+    {
+        m_freeAt = std::max(m_freeAt, m_now);
+        m_meter.recordRequest(m_now);
+        m_gate.recordRequest(m_now);
+        m_meter.recordBusy(processorTime, m_now);
+        m_meter.recordLateness(m_freeAt - m_now, m_now);
+        m_freeAt += processorTime;
+    }
+
     TimePoint m_now{std::chrono::seconds{100}};
     /*! @brief When the processor has done what was begun. */
     TimePoint m_freeAt{};
