Answer 502 if an endpoint may have run a streaming request that must not run twice

Cause: forwardResponse replaced such answers on routes of one kind only, not on all that may not run twice. Ruled out: passing them on since the platform's pages describe 503 only with the statement: they say what the statuses promise, whoever sends them, and an endpoint in trouble may send anything. Change: the rule follows Route::mayRunTwice(). A stream that has begun is still aborted. Test: callThatMayNotRunTwiceIsNotAnsweredAsNotExecuted, both kinds of route and the four statuses; failed on the code before for the streaming route. Conclusion: no status that promises "not run" is passed on for such routes unless the endpoint has stated it.

--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -358,7 +358,7 @@
     const CallId call = request.callerRequest->call;
     const int status = request.head->status;
     // The endpoint has not stated that it did not execute the request, and the caller would send it again.
-    if (request.route->kind == RouteKind::NonIdempotent && impliesNotExecuted(status)) {
+    if (!request.isStreamStarted && !request.route->mayRunTwice() && impliesNotExecuted(status)) {
         reject(request, ErrorKind::BadGateway, absl::StrCat("endpoint answered ", status, " and may have executed it"));
         return;
     }
--- a/test/bergamottide/serving/servingreducer.cpp
+++ b/test/bergamottide/serving/servingreducer.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(unknownRouteAndKeyAreRejected);
     CPPUNIT_TEST(requestWithoutCatalogIsUnavailable);
     CPPUNIT_TEST(nonIdempotentCallIsNotRetriedAfterConnectionLoss);
+    CPPUNIT_TEST(callThatMayNotRunTwiceIsNotAnsweredAsNotExecuted);
     CPPUNIT_TEST(nonIdempotentCallIsRetriedAfterRejection);
     CPPUNIT_TEST(idempotentCallIsRetriedAtAnotherEndpoint);
     CPPUNIT_TEST(requestWithoutResponseTimesOutAsPossiblyExecuted);
@@ -154,6 +155,26 @@
         CPPUNIT_ASSERT(m_fixture.effect<StartRun>() == nullptr);
     }
 
+    /*! @brief An endpoint that does not state that it has not executed a request may have. */
+    void callThatMayNotRunTwiceIsNotAnsweredAsNotExecuted()
+    {
+        for (const std::string path : {"/order/1", "/chat/1"}) {
+            for (const int status : {408, 421, 429, 503}) {
+                ServingFixture fixture;
+                fixture.apply(fixture.arrival(path));
+                const auto *start = fixture.effect<StartRun>();
+                CPPUNIT_ASSERT(start != nullptr);
+                const RunNumber run = start->run;
+                fixture.apply(RunHeadReceived{run, ServingFixture::responseHead(status)});
+                fixture.apply(RunCompleted{run});
+                CPPUNIT_ASSERT_MESSAGE(path, fixture.effect<SendResponse>() == nullptr);
+                const auto *rejection = fixture.effect<SendErrorResponse>();
+                CPPUNIT_ASSERT_MESSAGE(path, rejection != nullptr);
+                CPPUNIT_ASSERT(rejection->kind == ErrorKind::BadGateway);
+            }
+        }
+    }
+
     void nonIdempotentCallIsRetriedAfterRejection()
     {
         const RunNumber run = startRequest("/order/1");
