Fail answers that change the protocol as malformed

What callers saw: status 101 from an endpoint, after which the connection is no HTTP any more. Cause: the check of heads took 101 for a final answer; the client never asks for another protocol (RFC 9110, section 15.2.2), and Upgrade is not forwarded. Ruled out: reading on as behind other interim answers: what follows is in another protocol. Change: checkHead takes no status line with 101. Test: a line in clientSurvivesLinesThatReadersTakeDifferently, which failed before.

--- a/src/bergamottide/net/headcheck.cpp
+++ b/src/bergamottide/net/headcheck.cpp
@@ -75,17 +75,18 @@
     return true;
 }
 
-/*! @brief Returns whether another head follows this status line; a change of protocol is final. */
+/*! @brief Returns whether another head follows this status line. */
 bool isInterim(absl::string_view statusLine)
 {
-    const absl::string_view status = statusLine.substr(statusAt);
-    return status.front() == '1' && !absl::StartsWith(status, switchingProtocols);
+    return statusLine[statusAt] == '1';
 }
 
+/*! @brief Returns false also for a change of protocol, which no request of the client asks for. */
 bool isStatusLine(absl::string_view line)
 {
     return absl::StartsWith(line, protocol) && line.size() >= statusAt + switchingProtocols.size()
-        && line[statusAt - 1] == ' ' && absl::ascii_isdigit(line[statusAt]) && line[statusAt] != '0';
+        && line[statusAt - 1] == ' ' && absl::ascii_isdigit(line[statusAt]) && line[statusAt] != '0'
+        && !absl::StartsWith(line.substr(statusAt), switchingProtocols);
 }
 
 } // namespace
--- a/test/bergamottide/net/headcheck.cpp
+++ b/test/bergamottide/net/headcheck.cpp
@@ -95,6 +95,8 @@
         }
         CPPUNIT_ASSERT(failureOf("\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: x\r\n\r\n") == HttpFailure::Malformed);
         CPPUNIT_ASSERT(failureOf("HTTP/1.1 099 None\r\n\r\n") == HttpFailure::Malformed);
+        // No request of the client asks for another protocol.
+        CPPUNIT_ASSERT(failureOf("HTTP/1.1 101 Switching Protocols\r\n\r\n") == HttpFailure::Malformed);
     }
 
     void clientEndsHeadsWithoutEnd()
