Give up answers whose chunk extensions or trailers have no end

What callers see: a call that ends only with its deadline while an endpoint, the store or a relay sends an extension or trailers without end; the process reads at full speed meanwhile, and other requests wait behind it. Cause: h2o reads extensions and trailers without a bound, and hands none of it to the client's bounds on head and body. Ruled out: memory: h2o drops what it has read of them. Head lines and chunk sizes without end ended before (their tests passed). Change: the client counts the bytes behind the head of a body without length; frames beyond six bytes for each byte of the body and maxHeadBytes fail the call as too large and close the connection. Tests: an extension and trailers of 64 MB were read to their end before, less than 16 MB are sent now, socket buffers included; a body of 50,000 one-byte chunks is read as before. Conclusion: bounded for all users of the client. An event of a stream without end is bounded by the largest body only.

--- a/src/bergamottide/net/httpclient.cpp
+++ b/src/bergamottide/net/httpclient.cpp
@@ -29,6 +29,9 @@
 /*! @brief Period in which calls are looked at for silence; a call is given up this much late at most. */
 constexpr Duration silencePeriod = std::chrono::milliseconds{250};
 
+/*! @brief Bytes of a chunk of a single byte, with its frame. */
+constexpr std::size_t maxChunkShare = 6;
+
 std::string writeHead(const std::string &address, const HttpRequest &request)
 {
     std::string head =
@@ -79,6 +82,8 @@
         HttpHeaders headers;
         std::string received;
         std::size_t receivedBytes{};
+        /*! @brief Bytes read behind the head, frames of chunks included, of a body without length. */
+        std::size_t framedBytes{};
         /*! @brief Bytes read before the head was whole, interim answers included. */
         std::size_t headBytes{};
         /*! @brief Reader of h2o that waits behind the check of the head; null until the check is in place. */
@@ -333,18 +338,20 @@
      * @brief Tells a whole body from one that was cut off, where h2o does not.
      *
      * h2o takes any end of the connection as the end of a body without length, a reset too, and a close between two
-     * chunks as the end of a chunked one.
+     * chunks as the end of a chunked one. It reads chunk extensions and trailers without a bound.
      */
     static void onRawBody(h2o_socket_t *socket, const char *error)
     {
         auto *client = static_cast<h2o_http1client_t *>(socket->data);
         auto &call = *static_cast<Call *>(client->data);
         const bool mayEnd = error == h2o_socket_error_closed && headerValue(call.headers, "transfer-encoding").empty();
-        if (error == nullptr || mayEnd) {
+        const bool isEndless = call.framedBytes > call.state->options.maxHeadBytes + maxChunkShare * call.receivedBytes;
+        call.framedBytes += socket->bytes_read;
+        if ((error == nullptr && !isEndless) || mayEnd) {
             call.bodyReader(socket, error);
             return;
         }
-        call.state->fail(call, HttpFailure::Broken);
+        call.state->fail(call, error == nullptr ? HttpFailure::TooLarge : HttpFailure::Broken);
         h2o_http1client_cancel(client);
     }
 
