Refuse requests that frame their body in two ways

Cause: h2o keeps the first length, prefers a coding to a length, and gives the handler neither header. Ruled out: checking in the handler of callers, which does not see these headers; other servers of the process read the same way. Change: the server checks the bytes of the head that h2o read the request from. Lengths that differ, a length beside a coding, a coding other than chunked, lines that are folded, without a colon or with a blank before it are answered 400, and the connection closes (RFC 9112, sections 5 and 6.3). Conclusion: nothing that follows such a head is read as a request.

--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "bergamottide/net/httpserver.h"
 
 #include "bergamottide/core/error.h"
+#include "bergamottide/net/requestframing.h"
 #include "bergamottide/net/socketaddress.h"
 #include "bergamottide/net/tlscontext.h"
 
@@ -24,6 +25,8 @@
 /*! @brief Period of deciding again on connections that wait. */
 constexpr Duration reviewPeriod = std::chrono::milliseconds{20};
 
+constexpr int statusBadRequest = 400;
+
 std::string textOf(const h2o_iovec_t &vector)
 {
     return std::string{vector.base, vector.len};
@@ -303,6 +306,11 @@
         void *memory = h2o_mem_alloc_shared(&request->pool, sizeof(Anchor), &Anchor::dispose);
         new (memory) Anchor{responder};
         responders.push_back(responder);
+        if (!isFramingUnambiguous(request)) {
+            request->http1_is_persistent = 0;
+            responder->respond({statusBadRequest, {}, {}});
+            return;
+        }
         HttpRequest received = read(request);
         if (options.onTraffic) {
             options.onTraffic(headerBytes(received.headers) + received.body.size(), 0);
@@ -310,6 +318,16 @@
         handler(std::move(received), responder);
     }
 
+    /*! @brief Checks the bytes that h2o has read the request from; HTTP/2 frames bodies in one way only. */
+    static bool isFramingUnambiguous(h2o_req_t *request)
+    {
+        if (request->version >= 0x200) {
+            return true;
+        }
+        const h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
+        return internal::isFramingUnambiguous({socket->input->bytes, socket->input->size});
+    }
+
     static HttpRequest read(h2o_req_t *request)
     {
         HttpRequest out;
--- /dev/null
+++ b/test/bergamottide/net/requestframing.cpp
@@ -0,0 +1,110 @@
+#include "bergamottide/net/httpclient.h"
+#include "bergamottide/net/httpserver.h"
+#include "bergamottide/net/socketaddress.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <string>
+#include <vector>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace bergamottide;
+
+/*! @brief Requests that readers may frame in more than one way (RFC 9112). */
+class RequestFramingTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RequestFramingTest);
+    CPPUNIT_TEST(ambiguousFramingIsRefusedAndClosed);
+    CPPUNIT_TEST(unambiguousFramingIsRead);
+    CPPUNIT_TEST(furtherRequestsOfTheConnectionAreChecked);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void ambiguousFramingIsRefusedAndClosed()
+    {
+        const std::string smuggled = "GET /second HTTP/1.1\r\nhost: a\r\n\r\n";
+        for (const std::string lines : {
+                 "Content-Length: 2\r\nContent-Length: 30",
+                 "Content-Length: 2\r\nX: y\r\ncontent-length: 3",
+                 "Content-Length: 2, 3",
+                 "Content-Length: +2",
+                 "Content-Length: 2\r\nTransfer-Encoding: chunked",
+                 "Transfer-Encoding: chunked\r\nContent-Length: 2",
+                 "Transfer-Encoding: gzip, chunked",
+                 "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+                 "Transfer-Encoding : chunked\r\nContent-Length: 2",
+                 "Content-Length: 2\r\n X: folded",
+             }) {
+            const std::string reply = exchange(
+                absl::StrCat("POST /first HTTP/1.1\r\nhost: a\r\n", lines, "\r\n\r\n2\r\n{}\r\n0\r\n\r\n", smuggled));
+            CPPUNIT_ASSERT_MESSAGE(absl::StrCat(lines, "\n", reply), m_requests.empty());
+            CPPUNIT_ASSERT_MESSAGE(absl::StrCat(lines, "\n", reply), reply.empty() || reply.starts_with("HTTP/1.1 4"));
+            CPPUNIT_ASSERT_MESSAGE(lines, m_isClosed);
+        }
+    }
+
+    void unambiguousFramingIsRead()
+    {
+        for (const std::string rest :
+             {"Content-Length: 2\r\n\r\n{}", "Content-Length: 2\r\nContent-Length: 2\r\n\r\n{}",
+              "content-length:  2\r\n\r\n{}", "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+              "Transfer-Encoding: Chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"}) {
+            const std::string reply = exchange(absl::StrCat("POST /first HTTP/1.1\r\nhost: a\r\n", rest));
+            CPPUNIT_ASSERT_MESSAGE(absl::StrCat(rest, "\n", reply), reply.starts_with("HTTP/1.1 200"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(rest, std::string{"{}"}, m_requests.front().body);
+        }
+    }
+
+    void furtherRequestsOfTheConnectionAreChecked()
+    {
+        const std::string first = "POST /first HTTP/1.1\r\nhost: a\r\nContent-Length: 2\r\n\r\n{}";
+        const std::string second =
+            "POST /second HTTP/1.1\r\nhost: a\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n{}";
+        const std::string reply = exchange(first + second);
+        CPPUNIT_ASSERT(reply.starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT(reply.find("HTTP/1.1 400") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_requests.size());
+        CPPUNIT_ASSERT(m_isClosed);
+    }
+
+private:
+    static constexpr int maxRounds = 40;
+    static constexpr Duration roundWait = std::chrono::milliseconds{5};
+
+    /*! @brief Sends bytes over a connection of their own; returns what comes back. */
+    std::string exchange(const std::string &bytes)
+    {
+        m_requests.clear();
+        HttpServer server{m_loop, {"127.0.0.1:0", {}, 1 << 20}, [this](HttpRequest request, const auto &responder) {
+                              m_requests.push_back(std::move(request));
+                              responder->respond({200, {}, "ok"});
+                          }};
+        CPPUNIT_ASSERT(server.listen().ok());
+        auto address = parseSocketAddress(server.address());
+        const int connection = socket(AF_INET, SOCK_STREAM, 0);
+        CPPUNIT_ASSERT_EQUAL(0, connect(connection, address->native(), address->length));
+        CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(bytes.size()), ::send(connection, bytes.data(), bytes.size(), 0));
+        std::string out;
+        m_isClosed = false;
+        for (int round = 0; round < maxRounds && !m_isClosed; ++round) {
+            m_loop.runOnce(roundWait);
+            std::string part(4096, '\0');
+            const auto got = recv(connection, part.data(), part.size(), MSG_DONTWAIT);
+            out.append(part, 0, got > 0 ? static_cast<std::size_t>(got) : 0);
+            m_isClosed = got == 0 || (got < 0 && errno == ECONNRESET);
+        }
+        close(connection);
+        return out;
+    }
+
+    SystemClock m_clock;
+    Loop m_loop{m_clock};
+    std::vector<HttpRequest> m_requests;
+    bool m_isClosed{};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestFramingTest);
