Read targets in absolute form, and keep an empty query

Cause: the server took the target for a path whatever its form, and an empty query for none. Ruled out: keeping path and query in one text: routes match the path alone. Change: scheme and host of a target in absolute form are read, and the host goes before the header; HttpRequest tells an empty query from none. Tests: absoluteTargetNamesTheHost and emptyQueryIsKept; both failed before. Conclusion: targets reach endpoints as they were sent, in origin form.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -402,8 +402,7 @@
 /*! @brief Answers 431 and returns false if the request head exceeds the limit; the server limits the body. */
 bool ServingApp::checkHeadSize(const HttpRequest &request, HttpResponder &responder)
 {
-    const std::size_t bytes =
-        request.method.size() + request.path.size() + request.query.size() + headerBytes(request.headers);
+    const std::size_t bytes = request.method.size() + requestTarget(request).size() + headerBytes(request.headers);
     if (bytes <= m_limits.maxHeadBytes) {
         return true;
     }
--- a/src/bergamottide/net/http.cpp
+++ b/src/bergamottide/net/http.cpp
@@ -1,6 +1,7 @@
 #include "bergamottide/net/http.h"
 
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 
 namespace bergamottide {
 
@@ -15,6 +16,12 @@
     return {};
 }
 
+std::string requestTarget(const HttpRequest &request)
+{
+    const bool hasQuery = request.hasEmptyQuery || !request.query.empty();
+    return absl::StrCat(request.path, hasQuery ? "?" : "", request.query);
+}
+
 std::size_t headerBytes(const HttpHeaders &headers)
 {
     constexpr std::size_t lineOverhead = 4;
--- a/src/bergamottide/net/http.h
+++ b/src/bergamottide/net/http.h
@@ -21,12 +21,15 @@
     std::string method;
     /*! @brief Path without the query. */
     std::string path;
-    /*! @brief Query without the question mark. */
+    /*! @brief Query without the question mark; see `hasEmptyQuery`. */
     std::string query;
     HttpHeaders headers;
     std::string body;
     /*! @brief Host that the request is for; a client sends the address it connects to where this is empty. */
     std::string authority;
+    /*! @brief The target ends with a question mark, which differs from one without a query (RFC 3986, section 6.2.3).
+     */
+    bool hasEmptyQuery{};
 };
 
 /*! @brief One whole HTTP answer. */
@@ -37,6 +40,9 @@
     std::string body;
 };
 
+/*! @brief Returns path and query as they stand in the request line. */
+[[nodiscard]] std::string requestTarget(const HttpRequest &request);
+
 /*! @brief Returns the bytes of header lines, with their colons, spaces and line ends. */
 [[nodiscard]] std::size_t headerBytes(const HttpHeaders &headers);
 
--- a/src/bergamottide/net/httpclient.cpp
+++ b/src/bergamottide/net/httpclient.cpp
@@ -35,7 +35,7 @@
 std::string writeHead(const std::string &address, const HttpRequest &request)
 {
     std::string head =
-        absl::StrCat(request.method, " ", request.path, request.query.empty() ? "" : "?", request.query,
+        absl::StrCat(request.method, " ", requestTarget(request),
                      " HTTP/1.1\r\nhost: ", request.authority.empty() ? address : request.authority, "\r\n");
     for (const auto &[name, value] : request.headers) {
         absl::StrAppend(&head, name, ": ", value, "\r\n");
--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -333,10 +333,7 @@
         HttpRequest out;
         out.method = textOf(request->method);
         out.authority = textOf(request->authority);
-        const std::string path = textOf(request->path);
-        const auto mark = request->query_at;
-        out.path = path.substr(0, mark);
-        out.query = mark < path.size() ? path.substr(mark + 1) : std::string{};
+        readTarget(textOf(request->path), out);
         for (std::size_t index = 0; index < request->headers.size; ++index) {
             const h2o_header_t &header = request->headers.entries[index];
             out.headers.emplace_back(textOf(*header.name), textOf(header.value));
@@ -347,6 +344,26 @@
         return out;
     }
 
+    /*! @brief Reads a target in origin or absolute form (RFC 9112, section 3.2). */
+    static void readTarget(std::string target, HttpRequest &out)
+    {
+        const auto schemeEnd = target.find("://");
+        const bool isAbsolute = schemeEnd != std::string::npos && target.find_first_of("/?") == schemeEnd + 1;
+        if (isAbsolute) {
+            target.erase(0, schemeEnd + 3);
+            const auto hostEnd = std::min(target.find_first_of("/?"), target.size());
+            out.authority = target.substr(0, hostEnd);
+            target.erase(0, hostEnd);
+            if (target.empty() || target.front() == '?') {
+                target.insert(0, 1, '/');
+            }
+        }
+        const auto mark = target.find('?');
+        out.path = target.substr(0, mark);
+        out.query = mark == std::string::npos ? std::string{} : target.substr(mark + 1);
+        out.hasEmptyQuery = mark != std::string::npos && out.query.empty();
+    }
+
     static void onAccept(h2o_socket_t *listener, const char *error)
     {
         auto *state = static_cast<State *>(listener->data);
--- a/test/bergamottide/net/requestframing.cpp
+++ b/test/bergamottide/net/requestframing.cpp
@@ -14,13 +14,15 @@
 
 using namespace bergamottide;
 
-/*! @brief Requests that readers may frame in more than one way (RFC 9112). */
+/*! @brief Requests that readers may frame, or read the target of, in more than one way (RFC 9112). */
 class RequestFramingTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(RequestFramingTest);
     CPPUNIT_TEST(ambiguousFramingIsRefusedAndClosed);
     CPPUNIT_TEST(unambiguousFramingIsRead);
     CPPUNIT_TEST(furtherRequestsOfTheConnectionAreChecked);
+    CPPUNIT_TEST(absoluteTargetNamesTheHost);
+    CPPUNIT_TEST(emptyQueryIsKept);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -71,6 +73,29 @@
         CPPUNIT_ASSERT(m_isClosed);
     }
 
+    void absoluteTargetNamesTheHost()
+    {
+        exchange("GET http://shop:80/order/7?a=b HTTP/1.1\r\nhost: other\r\n\r\n");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_requests.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"shop:80"}, m_requests.front().authority);
+        CPPUNIT_ASSERT_EQUAL(std::string{"/order/7"}, m_requests.front().path);
+        CPPUNIT_ASSERT_EQUAL(std::string{"a=b"}, m_requests.front().query);
+        exchange("GET HTTP://shop HTTP/1.1\r\nhost: other\r\n\r\n");
+        CPPUNIT_ASSERT_EQUAL(std::string{"/"}, m_requests.front().path);
+        exchange("GET http://shop?a HTTP/1.1\r\nhost: other\r\n\r\n");
+        CPPUNIT_ASSERT_EQUAL(std::string{"shop"}, m_requests.front().authority);
+        CPPUNIT_ASSERT_EQUAL(std::string{"/?a"}, requestTarget(m_requests.front()));
+    }
+
+    void emptyQueryIsKept()
+    {
+        for (const std::string target : {"/order?", "/order", "/order?a=b", "/order??", "/?"}) {
+            exchange(absl::StrCat("GET ", target, " HTTP/1.1\r\nhost: a\r\n\r\n"));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_requests.size());
+            CPPUNIT_ASSERT_EQUAL(target, requestTarget(m_requests.front()));
+        }
+    }
+
 private:
     static constexpr int maxRounds = 40;
     static constexpr Duration roundWait = std::chrono::milliseconds{5};
