Entry is ready once a sidecar of each pool takes runs

Cause: a sidecar reports its load as soon as a stream is open and refuses runs until it has read the document; an entry called itself ready with its own document and one open stream. Ruled out: a view taken as stale too soon: the reason comes from a sidecar without a document. That a request is refused as not run if no run has started holds already (reportNotRunOnlyIfEveryRunIsConfirmedNotStarted); an answer was `incomplete` as earlier stages had run. Change: a report says that runs are refused until there is a document, and the next follows at once when there is. /ready waits for a report from each pool that pipelines use, ten seconds at most after the start. Tests: runsAreRefusedInReportsUntilThereIsADocument failed before; isReadyOnceASidecarOfEachPoolTakesRuns is of a new function.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,5 +4,6 @@
 source "$(dirname "$0")/common.sh"
 install_missing
 build=${BERGAMOTTIDE_BUILD:-$root/build}
-build_in "$build" >/dev/null
+echo "Building in $build; the first build takes some minutes."
+build_in "$build"
 exec python3 "$root/scripts/demo.py" --build "$build" --document "$root/examples/document.yaml" "$@"
--- a/src/bergamottide/app/entryapp.cpp
+++ b/src/bergamottide/app/entryapp.cpp
@@ -17,6 +17,8 @@
 /*! @brief Time for which the stream to a sidecar that left the instance list is kept: the longest allowed deadline. */
 constexpr Duration removedPeerRetention = std::chrono::seconds{60};
 constexpr Duration peerExpiryPeriod = std::chrono::seconds{1};
+/*! @brief Time after which an entry is ready although pools have no endpoints. */
+constexpr Duration maxWaitForPools = std::chrono::seconds{10};
 
 EntryIdentity makeIdentity(const Settings &settings, Incarnation incarnation)
 {
@@ -78,6 +80,7 @@
               },
               removedPeerRetention}
     , m_feed{loop, feedOptions(settings, incarnation), feedHooks()}
+    , m_startedAt{loop.now()}
 {
 }
 
@@ -254,7 +257,11 @@
 
 bool EntryApp::ready() const
 {
-    return !m_draining && m_feed.version() != 0 && m_feed.revision() != 0 && m_peers.openCount() != 0;
+    if (m_draining || m_feed.version() == 0 || m_feed.revision() == 0 || m_peers.openCount() == 0) {
+        return false;
+    }
+    // A pool without endpoints must not keep requests to the others away for long.
+    return m_reducer.hasEndpointsForAllPipelines() || m_loop.now() - m_startedAt >= maxWaitForPools;
 }
 
 std::string EntryApp::status() const
--- a/src/bergamottide/app/entryapp.h
+++ b/src/bergamottide/app/entryapp.h
@@ -94,6 +94,7 @@
     PeerTransport m_transport;
     PeerSet m_peers;
     PlatformFeed m_feed;
+    TimePoint m_startedAt;
     bool m_draining{};
 };
 
--- a/src/bergamottide/entry/entryreducer.cpp
+++ b/src/bergamottide/entry/entryreducer.cpp
@@ -108,6 +108,24 @@
     return m_state->context.requests.size() + m_state->fetches.size();
 }
 
+bool EntryReducer::hasEndpointsForAllPipelines() const
+{
+    const EntryContext &context = m_state->context;
+    if (!context.index || !context.view) {
+        return false;
+    }
+    const auto hasEndpoint = [&context](const Stage &stage) {
+        const PoolEndpoints *pool = context.table.pool(stage.pool);
+        return pool != nullptr && std::ranges::any_of(pool->listed, [&context](EndpointNumber number) {
+                   const Endpoint &endpoint = context.table.endpoint(number);
+                   return endpoint.available() && endpoint.reported.known;
+               });
+    };
+    return std::ranges::all_of(context.index->document().pipelines, [&hasEndpoint](const auto &named) {
+        return std::ranges::all_of(named.second.stages, hasEndpoint);
+    });
+}
+
 std::optional<TimePoint> EntryReducer::State::computeWakeup() const
 {
     const auto timer = context.timers.next();
--- a/src/bergamottide/entry/entryreducer.h
+++ b/src/bergamottide/entry/entryreducer.h
@@ -50,6 +50,9 @@
     /*! @brief Returns the number of requests, fetches and cancellations in progress. */
     [[nodiscard]] std::size_t inProgress() const noexcept;
 
+    /*! @brief Returns whether a sidecar of each pool that pipelines use has reported that it takes runs. */
+    [[nodiscard]] bool hasEndpointsForAllPipelines() const;
+
 private:
     struct State;
     std::unique_ptr<State> m_state;
--- a/src/bergamottide/protocol/messages.h
+++ b/src/bergamottide/protocol/messages.h
@@ -241,6 +241,7 @@
     };
 
     Incarnation incarnation{};
+    /*! @brief New runs are refused: the sidecar drains, or has no document yet. */
     bool draining{};
     std::uint32_t queued{};
     std::uint32_t running{};
--- a/src/bergamottide/sidecar/loadreporter.cpp
+++ b/src/bergamottide/sidecar/loadreporter.cpp
@@ -34,7 +34,7 @@
     for (const InstanceName &peer : m_context.peers.connectedPeers()) {
         m_context.effects.send(peer, message);
     }
-    m_reportedDraining = m_context.draining;
+    m_reportedRefusal = refusesRuns();
     m_nextReportAt = m_context.now + period();
     m_context.effects.observe(Metric::QueueDepth, {}, message.queued);
     m_context.effects.observe(Metric::RunsInProgress, {}, message.running);
@@ -42,7 +42,7 @@
 
 void LoadReporter::onTick()
 {
-    if (m_context.now >= m_nextReportAt || m_reportedDraining != m_context.draining) {
+    if (m_context.now >= m_nextReportAt || m_reportedRefusal != refusesRuns()) {
         reportToAll();
     }
 }
@@ -52,11 +52,16 @@
     return m_nextReportAt;
 }
 
+bool LoadReporter::refusesRuns() const
+{
+    return m_context.draining || !m_context.document;
+}
+
 LoadReport LoadReporter::report() const
 {
     LoadReport message;
     message.incarnation = m_context.identity.incarnation;
-    message.draining = m_context.draining;
+    message.draining = refusesRuns();
     message.models = m_models;
     m_scheduler.fillLoadReport(message);
     return message;
--- a/src/bergamottide/sidecar/loadreporter.h
+++ b/src/bergamottide/sidecar/loadreporter.h
@@ -11,8 +11,8 @@
  * @brief Sends periodic load reports of this sidecar to every connected process.
  *
  * The period is the report period of the document. In availability zones with many sidecars
- * it grows with their number, which bounds the report traffic at each entry. A change of the
- * draining state is reported at once.
+ * it grows with their number, which bounds the report traffic at each entry. That new runs are
+ * refused, or no longer, is reported at once.
  */
 class LoadReporter
 {
@@ -30,12 +30,13 @@
     void reportTo(const InstanceName &peer);
     /*! @brief Sends a report to every connected process at once. */
     void reportToAll();
-    /*! @brief Sends reports if they are due or the draining state has changed. */
+    /*! @brief Sends reports if they are due, or if new runs are refused and were not before, or the other way round. */
     void onTick();
     /*! @brief Returns the time of the next periodic report. */
     [[nodiscard]] TimePoint nextReportAt() const noexcept;
 
 private:
+    [[nodiscard]] bool refusesRuns() const;
     [[nodiscard]] LoadReport report() const;
     [[nodiscard]] Duration period() const;
 
@@ -43,7 +44,7 @@
     const RunScheduler &m_scheduler;
     std::vector<ModelName> m_models;
     TimePoint m_nextReportAt;
-    bool m_reportedDraining{};
+    bool m_reportedRefusal{};
 };
 
 } // namespace bergamottide
--- a/test/bergamottide/entry/entryreducer.cpp
+++ b/test/bergamottide/entry/entryreducer.cpp
@@ -19,9 +19,24 @@
     CPPUNIT_TEST(retryElsewhereAfterRefusedRun);
     CPPUNIT_TEST(reportNotRunOnlyIfEveryRunIsConfirmedNotStarted);
     CPPUNIT_TEST(cancelRepeatableRunsOfDisconnectedCaller);
+    CPPUNIT_TEST(isReadyOnceASidecarOfEachPoolTakesRuns);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /*! @brief Open streams alone do not show that a request would be served. */
+    void isReadyOnceASidecarOfEachPoolTakesRuns()
+    {
+        EntryFixture fixture;
+        LoadReport refusing;
+        refusing.draining = true;
+        CPPUNIT_ASSERT(!fixture.entry.hasEndpointsForAllPipelines());
+        fixture.receive(InstanceName{"enc-1"}, LoadReport{});
+        fixture.receive(InstanceName{"gen-1"}, refusing);
+        CPPUNIT_ASSERT(!fixture.entry.hasEndpointsForAllPipelines());
+        fixture.receive(InstanceName{"gen-2"}, LoadReport{});
+        CPPUNIT_ASSERT(fixture.entry.hasEndpointsForAllPipelines());
+    }
+
     void driveStagesInOrderAndAnswerOnce()
     {
         EntryFixture fixture;
--- a/test/bergamottide/sidecar/sidecarreducer.cpp
+++ b/test/bergamottide/sidecar/sidecarreducer.cpp
@@ -4,6 +4,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
+
 using namespace bergamottide;
 using namespace bergamottide::test;
 using namespace std::chrono_literals;
@@ -16,6 +18,7 @@
     CPPUNIT_TEST(runsAboveTheConcurrencyLimitWait);
     CPPUNIT_TEST(refusesEveryRunWithoutDocument);
     CPPUNIT_TEST(peerReceivesHelloAndLoadReports);
+    CPPUNIT_TEST(runsAreRefusedInReportsUntilThereIsADocument);
     CPPUNIT_TEST(pingIsAnswered);
     CPPUNIT_TEST(queuedRunIsCanceledBeforeItStarts);
     CPPUNIT_TEST(runningRepeatableRunIsCanceledAtTheEndpoint);
@@ -95,6 +98,26 @@
         CPPUNIT_ASSERT(fixture.messagesOf<LoadReport>(fixture.entry).empty());
     }
 
+    /*! @brief An entry that sends runs to a sidecar without a document gets them back as `stale_view`. */
+    void runsAreRefusedInReportsUntilThereIsADocument()
+    {
+        SidecarReducer reducer{SidecarIdentity{InstanceName{"side-1"}, RegionName{"r"}, ZoneName{"z"},
+                                               PoolName{"engines"}, testIncarnation, 1}};
+        const TimePoint now{1s};
+        const auto refusesRuns = [&reducer, now](const SidecarEvent &event) {
+            std::optional<bool> refuses;
+            for (const SidecarEffect &effect : reducer.apply(event, now)) {
+                const auto *sent = std::get_if<SendMessage>(&effect);
+                const auto *report = sent == nullptr ? nullptr : std::get_if<LoadReport>(&sent->message);
+                refuses = report == nullptr ? refuses : report->draining;
+            }
+            return refuses;
+        };
+        CPPUNIT_ASSERT(refusesRuns(PeerUp{InstanceName{"entry-1"}}) == true);
+        const ConfigChanged change{std::make_shared<const Document>(minimalDocument()), 1};
+        CPPUNIT_ASSERT(refusesRuns(change) == false);
+    }
+
     void pingIsAnswered()
     {
         SidecarFixture fixture;
