--- a/src/bergamottide/serving/catalog.cpp
+++ b/src/bergamottide/catalog/catalog.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/catalog.h"
+#include "bergamottide/catalog/catalog.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
--- a/src/bergamottide/serving/regionrule.cpp
+++ b/src/bergamottide/catalog/regionrule.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/regionrule.h"
+#include "bergamottide/catalog/regionrule.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/bergamottide/serving/regionrule.h
+++ b/src/bergamottide/catalog/regionrule.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "bergamottide/catalog/catalog.h"
 #include "bergamottide/core/ids.h"
-#include "bergamottide/serving/catalog.h"
 
 #include <map>
 
--- a/src/bergamottide/serving/callplanner.h
+++ b/src/bergamottide/serving/callplanner.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "bergamottide/catalog/catalog.h"
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
-#include "bergamottide/serving/catalog.h"
 #include "bergamottide/serving/endpointregistry.h"
 #include "bergamottide/serving/fetchpaths.h"
 #include "bergamottide/serving/pendingtask.h"
--- a/src/bergamottide/serving/drainrate.h
+++ b/src/bergamottide/serving/drainrate.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "bergamottide/catalog/catalog.h"
 #include "bergamottide/core/time.h"
-#include "bergamottide/serving/catalog.h"
 #include "bergamottide/serving/endpointregistry.h"
 
 #include <cstddef>
--- a/src/bergamottide/serving/endpointspeed.h
+++ b/src/bergamottide/serving/endpointspeed.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "bergamottide/catalog/catalog.h"
 #include "bergamottide/core/time.h"
 #include "bergamottide/load/loadtable.h"
-#include "bergamottide/serving/catalog.h"
 #include "bergamottide/serving/endpointregistry.h"
 
 #include <vector>
--- a/src/bergamottide/serving/events.h
+++ b/src/bergamottide/serving/events.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "bergamottide/catalog/catalog.h"
 #include "bergamottide/core/enumnames.h"
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
 #include "bergamottide/engines/promptchain.h"
 #include "bergamottide/load/endpointload.h"
 #include "bergamottide/net/http.h"
-#include "bergamottide/serving/catalog.h"
 #include "bergamottide/serving/heartbeat.h"
 #include "bergamottide/serving/requestfingerprint.h"
 #include "bergamottide/serving/retrybudget.h"
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bergamottide/catalog/regionrule.h"
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
 #include "bergamottide/engines/engineplacement.h"
@@ -16,7 +17,6 @@
 #include "bergamottide/serving/peers.h"
 #include "bergamottide/serving/quarantine.h"
 #include "bergamottide/serving/ratelimiter.h"
-#include "bergamottide/serving/regionrule.h"
 #include "bergamottide/serving/request.h"
 #include "bergamottide/serving/requestfingerprint.h"
 #include "bergamottide/serving/retrybudget.h"
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "bergamottide/catalog/catalog.h"
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
 #include "bergamottide/serving/callplanner.h"
-#include "bergamottide/serving/catalog.h"
 #include "bergamottide/serving/crashdetector.h"
 #include "bergamottide/serving/drainrate.h"
 #include "bergamottide/serving/endpointregistry.h"
