--- a/src/bergamottide/serving/retrybudget.cpp
+++ b/src/bergamottide/retries/retrybudget.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/retrybudget.h"
+#include "bergamottide/retries/retrybudget.h"
 
 #include <algorithm>
 
--- a/src/bergamottide/serving/retrybudget.h
+++ b/src/bergamottide/retries/retrybudget.h
@@ -2,7 +2,7 @@
 
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
-#include "bergamottide/serving/requestwindow.h"
+#include "bergamottide/retries/requestwindow.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/serving/stagescheduler.h
@@ -3,6 +3,7 @@
 #include "bergamottide/catalog/catalog.h"
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
+#include "bergamottide/retries/retrybudget.h"
 #include "bergamottide/serving/callplanner.h"
 #include "bergamottide/serving/crashdetector.h"
 #include "bergamottide/serving/drainrate.h"
@@ -13,7 +14,6 @@
 #include "bergamottide/serving/pendingtask.h"
 #include "bergamottide/serving/poolload.h"
 #include "bergamottide/serving/resultmemory.h"
-#include "bergamottide/serving/retrybudget.h"
 #include "bergamottide/serving/stagetask.h"
 #include "bergamottide/sharing/fairshares.h"
 
--- a/test/bergamottide/serving/requestwindow.cpp
+++ b/test/bergamottide/serving/requestwindow.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/requestwindow.h"
+#include "bergamottide/retries/requestwindow.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
