Move the module events out of serving

Events and effects of the serving reducer, and what processes tell each other. Files are moved, paths of includes rewritten and sorted; nothing else. Namespaces stay.

--- a/src/bergamottide/app/peerport.h
+++ b/src/bergamottide/app/peerport.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "bergamottide/events/events.h"
 #include "bergamottide/net/httpclient.h"
 #include "bergamottide/net/httpserver.h"
 #include "bergamottide/net/loop.h"
-#include "bergamottide/serving/events.h"
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
--- a/src/bergamottide/app/peerwire.h
+++ b/src/bergamottide/app/peerwire.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "bergamottide/core/time.h"
-#include "bergamottide/serving/events.h"
+#include "bergamottide/events/events.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/bergamottide/serving/heartbeat.h
+++ b/src/bergamottide/events/heartbeat.h
@@ -3,7 +3,7 @@
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
 #include "bergamottide/engines/enginereport.h"
-#include "bergamottide/serving/requestfingerprint.h"
+#include "bergamottide/events/requestfingerprint.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/bergamottide/serving/stagetask.h
+++ b/src/bergamottide/events/stagetask.h
@@ -3,7 +3,7 @@
 #include "bergamottide/core/enumnames.h"
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
-#include "bergamottide/serving/requestfingerprint.h"
+#include "bergamottide/events/requestfingerprint.h"
 
 #include <array>
 #include <cstdint>
--- a/src/bergamottide/serving/suspects.h
+++ b/src/bergamottide/events/suspects.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "bergamottide/serving/requestfingerprint.h"
+#include "bergamottide/events/requestfingerprint.h"
 
 #include <set>
 
--- a/src/bergamottide/serving/crashdetector.h
+++ b/src/bergamottide/serving/crashdetector.h
@@ -2,9 +2,9 @@
 
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
+#include "bergamottide/events/events.h"
+#include "bergamottide/events/suspects.h"
 #include "bergamottide/serving/endpointregistry.h"
-#include "bergamottide/serving/events.h"
-#include "bergamottide/serving/suspects.h"
 
 #include <map>
 #include <optional>
--- a/src/bergamottide/serving/endpointdirectory.h
+++ b/src/bergamottide/serving/endpointdirectory.h
@@ -2,7 +2,7 @@
 
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
-#include "bergamottide/serving/events.h"
+#include "bergamottide/events/events.h"
 
 #include <map>
 #include <memory>
--- a/src/bergamottide/serving/endpointregistry.h
+++ b/src/bergamottide/serving/endpointregistry.h
@@ -2,8 +2,8 @@
 
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
+#include "bergamottide/events/events.h"
 #include "bergamottide/load/loadtable.h"
-#include "bergamottide/serving/events.h"
 
 #include <cstdint>
 #include <deque>
--- a/src/bergamottide/serving/heldreleases.h
+++ b/src/bergamottide/serving/heldreleases.h
@@ -2,8 +2,8 @@
 
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
+#include "bergamottide/events/events.h"
 #include "bergamottide/serving/endpointregistry.h"
-#include "bergamottide/serving/events.h"
 
 #include <map>
 #include <optional>
--- a/src/bergamottide/serving/peers.h
+++ b/src/bergamottide/serving/peers.h
@@ -2,7 +2,7 @@
 
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
-#include "bergamottide/serving/heartbeat.h"
+#include "bergamottide/events/heartbeat.h"
 #include "bergamottide/serving/membershipview.h"
 #include "bergamottide/serving/roster.h"
 
--- a/src/bergamottide/serving/pendingtask.h
+++ b/src/bergamottide/serving/pendingtask.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "bergamottide/core/time.h"
-#include "bergamottide/serving/stagetask.h"
+#include "bergamottide/events/stagetask.h"
 
 #include <cstdint>
 #include <map>
--- a/src/bergamottide/serving/quarantine.h
+++ b/src/bergamottide/serving/quarantine.h
@@ -2,11 +2,11 @@
 
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
+#include "bergamottide/events/heartbeat.h"
+#include "bergamottide/events/requestfingerprint.h"
+#include "bergamottide/events/suspects.h"
 #include "bergamottide/serving/gossiptable.h"
-#include "bergamottide/serving/heartbeat.h"
 #include "bergamottide/serving/recentset.h"
-#include "bergamottide/serving/requestfingerprint.h"
-#include "bergamottide/serving/suspects.h"
 
 #include <bitset>
 #include <cstddef>
--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -2,9 +2,9 @@
 
 #include "bergamottide/catalog/catalog.h"
 #include "bergamottide/core/time.h"
-#include "bergamottide/serving/events.h"
+#include "bergamottide/events/events.h"
+#include "bergamottide/events/requestfingerprint.h"
 #include "bergamottide/serving/eventsplitter.h"
-#include "bergamottide/serving/requestfingerprint.h"
 #include "bergamottide/serving/stagescheduler.h"
 
 #include <algorithm>
--- a/src/bergamottide/serving/resultmemory.h
+++ b/src/bergamottide/serving/resultmemory.h
@@ -2,8 +2,8 @@
 
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
+#include "bergamottide/events/stagetask.h"
 #include "bergamottide/serving/endpointregistry.h"
-#include "bergamottide/serving/stagetask.h"
 
 #include <cstdint>
 #include <map>
--- a/src/bergamottide/serving/roster.h
+++ b/src/bergamottide/serving/roster.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "bergamottide/core/ids.h"
-#include "bergamottide/serving/heartbeat.h"
+#include "bergamottide/events/heartbeat.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/bergamottide/serving/servingsettings.h
+++ b/src/bergamottide/serving/servingsettings.h
@@ -4,7 +4,7 @@
 #include "bergamottide/config/issue.h"
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
-#include "bergamottide/serving/requestfingerprint.h"
+#include "bergamottide/events/requestfingerprint.h"
 #include "bergamottide/telemetry/logline.h"
 
 #include <cstdint>
--- a/src/bergamottide/serving/streamversions.h
+++ b/src/bergamottide/serving/streamversions.h
@@ -2,9 +2,9 @@
 
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
-#include "bergamottide/serving/events.h"
+#include "bergamottide/events/events.h"
+#include "bergamottide/events/heartbeat.h"
 #include "bergamottide/serving/gossiptable.h"
-#include "bergamottide/serving/heartbeat.h"
 
 #include <cstdint>
 #include <map>
--- a/test/bergamottide/serving/requestfingerprint.cpp
+++ b/test/bergamottide/serving/requestfingerprint.cpp
@@ -1,6 +1,6 @@
-#include "bergamottide/serving/requestfingerprint.h"
+#include "bergamottide/events/requestfingerprint.h"
 
-#include "bergamottide/serving/events.h"
+#include "bergamottide/events/events.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
