--- a/src/bergamottide/serving/membershipview.cpp
+++ b/src/bergamottide/gossip/membershipview.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/membershipview.h"
+#include "bergamottide/gossip/membershipview.h"
 
 #include <xxhash.h>
 
--- a/src/bergamottide/serving/peers.cpp
+++ b/src/bergamottide/gossip/peers.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/peers.h"
+#include "bergamottide/gossip/peers.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/bergamottide/serving/peers.h
+++ b/src/bergamottide/gossip/peers.h
@@ -3,8 +3,8 @@
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
 #include "bergamottide/events/heartbeat.h"
-#include "bergamottide/serving/membershipview.h"
-#include "bergamottide/serving/roster.h"
+#include "bergamottide/gossip/membershipview.h"
+#include "bergamottide/gossip/roster.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/bergamottide/serving/roster.cpp
+++ b/src/bergamottide/gossip/roster.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/roster.h"
+#include "bergamottide/gossip/roster.h"
 
 #include <algorithm>
 
--- a/src/bergamottide/serving/endpointnotices.h
+++ b/src/bergamottide/serving/endpointnotices.h
@@ -4,8 +4,8 @@
 #include "bergamottide/core/time.h"
 #include "bergamottide/events/events.h"
 #include "bergamottide/events/heartbeat.h"
+#include "bergamottide/gossip/gossiptable.h"
 #include "bergamottide/serving/endpointregistry.h"
-#include "bergamottide/serving/gossiptable.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/bergamottide/serving/quarantine.h
+++ b/src/bergamottide/serving/quarantine.h
@@ -5,7 +5,7 @@
 #include "bergamottide/events/heartbeat.h"
 #include "bergamottide/events/requestfingerprint.h"
 #include "bergamottide/events/suspects.h"
-#include "bergamottide/serving/gossiptable.h"
+#include "bergamottide/gossip/gossiptable.h"
 #include "bergamottide/serving/recentset.h"
 
 #include <bitset>
--- a/src/bergamottide/serving/streamversions.h
+++ b/src/bergamottide/serving/streamversions.h
@@ -4,7 +4,7 @@
 #include "bergamottide/core/time.h"
 #include "bergamottide/events/events.h"
 #include "bergamottide/events/heartbeat.h"
-#include "bergamottide/serving/gossiptable.h"
+#include "bergamottide/gossip/gossiptable.h"
 
 #include <cstdint>
 #include <map>
--- a/test/bergamottide/serving/largefleet.cpp
+++ b/test/bergamottide/serving/largefleet.cpp
@@ -1,8 +1,8 @@
 #include "peerfleet.h"
 #include "servingfixture.h"
 
+#include "bergamottide/gossip/peers.h"
 #include "bergamottide/serving/endpointregistry.h"
-#include "bergamottide/serving/peers.h"
 #include "bergamottide/serving/stagescheduler.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/test/bergamottide/serving/peerfleet.h
+++ b/test/bergamottide/serving/peerfleet.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "bergamottide/app/peerwire.h"
-#include "bergamottide/serving/peers.h"
+#include "bergamottide/gossip/peers.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/test/bergamottide/serving/peers.cpp
+++ b/test/bergamottide/serving/peers.cpp
@@ -1,10 +1,10 @@
 #include "peerfleet.h"
 #include "servingfixture.h"
 
+#include "bergamottide/gossip/peers.h"
 #include "bergamottide/serving/endpointdirectory.h"
 #include "bergamottide/serving/endpointregistry.h"
 #include "bergamottide/serving/eventsplitter.h"
-#include "bergamottide/serving/peers.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
