--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -8,7 +8,7 @@
 #include "bergamottide/net/loop.h"
 #include "bergamottide/overload/connectiongate.h"
 #include "bergamottide/overload/loadmeter.h"
-#include "bergamottide/serving/endpointdirectory.h"
+#include "bergamottide/pools/endpointdirectory.h"
 #include "bergamottide/serving/servingreducer.h"
 #include "bergamottide/serving/servingsettings.h"
 #include "bergamottide/telemetry/loggate.h"
--- a/src/bergamottide/serving/crashdetector.cpp
+++ b/src/bergamottide/pools/crashdetector.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/crashdetector.h"
+#include "bergamottide/pools/crashdetector.h"
 
 #include <string>
 
--- a/src/bergamottide/serving/crashdetector.h
+++ b/src/bergamottide/pools/crashdetector.h
@@ -4,7 +4,7 @@
 #include "bergamottide/core/time.h"
 #include "bergamottide/events/events.h"
 #include "bergamottide/events/suspects.h"
-#include "bergamottide/serving/endpointregistry.h"
+#include "bergamottide/pools/endpointregistry.h"
 
 #include <map>
 #include <optional>
--- a/src/bergamottide/serving/endpointdirectory.cpp
+++ b/src/bergamottide/pools/endpointdirectory.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/endpointdirectory.h"
+#include "bergamottide/pools/endpointdirectory.h"
 
 #include <algorithm>
 #include <set>
--- a/src/bergamottide/serving/endpointnotices.cpp
+++ b/src/bergamottide/pools/endpointnotices.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/endpointnotices.h"
+#include "bergamottide/pools/endpointnotices.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/bergamottide/serving/endpointnotices.h
+++ b/src/bergamottide/pools/endpointnotices.h
@@ -5,7 +5,7 @@
 #include "bergamottide/events/events.h"
 #include "bergamottide/events/heartbeat.h"
 #include "bergamottide/gossip/gossiptable.h"
-#include "bergamottide/serving/endpointregistry.h"
+#include "bergamottide/pools/endpointregistry.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/bergamottide/serving/endpointregistry.cpp
+++ b/src/bergamottide/pools/endpointregistry.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/endpointregistry.h"
+#include "bergamottide/pools/endpointregistry.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/bergamottide/serving/endpointspeed.cpp
+++ b/src/bergamottide/pools/endpointspeed.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/endpointspeed.h"
+#include "bergamottide/pools/endpointspeed.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/bergamottide/serving/heldreleases.cpp
+++ b/src/bergamottide/pools/heldreleases.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/heldreleases.h"
+#include "bergamottide/pools/heldreleases.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/bergamottide/serving/leastloaded.cpp
+++ b/src/bergamottide/pools/leastloaded.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/leastloaded.h"
+#include "bergamottide/pools/leastloaded.h"
 
 #include "bergamottide/load/pickoftwo.h"
 
--- a/src/bergamottide/serving/leastloaded.h
+++ b/src/bergamottide/pools/leastloaded.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "bergamottide/events/events.h"
-#include "bergamottide/serving/endpointregistry.h"
+#include "bergamottide/pools/endpointregistry.h"
 
 #include <string_view>
 #include <vector>
--- a/src/bergamottide/serving/callplanner.cpp
+++ b/src/bergamottide/serving/callplanner.cpp
@@ -1,6 +1,6 @@
 #include "bergamottide/serving/callplanner.h"
 
-#include "bergamottide/serving/endpointspeed.h"
+#include "bergamottide/pools/endpointspeed.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/bergamottide/serving/drainrate.cpp
+++ b/src/bergamottide/serving/drainrate.cpp
@@ -1,6 +1,6 @@
 #include "bergamottide/serving/drainrate.h"
 
-#include "bergamottide/serving/endpointspeed.h"
+#include "bergamottide/pools/endpointspeed.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/bergamottide/serving/drainrate.h
+++ b/src/bergamottide/serving/drainrate.h
@@ -2,7 +2,7 @@
 
 #include "bergamottide/catalog/catalog.h"
 #include "bergamottide/core/time.h"
-#include "bergamottide/serving/endpointregistry.h"
+#include "bergamottide/pools/endpointregistry.h"
 
 #include <cstddef>
 #include <vector>
--- a/src/bergamottide/serving/ratelimiter.h
+++ b/src/bergamottide/serving/ratelimiter.h
@@ -3,7 +3,7 @@
 #include "bergamottide/catalog/catalog.h"
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
-#include "bergamottide/serving/endpointregistry.h"
+#include "bergamottide/pools/endpointregistry.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/serving/stagescheduler.cpp
@@ -1,6 +1,6 @@
 #include "bergamottide/serving/stagescheduler.h"
 
-#include "bergamottide/serving/endpointspeed.h"
+#include "bergamottide/pools/endpointspeed.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/test/bergamottide/serving/endpointpace.cpp
+++ b/test/bergamottide/serving/endpointpace.cpp
@@ -1,6 +1,6 @@
+#include "bergamottide/pools/endpointnotices.h"
+#include "bergamottide/pools/leastloaded.h"
 #include "bergamottide/serving/drainrate.h"
-#include "bergamottide/serving/endpointnotices.h"
-#include "bergamottide/serving/leastloaded.h"
 #include "bergamottide/serving/stagescheduler.h"
 #include "servingfixture.h"
 
--- a/test/bergamottide/serving/evacuation.cpp
+++ b/test/bergamottide/serving/evacuation.cpp
@@ -1,5 +1,5 @@
 #include "bergamottide/catalog/regionrule.h"
-#include "bergamottide/serving/endpointdirectory.h"
+#include "bergamottide/pools/endpointdirectory.h"
 #include "servingfixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/test/bergamottide/serving/largefleet.cpp
+++ b/test/bergamottide/serving/largefleet.cpp
@@ -2,7 +2,7 @@
 #include "servingfixture.h"
 
 #include "bergamottide/gossip/peers.h"
-#include "bergamottide/serving/endpointregistry.h"
+#include "bergamottide/pools/endpointregistry.h"
 #include "bergamottide/serving/stagescheduler.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/test/bergamottide/serving/peers.cpp
+++ b/test/bergamottide/serving/peers.cpp
@@ -2,8 +2,8 @@
 #include "servingfixture.h"
 
 #include "bergamottide/gossip/peers.h"
-#include "bergamottide/serving/endpointdirectory.h"
-#include "bergamottide/serving/endpointregistry.h"
+#include "bergamottide/pools/endpointdirectory.h"
+#include "bergamottide/pools/endpointregistry.h"
 #include "bergamottide/serving/eventsplitter.h"
 
 #include <cppunit/extensions/HelperMacros.h>
