--- a/src/bergamottide/serving/fairadmission.cpp
+++ b/src/bergamottide/limits/fairadmission.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/fairadmission.h"
+#include "bergamottide/limits/fairadmission.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/src/bergamottide/serving/quarantine.h
+++ b/src/bergamottide/limits/quarantine.h
@@ -6,7 +6,7 @@
 #include "bergamottide/events/requestfingerprint.h"
 #include "bergamottide/events/suspects.h"
 #include "bergamottide/gossip/gossiptable.h"
-#include "bergamottide/serving/recentset.h"
+#include "bergamottide/limits/recentset.h"
 
 #include <bitset>
 #include <cstddef>
--- a/src/bergamottide/serving/ratelimiter.cpp
+++ b/src/bergamottide/limits/ratelimiter.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/ratelimiter.h"
+#include "bergamottide/limits/ratelimiter.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/bergamottide/serving/callplanner.h
+++ b/src/bergamottide/serving/callplanner.h
@@ -3,10 +3,10 @@
 #include "bergamottide/catalog/catalog.h"
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
+#include "bergamottide/limits/ratelimiter.h"
 #include "bergamottide/pools/endpointregistry.h"
 #include "bergamottide/serving/fetchpaths.h"
 #include "bergamottide/serving/pendingtask.h"
-#include "bergamottide/serving/ratelimiter.h"
 
 #include <cstdint>
 #include <optional>
--- a/test/bergamottide/serving/quarantine.cpp
+++ b/test/bergamottide/serving/quarantine.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/quarantine.h"
+#include "bergamottide/limits/quarantine.h"
 #include "servingfixture.h"
 
 #include "support/property.h"
