--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -5,7 +5,7 @@
 #include "bergamottide/events/events.h"
 #include "bergamottide/events/requestfingerprint.h"
 #include "bergamottide/serving/eventsplitter.h"
-#include "bergamottide/serving/stagescheduler.h"
+#include "bergamottide/stages/stagescheduler.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -18,11 +18,11 @@
 #include "bergamottide/pools/firsteventtimes.h"
 #include "bergamottide/pools/heldreleases.h"
 #include "bergamottide/retries/retrybudget.h"
-#include "bergamottide/serving/fetchpaths.h"
 #include "bergamottide/serving/request.h"
-#include "bergamottide/serving/stageforecast.h"
-#include "bergamottide/serving/stagescheduler.h"
 #include "bergamottide/serving/streamversions.h"
+#include "bergamottide/stages/fetchpaths.h"
+#include "bergamottide/stages/stageforecast.h"
+#include "bergamottide/stages/stagescheduler.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/bergamottide/serving/callplanner.cpp
+++ b/src/bergamottide/stages/callplanner.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/callplanner.h"
+#include "bergamottide/stages/callplanner.h"
 
 #include "bergamottide/pools/endpointspeed.h"
 
--- a/src/bergamottide/serving/callplanner.h
+++ b/src/bergamottide/stages/callplanner.h
@@ -5,8 +5,8 @@
 #include "bergamottide/core/time.h"
 #include "bergamottide/limits/ratelimiter.h"
 #include "bergamottide/pools/endpointregistry.h"
-#include "bergamottide/serving/fetchpaths.h"
-#include "bergamottide/serving/pendingtask.h"
+#include "bergamottide/stages/fetchpaths.h"
+#include "bergamottide/stages/pendingtask.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/bergamottide/serving/drainrate.cpp
+++ b/src/bergamottide/stages/drainrate.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/drainrate.h"
+#include "bergamottide/stages/drainrate.h"
 
 #include "bergamottide/pools/endpointspeed.h"
 
--- a/src/bergamottide/serving/fetchpaths.cpp
+++ b/src/bergamottide/stages/fetchpaths.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/fetchpaths.h"
+#include "bergamottide/stages/fetchpaths.h"
 
 #include <algorithm>
 
--- a/src/bergamottide/serving/poolload.cpp
+++ b/src/bergamottide/stages/poolload.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/poolload.h"
+#include "bergamottide/stages/poolload.h"
 
 #include <cmath>
 
--- a/src/bergamottide/serving/resultmemory.cpp
+++ b/src/bergamottide/stages/resultmemory.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/resultmemory.h"
+#include "bergamottide/stages/resultmemory.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/bergamottide/serving/stageforecast.cpp
+++ b/src/bergamottide/stages/stageforecast.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/stageforecast.h"
+#include "bergamottide/stages/stageforecast.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/bergamottide/serving/stagescheduler.cpp
+++ b/src/bergamottide/stages/stagescheduler.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/stagescheduler.h"
+#include "bergamottide/stages/stagescheduler.h"
 
 #include "bergamottide/pools/endpointspeed.h"
 
--- a/src/bergamottide/serving/stagescheduler.h
+++ b/src/bergamottide/stages/stagescheduler.h
@@ -9,13 +9,13 @@
 #include "bergamottide/pools/crashdetector.h"
 #include "bergamottide/pools/endpointregistry.h"
 #include "bergamottide/retries/retrybudget.h"
-#include "bergamottide/serving/callplanner.h"
-#include "bergamottide/serving/drainrate.h"
-#include "bergamottide/serving/fetchpaths.h"
-#include "bergamottide/serving/pendingtask.h"
-#include "bergamottide/serving/poolload.h"
-#include "bergamottide/serving/resultmemory.h"
 #include "bergamottide/sharing/fairshares.h"
+#include "bergamottide/stages/callplanner.h"
+#include "bergamottide/stages/drainrate.h"
+#include "bergamottide/stages/fetchpaths.h"
+#include "bergamottide/stages/pendingtask.h"
+#include "bergamottide/stages/poolload.h"
+#include "bergamottide/stages/resultmemory.h"
 
 #include <cstdint>
 #include <functional>
--- a/test/bergamottide/serving/endpointpace.cpp
+++ b/test/bergamottide/serving/endpointpace.cpp
@@ -1,7 +1,7 @@
 #include "bergamottide/pools/endpointnotices.h"
 #include "bergamottide/pools/leastloaded.h"
-#include "bergamottide/serving/drainrate.h"
-#include "bergamottide/serving/stagescheduler.h"
+#include "bergamottide/stages/drainrate.h"
+#include "bergamottide/stages/stagescheduler.h"
 #include "servingfixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/test/bergamottide/serving/endpointrestart.cpp
+++ b/test/bergamottide/serving/endpointrestart.cpp
@@ -1,6 +1,6 @@
 #include "servingfixture.h"
 
-#include "bergamottide/serving/resultmemory.h"
+#include "bergamottide/stages/resultmemory.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/bergamottide/serving/largefleet.cpp
+++ b/test/bergamottide/serving/largefleet.cpp
@@ -3,7 +3,7 @@
 
 #include "bergamottide/gossip/peers.h"
 #include "bergamottide/pools/endpointregistry.h"
-#include "bergamottide/serving/stagescheduler.h"
+#include "bergamottide/stages/stagescheduler.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/bergamottide/serving/stageforecast.cpp
+++ b/test/bergamottide/serving/stageforecast.cpp
@@ -1,7 +1,7 @@
 #include "servingfixture.h"
 
-#include "bergamottide/serving/poolload.h"
-#include "bergamottide/serving/stageforecast.h"
+#include "bergamottide/stages/poolload.h"
+#include "bergamottide/stages/stageforecast.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/bergamottide/serving/stagescheduler.cpp
+++ b/test/bergamottide/serving/stagescheduler.cpp
@@ -1,6 +1,6 @@
 #include "servingfixture.h"
 
-#include "bergamottide/serving/stagescheduler.h"
+#include "bergamottide/stages/stagescheduler.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/bergamottide/sharing/queueorder.cpp
+++ b/test/bergamottide/sharing/queueorder.cpp
@@ -1,5 +1,5 @@
 #include "bergamottide/app/peerwire.h"
-#include "bergamottide/serving/stagescheduler.h"
+#include "bergamottide/stages/stagescheduler.h"
 
 #include "../serving/servingfixture.h"
 #include "support/property.h"
