--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -4,8 +4,8 @@
 #include "bergamottide/core/time.h"
 #include "bergamottide/events/events.h"
 #include "bergamottide/events/requestfingerprint.h"
-#include "bergamottide/serving/eventsplitter.h"
 #include "bergamottide/stages/stagescheduler.h"
+#include "bergamottide/streams/eventsplitter.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -19,10 +19,10 @@
 #include "bergamottide/pools/heldreleases.h"
 #include "bergamottide/retries/retrybudget.h"
 #include "bergamottide/serving/request.h"
-#include "bergamottide/serving/streamversions.h"
 #include "bergamottide/stages/fetchpaths.h"
 #include "bergamottide/stages/stageforecast.h"
 #include "bergamottide/stages/stagescheduler.h"
+#include "bergamottide/streams/streamversions.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/bergamottide/serving/eventsplitter.cpp
+++ b/src/bergamottide/streams/eventsplitter.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/eventsplitter.h"
+#include "bergamottide/streams/eventsplitter.h"
 
 #include <charconv>
 
--- a/src/bergamottide/serving/streamversions.cpp
+++ b/src/bergamottide/streams/streamversions.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/serving/streamversions.h"
+#include "bergamottide/streams/streamversions.h"
 
 #include <xxhash.h>
 
--- a/test/bergamottide/serving/peers.cpp
+++ b/test/bergamottide/serving/peers.cpp
@@ -4,7 +4,7 @@
 #include "bergamottide/gossip/peers.h"
 #include "bergamottide/pools/endpointdirectory.h"
 #include "bergamottide/pools/endpointregistry.h"
-#include "bergamottide/serving/eventsplitter.h"
+#include "bergamottide/streams/eventsplitter.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
