--- /dev/null
+++ b/bench/configuration.cpp
@@ -0,0 +1,42 @@
+#include "platform/largeconfiguration.h"
+#include "storecodec.h"
+
+#include <benchmark/benchmark.h>
+
+#include <cstddef>
+#include <string>
+
+/**
+ * @file
+ * @brief Time of reading a watch's answer with versions of a configuration of 1 MB, by their number.
+ */
+
+namespace {
+
+using namespace bergamottide;
+
+constexpr std::size_t configurationBytes = 1'000'000;
+
+void readPage(benchmark::State &state)
+{
+    const std::string body = test::configurationChanges(static_cast<std::size_t>(state.range(0)), configurationBytes);
+    for (auto step : state) {
+        benchmark::DoNotOptimize(platform::decodePage(body));
+    }
+}
+
+void decodeVersions(benchmark::State &state)
+{
+    const std::string body = test::configurationChanges(static_cast<std::size_t>(state.range(0)), configurationBytes);
+    const auto page = platform::decodePage(body);
+    for (auto step : state) {
+        benchmark::DoNotOptimize(platform::decodeConfiguration(page->items, 0));
+    }
+}
+
+BENCHMARK(readPage)->Arg(1)->Arg(4)->Unit(benchmark::kMillisecond);
+BENCHMARK(decodeVersions)->Arg(1)->Arg(4)->Unit(benchmark::kMillisecond);
+
+} // namespace
+
+BENCHMARK_MAIN();
