--- a/src/bergamottide/net/httpclient.cpp
+++ b/src/bergamottide/net/httpclient.cpp
@@ -29,8 +29,8 @@
 /*! @brief Period in which calls are looked at for silence; a call is given up this much late at most. */
 constexpr Duration silencePeriod = std::chrono::milliseconds{250};
 
-/*! @brief Bytes of a chunk of a single byte, with its frame. */
-constexpr std::size_t maxChunkShare = 6;
+/*! @brief Bytes on the wire for each byte of a body, in chunks of a single byte. */
+constexpr std::size_t maxWireBytesPerByte = 6;
 
 std::string writeHead(const std::string &address, const HttpRequest &request)
 {
@@ -345,7 +345,8 @@
         auto *client = static_cast<h2o_http1client_t *>(socket->data);
         auto &call = *static_cast<Call *>(client->data);
         const bool mayEnd = error == h2o_socket_error_closed && headerValue(call.headers, "transfer-encoding").empty();
-        const bool isEndless = call.framedBytes > call.state->options.maxHeadBytes + maxChunkShare * call.receivedBytes;
+        const bool isEndless =
+            call.framedBytes > call.state->options.maxHeadBytes + maxWireBytesPerByte * call.receivedBytes;
         call.framedBytes += socket->bytes_read;
         if ((error == nullptr && !isEndless) || mayEnd) {
             call.bodyReader(socket, error);
