Bound the waits of socket tests by time, not by rounds of the loop

Cause: the wait ended after 200 rounds of the event loop. A round ends with whatever has come, so that their number depends on how the threads of gRPC are scheduled; 200 rounds may be over in well under a second. Class of fault: a bound on work used as a bound on time. Ruled out: a stream that is replaced or closed, by reading; a message out of order, by the same trial with the wait unbounded. The check of framings waits for the end of the connection where it asks for it, and the time in which a refused peer must not get through is a time now, so that both are no shorter than before. No assertion changed, but for one more: the wait of PeerTransportTest must succeed. Conclusion: a fault of the tests, not of the transport.

--- a/test/bergamottide/endpoint/endpointadapter.cpp
+++ b/test/bergamottide/endpoint/endpointadapter.cpp
@@ -4,6 +4,7 @@
 #include "standin/callstandin.h"
 #include "standin/enginestandin.h"
 #include "support/rawserver.h"
+#include "support/rununtil.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -50,10 +51,7 @@
 
     void waitUntilFinished()
     {
-        for (int round = 0; !m_finished && round < maxRounds; ++round) {
-            m_loop.runOnce(std::chrono::milliseconds{10});
-        }
-        CPPUNIT_ASSERT(m_finished);
+        CPPUNIT_ASSERT(test::runUntil(m_loop, [this] { return m_finished.has_value(); }));
     }
 
     void runLoop(int rounds)
@@ -94,8 +92,6 @@
     }
 
 private:
-    static constexpr int maxRounds = 6000;
-
     static EndpointSettings settings(const std::string &address, PoolKind kind)
     {
         return EndpointSettings{address, kind, maxResultBytes, std::chrono::seconds{20}};
@@ -313,9 +309,7 @@
         AdapterFixture &fixture = engine.fixture();
         for (const std::uint64_t fence : {5U, 4U}) {
             fixture.adapter().sendOrder(SendOrder{fence, OrderKind::LoadModel, ModelName{"a"}, {}, {}});
-            for (int round = 0; fixture.orders().size() < 6 - fence && round < 1000; ++round) {
-                fixture.runLoop(1);
-            }
+            test::runUntil(fixture.loop(), [&] { return fixture.orders().size() >= 6 - fence; });
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.orders().size());
         CPPUNIT_ASSERT(fixture.orders()[0].accepted);
--- a/test/bergamottide/net/answerends.cpp
+++ b/test/bergamottide/net/answerends.cpp
@@ -1,5 +1,6 @@
 #include "bergamottide/net/httpclient.h"
 #include "bergamottide/net/socketaddress.h"
+#include "support/rununtil.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -15,9 +16,6 @@
 
 namespace {
 
-constexpr int maxRounds = 100;
-constexpr Duration roundWait = std::chrono::milliseconds{50};
-
 /*! @brief How a server of the test ends its connection. */
 enum class ConnectionEnd : std::uint8_t
 {
@@ -130,9 +128,7 @@
         request.method = "GET";
         request.path = "/";
         m_client.call(server.address(), request, hooks);
-        for (int round = 0; round < maxRounds && !result; ++round) {
-            m_loop.runOnce(roundWait);
-        }
+        test::runUntil(m_loop, [&result] { return result.has_value(); });
         return result.value_or("nothing");
     }
 
--- a/test/bergamottide/net/headcheck.cpp
+++ b/test/bergamottide/net/headcheck.cpp
@@ -1,6 +1,7 @@
 #include "bergamottide/net/headcheck.h"
 #include "bergamottide/net/httpclient.h"
 #include "bergamottide/net/socketaddress.h"
+#include "support/rununtil.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -186,7 +187,8 @@
         client.call(address, {"GET", "/", "", {}, ""}, hooks);
         int connection = -1;
         std::size_t sent = 0;
-        for (int round = 0; round < maxRounds && !result.failure && !result.isWhole; ++round) {
+        const TimePoint giveUpAt = loop.now() + test::patience;
+        while (!result.failure && !result.isWhole && loop.now() < giveUpAt) {
             loop.runOnce(roundWait);
             if (connection < 0) {
                 connection = accept(listener, nullptr, nullptr);
@@ -204,7 +206,6 @@
         return result;
     }
 
-    static constexpr int maxRounds = 500;
     static constexpr Duration roundWait = std::chrono::milliseconds{10};
 };
 
--- a/test/bergamottide/net/http.cpp
+++ b/test/bergamottide/net/http.cpp
@@ -3,6 +3,7 @@
 #include "bergamottide/net/httpserver.h"
 #include "bergamottide/net/socketaddress.h"
 #include "support/certificates.h"
+#include "support/rununtil.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -16,14 +17,6 @@
 
 using namespace bergamottide;
 
-namespace {
-
-/*! @brief Rounds after which a test gives up; each waits a tenth of a second at most. */
-constexpr int maxRounds = 200;
-constexpr Duration roundWait = std::chrono::milliseconds{100};
-
-} // namespace
-
 class HttpTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(HttpTest);
@@ -260,9 +253,7 @@
     template <typename Condition>
     void runUntil(Condition condition)
     {
-        for (int round = 0; round < maxRounds && !condition(); ++round) {
-            m_loop.runOnce(roundWait);
-        }
+        test::runUntil(m_loop, condition);
     }
 
     std::optional<HttpResponse> callOnce(const std::string &address, HttpRequest request)
--- a/test/bergamottide/net/peertransport.cpp
+++ b/test/bergamottide/net/peertransport.cpp
@@ -1,6 +1,7 @@
 #include "bergamottide/net/peertransport.h"
 #include "bergamottide/net/codec.h"
 #include "support/certificates.h"
+#include "support/rununtil.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -12,10 +13,8 @@
 
 namespace {
 
-constexpr int maxRounds = 200;
-constexpr Duration roundWait = std::chrono::milliseconds{100};
-/*! @brief Rounds in which a refused peer would have got through several times. */
-constexpr int refusalRounds = 15;
+/*! @brief Time in which a refused peer would have got through several times. */
+constexpr Duration refusalTime = std::chrono::milliseconds{1500};
 constexpr std::uint64_t messageCount = 2000;
 
 /*! @brief What one end has heard. */
@@ -177,9 +176,7 @@
         CPPUNIT_ASSERT(side.listen().ok());
         entry.connect(InstanceName{"side"}, side.address());
         plain.connect(InstanceName{"side"}, side.address());
-        for (int round = 0; round < refusalRounds; ++round) {
-            m_loop.runOnce(roundWait);
-        }
+        test::runFor(m_loop, refusalTime);
         CPPUNIT_ASSERT(m_entryHeard.up.empty());
         CPPUNIT_ASSERT(m_sideHeard.up.empty());
     }
@@ -197,9 +194,7 @@
     template <typename Condition>
     void runUntil(Condition condition)
     {
-        for (int round = 0; round < maxRounds && !condition(); ++round) {
-            m_loop.runOnce(roundWait);
-        }
+        CPPUNIT_ASSERT(test::runUntil(m_loop, condition));
     }
 
     SystemClock m_clock;
--- a/test/bergamottide/net/requestframing.cpp
+++ b/test/bergamottide/net/requestframing.cpp
@@ -1,11 +1,13 @@
 #include "bergamottide/net/httpclient.h"
 #include "bergamottide/net/httpserver.h"
 #include "bergamottide/net/socketaddress.h"
+#include "support/rununtil.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <absl/strings/str_cat.h>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -42,7 +44,8 @@
                  "Content-Length: 2\r\n X: folded",
              }) {
             const std::string reply = exchange(
-                absl::StrCat("POST /first HTTP/1.1\r\nhost: a\r\n", lines, "\r\n\r\n2\r\n{}\r\n0\r\n\r\n", smuggled));
+                absl::StrCat("POST /first HTTP/1.1\r\nhost: a\r\n", lines, "\r\n\r\n2\r\n{}\r\n0\r\n\r\n", smuggled),
+                Ending::Closed);
             CPPUNIT_ASSERT_MESSAGE(absl::StrCat(lines, "\n", reply), m_requests.empty());
             CPPUNIT_ASSERT_MESSAGE(absl::StrCat(lines, "\n", reply), reply.empty() || reply.starts_with("HTTP/1.1 4"));
             CPPUNIT_ASSERT_MESSAGE(lines, m_isClosed);
@@ -55,7 +58,8 @@
              {"Content-Length: 2\r\n\r\n{}", "Content-Length: 2\r\nContent-Length: 2\r\n\r\n{}",
               "content-length:  2\r\n\r\n{}", "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
               "Transfer-Encoding: Chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"}) {
-            const std::string reply = exchange(absl::StrCat("POST /first HTTP/1.1\r\nhost: a\r\n", rest));
+            const std::string reply =
+                exchange(absl::StrCat("POST /first HTTP/1.1\r\nhost: a\r\n", rest), Ending::Answered);
             CPPUNIT_ASSERT_MESSAGE(absl::StrCat(rest, "\n", reply), reply.starts_with("HTTP/1.1 200"));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(rest, std::string{"{}"}, m_requests.front().body);
         }
@@ -66,7 +70,7 @@
         const std::string first = "POST /first HTTP/1.1\r\nhost: a\r\nContent-Length: 2\r\n\r\n{}";
         const std::string second =
             "POST /second HTTP/1.1\r\nhost: a\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n{}";
-        const std::string reply = exchange(first + second);
+        const std::string reply = exchange(first + second, Ending::Closed);
         CPPUNIT_ASSERT(reply.starts_with("HTTP/1.1 200"));
         CPPUNIT_ASSERT(reply.find("HTTP/1.1 400") != std::string::npos);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_requests.size());
@@ -75,14 +79,14 @@
 
     void absoluteTargetNamesTheHost()
     {
-        exchange("GET http://shop:80/order/7?a=b HTTP/1.1\r\nhost: other\r\n\r\n");
+        exchange("GET http://shop:80/order/7?a=b HTTP/1.1\r\nhost: other\r\n\r\n", Ending::Answered);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_requests.size());
         CPPUNIT_ASSERT_EQUAL(std::string{"shop:80"}, m_requests.front().authority);
         CPPUNIT_ASSERT_EQUAL(std::string{"/order/7"}, m_requests.front().path);
         CPPUNIT_ASSERT_EQUAL(std::string{"a=b"}, m_requests.front().query);
-        exchange("GET HTTP://shop HTTP/1.1\r\nhost: other\r\n\r\n");
+        exchange("GET HTTP://shop HTTP/1.1\r\nhost: other\r\n\r\n", Ending::Answered);
         CPPUNIT_ASSERT_EQUAL(std::string{"/"}, m_requests.front().path);
-        exchange("GET http://shop?a HTTP/1.1\r\nhost: other\r\n\r\n");
+        exchange("GET http://shop?a HTTP/1.1\r\nhost: other\r\n\r\n", Ending::Answered);
         CPPUNIT_ASSERT_EQUAL(std::string{"shop"}, m_requests.front().authority);
         CPPUNIT_ASSERT_EQUAL(std::string{"/?a"}, requestTarget(m_requests.front()));
     }
@@ -90,18 +94,26 @@
     void emptyQueryIsKept()
     {
         for (const std::string target : {"/order?", "/order", "/order?a=b", "/order??", "/?"}) {
-            exchange(absl::StrCat("GET ", target, " HTTP/1.1\r\nhost: a\r\n\r\n"));
+            exchange(absl::StrCat("GET ", target, " HTTP/1.1\r\nhost: a\r\n\r\n"), Ending::Answered);
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_requests.size());
             CPPUNIT_ASSERT_EQUAL(target, requestTarget(m_requests.front()));
         }
     }
 
 private:
-    static constexpr int maxRounds = 40;
+    /*! @brief What an exchange waits for. */
+    enum class Ending : std::uint8_t
+    {
+        Closed,
+        /*! @brief A reply, and whatever follows it soon. */
+        Answered
+    };
+
+    static constexpr Duration settlingTime = std::chrono::milliseconds{200};
     static constexpr Duration roundWait = std::chrono::milliseconds{5};
 
     /*! @brief Sends bytes over a connection of their own; returns what comes back. */
-    std::string exchange(const std::string &bytes)
+    std::string exchange(const std::string &bytes, Ending ending)
     {
         m_requests.clear();
         HttpServer server{m_loop, {"127.0.0.1:0", {}, 1 << 20}, [this](HttpRequest request, const auto &responder) {
@@ -115,7 +127,11 @@
         CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(bytes.size()), ::send(connection, bytes.data(), bytes.size(), 0));
         std::string out;
         m_isClosed = false;
-        for (int round = 0; round < maxRounds && !m_isClosed; ++round) {
+        const TimePoint start = m_loop.now();
+        while (!m_isClosed && m_loop.now() < start + test::patience) {
+            if (ending == Ending::Answered && !out.empty() && m_loop.now() >= start + settlingTime) {
+                break;
+            }
             m_loop.runOnce(roundWait);
             std::string part(4096, '\0');
             const auto got = recv(connection, part.data(), part.size(), MSG_DONTWAIT);
--- a/test/bergamottide/platform/platformclients.cpp
+++ b/test/bergamottide/platform/platformclients.cpp
@@ -4,6 +4,7 @@
 #include "bergamottide/core/error.h"
 #include "bergamottide/net/httpserver.h"
 #include "standin/watchedvalue.h"
+#include "support/rununtil.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -211,11 +212,7 @@
 
     void runUntil(const std::function<bool()> &condition)
     {
-        constexpr int maxRounds = 6000;
-        for (int round = 0; !condition() && round < maxRounds; ++round) {
-            m_loop.runOnce(std::chrono::milliseconds{10});
-        }
-        CPPUNIT_ASSERT(condition());
+        CPPUNIT_ASSERT(test::runUntil(m_loop, condition));
     }
 
     SystemClock m_clock;
--- a/test/platform/endtoend.cpp
+++ b/test/platform/endtoend.cpp
@@ -1,6 +1,7 @@
 #include "fakes.h"
 #include "platformcodec.h"
 #include "storefeed.h"
+#include "support/rununtil.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -356,14 +357,10 @@
             CPPUNIT_ASSERT(runUntil([this, requestCount] { return store.requestCount() > requestCount; }));
         }
 
-        /*! @brief Runs the loop until a condition holds, for a limited number of rounds; returns whether it holds. */
+        /*! @brief Runs the loop until a condition holds, for a limited time; returns whether it holds. */
         bool runUntil(const std::function<bool()> &condition)
         {
-            constexpr int maxRounds = 2000;
-            for (int round = 0; round < maxRounds && !condition(); ++round) {
-                loop.runOnce(std::chrono::milliseconds{10});
-            }
-            return condition();
+            return test::runUntil(loop, condition);
         }
 
         [[nodiscard]] HttpResponse call(HttpRequest request)
--- a/test/platform/storewatch.cpp
+++ b/test/platform/storewatch.cpp
@@ -6,6 +6,7 @@
 
 #include "bergamottide/net/httpserver.h"
 #include "bergamottide/net/loop.h"
+#include "support/rununtil.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -488,14 +489,10 @@
         runUntil([this] { return !m_relayProcess.isUnavailable() && m_relayProcess.followerRequestCount() > 1; });
     }
 
-    /*! @brief Runs the loop until a condition holds; fails after a limited number of rounds. */
+    /*! @brief Runs the loop until a condition holds. */
     void runUntil(const std::function<bool()> &condition)
     {
-        constexpr int maxRounds = 2000;
-        for (int round = 0; round < maxRounds && !condition(); ++round) {
-            m_loop.runOnce(std::chrono::milliseconds{10});
-        }
-        CPPUNIT_ASSERT(condition());
+        CPPUNIT_ASSERT(test::runUntil(m_loop, condition));
     }
 
     SystemClock m_clock;
