--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import collections
 import concurrent.futures
 import hashlib
 import http.client
@@ -226,11 +227,11 @@
 
 def summary(answers, executions):
     """Judges the answers against what the endpoints have done."""
-    outcomes = {}
+    outcomes = collections.Counter(answer["outcome"] for answer, _ in answers)
+    reasons = collections.Counter(answer["reason"] for answer, _ in answers if answer["outcome"] != "completed")
     lost = 0
     doubled = 0
     for answer, tokens in answers:
-        outcomes[answer["outcome"]] = outcomes.get(answer["outcome"], 0) + 1
         last = "place" if answer.get("pipeline") == "order" else "generate"
         started, completed = executions.get((answer["request"], last), (0, 0))
         if answer["outcome"] == "no_answer" or (answer["outcome"] == "completed" and (
@@ -242,7 +243,7 @@
             lost += 1
     completed = [answer["seconds"] for answer, _ in answers if answer["outcome"] == "completed"]
     return {
-        "requests": len(answers), "outcomes": outcomes, "lost": lost, "doubled": doubled,
+        "requests": len(answers), "outcomes": outcomes, "reasons": reasons, "lost": lost, "doubled": doubled,
         "attainment": round(sum(1 for seconds in completed if seconds <= 9) / max(1, len(answers)), 4),
         "latency_ms": {"p50": quantile(completed, 0.5), "p95": quantile(completed, 0.95),
                        "p99": quantile(completed, 0.99)},
