Process test of crowded processes: draw no address twice

Cause: addresses are drawn at random, and each is given back before the next is drawn, so one may be drawn twice. Both tests draw from the same seed, the id of the test process. Change: an address that has been returned is not returned again. No check changed.

--- a/test/processes/crowdedprocess.cpp
+++ b/test/processes/crowdedprocess.cpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,12 +34,15 @@
 constexpr Duration callerPatience = std::chrono::seconds{4};
 constexpr Duration patience = std::chrono::seconds{60};
 
-/*! @brief Returns an address below the ports of outgoing connections. */
-std::string freeAddress(std::mt19937 &random)
+/*! @brief Returns an address below the ports of outgoing connections, and none that has been returned before. */
+std::string freeAddress(std::mt19937 &random, std::set<std::string> &returned)
 {
     std::uniform_int_distribution<int> ports{11'000, 29'000};
     for (;;) {
         const std::string address = absl::StrCat("127.0.0.1:", ports(random));
+        if (!returned.insert(address).second) {
+            continue;
+        }
         const auto descriptor = listenOn(*parseSocketAddress(address));
         if (descriptor.ok()) {
             close(*descriptor);
@@ -147,7 +151,7 @@
     void startEntries(double linkMbps)
     {
         for (std::size_t index = 0; index < processCount; ++index) {
-            m_entries.push_back({freeAddress(m_random), freeAddress(m_random), freeAddress(m_random), nullptr});
+            m_entries.push_back({freeAddress(), freeAddress(), freeAddress(), nullptr});
         }
         for (std::size_t index = 0; index < processCount; ++index) {
             m_entries[index].process = std::make_unique<Process>(
@@ -221,6 +225,11 @@
         return phase;
     }
 
+    std::string freeAddress()
+    {
+        return ::freeAddress(m_random, m_addresses);
+    }
+
     std::size_t anyProcess()
     {
         return std::uniform_int_distribution<std::size_t>{0, processCount - 1}(m_random);
@@ -278,6 +287,7 @@
     HttpClient m_client{m_loop, HttpClientOptions{}};
     std::mt19937 m_random{static_cast<std::uint32_t>(getpid())};
     std::filesystem::path m_folder;
+    std::set<std::string> m_addresses;
     std::vector<Entry> m_entries;
     std::vector<std::unique_ptr<ProcessorLimit>> m_limits;
     std::vector<std::unique_ptr<LinkLimit>> m_links;
