Tell relays at once when an attempt changes the software version of its stream

What callers saw: a stream of two versions after an engine and a process had failed within half a second (simulated fleet only). Cause: relays are told the version to which a request is sent, and a later one with the next regular heartbeat. An attempt that fails before its first event may be repeated at another version. If its process dies with that heartbeat unsent, the relays name the version of the failed attempt. Ruled out: a wrong choice by the process that resumes; it takes the version that the relay names (trace of the simulated fleet: attempt 140 sent to v1, 10 ms later to v0, first event at 50 ms, process killed at 130 ms, resumed at v1). Change: a record that replaces another version makes the heartbeats to the relays due at once. Not closed: the time that such a heartbeat takes. Conclusion: not knowing that a record is out of date is one more case of taking absence of knowledge for knowledge.

--- a/src/bergamottide/gossip/peers.cpp
+++ b/src/bergamottide/gossip/peers.cpp
@@ -217,6 +217,13 @@
     }
 }
 
+void Peers::expediteHeartbeats(TimePoint now)
+{
+    for (const InstanceName &partner : view(now).partners()) {
+        m_lastSentAt[m_peers.at(partner).info.address] = TimePoint{};
+    }
+}
+
 std::vector<std::string> Peers::takeDueAddresses(TimePoint now)
 {
     removeExpiredPeers(now);
--- a/src/bergamottide/gossip/peers.h
+++ b/src/bergamottide/gossip/peers.h
@@ -72,6 +72,9 @@
      */
     [[nodiscard]] std::vector<std::string> takeDueAddresses(TimePoint now);
 
+    /*! @brief Makes heartbeats to the relays of this process due at once. */
+    void expediteHeartbeats(TimePoint now);
+
     /**
      * @brief Adds the roster, and on a relay the waits, upcoming work and engine reports of other peers.
      * @param heartbeat Heartbeat that contains the state of this process.
--- a/src/bergamottide/serving/servingstreams.cpp
+++ b/src/bergamottide/serving/servingstreams.cpp
@@ -81,7 +81,11 @@
     }
     const TimePoint expiresAt =
         std::max(request.deadline, request.arrivedAt + request.callerRequest->deadline.value_or(Duration::zero()));
-    m_streamVersions.record(keyOf(request), version, expiresAt, m_now);
+    if (m_streamVersions.record(keyOf(request), version, expiresAt, m_now)) {
+        // If this process died with the next regular heartbeat unsent, its relays would name the former version.
+        m_peers.expediteHeartbeats(m_now);
+        sendHeartbeats();
+    }
 }
 
 std::optional<SoftwareVersion> ServingReducer::streamVersion(StreamKey stream) const
--- a/src/bergamottide/streams/streamversions.cpp
+++ b/src/bergamottide/streams/streamversions.cpp
@@ -45,18 +45,20 @@
     }
 }
 
-void StreamVersions::record(StreamKey stream, const SoftwareVersion &version, TimePoint expiresAt, TimePoint now)
+bool StreamVersions::record(StreamKey stream, const SoftwareVersion &version, TimePoint expiresAt, TimePoint now)
 {
     expiresAt = std::min(expiresAt, now + maxStreamLifetime);
     const auto known = m_own.entries().find(stream);
     if (known == m_own.entries().end() && m_own.entries().size() >= maxStreams) {
-        return;
+        return false;
     }
     if (known != m_own.entries().end() && known->second.record.version == version) {
         known->second.record.expiresAt = std::max(known->second.record.expiresAt, expiresAt);
-        return;
+        return false;
     }
+    const bool isReplaced = known != m_own.entries().end();
     m_own.change(stream) = {version, expiresAt};
+    return isReplaced;
 }
 
 std::optional<SoftwareVersion> StreamVersions::find(StreamKey stream) const
--- a/src/bergamottide/streams/streamversions.h
+++ b/src/bergamottide/streams/streamversions.h
@@ -47,8 +47,9 @@
      * @param version Version of the endpoint that the request is sent to.
      * @param expiresAt When the caller no longer waits, and thus will not resume the stream; at most ten minutes count.
      * @param now Current time.
+     * @return Whether it has replaced another version, which peers may have been told.
      */
-    void record(StreamKey stream, const SoftwareVersion &version, TimePoint expiresAt, TimePoint now);
+    [[nodiscard]] bool record(StreamKey stream, const SoftwareVersion &version, TimePoint expiresAt, TimePoint now);
 
     /*! @brief Returns the version of a stream; nothing if it is unknown. */
     [[nodiscard]] std::optional<SoftwareVersion> find(StreamKey stream) const;
--- a/test/bergamottide/serving/streamversions.cpp
+++ b/test/bergamottide/serving/streamversions.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,6 +24,7 @@
     CPPUNIT_TEST(unknownStreamContinuesAtTheOnlyVersion);
     CPPUNIT_TEST(processThatHasJustStartedAsksBeforeItGuesses);
     CPPUNIT_TEST(unknownStreamIsRejectedWhileAFormerVersionIsRemembered);
+    CPPUNIT_TEST(changedVersionIsToldToPeersAtOnce);
     CPPUNIT_TEST(streamsOfOtherWorkspacesAreUnknown);
     CPPUNIT_TEST(streamsAreForgottenWhateverTheDeadline);
     CPPUNIT_TEST(numberOfStreamsIsBounded);
@@ -116,10 +118,7 @@
     {
         for (const std::string known : {"v1", "v2", ""}) {
             ServingFixture fixture{without("v1")};
-            Heartbeat relay;
-            relay.from = {InstanceName{"entry-2"}, "10.0.0.8:1", 1.0};
-            relay.isRelay = true;
-            fixture.apply(HeartbeatReceived{relay});
+            hearRelay(fixture);
             fixture.apply(resumption(fixture, 2, 1));
             CPPUNIT_ASSERT(fixture.effect<StartRun>() == nullptr);
             CPPUNIT_ASSERT(fixture.effect<LookUpStream>() != nullptr);
@@ -141,6 +140,20 @@
         CPPUNIT_ASSERT(fixture.effect<StartRun>() != nullptr);
     }
 
+    /*! @brief Guards against relays that name the version of an attempt that failed before its first event. */
+    void changedVersionIsToldToPeersAtOnce()
+    {
+        ServingFixture fixture{mixedEndpoints()};
+        hearRelay(fixture);
+        fixture.apply(Tick{});
+        fixture.apply(fixture.arrival("/summary/1", 1));
+        const StartRun first = *fixture.effect<StartRun>();
+        fixture.apply(EndpointsChanged{without(versionOf(first.instance))});
+        const Effects effects = fixture.reducer().apply(RunFailed{first.run, RunFailure::Broken}, fixture.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<StartRun>(effects));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<SendHeartbeat>(effects));
+    }
+
     void streamsOfOtherWorkspacesAreUnknown()
     {
         const StreamKey north = StreamVersions::keyOf(WorkspaceName{"north"}, "attempt");
@@ -153,7 +166,7 @@
         GossipClock clock{1};
         StreamVersions versions{clock};
         const TimePoint now{std::chrono::seconds{100}};
-        versions.record(StreamKey{1}, SoftwareVersion{"v1"}, now + std::chrono::hours{200}, now);
+        CPPUNIT_ASSERT(!versions.record(StreamKey{1}, SoftwareVersion{"v1"}, now + std::chrono::hours{200}, now));
         versions.merge({{StreamKey{2}, SoftwareVersion{"v1"}, std::chrono::hours{200}}}, now);
         CPPUNIT_ASSERT(versions.find(StreamKey{1}) && versions.find(StreamKey{2}));
         versions.removeExpired(now + std::chrono::minutes{10});
@@ -166,7 +179,8 @@
         StreamVersions versions{clock};
         const TimePoint now{std::chrono::seconds{100}};
         for (std::uint64_t stream = 0; stream < 100'001; ++stream) {
-            versions.record(StreamKey{stream}, SoftwareVersion{"v1"}, now + std::chrono::seconds{5}, now);
+            CPPUNIT_ASSERT(
+                !versions.record(StreamKey{stream}, SoftwareVersion{"v1"}, now + std::chrono::seconds{5}, now));
         }
         CPPUNIT_ASSERT(versions.find(StreamKey{99'999}));
         CPPUNIT_ASSERT(!versions.find(StreamKey{100'000}));
@@ -235,6 +249,21 @@
         return arrival;
     }
 
+    template <typename Wanted>
+    [[nodiscard]] static std::size_t count(const Effects &effects)
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            effects, [](const Effect &effect) { return std::holds_alternative<Wanted>(effect); }));
+    }
+
+    static void hearRelay(ServingFixture &fixture)
+    {
+        Heartbeat relay;
+        relay.from = {InstanceName{"entry-2"}, "10.0.0.8:1", 1.0};
+        relay.isRelay = true;
+        fixture.apply(HeartbeatReceived{relay});
+    }
+
     static void checkRejected(ServingFixture &fixture, const RequestArrived &arrival)
     {
         fixture.apply(arrival);
