Resume unknown streams only at a version that something proves

What callers saw: after the loss of all processes, streams resumed with 200 whose first events came from one software version and the rest from another. Cause: a process that has just started took the only version that it saw for the one that began the stream, once its relays had answered that they do not know it. After the loss of all, that answer is no knowledge. Ruled out as a source: the history of the store. Runs in the report of an engine name attempts, but most have ended when a stream is resumed. Change: a stream without a record goes on at the only version of its pool if this process, or a relay that it asks, has known the endpoints for longer than the stream can last; or at the version whose engines have the last part of its prompt cached, if no other version's have it or are silent. Else it is rejected at once. The owner of the pool's queue lists the caches for all, at most once in 0.5 s. A resumption waits for the discovery of peers, a second at most. Tests: unknownStreamContinuesAtTheOnlyVersion and processThatHasJustStartedAsksBeforeItGuesses asserted the guess. The first now waits until the process has known the pool long enough, and its counterpart asserts the rejection; the second expects a rejection where no peer knows the version. Conclusion: what engines have survives the loss of all processes.

--- a/src/bergamottide/app/peerport.cpp
+++ b/src/bergamottide/app/peerport.cpp
@@ -92,7 +92,7 @@
         return;
     }
     if (request.path == streamPath) {
-        answerStreamLookup(request, *responder);
+        receiveStreamQuery(request, responder);
         return;
     }
     if (request.path == releasedPath) {
@@ -141,15 +141,27 @@
     m_heartbeatClient.call(peer.address, std::move(request), std::move(hooks));
 }
 
-void PeerPort::answerStreamLookup(const HttpRequest &request, HttpResponder &responder)
+void PeerPort::receiveStreamQuery(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
-    std::uint64_t key = 0;
-    if (!absl::SimpleAtoi(request.query, &key)) {
-        responder.respond({400, {}, {}});
+    auto query = peerwire::decodeStreamQuery(request);
+    if (!query.ok()) {
+        logMalformedMessage(query.status());
+        responder->respond({400, {}, {}});
         return;
     }
-    const auto version = m_hooks.streamVersion(StreamKey{key});
-    responder.respond({version ? 200 : 204, {}, version ? version->text() : std::string{}});
+    const StreamQueryNumber number{++m_lastStreamQuery};
+    m_streamQueries.emplace(number, responder);
+    responder->onClosed([this, number] { m_streamQueries.erase(number); });
+    m_hooks.submit(StreamQueryArrived{number, *std::move(query)});
+}
+
+void PeerPort::carryOut(const AnswerStreamQuery &effect)
+{
+    const auto node = m_streamQueries.extract(effect.number);
+    if (!node.empty()) {
+        node.mapped()->respond(
+            {effect.version ? 200 : 204, {}, effect.version ? effect.version->text() : std::string{}});
+    }
 }
 
 void PeerPort::receiveTask(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
@@ -260,10 +272,8 @@
 
 void PeerPort::carryOut(const LookUpStream &effect)
 {
-    HttpRequest request;
-    request.method = "GET";
+    HttpRequest request = peerwire::encode(effect.query);
     request.path = streamPath;
-    request.query = absl::StrCat(static_cast<std::uint64_t>(effect.stream));
     HttpCallHooks hooks;
     hooks.done = [this, call = effect.call](const HttpResponse &answer) {
         const bool isKnown = answer.status == 200;
--- a/src/bergamottide/app/peerport.h
+++ b/src/bergamottide/app/peerport.h
@@ -24,8 +24,6 @@
     std::function<void(serving::Event event)> submit;
     /*! @brief Returns the heartbeat to send to the peer at an address. */
     std::function<serving::Heartbeat(const std::string &to)> heartbeat;
-    /*! @brief Returns the software version that began a stream; nothing if it is unknown. */
-    std::function<std::optional<SoftwareVersion>(serving::StreamKey stream)> streamVersion;
     std::function<void(const LogLine &line)> log;
 };
 
@@ -77,11 +75,12 @@
     void carryOut(const serving::CompletePeerTask &effect);
     void carryOut(const serving::NotifyReleasedResults &effect);
     void carryOut(const serving::LookUpStream &effect);
+    void carryOut(const serving::AnswerStreamQuery &effect);
 
 private:
     void handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
     void receiveTask(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
-    void answerStreamLookup(const HttpRequest &request, HttpResponder &responder);
+    void receiveStreamQuery(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
     [[nodiscard]] absl::StatusOr<std::string> receiveHeartbeat(const std::string &text);
     void handleTaskAnswer(serving::StageTaskId task, const InstanceName &peer, const HttpResponse &answer);
     void logMalformedMessage(const absl::Status &status);
@@ -95,6 +94,9 @@
     std::map<serving::StageTaskId, HttpCallId> m_delegatedTasks;
     std::map<serving::PeerTaskNumber, std::shared_ptr<HttpResponder>> m_peerTasks;
     std::uint64_t m_lastPeerTask{};
+    /*! @brief Questions of peers that have not been answered. */
+    std::map<serving::StreamQueryNumber, std::shared_ptr<HttpResponder>> m_streamQueries;
+    std::uint64_t m_lastStreamQuery{};
 };
 
 } // namespace bergamottide
--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -3,8 +3,12 @@
 #include "bergamottide/core/error.h"
 #include "bergamottide/sharing/fairshares.h"
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
+#include <string_view>
+
 namespace bergamottide::peerwire {
 
 namespace {
@@ -12,6 +16,18 @@
 using namespace serving;
 using nlohmann::json;
 
+constexpr std::string_view poolHeader = "stream-pool";
+constexpr std::string_view partHeader = "stream-part";
+constexpr std::string_view tokensHeader = "stream-tokens";
+constexpr std::string_view lifetimeHeader = "stream-lifetime";
+
+/*! @brief Returns a number in a header; zero if it is missing or malformed. */
+std::uint32_t numberHeader(const HttpRequest &request, std::string_view name)
+{
+    std::uint32_t number = 0;
+    return absl::SimpleAtoi(std::string{headerValue(request.headers, name)}, &number) ? number : 0;
+}
+
 std::string dump(const json &value)
 {
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -418,6 +434,32 @@
     });
 }
 
+HttpRequest encode(const StreamQuery &query)
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.query = absl::StrCat(static_cast<std::uint64_t>(query.stream));
+    request.headers = {{std::string{poolHeader}, query.pool.text()},
+                       {std::string{partHeader}, query.lastPart.id},
+                       {std::string{tokensHeader}, absl::StrCat(query.lastPart.tokens)},
+                       {std::string{lifetimeHeader}, absl::StrCat(query.lifetime.count())}};
+    return request;
+}
+
+absl::StatusOr<StreamQuery> decodeStreamQuery(const HttpRequest &request)
+{
+    std::uint64_t stream = 0;
+    if (!absl::SimpleAtoi(request.query, &stream)) {
+        return makeError(Reason::MalformedBody, "query", "A peer's question about a stream is malformed.");
+    }
+    StreamQuery query;
+    query.stream = StreamKey{stream};
+    query.pool = PoolName{std::string{headerValue(request.headers, poolHeader)}};
+    query.lastPart = {std::string{headerValue(request.headers, partHeader)}, numberHeader(request, tokensHeader)};
+    query.lifetime = Duration{static_cast<Duration::rep>(numberHeader(request, lifetimeHeader))};
+    return query;
+}
+
 std::string encodeHandles(const std::vector<std::string> &handles)
 {
     return dump(handles);
--- a/src/bergamottide/app/peerwire.h
+++ b/src/bergamottide/app/peerwire.h
@@ -2,6 +2,7 @@
 
 #include "bergamottide/core/time.h"
 #include "bergamottide/events/events.h"
+#include "bergamottide/net/http.h"
 
 #include <absl/status/statusor.h>
 
@@ -34,6 +35,14 @@
 [[nodiscard]] absl::StatusOr<std::vector<serving::StageOutcome>> decodeOutcomes(const std::string &text,
                                                                                 serving::StageTaskId task);
 
+/**
+ * @brief Encodes a question about a stream.
+ *
+ * The query is the stream alone, which earlier releases understand; headers tell the rest.
+ */
+[[nodiscard]] HttpRequest encode(const serving::StreamQuery &query);
+[[nodiscard]] absl::StatusOr<serving::StreamQuery> decodeStreamQuery(const HttpRequest &request);
+
 [[nodiscard]] std::string encodeHandles(const std::vector<std::string> &handles);
 [[nodiscard]] absl::StatusOr<std::vector<std::string>> decodeHandles(const std::string &text);
 
--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -423,9 +423,6 @@
     hooks.heartbeat = [this](const std::string &to) {
         return m_reducer.heartbeat(to, m_loop.now());
     };
-    hooks.streamVersion = [this](StreamKey stream) {
-        return m_reducer.streamVersion(stream);
-    };
     hooks.log = [this](const LogLine &line) {
         log(line);
     };
@@ -574,6 +571,23 @@
     m_endpointClient.call(effect.address, m_codec.encodeCheck(effect), std::move(hooks), Connection::Fresh);
 }
 
+void ServingApp::carryOut(const ListCachedPrompts &effect)
+{
+    const InstanceName instance = effect.instance;
+    HttpCallHooks hooks;
+    hooks.head = noticeHook(instance);
+    hooks.done = [this, instance](const HttpResponse &answer) {
+        m_runner.submit(CachedPromptsListed{instance, m_codec.decodeCachedPrompts(answer)});
+    };
+    hooks.failed = [this, instance](HttpFailure) {
+        m_runner.submit(CachedPromptsListed{instance, std::nullopt});
+    };
+    const HttpCallId call =
+        m_endpointClient.call(effect.address, m_codec.encodeListCachedPrompts(instance), std::move(hooks));
+    // The reducer does not wait longer.
+    m_loop.at(m_loop.now() + effect.timeout, [this, call] { m_endpointClient.cancel(call); });
+}
+
 void ServingApp::carryOut(const StartStageCall &effect)
 {
     const StageCallNumber call = effect.call;
@@ -642,6 +656,11 @@
     m_peers.carryOut(effect);
 }
 
+void ServingApp::carryOut(const AnswerStreamQuery &effect)
+{
+    m_peers.carryOut(effect);
+}
+
 void ServingApp::carryOut(const SendHeartbeat &effect)
 {
     m_peers.carryOut(effect);
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -46,6 +46,9 @@
     std::function<HttpRequest(const std::vector<std::string> &handles)> encodeRelease;
     std::function<HttpRequest(const serving::CheckEndpoint &check)> encodeCheck;
     std::function<serving::EndpointState(const HttpResponse &answer)> decodeCheck;
+    std::function<HttpRequest(const InstanceName &instance)> encodeListCachedPrompts;
+    /*! @brief Returns nothing if the response does not tell. */
+    std::function<std::optional<std::vector<engines::PromptPart>>(const HttpResponse &answer)> decodeCachedPrompts;
 };
 
 /**
@@ -157,6 +160,8 @@
     void carryOut(const serving::CompletePeerTask &effect);
     void carryOut(const serving::NotifyReleasedResults &effect);
     void carryOut(const serving::LookUpStream &effect);
+    void carryOut(const serving::AnswerStreamQuery &effect);
+    void carryOut(const serving::ListCachedPrompts &effect);
     void carryOut(const serving::SendHeartbeat &effect);
     void carryOut(const serving::Drained &effect);
     void carryOut(const LogLine &effect);
--- a/src/bergamottide/events/events.h
+++ b/src/bergamottide/events/events.h
@@ -299,6 +299,37 @@
     std::vector<std::string> handles;
 };
 
+/*! @brief Question which software version began a stream that its caller resumes. */
+struct StreamQuery
+{
+    StreamKey stream{};
+    PoolName pool;
+    /*! @brief Last part of the caller's prompt; without identity if it names none. */
+    engines::PromptPart lastPart;
+    /*! @brief Longest time since the stream can have begun; zero if only a record of it counts. */
+    Duration lifetime{};
+};
+
+/*! @brief Identifies a question of a peer; unique within this process. */
+enum class StreamQueryNumber : std::uint64_t
+{
+};
+
+/*! @brief Event: a peer asks which software version began a stream; `AnswerStreamQuery` follows. */
+struct StreamQueryArrived
+{
+    StreamQueryNumber number{};
+    StreamQuery query;
+};
+
+/*! @brief Event: an engine has listed the prompt parts that it has cached. */
+struct CachedPromptsListed
+{
+    InstanceName instance;
+    /*! @brief Parts with the tokens that are kept of each; nothing if the engine did not respond. */
+    std::optional<std::vector<engines::PromptPart>> parts;
+};
+
 /*! @brief Event: a peer has told which software version began a stream, or could not. */
 struct StreamLookupEnded
 {
@@ -327,10 +358,11 @@
 {
 };
 
-using Event = std::variant<RequestArrived, CallerDisconnected, EndpointResponded, RunHeadReceived, RunBodyReceived,
-                           RunCompleted, RunFailed, EndpointChecked, StageCallEnded, CatalogChanged, EndpointsChanged,
-                           PeerTaskArrived, PeerTaskCancelled, DelegatedTaskEnded, HeartbeatReceived,
-                           PeerReleasedResults, StreamLookupEnded, SettingsChanged, DrainRequested, Tick>;
+using Event =
+    std::variant<RequestArrived, CallerDisconnected, EndpointResponded, RunHeadReceived, RunBodyReceived, RunCompleted,
+                 RunFailed, EndpointChecked, StageCallEnded, CatalogChanged, EndpointsChanged, PeerTaskArrived,
+                 PeerTaskCancelled, DelegatedTaskEnded, HeartbeatReceived, PeerReleasedResults, StreamQueryArrived,
+                 CachedPromptsListed, StreamLookupEnded, SettingsChanged, DrainRequested, Tick>;
 
 /*! @brief Kind of an error response that this process sends instead of an endpoint. */
 enum class ErrorKind : std::uint8_t
@@ -496,8 +528,24 @@
 struct LookUpStream
 {
     CallId call{};
-    StreamKey stream{};
+    StreamQuery query;
+    std::string address;
+};
+
+/*! @brief Effect: answers a peer's question about a stream; no version if it is unknown. */
+struct AnswerStreamQuery
+{
+    StreamQueryNumber number{};
+    std::optional<SoftwareVersion> version;
+};
+
+/*! @brief Effect: asks an engine for the prompt parts that it has cached; `CachedPromptsListed` follows. */
+struct ListCachedPrompts
+{
+    InstanceName instance;
     std::string address;
+    /*! @brief Time after which the call is given up. */
+    Duration timeout{};
 };
 
 /*! @brief Effect: sends a heartbeat to an address. */
@@ -514,7 +562,7 @@
 using Effect = std::variant<SendErrorResponse, SendResponse, BeginStream, SendStreamEvents, FinishStream, AbortStream,
                             StartRun, CancelRun, CheckEndpoint, StartStageCall, CancelStageCall, ReleaseResults,
                             DelegateTask, CancelDelegatedTask, CompletePeerTask, NotifyReleasedResults, LookUpStream,
-                            SendHeartbeat, Drained, LogLine, Observe>;
+                            AnswerStreamQuery, ListCachedPrompts, SendHeartbeat, Drained, LogLine, Observe>;
 using Effects = std::vector<Effect>;
 
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -98,7 +98,7 @@
     SoftwareVersion endpointVersion;
     /*! @brief Software version that the stream must continue at; empty as long as any will do. */
     std::optional<SoftwareVersion> streamVersion;
-    /*! @brief Number of peers that have yet to tell which version began the stream. */
+    /*! @brief Number of peers and searches that have yet to tell which version began the stream. */
     std::size_t pendingLookups{};
     /*! @brief The run starts once that version is known. */
     bool awaitsVersion{};
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -111,7 +111,10 @@
     if (const auto due = m_heldReleases.nextWakeup()) {
         next = next ? std::min(*next, *due) : due;
     }
-    if (!m_deferredTasks.empty()) {
+    if (const auto due = m_promptSearch.nextWakeup()) {
+        next = next ? std::min(*next, *due) : due;
+    }
+    if (!m_deferredTasks.empty() || !m_deferredLookups.empty()) {
         const TimePoint check = m_now + deferredTaskPeriod;
         next = next ? std::min(*next, check) : check;
     }
@@ -149,6 +152,7 @@
     m_endpoints.update(*event.endpoints, m_now, m_effects);
     m_notices.updateEndpoints(m_now, m_effects);
     m_streamVersions.updateEndpoints(*event.endpoints, m_now);
+    m_promptSearch.updateEndpoints(*event.endpoints);
     m_stageScheduler.requestScans();
     updateEngines();
     m_peers.setCanOwnQueues(canServe());
@@ -173,6 +177,9 @@
     m_heldReleases.sendDue(m_effects, m_now);
     checkStalledRuns();
     m_stageScheduler.handleTimeouts(m_now, m_effects);
+    startDeferredLookups();
+    m_promptSearch.handleTimeouts(m_now);
+    deliverSearchAnswers();
     submitDeferredTasks();
     reclaimTasksOfLostPeers();
     handOverFormerQueues();
@@ -215,7 +222,10 @@
     if (needsLookup(admitted)) {
         lookUpVersion(admitted);
     }
-    advance(admitted);
+    // The lookup may have rejected the request.
+    if (Request *present = find(call)) {
+        advance(*present);
+    }
 }
 
 std::string ServingReducer::rejectionReason(const Request &request, ErrorKind kind) const
@@ -271,7 +281,7 @@
     request.pool = selectPool(*route, request.streamAttempt());
     resolveVersion(request);
     request.prompt = engines::chainOf(request.callerRequest->model, request.callerRequest->prompt);
-    const bool isUnknown = needsLookup(request) && m_peers.relays(m_now).empty();
+    const bool isUnknown = needsLookup(request) && !canLookUp(request);
     if (isUnknown || allowedEndpoints(request).empty()) {
         return ErrorKind::Unavailable;
     }
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -22,6 +22,7 @@
 #include "bergamottide/stages/fetchpaths.h"
 #include "bergamottide/stages/stageforecast.h"
 #include "bergamottide/stages/stagescheduler.h"
+#include "bergamottide/streams/promptsearch.h"
 #include "bergamottide/streams/streamversions.h"
 
 #include <cstdint>
@@ -115,9 +116,6 @@
      */
     [[nodiscard]] Heartbeat heartbeat(const std::string &to, TimePoint now);
 
-    /*! @brief Returns the software version that began a stream; nothing if this process does not know it. */
-    [[nodiscard]] std::optional<SoftwareVersion> streamVersion(StreamKey stream) const;
-
     /*! @brief Returns the requests that are rejected because endpoints crash when they run them. */
     [[nodiscard]] std::vector<QuarantinedRequest> quarantinedRequests(TimePoint now) const;
 
@@ -144,6 +142,8 @@
     void on(const DelegatedTaskEnded &event);
     void on(const HeartbeatReceived &event);
     void on(const PeerReleasedResults &event);
+    void on(const StreamQueryArrived &event);
+    void on(const CachedPromptsListed &event);
     void on(const StreamLookupEnded &event);
     void on(const SettingsChanged &event);
     void on(const DrainRequested &event);
@@ -210,7 +210,13 @@
     // Resumed streams.
     void resolveVersion(Request &request);
     [[nodiscard]] bool needsLookup(const Request &request) const;
+    [[nodiscard]] StreamQuery queryOf(const Request &request) const;
+    [[nodiscard]] bool canLookUp(const Request &request) const;
+    [[nodiscard]] bool searchesPrompts(const StreamQuery &query) const;
     void lookUpVersion(Request &request);
+    void startDeferredLookups();
+    void deliverSearchAnswers();
+    void endLookup(CallId call, const std::optional<SoftwareVersion> &version);
     void recordVersion(const Request &request, const SoftwareVersion &version);
 
     // Runs.
@@ -287,6 +293,9 @@
     GossipClock m_gossipClock;
     EndpointNotices m_notices;
     StreamVersions m_streamVersions;
+    PromptSearch m_promptSearch;
+    /*! @brief Resumptions of unknown streams that arrived before the fleet was known. */
+    std::set<CallId> m_deferredLookups;
     /*! @brief Fair shares in the pools whose endpoints are all bounded. */
     std::map<PoolName, FairAdmission> m_fairAdmissions;
     Quarantine m_quarantine;
--- a/src/bergamottide/serving/servingstreams.cpp
+++ b/src/bergamottide/serving/servingstreams.cpp
@@ -13,6 +13,12 @@
     return StreamVersions::keyOf(request.workspace.name, request.streamAttempt());
 }
 
+/*! @brief Returns the longest time since the stream that the request resumes can have begun. */
+Duration lifetimeOf(const Request &request)
+{
+    return std::max(request.route->timeout, request.callerRequest->deadline.value_or(Duration::zero()));
+}
+
 } // namespace
 
 /*! @brief Sets the software version of a stream that its caller resumes, as far as this process knows it. */
@@ -22,44 +28,130 @@
         return;
     }
     request.streamVersion = m_streamVersions.find(keyOf(request));
-    // A process that has just started does not know which versions there were; its relays may know the stream.
-    if (!request.streamVersion && (m_streamVersions.remembersFormerVersions(m_now) || m_peers.relays(m_now).empty())) {
-        request.streamVersion = m_streamVersions.onlyVersion(request.pool, m_now);
+    if (!request.streamVersion) {
+        request.streamVersion = m_streamVersions.onlyVersion(request.pool, lifetimeOf(request), m_now);
     }
 }
 
-/*! @brief Returns whether only peers may know the software version of the request's stream. */
+/*! @brief Returns whether this process does not know the software version of the request's stream. */
 bool ServingReducer::needsLookup(const Request &request) const
 {
     return request.route->kind == RouteKind::Streaming && request.callerRequest->resumesStream()
         && !request.streamVersion;
 }
 
-/*! @brief Asks the relays, which know the streams of all processes between them, while the stages of the request run.
+StreamQuery ServingReducer::queryOf(const Request &request) const
+{
+    const auto &prompt = request.callerRequest->prompt;
+    // A peer whose list of endpoints is older must not take the version that it has seen for the only one.
+    const Duration lifetime = m_streamVersions.hasSingleVersion(request.pool) ? lifetimeOf(request) : Duration::zero();
+    return {keyOf(request), request.pool, prompt.empty() ? engines::PromptPart{} : prompt.back(), lifetime};
+}
+
+/*! @brief Returns whether anything could know the software version of the request's stream. */
+bool ServingReducer::canLookUp(const Request &request) const
+{
+    return !m_peers.isDiscoveryFinished(m_now) || !m_peers.relays(m_now).empty() || searchesPrompts(queryOf(request));
+}
+
+/*
+ * Returns whether this process lists the caches of the pool's engines for a query. One process does it for all, so that
+ * the load of the engines does not grow with the fleet.
+ */
+bool ServingReducer::searchesPrompts(const StreamQuery &query) const
+{
+    return m_promptSearch.canAsk(query.pool, query.lastPart) && !m_peers.queueOwner(query.pool, m_now);
+}
+
+/*!
+ * @brief Asks the relays, which know the streams of all processes between them, and the engines, while the stages of
+ * the request run.
  */
 void ServingReducer::lookUpVersion(Request &request)
 {
+    const CallId call = request.callerRequest->call;
+    request.pendingLookups = 1;
+    if (!m_peers.isDiscoveryFinished(m_now)) {
+        m_deferredLookups.insert(call);
+        return;
+    }
+    const StreamQuery query = queryOf(request);
     for (const PeerInfo &relay : m_peers.relays(m_now)) {
         ++request.pendingLookups;
-        m_effects.emplace_back(LookUpStream{request.callerRequest->call, keyOf(request), relay.address});
+        m_effects.emplace_back(LookUpStream{call, query, relay.address});
+    }
+    if (searchesPrompts(query)) {
+        ++request.pendingLookups;
+        m_promptSearch.ask(call, query.pool, query.lastPart, m_now, m_effects);
+    }
+    endLookup(call, std::nullopt);
+    deliverSearchAnswers();
+}
+
+void ServingReducer::startDeferredLookups()
+{
+    if (m_deferredLookups.empty() || !m_peers.isDiscoveryFinished(m_now)) {
+        return;
+    }
+    for (const CallId call : std::exchange(m_deferredLookups, {})) {
+        Request *request = find(call);
+        if (request == nullptr || request->streamVersion) {
+            continue;
+        }
+        lookUpVersion(*request);
+    }
+}
+
+void ServingReducer::on(const StreamQueryArrived &event)
+{
+    const StreamQuery &query = event.query;
+    auto version = m_streamVersions.find(query.stream);
+    if (!version && query.lifetime > Duration::zero()) {
+        version = m_streamVersions.onlyVersion(query.pool, query.lifetime, m_now);
+    }
+    if (version || !searchesPrompts(query)) {
+        m_effects.emplace_back(AnswerStreamQuery{event.number, version});
+        return;
+    }
+    m_promptSearch.ask(event.number, query.pool, query.lastPart, m_now, m_effects);
+    deliverSearchAnswers();
+}
+
+void ServingReducer::on(const CachedPromptsListed &event)
+{
+    m_promptSearch.handleList(event, m_now);
+    deliverSearchAnswers();
+}
+
+void ServingReducer::deliverSearchAnswers()
+{
+    for (const PromptSearch::Answer &answer : m_promptSearch.takeAnswers()) {
+        if (const auto *call = std::get_if<CallId>(&answer.asker)) {
+            endLookup(*call, answer.version);
+            continue;
+        }
+        m_effects.emplace_back(AnswerStreamQuery{std::get<StreamQueryNumber>(answer.asker), answer.version});
     }
 }
 
 void ServingReducer::on(const StreamLookupEnded &event)
 {
-    Request *request = find(event.call);
+    endLookup(event.call, event.version);
+}
+
+/*! @brief Takes the answer of one peer or search; the first that knows decides, and the last that does not rejects. */
+void ServingReducer::endLookup(CallId call, const std::optional<SoftwareVersion> &version)
+{
+    Request *request = find(call);
     if (request == nullptr || request->streamVersion || request->pendingLookups == 0) {
         return;
     }
     --request->pendingLookups;
-    request->streamVersion = event.version;
+    request->streamVersion = version;
     if (!request->streamVersion && request->pendingLookups > 0) {
         return;
     }
     request->pendingLookups = 0;
-    if (!request->streamVersion) {
-        request->streamVersion = m_streamVersions.onlyVersion(request->pool, m_now);
-    }
     if (!request->streamVersion) {
         reject(*request, ErrorKind::Unavailable, "software version of the resumed stream is unknown");
         return;
@@ -88,9 +180,4 @@
     }
 }
 
-std::optional<SoftwareVersion> ServingReducer::streamVersion(StreamKey stream) const
-{
-    return m_streamVersions.find(stream);
-}
-
 } // namespace bergamottide::serving
--- a/src/bergamottide/streams/streamversions.cpp
+++ b/src/bergamottide/streams/streamversions.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/*! @brief Time for which a version without endpoints still counts for its pool; callers rarely wait longer. */
-constexpr Duration formerVersionMemory = std::chrono::seconds{60};
 /*! @brief Longest time for which a stream is known; callers name their deadlines themselves. */
 constexpr Duration maxStreamLifetime = std::chrono::minutes{10};
 /*! @brief Maximum number of own streams, and of those of peers; further ones stay unknown. */
@@ -34,7 +32,7 @@
     m_knownSince = m_knownSince.value_or(now);
     for (auto &[pool, versions] : m_pools) {
         std::erase_if(versions,
-                      [now](const auto &entry) { return entry.second && now - *entry.second >= formerVersionMemory; });
+                      [now](const auto &entry) { return entry.second && now - *entry.second >= maxStreamLifetime; });
         for (auto &[version, goneAt] : versions) {
             goneAt = goneAt.value_or(now);
         }
@@ -70,15 +68,16 @@
     return reported == m_reported.end() ? std::nullopt : std::optional{reported->second.version};
 }
 
-std::optional<SoftwareVersion> StreamVersions::onlyVersion(const PoolName &pool, TimePoint now) const
+std::optional<SoftwareVersion> StreamVersions::onlyVersion(const PoolName &pool, Duration lifetime, TimePoint now) const
 {
+    lifetime = std::min(lifetime, maxStreamLifetime);
     const auto versions = m_pools.find(pool);
-    if (versions == m_pools.end()) {
+    if (versions == m_pools.end() || !m_knownSince || now - *m_knownSince < lifetime) {
         return std::nullopt;
     }
     const SoftwareVersion *only = nullptr;
     for (const auto &[version, goneAt] : versions->second) {
-        if (goneAt && now - *goneAt >= formerVersionMemory) {
+        if (goneAt && now - *goneAt >= lifetime) {
             continue;
         }
         if (only != nullptr) {
@@ -89,9 +88,10 @@
     return only == nullptr ? std::nullopt : std::optional{*only};
 }
 
-bool StreamVersions::remembersFormerVersions(TimePoint now) const
+bool StreamVersions::hasSingleVersion(const PoolName &pool) const
 {
-    return m_knownSince && now - *m_knownSince >= formerVersionMemory;
+    const auto versions = m_pools.find(pool);
+    return versions != m_pools.end() && versions->second.size() == 1;
 }
 
 void StreamVersions::merge(const std::vector<StreamReport> &reports, TimePoint now)
--- a/src/bergamottide/streams/streamversions.h
+++ b/src/bergamottide/streams/streamversions.h
@@ -20,7 +20,7 @@
  * What endpoints of two versions write does not fit together, and endpoints do not check it: a stream that breaks off
  * may continue only at the version that began it. Its caller may resume it at any process, so each process tells the
  * relays which version it has chosen, already when it sends a request. Where nothing is known of a stream, the only
- * version of its pool is taken, if there was no other one for a while.
+ * version of its pool is taken if this process has known the endpoints since before the stream began.
  */
 class StreamVersions
 {
@@ -54,11 +54,18 @@
     /*! @brief Returns the version of a stream; nothing if it is unknown. */
     [[nodiscard]] std::optional<SoftwareVersion> find(StreamKey stream) const;
 
-    /*! @brief Returns the version of a pool's endpoints; nothing if there are several, or were a short time ago. */
-    [[nodiscard]] std::optional<SoftwareVersion> onlyVersion(const PoolName &pool, TimePoint now) const;
+    /**
+     * @brief Returns the only version that a pool's endpoints have had for some time.
+     * @param pool Pool.
+     * @param lifetime Length of that time; at most ten minutes count.
+     * @param now Current time.
+     * @return Version; nothing if there were several, or the endpoints have not been known for so long.
+     */
+    [[nodiscard]] std::optional<SoftwareVersion> onlyVersion(const PoolName &pool, Duration lifetime,
+                                                             TimePoint now) const;
 
-    /*! @brief Returns whether the endpoints have been known for as long as a former version counts. */
-    [[nodiscard]] bool remembersFormerVersions(TimePoint now) const;
+    /*! @brief Returns whether a pool has had a single version for as long as this process knows the endpoints. */
+    [[nodiscard]] bool hasSingleVersion(const PoolName &pool) const;
 
     /*! @brief Adds the streams of a peer. */
     void merge(const std::vector<StreamReport> &reports, TimePoint now);
--- a/test/bergamottide/app/peerport.cpp
+++ b/test/bergamottide/app/peerport.cpp
@@ -21,6 +21,10 @@
     {
         CPPUNIT_ASSERT(m_asked.listen().ok());
         CPPUNIT_ASSERT(lookUp(known, m_asked.address()) == std::optional{SoftwareVersion{"v1"}});
+        CPPUNIT_ASSERT(m_arrived.pool == query.pool);
+        CPPUNIT_ASSERT_EQUAL(query.lastPart.id, m_arrived.lastPart.id);
+        CPPUNIT_ASSERT_EQUAL(query.lastPart.tokens, m_arrived.lastPart.tokens);
+        CPPUNIT_ASSERT(m_arrived.lifetime == query.lifetime);
         CPPUNIT_ASSERT(lookUp(StreamKey{7}, m_asked.address()) == std::nullopt);
     }
 
@@ -40,7 +44,9 @@
     [[nodiscard]] std::optional<SoftwareVersion> lookUp(StreamKey stream, const std::string &address)
     {
         m_ended.clear();
-        m_asking.carryOut(LookUpStream{call, stream, address});
+        StreamQuery asked = query;
+        asked.stream = stream;
+        m_asking.carryOut(LookUpStream{call, asked, address});
         while (m_ended.empty()) {
             m_loop.runOnce(std::chrono::milliseconds{10});
         }
@@ -56,20 +62,25 @@
             if (const auto *ended = std::get_if<StreamLookupEnded>(&event)) {
                 m_ended.push_back(*ended);
             }
+            if (const auto *arrived = std::get_if<StreamQueryArrived>(&event)) {
+                m_arrived = arrived->query;
+                const bool isKnown = arrived->query.stream == known;
+                m_server->carryOut(
+                    AnswerStreamQuery{arrived->number, isKnown ? std::optional{SoftwareVersion{"v1"}} : std::nullopt});
+            }
         };
         hooks.heartbeat = [](const std::string &) {
             return Heartbeat{};
         };
-        hooks.streamVersion = [](StreamKey stream) {
-            return stream == known ? std::optional{SoftwareVersion{"v1"}} : std::nullopt;
-        };
         hooks.log = [](const LogLine &) {
         };
         return hooks;
     }
 
+    const StreamQuery query{known, PoolName{"engines"}, {"5c1e", 800}, std::chrono::seconds{6}};
     SystemClock m_clock;
     Loop m_loop{m_clock};
+    StreamQuery m_arrived;
     std::vector<StreamLookupEnded> m_ended;
     std::optional<PeerPort> m_server{std::in_place, m_loop, "127.0.0.1:0", hooks()};
     PeerPort &m_asked{*m_server};
--- a/test/bergamottide/serving/streamversions.cpp
+++ b/test/bergamottide/serving/streamversions.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,9 +23,19 @@
     CPPUNIT_TEST(resumedStreamIsRejectedWithoutAnEndpointOfItsVersion);
     CPPUNIT_TEST(unknownStreamIsRejectedWhileVersionsAreMixed);
     CPPUNIT_TEST(unknownStreamContinuesAtTheOnlyVersion);
-    CPPUNIT_TEST(processThatHasJustStartedAsksBeforeItGuesses);
-    CPPUNIT_TEST(unknownStreamIsRejectedWhileAFormerVersionIsRemembered);
+    CPPUNIT_TEST(unknownStreamIsRejectedByAProcessThatHasJustStarted);
+    CPPUNIT_TEST(processThatHasJustStartedContinuesAtTheVersionThatAPeerNames);
+    CPPUNIT_TEST(processAnswersPeersOnlyForAPoolThatItHasKnownLongEnough);
+    CPPUNIT_TEST(peersAreNotAskedForTheOnlyVersionOfAMixedPool);
+    CPPUNIT_TEST(resumptionWaitsForTheDiscoveryOfPeers);
+    CPPUNIT_TEST(unknownStreamContinuesAtTheVersionThatHasItsPromptCached);
+    CPPUNIT_TEST(promptCachedAtTwoVersionsProvesNothing);
+    CPPUNIT_TEST(promptThatIsCachedInPartProvesNothing);
+    CPPUNIT_TEST(promptProvesNothingWhileAnEngineOfAnotherVersionIsSilent);
+    CPPUNIT_TEST(searchEndsAlthoughNoEngineResponds);
+    CPPUNIT_TEST(enginesAreListedOnceForManyStreams);
     CPPUNIT_TEST(changedVersionIsToldToPeersAtOnce);
+    CPPUNIT_TEST(unknownStreamIsRejectedWhileAFormerVersionIsRemembered);
     CPPUNIT_TEST(streamsOfOtherWorkspacesAreUnknown);
     CPPUNIT_TEST(streamsAreForgottenWhateverTheDeadline);
     CPPUNIT_TEST(numberOfStreamsIsBounded);
@@ -109,12 +120,20 @@
     void unknownStreamContinuesAtTheOnlyVersion()
     {
         ServingFixture fixture{without("v2")};
+        fixture.advanceClock(std::chrono::seconds{20});
         fixture.apply(resumption(fixture, 2, 1));
         CPPUNIT_ASSERT(fixture.effect<StartRun>() != nullptr);
     }
 
-    /*! @brief The process has just started; a relay knows that a former version began the stream. */
-    void processThatHasJustStartedAsksBeforeItGuesses()
+    /*! @brief Guards against a stream of two versions: the former one may have left before the process started. */
+    void unknownStreamIsRejectedByAProcessThatHasJustStarted()
+    {
+        ServingFixture fixture{without("v1")};
+        checkRejected(fixture, resumption(fixture, 2, 1));
+    }
+
+    /*! @brief A relay may know that a former version began the stream; without an answer nothing is known. */
+    void processThatHasJustStartedContinuesAtTheVersionThatAPeerNames()
     {
         for (const std::string known : {"v1", "v2", ""}) {
             ServingFixture fixture{without("v1")};
@@ -124,20 +143,107 @@
             CPPUNIT_ASSERT(fixture.effect<LookUpStream>() != nullptr);
             const auto answer = known.empty() ? std::nullopt : std::optional{SoftwareVersion{known}};
             fixture.apply(StreamLookupEnded{CallId{2}, answer});
-            // Without an answer no process knows another version.
-            CPPUNIT_ASSERT_EQUAL(known != "v1", fixture.effect<StartRun>() != nullptr);
-            CPPUNIT_ASSERT_EQUAL(known == "v1", fixture.effect<SendErrorResponse>() != nullptr);
+            CPPUNIT_ASSERT_EQUAL(known == "v2", fixture.effect<StartRun>() != nullptr);
+            CPPUNIT_ASSERT_EQUAL(known != "v2", fixture.effect<SendErrorResponse>() != nullptr);
         }
     }
 
-    void unknownStreamIsRejectedWhileAFormerVersionIsRemembered()
+    void processAnswersPeersOnlyForAPoolThatItHasKnownLongEnough()
+    {
+        const StreamQuery query{StreamKey{7}, PoolName{"engines"}, {}, std::chrono::seconds{6}};
+        ServingFixture fixture{without("v1")};
+        fixture.apply(StreamQueryArrived{StreamQueryNumber{1}, query});
+        CPPUNIT_ASSERT(fixture.effect<AnswerStreamQuery>() != nullptr);
+        CPPUNIT_ASSERT(!fixture.effect<AnswerStreamQuery>()->version);
+        fixture.advanceClock(std::chrono::seconds{7});
+        fixture.apply(StreamQueryArrived{StreamQueryNumber{2}, query});
+        CPPUNIT_ASSERT(fixture.effect<AnswerStreamQuery>()->version == std::optional{SoftwareVersion{"v2"}});
+    }
+
+    /*! @brief Guards against a peer with an old list of endpoints that takes the version in it for the only one. */
+    void peersAreNotAskedForTheOnlyVersionOfAMixedPool()
+    {
+        for (const bool isMixed : {false, true}) {
+            ServingFixture fixture{isMixed ? mixedEndpoints() : without("v1")};
+            hearRelay(fixture);
+            fixture.apply(resumption(fixture, 2, 1));
+            const auto *lookup = fixture.effect<LookUpStream>();
+            CPPUNIT_ASSERT(lookup != nullptr);
+            CPPUNIT_ASSERT_EQUAL(isMixed, lookup->query.lifetime == Duration::zero());
+        }
+    }
+
+    /*! @brief Guards against rejecting a stream that a peer knows which has not been heard yet. */
+    void resumptionWaitsForTheDiscoveryOfPeers()
+    {
+        ServingFixture fixture{without("v1"), {"10.0.0.8:1"}};
+        fixture.apply(Tick{});
+        fixture.apply(resumption(fixture, 2, 1));
+        CPPUNIT_ASSERT(fixture.effect<SendErrorResponse>() == nullptr);
+        hearRelay(fixture);
+        fixture.advanceClock(std::chrono::milliseconds{800});
+        CPPUNIT_ASSERT(fixture.effect<LookUpStream>() != nullptr);
+    }
+
+    void unknownStreamContinuesAtTheVersionThatHasItsPromptCached()
     {
         ServingFixture fixture{mixedEndpoints()};
-        fixture.apply(EndpointsChanged{without("v1")});
-        checkRejected(fixture, resumption(fixture, 2, 1));
-        fixture.advanceClock(std::chrono::minutes{2});
-        fixture.apply(resumption(fixture, 3, 1));
-        CPPUNIT_ASSERT(fixture.effect<StartRun>() != nullptr);
+        fixture.apply(resumptionWithPrompt(fixture, 2));
+        CPPUNIT_ASSERT(fixture.effect<StartRun>() == nullptr);
+        listCaches(fixture, {{"engine-4", 250}});
+        const auto *start = fixture.effect<StartRun>();
+        CPPUNIT_ASSERT(start != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::string{"v2"}, versionOf(start->instance));
+    }
+
+    void promptCachedAtTwoVersionsProvesNothing()
+    {
+        ServingFixture fixture{mixedEndpoints()};
+        fixture.apply(resumptionWithPrompt(fixture, 2));
+        listCaches(fixture, {{"engine-4", 250}, {"engine-1", 250}});
+        checkRejected(fixture);
+    }
+
+    /*! @brief Guards against an earlier and shorter prompt of the same session. */
+    void promptThatIsCachedInPartProvesNothing()
+    {
+        ServingFixture fixture{mixedEndpoints()};
+        fixture.apply(resumptionWithPrompt(fixture, 2));
+        listCaches(fixture, {{"engine-4", 200}});
+        checkRejected(fixture);
+    }
+
+    void promptProvesNothingWhileAnEngineOfAnotherVersionIsSilent()
+    {
+        for (const std::string silent : {"engine-1", "engine-2"}) {
+            ServingFixture fixture{mixedEndpoints()};
+            fixture.apply(resumptionWithPrompt(fixture, 2));
+            listCaches(fixture, {{"engine-4", 250}}, silent);
+            CPPUNIT_ASSERT_EQUAL(silent == "engine-2", fixture.effect<StartRun>() != nullptr);
+            CPPUNIT_ASSERT_EQUAL(silent == "engine-1", fixture.effect<SendErrorResponse>() != nullptr);
+        }
+    }
+
+    /*! @brief Guards against a wait for knowledge without a bound. */
+    void searchEndsAlthoughNoEngineResponds()
+    {
+        ServingFixture fixture{mixedEndpoints()};
+        fixture.apply(resumptionWithPrompt(fixture, 2));
+        fixture.advanceClock(std::chrono::milliseconds{500});
+        checkRejected(fixture);
+    }
+
+    /*! @brief Guards against calls to the engines for each of many streams that are resumed at once. */
+    void enginesAreListedOnceForManyStreams()
+    {
+        ServingFixture fixture{mixedEndpoints()};
+        std::size_t lists = 0;
+        for (std::uint64_t call = 2; call < 12; ++call) {
+            fixture.apply(resumptionWithPrompt(fixture, call));
+            lists += count<ListCachedPrompts>(fixture.effects());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, lists);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{10}, listCaches(fixture, {{"engine-4", 250}}));
     }
 
     /*! @brief Guards against relays that name the version of an attempt that failed before its first event. */
@@ -154,6 +260,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<SendHeartbeat>(effects));
     }
 
+    void unknownStreamIsRejectedWhileAFormerVersionIsRemembered()
+    {
+        ServingFixture fixture{mixedEndpoints()};
+        fixture.apply(EndpointsChanged{without("v1")});
+        checkRejected(fixture, resumption(fixture, 2, 1));
+        fixture.advanceClock(std::chrono::minutes{2});
+        fixture.apply(resumption(fixture, 3, 1));
+        CPPUNIT_ASSERT(fixture.effect<StartRun>() != nullptr);
+    }
+
     void streamsOfOtherWorkspacesAreUnknown()
     {
         const StreamKey north = StreamVersions::keyOf(WorkspaceName{"north"}, "attempt");
@@ -249,6 +365,14 @@
         return arrival;
     }
 
+    /*! @brief Returns a resumption with a prompt whose last part has 250 tokens. */
+    [[nodiscard]] static RequestArrived resumptionWithPrompt(const ServingFixture &fixture, std::uint64_t call)
+    {
+        RequestArrived arrival = resumption(fixture, call, 1);
+        arrival.request.prompt = {{"shared", 800}, {"own", 250}};
+        return arrival;
+    }
+
     template <typename Wanted>
     [[nodiscard]] static std::size_t count(const Effects &effects)
     {
@@ -256,6 +380,29 @@
             effects, [](const Effect &effect) { return std::holds_alternative<Wanted>(effect); }));
     }
 
+    /*!
+     * @brief Lets all engines list their caches, some of them with the last part; the silent one does not respond.
+     * @return Number of runs that are started.
+     */
+    static std::size_t listCaches(ServingFixture &fixture, const std::map<std::string, std::uint64_t> &tokens,
+                                  const std::string &silent = {})
+    {
+        std::size_t started = 0;
+        for (int engine = 1; engine <= 6; ++engine) {
+            const std::string name = "engine-" + std::to_string(engine);
+            CachedPromptsListed list{InstanceName{name}, std::nullopt};
+            if (name != silent) {
+                list.parts = std::vector<engines::PromptPart>{{"shared", 800}};
+            }
+            if (const auto found = tokens.find(name); found != tokens.end()) {
+                list.parts->push_back({"own", found->second});
+            }
+            fixture.apply(list);
+            started += count<StartRun>(fixture.effects());
+        }
+        return started;
+    }
+
     static void hearRelay(ServingFixture &fixture)
     {
         Heartbeat relay;
@@ -267,6 +414,11 @@
     static void checkRejected(ServingFixture &fixture, const RequestArrived &arrival)
     {
         fixture.apply(arrival);
+        checkRejected(fixture);
+    }
+
+    static void checkRejected(ServingFixture &fixture)
+    {
         const auto *error = fixture.effect<SendErrorResponse>();
         CPPUNIT_ASSERT(error != nullptr);
         CPPUNIT_ASSERT(error->kind == ErrorKind::Unavailable);
--- a/test/support/servingfleet.cpp
+++ b/test/support/servingfleet.cpp
@@ -13,6 +13,7 @@
 constexpr Duration step = std::chrono::milliseconds{10};
 constexpr Duration connectTimeout = std::chrono::milliseconds{400};
 constexpr Duration networkDelay = std::chrono::milliseconds{1};
+constexpr Duration lookupTimeout = std::chrono::milliseconds{600};
 constexpr Duration shortestQueueTime = std::chrono::milliseconds{20};
 constexpr Duration longestQueueTime = std::chrono::milliseconds{150};
 constexpr Duration shortestRun = std::chrono::milliseconds{300};
@@ -152,6 +153,21 @@
     schedule(downTime, [this, process] { start(process); });
 }
 
+void ServingFleet::loseAllProcesses(Duration downTime)
+{
+    for (std::size_t process = 0; process < m_processes.size(); ++process) {
+        m_processes[process].reducer.reset();
+        m_processes[process].events.clear();
+        m_processes[process].connections.clear();
+        schedule(downTime, [this, process] { start(process); });
+    }
+    schedule(silenceLimit, [this, calls = m_calls] {
+        for (const auto &[call, sent] : calls) {
+            recordEnd(call, &CallerResults::failed);
+        }
+    });
+}
+
 void ServingFleet::cutInbound(std::size_t process)
 {
     m_processes[process].isCutInbound = true;
@@ -293,6 +309,9 @@
     broken.isResumed = true;
     broken.eventsBeforeResumption = broken.events;
     schedule(between(shortestReturn, longestReturn), [this, stream] {
+        if (std::ranges::none_of(m_processes, [](const Process &process) { return process.reducer != nullptr; })) {
+            return;
+        }
         std::size_t process = 0;
         do {
             process = m_random.below(static_cast<std::uint32_t>(m_processes.size()));
@@ -382,6 +401,10 @@
         checkEndpoint(process, *check);
     } else if (const auto *lookup = std::get_if<LookUpStream>(&effect)) {
         lookUpStream(process, *lookup);
+    } else if (const auto *answer = std::get_if<AnswerStreamQuery>(&effect)) {
+        answerStreamQuery(*answer);
+    } else if (const auto *list = std::get_if<ListCachedPrompts>(&effect)) {
+        listCachedPrompts(process, *list);
     } else if (const auto *heartbeat = std::get_if<SendHeartbeat>(&effect)) {
         exchangeHeartbeats(process, heartbeat->address);
     } else if (const auto *error = std::get_if<SendErrorResponse>(&effect)) {
@@ -438,8 +461,14 @@
     const std::uint64_t number = m_nextNumber++;
     const std::uint64_t nextEvent = start.lastEventId.empty() ? 0 : std::stoull(start.lastEventId) + 1;
     const bool crashesEngine = hasCrashingPart || start.request->target.starts_with(crashingPath);
-    engine->runs[number] = {process,   incarnation,  start.run, start.request->attempt, start.request->target,
-                            nextEvent, crashesEngine};
+    engine->runs[number] = {process,
+                            incarnation,
+                            start.run,
+                            start.request->attempt,
+                            start.request->target,
+                            nextEvent,
+                            crashesEngine,
+                            start.request->prompt.empty() ? std::string{} : start.request->prompt.back().id};
     schedule(between(shortestQueueTime, longestQueueTime),
              [this, index = m_engineByAddress[start.address], instance = start.instance, number] {
                  beginRun(index, instance, number);
@@ -462,6 +491,12 @@
     m_engines[engine].pause = pause;
 }
 
+void ServingFleet::setListedAsDraining(std::size_t engine, bool isDraining)
+{
+    m_engines[engine].isListedAsDraining = isDraining;
+    publishEndpoints();
+}
+
 void ServingFleet::setDraining(std::size_t engine, bool isDraining)
 {
     m_engines[engine].isDraining = isDraining;
@@ -495,6 +530,9 @@
         return;
     }
     const Run run = found->second;
+    if (!run.lastPart.empty()) {
+        m_engines[engine].cachedParts.insert(run.lastPart);
+    }
     applyTo(run.process, run.incarnation, EndpointResponded{instance, notice(m_engines[engine], run.incarnation)});
     applyTo(run.process, run.incarnation, RunHeadReceived{run.run, successHead()});
     sendEvent(engine, number);
@@ -563,6 +601,8 @@
         m_engines[engine].isRunning = true;
         m_engines[engine].softwareVersion = m_engines[engine].nextVersion;
         m_engines[engine].limit.reset();
+        m_engines[engine].isListedAsDraining = false;
+        m_engines[engine].cachedParts.clear();
         m_engines[engine].toldAt.clear();
         m_listed.insert(m_engines[engine].instance);
         publishEndpoints();
@@ -586,7 +626,8 @@
     for (const InstanceName &instance : m_listed) {
         const auto engine = std::ranges::find(m_engines, instance, &Engine::instance);
         if (engine != m_engines.end()) {
-            list->push_back({instance, PoolName{"engines"}, engine->address, ZoneName{"zone-0"}, 64, false});
+            list->push_back(
+                {instance, PoolName{"engines"}, engine->address, ZoneName{"zone-0"}, 64, engine->isListedAsDraining});
             list->back().isEvacuated = engine->isEvacuated;
             list->back().softwareVersion = engine->softwareVersion;
         }
@@ -598,13 +639,44 @@
 
 void ServingFleet::lookUpStream(std::size_t process, const LookUpStream &lookup)
 {
-    const ServingReducer *peer = m_processes[m_processByAddress.at(lookup.address)].reducer.get();
-    const Duration delay = peer == nullptr ? connectTimeout : networkDelay;
-    schedule(delay,
-             [this, process, incarnation = m_processes[process].incarnation, lookup,
-              version = peer == nullptr ? std::nullopt : peer->streamVersion(lookup.stream)] {
-                 applyTo(process, incarnation, StreamLookupEnded{lookup.call, version});
-             });
+    const StreamQueryNumber number{m_nextNumber++};
+    m_streamQueries[number] = {process, lookup.call};
+    const std::size_t peer = m_processByAddress.at(lookup.address);
+    if (!m_processes[peer].reducer) {
+        schedule(connectTimeout, [this, number] { answerStreamQuery({number, std::nullopt}); });
+        return;
+    }
+    schedule(networkDelay, [this, peer, number, query = lookup.query] {
+        apply(peer, StreamQueryArrived{number, query});
+    });
+    schedule(lookupTimeout, [this, number] { answerStreamQuery({number, std::nullopt}); });
+}
+
+void ServingFleet::answerStreamQuery(const AnswerStreamQuery &answer)
+{
+    const auto node = m_streamQueries.extract(answer.number);
+    if (node.empty()) {
+        return;
+    }
+    const auto [process, call] = node.mapped();
+    schedule(networkDelay,
+             [this, process = process, incarnation = m_processes[process].incarnation,
+              ended = StreamLookupEnded{call, answer.version}] { applyTo(process, incarnation, ended); });
+}
+
+void ServingFleet::listCachedPrompts(std::size_t process, const ListCachedPrompts &list)
+{
+    const Engine *engine = findEngine(list.address);
+    CachedPromptsListed event{list.instance, std::nullopt};
+    if (engine->isRunning && engine->instance == list.instance) {
+        event.parts.emplace();
+        for (const std::string &part : engine->cachedParts) {
+            event.parts->push_back({part, tokensOfPart});
+        }
+    }
+    schedule(networkDelay, [this, process, incarnation = m_processes[process].incarnation, event] {
+        applyTo(process, incarnation, event);
+    });
 }
 
 void ServingFleet::exchangeHeartbeats(std::size_t process, const std::string &address)
--- a/test/support/servingfleet.h
+++ b/test/support/servingfleet.h
@@ -98,6 +98,8 @@
 public:
     /*! @brief Path prefix of requests that crash the engine that runs them. */
     static constexpr std::string_view crashingPath = "/summary/crash";
+    /*! @brief Gap in a stream after which its caller gives up the attempt. */
+    static constexpr Duration silenceLimit = std::chrono::seconds{4};
     /*! @brief Part of a prompt that crashes the engine that runs a request with it. */
     static constexpr std::string_view crashingPart = "crash";
 
@@ -130,6 +132,13 @@
     /*! @brief Kills a process and starts it again after some time, without what it knew. */
     void restart(std::size_t process, Duration downTime);
 
+    /**
+     * @brief Cuts the power of all processes at once and starts them again after some time.
+     *
+     * Engines go on with their runs, and callers notice the silence of their streams only after `silenceLimit`.
+     */
+    void loseAllProcesses(Duration downTime);
+
     /*! @brief Starts one more process; returns its position. */
     std::size_t addProcess();
 
@@ -139,6 +148,9 @@
     /*! @brief Sets the pause that an engine asks for while it rejects all requests; nothing to accept them. */
     void setPause(std::size_t engine, std::optional<Duration> pause);
 
+    /*! @brief Sets whether an engine is draining according to the list. */
+    void setListedAsDraining(std::size_t engine, bool isDraining);
+
     /*! @brief Sets whether an engine announces its drain in its responses; the list does not tell. */
     void setDraining(std::size_t engine, bool isDraining);
 
@@ -207,6 +219,7 @@
         std::string target;
         std::uint64_t nextEvent{};
         bool crashesEngine{};
+        std::string lastPart;
     };
 
     struct Engine
@@ -218,12 +231,15 @@
         std::optional<double> limit;
         std::optional<Duration> pause;
         bool isDraining{};
+        bool isListedAsDraining{};
         SoftwareVersion softwareVersion;
         /*! @brief Version of the instance that replaces it. */
         SoftwareVersion nextVersion;
         /*! @brief When each process, by its incarnation, first got a response that names a limit. */
         std::map<std::uint64_t, TimePoint> toldAt;
         std::map<std::uint64_t, Run> runs;
+        /*! @brief Last parts of the prompts that it has run. */
+        std::set<std::string> cachedParts;
     };
 
     /*! @brief A stream as its caller sees it, over all attempts. */
@@ -270,6 +286,8 @@
     void completeRun(std::size_t engine, const InstanceName &instance, std::uint64_t number);
     void checkEndpoint(std::size_t process, const serving::CheckEndpoint &check);
     void lookUpStream(std::size_t process, const serving::LookUpStream &lookup);
+    void answerStreamQuery(const serving::AnswerStreamQuery &answer);
+    void listCachedPrompts(std::size_t process, const serving::ListCachedPrompts &list);
     void exchangeHeartbeats(std::size_t process, const std::string &address);
     void deliverHeartbeat(std::size_t from, std::size_t to);
     void recordEnd(CallId call, std::size_t CallerResults::*outcome);
@@ -288,6 +306,8 @@
     std::vector<Engine> m_engines;
     std::map<std::string, std::size_t> m_engineByAddress;
     std::set<InstanceName> m_listed;
+    /*! @brief Questions of processes about streams, with the process that asks and its request. */
+    std::map<serving::StreamQueryNumber, std::pair<std::size_t, CallId>> m_streamQueries;
     std::map<CallId, Call> m_calls;
     std::vector<Stream> m_streams;
     /*! @brief Software version of the engine at which the latest run of an attempt began. */
