--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -56,6 +56,9 @@
     CPPUNIT_TEST(decodesWarmupAndLoadOfEndpoints);
     CPPUNIT_TEST(decodesPaceOfEndpoints);
     CPPUNIT_TEST(decodesPausesOfEndpoints);
+    CPPUNIT_TEST(decodesCachedPrompts);
+    CPPUNIT_TEST(rejectsMalformedListsOfCachedPrompts);
+    CPPUNIT_TEST(leadingZerosOfPromptPartsDoNotCount);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -152,6 +155,43 @@
         CPPUNIT_ASSERT(platform::decodeCheck({421, {}, ""}) == serving::EndpointState::Stopped);
     }
 
+    void decodesCachedPrompts()
+    {
+        const HttpRequest request = platform::encodeListCachedPrompts(InstanceName{"i-1"});
+        CPPUNIT_ASSERT_EQUAL(std::string{"/bergamottide/kv-list"}, request.path);
+        CPPUNIT_ASSERT_EQUAL(std::string{"i-1"}, std::string{headerValue(request.headers, "expect-instance")});
+        const auto parts = platform::decodeCachedPrompts(
+            {200, {}, R"({"epoch":1,"nextToken":3,"held":[["","24a5286a1e1a",47,"m"],["","7a",0,"m"]]})"});
+        CPPUNIT_ASSERT(parts && parts->size() == 2);
+        CPPUNIT_ASSERT_EQUAL(std::string{"24a5286a1e1a"}, parts->front().id);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{47}, parts->front().tokens);
+        CPPUNIT_ASSERT(platform::decodeCachedPrompts({200, {}, R"({"held":[]})"}));
+    }
+
+    /*! @brief Guards against taking an engine that does not tell for one that has nothing cached. */
+    void rejectsMalformedListsOfCachedPrompts()
+    {
+        for (const std::string body :
+             {"", "{", "[]", R"({"held":1})", R"({"epoch":1})", R"({"held":[["","7a"]]})", R"({"held":[["",7,8,"m"]]})",
+              R"({"held":[["","7a",-1,"m"]]})", R"({"held":[["","7a","8","m"]]})", R"({"held":[7]})"}) {
+            CPPUNIT_ASSERT_MESSAGE(body, !platform::decodeCachedPrompts({200, {}, body}));
+        }
+        CPPUNIT_ASSERT(!platform::decodeCachedPrompts({421, {}, R"({"held":[]})"}));
+    }
+
+    void leadingZerosOfPromptPartsDoNotCount()
+    {
+        HttpRequest request = callerRequest();
+        std::erase_if(request.headers, [](const auto &header) { return header.first == "prompt-prefix"; });
+        request.headers.emplace_back("prompt-prefix", "007a:8,00:1");
+        const auto decoded = platform::decodeRequest(CallId{1}, request);
+        CPPUNIT_ASSERT(decoded.ok());
+        CPPUNIT_ASSERT_EQUAL(std::string{"7a"}, decoded->prompt.front().id);
+        CPPUNIT_ASSERT_EQUAL(std::string{"0"}, decoded->prompt.back().id);
+        const auto parts = platform::decodeCachedPrompts({200, {}, R"({"held":[["","07a",8,"m"]]})"});
+        CPPUNIT_ASSERT_EQUAL(decoded->prompt.front().id, parts->front().id);
+    }
+
     void decodesCallerRequest()
     {
         const auto read = platform::decodeRequest(CallId{1}, callerRequest());
--- a/test/processes/crowdedprocess.cpp
+++ b/test/processes/crowdedprocess.cpp
@@ -1,6 +1,6 @@
 #include "bergamottide/net/httpclient.h"
-#include "bergamottide/net/socketaddress.h"
 #include "platform/fakes.h"
+#include "processes/freeaddresses.h"
 #include "processes/limits.h"
 #include "processes/process.h"
 
@@ -15,7 +15,6 @@
 #include <map>
 #include <memory>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -34,23 +33,6 @@
 constexpr Duration callerPatience = std::chrono::seconds{4};
 constexpr Duration patience = std::chrono::seconds{60};
 
-/*! @brief Returns an address below the ports of outgoing connections, and none that has been returned before. */
-std::string freeAddress(std::mt19937 &random, std::set<std::string> &returned)
-{
-    std::uniform_int_distribution<int> ports{11'000, 29'000};
-    for (;;) {
-        const std::string address = absl::StrCat("127.0.0.1:", ports(random));
-        if (!returned.insert(address).second) {
-            continue;
-        }
-        const auto descriptor = listenOn(*parseSocketAddress(address));
-        if (descriptor.ok()) {
-            close(*descriptor);
-            return address;
-        }
-    }
-}
-
 /*! @brief Counts of the requests of one phase, by their first attempt that was not closed unread. */
 struct Phase
 {
@@ -151,7 +133,7 @@
     void startEntries(double linkMbps)
     {
         for (std::size_t index = 0; index < processCount; ++index) {
-            m_entries.push_back({freeAddress(), freeAddress(), freeAddress(), nullptr});
+            m_entries.push_back({m_addresses.next(), m_addresses.next(), m_addresses.next(), nullptr});
         }
         for (std::size_t index = 0; index < processCount; ++index) {
             m_entries[index].process = std::make_unique<Process>(
@@ -225,11 +207,6 @@
         return phase;
     }
 
-    std::string freeAddress()
-    {
-        return ::freeAddress(m_random, m_addresses);
-    }
-
     std::size_t anyProcess()
     {
         return std::uniform_int_distribution<std::size_t>{0, processCount - 1}(m_random);
@@ -287,7 +264,7 @@
     HttpClient m_client{m_loop, HttpClientOptions{}};
     std::mt19937 m_random{static_cast<std::uint32_t>(getpid())};
     std::filesystem::path m_folder;
-    std::set<std::string> m_addresses;
+    FreeAddresses m_addresses;
     std::vector<Entry> m_entries;
     std::vector<std::unique_ptr<ProcessorLimit>> m_limits;
     std::vector<std::unique_ptr<LinkLimit>> m_links;
