Ask only model engines for prompts; a stream without a time limit may be old

Cause, found by reading: a pool without engines of models would get calls that its services may take for requests; a route without a limit and a caller without a deadline made the shortest knowledge of the endpoints count. Change: only pools with an engine in the configuration are asked; without a limit, ten minutes count. A log line tells what engines proved.

--- a/src/bergamottide/serving/servingstreams.cpp
+++ b/src/bergamottide/serving/servingstreams.cpp
@@ -16,7 +16,8 @@
 /*! @brief Returns the longest time since the stream that the request resumes can have begun. */
 Duration lifetimeOf(const Request &request)
 {
-    return std::max(request.route->timeout, request.callerRequest->deadline.value_or(Duration::zero()));
+    const Duration limit = std::max(request.route->timeout, request.callerRequest->deadline.value_or(Duration::zero()));
+    return limit > Duration::zero() ? std::min(limit, StreamVersions::maxLifetime) : StreamVersions::maxLifetime;
 }
 
 } // namespace
@@ -60,7 +61,9 @@
  */
 bool ServingReducer::searchesPrompts(const StreamQuery &query) const
 {
-    return m_promptSearch.canAsk(query.pool, query.lastPart) && !m_peers.queueOwner(query.pool, m_now);
+    const Pool *pool = m_catalog ? m_catalog->findPool(query.pool) : nullptr;
+    return pool != nullptr && pool->engine && m_promptSearch.canAsk(query.pool, query.lastPart)
+        && !m_peers.queueOwner(query.pool, m_now);
 }
 
 /*!
@@ -126,6 +129,10 @@
 void ServingReducer::deliverSearchAnswers()
 {
     for (const PromptSearch::Answer &answer : m_promptSearch.takeAnswers()) {
+        m_effects.emplace_back(LogLine{Severity::Info,
+                                       Part::Entry,
+                                       "Engines were asked for the prompt of a resumed stream.",
+                                       {{"version", answer.version ? answer.version->text() : "unknown"}}});
         if (const auto *call = std::get_if<CallId>(&answer.asker)) {
             endLookup(*call, answer.version);
             continue;
--- a/src/bergamottide/streams/streamversions.cpp
+++ b/src/bergamottide/streams/streamversions.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/*! @brief Longest time for which a stream is known; callers name their deadlines themselves. */
-constexpr Duration maxStreamLifetime = std::chrono::minutes{10};
 /*! @brief Maximum number of own streams, and of those of peers; further ones stay unknown. */
 constexpr std::size_t maxStreams = 100'000;
 
@@ -32,7 +30,7 @@
     m_knownSince = m_knownSince.value_or(now);
     for (auto &[pool, versions] : m_pools) {
         std::erase_if(versions,
-                      [now](const auto &entry) { return entry.second && now - *entry.second >= maxStreamLifetime; });
+                      [now](const auto &entry) { return entry.second && now - *entry.second >= maxLifetime; });
         for (auto &[version, goneAt] : versions) {
             goneAt = goneAt.value_or(now);
         }
@@ -45,7 +43,7 @@
 
 bool StreamVersions::record(StreamKey stream, const SoftwareVersion &version, TimePoint expiresAt, TimePoint now)
 {
-    expiresAt = std::min(expiresAt, now + maxStreamLifetime);
+    expiresAt = std::min(expiresAt, now + maxLifetime);
     const auto known = m_own.entries().find(stream);
     if (known == m_own.entries().end() && m_own.entries().size() >= maxStreams) {
         return false;
@@ -70,7 +68,7 @@
 
 std::optional<SoftwareVersion> StreamVersions::onlyVersion(const PoolName &pool, Duration lifetime, TimePoint now) const
 {
-    lifetime = std::min(lifetime, maxStreamLifetime);
+    lifetime = std::min(lifetime, maxLifetime);
     const auto versions = m_pools.find(pool);
     if (versions == m_pools.end() || !m_knownSince || now - *m_knownSince < lifetime) {
         return std::nullopt;
@@ -100,7 +98,7 @@
         if (m_reported.size() >= maxStreams && !m_reported.contains(report.stream)) {
             continue;
         }
-        m_reported[report.stream] = {report.version, now + std::min(report.timeLeft, maxStreamLifetime)};
+        m_reported[report.stream] = {report.version, now + std::min(report.timeLeft, maxLifetime)};
     }
 }
 
--- a/src/bergamottide/streams/streamversions.h
+++ b/src/bergamottide/streams/streamversions.h
@@ -25,6 +25,9 @@
 class StreamVersions
 {
 public:
+    /*! @brief Longest time for which a stream is known; callers name their deadlines themselves. */
+    static constexpr Duration maxLifetime = std::chrono::minutes{10};
+
     /**
      * @brief Creates an empty table.
      * @param clock Numbers the changes; must outlive the table.
--- a/test/bergamottide/app/peerport.cpp
+++ b/test/bergamottide/app/peerport.cpp
@@ -21,10 +21,10 @@
     {
         CPPUNIT_ASSERT(m_asked.listen().ok());
         CPPUNIT_ASSERT(lookUp(known, m_asked.address()) == std::optional{SoftwareVersion{"v1"}});
-        CPPUNIT_ASSERT(m_arrived.pool == query.pool);
-        CPPUNIT_ASSERT_EQUAL(query.lastPart.id, m_arrived.lastPart.id);
-        CPPUNIT_ASSERT_EQUAL(query.lastPart.tokens, m_arrived.lastPart.tokens);
-        CPPUNIT_ASSERT(m_arrived.lifetime == query.lifetime);
+        CPPUNIT_ASSERT(m_arrived.pool == m_query.pool);
+        CPPUNIT_ASSERT_EQUAL(m_query.lastPart.id, m_arrived.lastPart.id);
+        CPPUNIT_ASSERT_EQUAL(m_query.lastPart.tokens, m_arrived.lastPart.tokens);
+        CPPUNIT_ASSERT(m_arrived.lifetime == m_query.lifetime);
         CPPUNIT_ASSERT(lookUp(StreamKey{7}, m_asked.address()) == std::nullopt);
     }
 
@@ -44,7 +44,7 @@
     [[nodiscard]] std::optional<SoftwareVersion> lookUp(StreamKey stream, const std::string &address)
     {
         m_ended.clear();
-        StreamQuery asked = query;
+        StreamQuery asked = m_query;
         asked.stream = stream;
         m_asking.carryOut(LookUpStream{call, asked, address});
         while (m_ended.empty()) {
@@ -77,7 +77,7 @@
         return hooks;
     }
 
-    const StreamQuery query{known, PoolName{"engines"}, {"5c1e", 800}, std::chrono::seconds{6}};
+    const StreamQuery m_query{known, PoolName{"engines"}, {"5c1e", 800}, std::chrono::seconds{6}};
     SystemClock m_clock;
     Loop m_loop{m_clock};
     StreamQuery m_arrived;
--- a/test/bergamottide/serving/streamversions.cpp
+++ b/test/bergamottide/serving/streamversions.cpp
@@ -34,6 +34,8 @@
     CPPUNIT_TEST(promptProvesNothingWhileAnEngineOfAnotherVersionIsSilent);
     CPPUNIT_TEST(searchEndsAlthoughNoEngineResponds);
     CPPUNIT_TEST(enginesAreListedOnceForManyStreams);
+    CPPUNIT_TEST(onlyModelEnginesAreAskedForPrompts);
+    CPPUNIT_TEST(streamWithoutTimeLimitIsNotGuessedEarlier);
     CPPUNIT_TEST(changedVersionIsToldToPeersAtOnce);
     CPPUNIT_TEST(unknownStreamIsRejectedWhileAFormerVersionIsRemembered);
     CPPUNIT_TEST(streamsOfOtherWorkspacesAreUnknown);
@@ -246,6 +248,35 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{10}, listCaches(fixture, {{"engine-4", 250}}));
     }
 
+    /*! @brief Guards against calls that other services may take for requests. */
+    void onlyModelEnginesAreAskedForPrompts()
+    {
+        ServingFixture fixture{mixedEndpoints()};
+        auto catalog = std::make_shared<Catalog>(*ServingFixture::catalog());
+        catalog->pools["engines"].engine.reset();
+        catalog->buildIndex();
+        fixture.apply(CatalogChanged{catalog});
+        fixture.apply(resumptionWithPrompt(fixture, 2));
+        CPPUNIT_ASSERT(fixture.effect<ListCachedPrompts>() == nullptr);
+        checkRejected(fixture);
+    }
+
+    /*! @brief Guards against taking a missing limit for a stream that has just begun. */
+    void streamWithoutTimeLimitIsNotGuessedEarlier()
+    {
+        ServingFixture fixture{without("v1")};
+        auto catalog = std::make_shared<Catalog>(*ServingFixture::catalog());
+        for (Route &route : catalog->routes) {
+            route.timeout = Duration::zero();
+        }
+        catalog->buildIndex();
+        fixture.apply(CatalogChanged{catalog});
+        fixture.advanceClock(std::chrono::minutes{9});
+        RequestArrived arrival = resumption(fixture, 2, 1);
+        arrival.request.deadline.reset();
+        checkRejected(fixture, arrival);
+    }
+
     /*! @brief Guards against relays that name the version of an attempt that failed before its first event. */
     void changedVersionIsToldToPeersAtOnce()
     {
