--- a/test/platform/fakes.cpp
+++ b/test/platform/fakes.cpp
@@ -280,7 +280,7 @@
     responder.finish();
 }
 
-void publishShop(FakeStore &store, const FakePlatformEndpoint &endpoint)
+void publishShop(FakeStore &store, const std::string &endpoint)
 {
     const json route{{"name", "order"},   {"host", "shop"},    {"pathPrefix", "/order/"}, {"kind", "safe"},
                      {"timeoutMs", 2000}, {"service", "desk"}, {"maxAttempts", 1}};
@@ -291,8 +291,7 @@
         {"tenants", {{{"name", "north"}, {"apiKeys", {"key"}}}}},
         {"limits",
          {{"maxHeaderBytes", 8000}, {"maxBodyBytes", 100'000}, {"headerTimeoutMs", 5000}, {"idleTimeoutMs", 10'000}}}};
-    const json instance{
-        {"service", "desk"}, {"address", endpoint.address()}, {"zone", "a"}, {"slots", 1000}, {"state", "ready"}};
+    const json instance{{"service", "desk"}, {"address", endpoint}, {"zone", "a"}, {"slots", 1000}, {"state", "ready"}};
     store.publish("op/config", configuration.dump());
     store.publish("servers/desk-1", instance.dump());
 }
--- a/test/platform/fakes.h
+++ b/test/platform/fakes.h
@@ -136,8 +136,9 @@
     HttpServer m_server;
 };
 
-/*! @brief Publishes a configuration with one safe route, attempted once, and the endpoint of its service. */
-void publishShop(FakeStore &store, const FakePlatformEndpoint &endpoint);
+/*! @brief Publishes a configuration with one safe route, attempted once, and the endpoint of its service at an address.
+ */
+void publishShop(FakeStore &store, const std::string &endpoint);
 
 /**
  * @brief Returns a request on the route of publishShop().
--- a/test/processes/crowdedprocess.cpp
+++ b/test/processes/crowdedprocess.cpp
@@ -1,19 +1,16 @@
 #include "bergamottide/net/httpclient.h"
 #include "platform/fakes.h"
-#include "processes/freeaddresses.h"
 #include "processes/limits.h"
-#include "processes/process.h"
+#include "processes/platformprocesses.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
-#include <cstdlib>
-#include <filesystem>
-#include <fstream>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -31,7 +28,6 @@
 constexpr std::size_t maxAttempts = 3;
 /*! @brief Time after which a caller leaves. */
 constexpr Duration callerPatience = std::chrono::seconds{4};
-constexpr Duration patience = std::chrono::seconds{60};
 
 /*! @brief Counts of the requests of one phase, by their first attempt that was not closed unread. */
 struct Phase
@@ -62,29 +58,26 @@
 public:
     void setUp() override
     {
-        std::string folder = (std::filesystem::temp_directory_path() / "bergamottide-test-XXXXXX").string();
-        m_folder = mkdtemp(folder.data());
-        publishShop(m_store, m_endpoint);
+        publishShop(m_store, m_endpoint.address());
     }
 
     void tearDown() override
     {
         m_links.clear();
         m_limits.clear();
-        m_entries.clear();
-        std::filesystem::remove_all(m_folder);
+        m_processes.reset();
     }
 
     void processWithMostConnectionsServesWhatItReads()
     {
         startEntries(1000.0);
-        for (Entry &entry : m_entries) {
-            m_limits.push_back(std::make_unique<ProcessorLimit>(entry.process->pid(), processorShare));
+        for (std::size_t process = 0; process < processCount; ++process) {
+            m_limits.push_back(std::make_unique<ProcessorLimit>(m_processes->pid(process), processorShare));
         }
         const Phase even = send(std::chrono::seconds{3}, 40, processCount, {});
         const Phase first = send(std::chrono::seconds{6}, crowdedRate, 0, {});
         m_limits.front().reset();
-        m_entries.front().process->kill();
+        m_processes->kill(0);
         const Phase second = send(std::chrono::seconds{6}, crowdedRate, 1, {});
         check(even, first);
         check(even, second);
@@ -95,14 +88,14 @@
         constexpr double megabits = 2.0;
         constexpr double bytesPerMegabit = 125'000.0;
         startEntries(megabits);
-        for (Entry &entry : m_entries) {
-            m_links.push_back(std::make_unique<LinkLimit>(entry.callers, megabits * bytesPerMegabit));
-            entry.callers = m_links.back()->address();
+        for (std::string &address : m_callers) {
+            m_links.push_back(std::make_unique<LinkLimit>(address, megabits * bytesPerMegabit));
+            address = m_links.back()->address();
         }
         const std::string body(9'000, 'x');
         const Phase even = send(std::chrono::seconds{3}, 20, processCount, body);
         const Phase first = send(std::chrono::seconds{6}, 80, 0, body);
-        m_entries.front().process->kill();
+        m_processes->kill(0);
         const Phase second = send(std::chrono::seconds{6}, 80, 1, body);
         check(even, first);
         check(even, second);
@@ -111,14 +104,6 @@
 private:
     static constexpr std::size_t crowdedRate = 500;
 
-    struct Entry
-    {
-        std::string callers;
-        std::string ready;
-        std::string peers;
-        std::unique_ptr<Process> process;
-    };
-
     static void check(const Phase &even, const Phase &crowded)
     {
         const std::string figures =
@@ -132,55 +117,12 @@
 
     void startEntries(double linkMbps)
     {
-        for (std::size_t index = 0; index < processCount; ++index) {
-            m_entries.push_back({m_addresses.next(), m_addresses.next(), m_addresses.next(), nullptr});
-        }
-        for (std::size_t index = 0; index < processCount; ++index) {
-            m_entries[index].process = std::make_unique<Process>(
-                "bergamottide-platform", std::vector<std::string>{"--settings=" + writeSettings(index, linkMbps)},
-                m_folder / absl::StrCat("entry-", index, ".log"));
+        m_processes.emplace(m_loop, m_store.address(), processCount,
+                            json{{"processorShare", processorShare}, {"linkMbps", linkMbps}});
+        m_processes->start();
+        for (std::size_t process = 0; process < processCount; ++process) {
+            m_callers.push_back(m_processes->callers(process));
         }
-        std::size_t ready = 0;
-        const TimePoint giveUpAt = m_loop.now() + patience;
-        while (ready < processCount && m_loop.now() < giveUpAt) {
-            ready = 0;
-            std::size_t answered = 0;
-            for (const Entry &entry : m_entries) {
-                HttpCallHooks hooks;
-                hooks.done = [&](const HttpResponse &answer) {
-                    ++answered;
-                    ready += answer.status == 200 ? 1 : 0;
-                };
-                hooks.failed = [&](HttpFailure) {
-                    ++answered;
-                };
-                HttpRequest request;
-                request.method = "GET";
-                request.path = "/";
-                m_client.call(entry.ready, request, std::move(hooks), Connection::Fresh);
-            }
-            runUntil([&] { return answered == processCount; });
-        }
-        CPPUNIT_ASSERT_EQUAL(processCount, ready);
-    }
-
-    std::string writeSettings(std::size_t index, double linkMbps)
-    {
-        const Entry &entry = m_entries[index];
-        const std::filesystem::path path = m_folder / absl::StrCat("entry-", index, ".yaml");
-        json settings{{"instance", absl::StrCat("entry-", index)},
-                      {"zone", "a"},
-                      {"region", "north"},
-                      {"callersAddress", entry.callers},
-                      {"readyAddress", entry.ready},
-                      {"peersAddress", entry.peers},
-                      {"seeds", {m_entries.front().peers, m_entries.back().peers}},
-                      {"storeAddress", m_store.address()},
-                      {"processorShare", processorShare},
-                      {"linkMbps", linkMbps},
-                      {"logLevel", "error"}};
-        std::ofstream{path} << settings.dump();
-        return path.string();
     }
 
     /**
@@ -203,7 +145,7 @@
             }
             m_loop.runOnce(std::chrono::milliseconds{1});
         }
-        runUntil([&phase] { return phase.ended == phase.sent; });
+        m_processes->runUntil([&phase] { return phase.ended == phase.sent; });
         return phase;
     }
 
@@ -239,7 +181,7 @@
             attempt(phase, other, body, number + 1);
         };
         const HttpCallId call =
-            m_client.call(m_entries[process].callers, std::move(request), std::move(hooks), Connection::Fresh);
+            m_client.call(m_callers[process], std::move(request), std::move(hooks), Connection::Fresh);
         const TimerId patienceEnd = m_loop.at(m_loop.now() + callerPatience, [this, &phase, call] {
             m_client.cancel(call);
             ++phase.ended;
@@ -248,24 +190,15 @@
         m_patienceEnds[m_lastAttempt] = patienceEnd;
     }
 
-    void runUntil(const std::function<bool()> &condition)
-    {
-        const TimePoint giveUpAt = m_loop.now() + patience;
-        while (!condition() && m_loop.now() < giveUpAt) {
-            m_loop.runOnce(std::chrono::milliseconds{10});
-        }
-        CPPUNIT_ASSERT(condition());
-    }
-
     SystemClock m_clock;
     Loop m_loop{m_clock};
     FakeStore m_store{m_loop};
     FakePlatformEndpoint m_endpoint{m_loop, "desk-1"};
     HttpClient m_client{m_loop, HttpClientOptions{}};
     std::mt19937 m_random{static_cast<std::uint32_t>(getpid())};
-    std::filesystem::path m_folder;
-    FreeAddresses m_addresses;
-    std::vector<Entry> m_entries;
+    std::optional<PlatformProcesses> m_processes;
+    /*! @brief Address of each process, or of the link before it. */
+    std::vector<std::string> m_callers;
     std::vector<std::unique_ptr<ProcessorLimit>> m_limits;
     std::vector<std::unique_ptr<LinkLimit>> m_links;
     std::uint64_t m_lastAttempt{};
--- a/test/processes/resumedstreams.cpp
+++ b/test/processes/resumedstreams.cpp
@@ -1,8 +1,7 @@
 #include "bergamottide/net/httpclient.h"
 #include "bergamottide/net/httpserver.h"
 #include "platform/fakes.h"
-#include "processes/freeaddresses.h"
-#include "processes/process.h"
+#include "processes/platformprocesses.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -10,12 +9,10 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cstdlib>
-#include <filesystem>
-#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -30,7 +27,6 @@
 constexpr std::size_t processCount = 3;
 constexpr std::size_t enginesOfAVersion = 2;
 constexpr std::size_t streamCount = 24;
-constexpr Duration patience = std::chrono::seconds{60};
 constexpr Duration eventPeriod = std::chrono::milliseconds{100};
 constexpr int tokensOfPart = 100;
 
@@ -109,6 +105,8 @@
     std::string firstAttempt;
     std::string prompt;
     std::size_t events{};
+    /*! @brief Events before it is resumed. */
+    std::size_t eventsBefore{};
     std::set<std::string> versions;
     HttpCallId call{};
     bool hasEnded{};
@@ -116,11 +114,12 @@
 
 } // namespace
 
-/*! @brief Streams that their callers resume after all processes have been killed at once. */
+/*! @brief Streams that their callers resume after processes have been killed at once. */
 class ResumedStreamsTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ResumedStreamsTest);
     CPPUNIT_TEST(streamsOfAVersionThatIsGoneAreRejected);
+    CPPUNIT_TEST(streamsThatALivingProcessKnowsAreRejectedWithTheirVersion);
     CPPUNIT_TEST(streamsOfAVersionThatLeavesAreRejected);
     CPPUNIT_TEST(streamsOfTwoVersionsContinueAtTheirOwn);
     CPPUNIT_TEST_SUITE_END();
@@ -128,13 +127,9 @@
 public:
     void setUp() override
     {
-        std::string folder = (std::filesystem::temp_directory_path() / "bergamottide-test-XXXXXX").string();
-        m_folder = mkdtemp(folder.data());
         publish();
-        for (std::size_t index = 0; index < processCount; ++index) {
-            m_entries.push_back({m_addresses.next(), m_addresses.next(), m_addresses.next(), nullptr});
-        }
-        startProcesses();
+        m_processes.emplace(m_loop, m_store.address(), processCount);
+        m_processes->start();
     }
 
     void tearDown() override
@@ -142,44 +137,38 @@
         for (const Stream &stream : m_streams) {
             m_client.cancel(stream.call);
         }
-        m_entries.clear();
-        std::filesystem::remove_all(m_folder);
+        m_processes.reset();
     }
 
     /*! @brief Guards against streams of two versions: processes that start again see only one of them. */
     void streamsOfAVersionThatIsGoneAreRejected()
     {
-        loseAllProcesses([this] {
-            for (std::size_t engine = 0; engine < enginesOfAVersion; ++engine) {
-                m_store.remove(absl::StrCat("servers/v1-", engine));
-            }
-        });
+        loseProcesses(processCount, [this] { removeFormerEngines(); });
+        check(false);
+    }
+
+    /*! @brief Guards against a process that starts again and does not ask the one that knows the version (review/2). */
+    void streamsThatALivingProcessKnowsAreRejectedWithTheirVersion()
+    {
+        loseProcesses(processCount - 1, [this] { removeFormerEngines(); });
         check(false);
     }
 
     /*! @brief Guards against streams of two versions while the engines of one are draining. */
     void streamsOfAVersionThatLeavesAreRejected()
     {
-        loseAllProcesses([this] { publishEngines("v1", "draining"); });
+        loseProcesses(processCount, [this] { publishEngines("v1", "draining"); });
         check(false);
     }
 
     /*! @brief Guards against rejecting all streams that nobody but their engines knows. */
     void streamsOfTwoVersionsContinueAtTheirOwn()
     {
-        loseAllProcesses([] {});
+        loseProcesses(processCount, [] {});
         check(true);
     }
 
 private:
-    struct Entry
-    {
-        std::string callers;
-        std::string ready;
-        std::string peers;
-        std::unique_ptr<Process> process;
-    };
-
     void publish()
     {
         const json route{{"name", "chat"},      {"host", "chat"},    {"pathPrefix", "/chat/"}, {"kind", "streaming"},
@@ -207,93 +196,64 @@
         }
     }
 
-    void publishEngines(const std::string &version, const std::string &state)
+    void removeFormerEngines()
     {
         for (std::size_t engine = 0; engine < enginesOfAVersion; ++engine) {
-            m_store.publish(absl::StrCat("servers/", version, "-", engine), m_engines[version][engine]->entry(state));
+            m_store.remove(absl::StrCat("servers/v1-", engine));
         }
     }
 
-    void startProcesses()
+    void publishEngines(const std::string &version, const std::string &state)
     {
-        for (std::size_t index = 0; index < processCount; ++index) {
-            m_entries[index].process = std::make_unique<Process>(
-                "bergamottide-platform", std::vector<std::string>{"--settings=" + writeSettings(index)},
-                m_folder / absl::StrCat("entry-", index, ".log"));
-        }
-        std::size_t ready = 0;
-        const TimePoint giveUpAt = m_loop.now() + patience;
-        while (ready < processCount && m_loop.now() < giveUpAt) {
-            ready = 0;
-            std::size_t answered = 0;
-            for (const Entry &entry : m_entries) {
-                HttpCallHooks hooks;
-                hooks.done = [&](const HttpResponse &answer) {
-                    ++answered;
-                    ready += answer.status == 200 ? 1 : 0;
-                };
-                hooks.failed = [&](HttpFailure) {
-                    ++answered;
-                };
-                HttpRequest request;
-                request.method = "GET";
-                request.path = "/";
-                m_client.call(entry.ready, request, std::move(hooks), Connection::Fresh);
-            }
-            runUntil([&] { return answered == processCount; });
+        for (std::size_t engine = 0; engine < enginesOfAVersion; ++engine) {
+            m_store.publish(absl::StrCat("servers/", version, "-", engine), m_engines[version][engine]->entry(state));
         }
-        CPPUNIT_ASSERT_EQUAL(processCount, ready);
-    }
-
-    std::string writeSettings(std::size_t index)
-    {
-        const Entry &entry = m_entries[index];
-        const std::filesystem::path path = m_folder / absl::StrCat("entry-", index, ".yaml");
-        std::ofstream{path} << json{
-            {"instance", absl::StrCat("entry-", index)},
-            {"zone", "a"},
-            {"region", "north"},
-            {"callersAddress", entry.callers},
-            {"readyAddress", entry.ready},
-            {"peersAddress", entry.peers},
-            {"seeds", {m_entries.front().peers, m_entries.back().peers}},
-            {"storeAddress", m_store.address()},
-            {"logLevel", "error"}}.dump();
-        return path.string();
     }
 
-    /*! @brief Begins all streams, kills all processes, lets the endpoints change, and resumes the streams. */
-    void loseAllProcesses(const std::function<void()> &changeEndpoints)
+    /*!
+     * @brief Begins all streams, kills processes, lets the endpoints change, and resumes the streams.
+     * @param count Number of processes to kill, the last ones.
+     * @param changeEndpoints Called while the processes are down.
+     */
+    void loseProcesses(std::size_t count, const std::function<void()> &changeEndpoints)
     {
         m_streams.resize(streamCount);
         for (std::size_t index = 0; index < streamCount; ++index) {
             m_streams[index].prompt = absl::StrCat("5c1e:100,", absl::Hex(index + 1, absl::kZeroPad8), ":100");
             attempt(index, index % processCount);
         }
-        runUntil(
+        m_processes->runUntil(
             [this] { return std::ranges::all_of(m_streams, [](const Stream &stream) { return stream.events >= 2; }); });
         std::set<std::string> versions;
         for (const Stream &stream : m_streams) {
             versions.insert(stream.versions.begin(), stream.versions.end());
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, versions.size());
-        for (Entry &entry : m_entries) {
-            entry.process->kill();
+        for (std::size_t process = processCount - count; process < processCount; ++process) {
+            m_processes->kill(process);
         }
-        runUntil([this] { return std::ranges::all_of(m_streams, &Stream::hasEnded); });
+        const auto isBroken = [](const Stream &stream) {
+            return stream.hasEnded;
+        };
+        m_processes->runUntil([this, count, &isBroken] {
+            return static_cast<std::size_t>(std::ranges::count_if(m_streams, isBroken))
+                == streamCount / processCount * count;
+        });
         changeEndpoints();
-        startProcesses();
+        m_processes->start();
         for (std::size_t index = 0; index < streamCount; ++index) {
-            m_eventsBefore.push_back(m_streams[index].events);
-            attempt(index, (index + 1) % processCount);
-        }
-        runUntil([this] {
-            for (std::size_t index = 0; index < streamCount; ++index) {
-                if (!m_streams[index].hasEnded && m_streams[index].events < m_eventsBefore[index] + 2) {
-                    return false;
-                }
+            Stream &stream = m_streams[index];
+            if (!stream.hasEnded) {
+                m_client.cancel(stream.call);
             }
-            return true;
+            stream.eventsBefore = stream.events;
+            // A resumption comes at a process that has started again.
+            attempt(index, processCount - 1 - index % count);
+        }
+        m_processes->runUntil([this] {
+            return std::ranges::all_of(m_streams, [](const Stream &stream) {
+                return stream.hasEnded || stream.events >= stream.eventsBefore + 2;
+            });
         });
     }
 
@@ -302,11 +262,10 @@
         std::size_t mixed = 0;
         std::size_t served = 0;
         std::size_t continued = 0;
-        for (std::size_t index = 0; index < streamCount; ++index) {
-            const Stream &stream = m_streams[index];
+        for (const Stream &stream : m_streams) {
             mixed += stream.versions.size() > 1 ? 1 : 0;
             served += isFormerVersionServing || stream.versions.contains("v2") ? 1 : 0;
-            continued += stream.events > m_eventsBefore[index] ? 1 : 0;
+            continued += stream.events > stream.eventsBefore ? 1 : 0;
         }
         const std::string figures =
             absl::StrCat(mixed, " mixed, ", continued, " continued, ", served, " of versions that serve");
@@ -343,7 +302,7 @@
             m_streams[index].hasEnded = true;
         };
         stream.call =
-            m_client.call(m_entries[process].callers, std::move(request), std::move(hooks), Connection::Fresh);
+            m_client.call(m_processes->callers(process), std::move(request), std::move(hooks), Connection::Fresh);
     }
 
     /*! @brief Adds the events of a piece; each event arrives in a piece of its own. */
@@ -359,26 +318,13 @@
         }
     }
 
-    void runUntil(const std::function<bool()> &condition)
-    {
-        const TimePoint giveUpAt = m_loop.now() + patience;
-        while (!condition() && m_loop.now() < giveUpAt) {
-            m_loop.runOnce(std::chrono::milliseconds{10});
-        }
-        CPPUNIT_ASSERT(condition());
-    }
-
     SystemClock m_clock;
     Loop m_loop{m_clock};
     FakeStore m_store{m_loop};
     std::map<std::string, std::vector<std::unique_ptr<StreamEngine>>> m_engines;
     HttpClient m_client{m_loop, HttpClientOptions{}};
-    FreeAddresses m_addresses;
-    std::filesystem::path m_folder;
-    std::vector<Entry> m_entries;
+    std::optional<PlatformProcesses> m_processes;
     std::vector<Stream> m_streams;
-    /*! @brief Events of each stream when it is resumed. */
-    std::vector<std::size_t> m_eventsBefore;
     std::uint64_t m_lastAttempt{};
 };
 
