--- a/test/platform/fakes.cpp
+++ b/test/platform/fakes.cpp
@@ -308,4 +308,10 @@
     return request;
 }
 
+std::string rawShopAnswer(const std::string &transferCoding)
+{
+    return "HTTP/1.1 200 OK\r\nAttempt-Id: attempt-1\r\nResponse-Seal: seal\r\nTransfer-Encoding: " + transferCoding
+        + "\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+}
+
 } // namespace bergamottide::test
--- a/test/platform/fakes.h
+++ b/test/platform/fakes.h
@@ -147,4 +147,7 @@
  */
 [[nodiscard]] HttpRequest shopRequest(std::uint64_t attempt, std::string body);
 
+/*! @brief Returns the bytes of an endpoint's signed answer to the first attempt, in one chunk. */
+[[nodiscard]] std::string rawShopAnswer(const std::string &transferCoding);
+
 } // namespace bergamottide::test
--- a/test/processes/endpointanswers.cpp
+++ b/test/processes/endpointanswers.cpp
@@ -4,15 +4,12 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <nlohmann/json.hpp>
-
 #include <optional>
 #include <string>
 #include <utility>
 
 using namespace bergamottide;
 using namespace bergamottide::test;
-using nlohmann::json;
 
 /*! @brief A real process whose endpoint sends unusual answers. */
 class EndpointAnswersTest : public CppUnit::TestFixture
@@ -26,10 +23,7 @@
     void processOutlivesCodingsHoweverTheyAreSpelled()
     {
         for (const std::string coding : {"Chunked", "CHUNKED", "chunked ", "Identity", "unknown"}) {
-            RawServer endpoint{{"HTTP/1.1 200 OK\r\nAttempt-Id: attempt-1\r\nResponse-Seal: seal\r\nTransfer-Encoding: "
-                                    + coding + "\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-                                {},
-                                0}};
+            RawServer endpoint{{rawShopAnswer(coding), {}, 0}};
             publishShop(m_store, endpoint.address());
             PlatformProcesses processes{m_loop, m_store.address(), 1};
             processes.start();
--- a/test/processes/resumedstreams.cpp
+++ b/test/processes/resumedstreams.cpp
@@ -1,12 +1,11 @@
 #include "bergamottide/net/httpclient.h"
-#include "bergamottide/net/httpserver.h"
 #include "platform/fakes.h"
+#include "platform/streamengine.h"
 #include "processes/platformprocesses.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <absl/strings/str_cat.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <functional>
@@ -20,84 +19,12 @@
 
 using namespace bergamottide;
 using namespace bergamottide::test;
-using nlohmann::json;
 
 namespace {
 
 constexpr std::size_t processCount = 3;
 constexpr std::size_t enginesOfAVersion = 2;
 constexpr std::size_t streamCount = 24;
-constexpr Duration eventPeriod = std::chrono::milliseconds{100};
-constexpr int tokensOfPart = 100;
-
-/*! @brief Model engine whose events name its software version, and which keeps the prompts of its runs. */
-class StreamEngine
-{
-public:
-    StreamEngine(Loop &loop, std::string version)
-        : m_loop{loop}
-        , m_version{std::move(version)}
-        , m_server{loop, options(),
-                   [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
-                       handle(request, responder);
-                   }}
-    {
-        static_cast<void>(m_server.listen());
-    }
-
-    [[nodiscard]] std::string entry(const std::string &state) const
-    {
-        return json{{"service", "pool"}, {"address", m_server.address()}, {"zone", "a"},
-                    {"slots", 64},       {"version", m_version},          {"state", state}}
-            .dump();
-    }
-
-private:
-    [[nodiscard]] static HttpServerOptions options()
-    {
-        HttpServerOptions options;
-        options.listen = "127.0.0.1:0";
-        return options;
-    }
-
-    void handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
-    {
-        if (request.path == "/bergamottide/kv-list") {
-            json parts = json::array();
-            for (const std::string &part : m_parts) {
-                parts.push_back({"", part, tokensOfPart, "m"});
-            }
-            responder->respond({200, {}, json{{"held", std::move(parts)}}.dump()});
-            return;
-        }
-        const std::string prompt{headerValue(request.headers, "prompt-prefix")};
-        const std::size_t last = prompt.rfind(',') + 1;
-        m_parts.insert(prompt.substr(last, prompt.rfind(':') - last));
-        responder->begin(200,
-                         {{"attempt-id", std::string{headerValue(request.headers, "attempt-id")}},
-                          {"response-seal", "seal"},
-                          {"content-type", "text/event-stream"}});
-        const std::string after{headerValue(request.headers, "last-event-id")};
-        const auto isClosed = std::make_shared<bool>(false);
-        responder->onClosed([isClosed] { *isClosed = true; });
-        sendEvent(responder, isClosed, after.empty() ? 0 : std::stoi(after) + 1);
-    }
-
-    void sendEvent(const std::shared_ptr<HttpResponder> &responder, const std::shared_ptr<bool> &isClosed, int number)
-    {
-        if (*isClosed) {
-            return;
-        }
-        responder->send(absl::StrCat("id: ", number, "\ndata: ", m_version, "\n\n"));
-        m_loop.at(m_loop.now() + eventPeriod,
-                  [this, responder, isClosed, number] { sendEvent(responder, isClosed, number + 1); });
-    }
-
-    Loop &m_loop;
-    std::string m_version;
-    std::set<std::string> m_parts;
-    HttpServer m_server;
-};
 
 /*! @brief A caller's stream over its attempts. */
 struct Stream
@@ -171,23 +98,7 @@
 private:
     void publish()
     {
-        const json route{{"name", "chat"},      {"host", "chat"},    {"pathPrefix", "/chat/"}, {"kind", "streaming"},
-                         {"timeoutMs", 30'000}, {"service", "pool"}, {"maxAttempts", 2},       {"sticky", true},
-                         {"resumable", true},   {"gapAimMs", 1000},  {"targetLatencyMs", 2000}};
-        const json configuration{
-            {"version", 3},
-            {"routes", {route}},
-            {"services",
-             {{{"name", "pool"},
-               {"maxConnections", 300},
-               {"engine", {{"slots", 64}, {"kvCapacityTokens", 300'000}, {"models", {{{"name", "m"}}}}}}}}},
-            {"tenants", {{{"name", "north"}, {"apiKeys", {"key"}}}}},
-            {"limits",
-             {{"maxHeaderBytes", 8000},
-              {"maxBodyBytes", 100'000},
-              {"headerTimeoutMs", 5000},
-              {"idleTimeoutMs", 10'000}}}};
-        m_store.publish("op/config", configuration.dump());
+        publishChat(m_store);
         for (const std::string version : {"v1", "v2"}) {
             for (std::size_t engine = 0; engine < enginesOfAVersion; ++engine) {
                 m_engines[version].push_back(std::make_unique<StreamEngine>(m_loop, version));
@@ -281,15 +192,9 @@
         Stream &stream = m_streams[index];
         stream.hasEnded = false;
         const std::string name = absl::StrCat("attempt-", ++m_lastAttempt);
-        HttpRequest request;
-        request.method = "POST";
-        request.authority = "chat";
-        request.path = "/chat/1";
-        request.headers = {{"attempt-id", name}, {"deadline-ms", "30000"},   {"x-api-key", "key"},
-                           {"model", "m"},       {"token-counts", "200,50"}, {"prompt-prefix", stream.prompt}};
+        HttpRequest request = chatRequest(name, stream.prompt);
         if (stream.events > 0) {
-            request.headers.emplace_back("resumes", stream.firstAttempt);
-            request.headers.emplace_back("last-event-id", absl::StrCat(stream.events - 1));
+            resumeAfter(request, stream.firstAttempt, stream.events - 1);
         }
         HttpCallHooks hooks;
         hooks.piece = [this, index, name](std::string_view piece) {
