Count the round of the event loop that lasts in the load and in the cost of a request

Cause: what a round of the event loop takes is recorded at its end. Within it the gate took the process for idle and raised its rate, and the learned cost of a request lacked the time of requests already counted. Change: the gate counts the time since its first call in a round as busy and late. A connection gets its kernel options once it is served. Tests: ConnectionGateTest's offers record a round without work, as the event loop does; no assertion changed.

--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -384,7 +384,6 @@
             if (socket == nullptr) {
                 break;
             }
-            detectSilence(h2o_socket_get_fd(socket), options.unacknowledgedTimeout);
             allServed = admit(socket) && allServed;
         }
         return allServed;
@@ -394,7 +393,7 @@
     bool admit(h2o_socket_t *socket)
     {
         if (!options.decideConnection) {
-            h2o_accept(&accept, socket);
+            serve(socket);
             return true;
         }
         const overload::ConnectionDecision decision = options.decideConnection({Duration::zero(), waiting.size()});
@@ -409,12 +408,18 @@
     void carryOut(overload::ConnectionDecision decision, h2o_socket_t *socket)
     {
         if (decision == overload::ConnectionDecision::Serve) {
-            h2o_accept(&accept, socket);
+            serve(socket);
             return;
         }
         h2o_socket_close(socket);
     }
 
+    void serve(h2o_socket_t *socket)
+    {
+        detectSilence(h2o_socket_get_fd(socket), options.unacknowledgedTimeout);
+        h2o_accept(&accept, socket);
+    }
+
     /*! @brief Decides again on the connections that wait, then on new ones. */
     void review()
     {
--- a/src/bergamottide/overload/connectiongate.cpp
+++ b/src/bergamottide/overload/connectiongate.cpp
@@ -75,8 +75,18 @@
     take(m_cost);
 }
 
+/*! @brief Notes when a round of the event loop began; nothing is recorded of it before its end. */
+void ConnectionGate::followRound(TimePoint now)
+{
+    if (m_roundBeganAt == TimePoint{} || m_recordedUntil != m_meter.recordedUntil()) {
+        m_recordedUntil = m_meter.recordedUntil();
+        m_roundBeganAt = now;
+    }
+}
+
 void ConnectionGate::refill(TimePoint now)
 {
+    followRound(now);
     const double elapsed = m_refilledAt == TimePoint{} ? 0.0 : seconds(now - m_refilledAt);
     m_refilledAt = now;
     m_budget = std::min(maxBudget, m_budget + elapsed * targetLoad * m_throttle);
@@ -88,17 +98,17 @@
 
 void ConnectionGate::adjust(TimePoint now)
 {
-    const double load = m_meter.recent(now).highest();
-    if (m_meter.recentLateness(now) > maxLateness || load > fullLoad) {
+    const double used = load(now);
+    if (lateness(now) > maxLateness || used > fullLoad) {
         m_throttle = std::max(minThrottle, m_throttle * decrease);
-    } else if (load < targetLoad) {
-        const double room = std::sqrt(targetLoad / std::max(load, minLoad));
+    } else if (used < targetLoad) {
+        const double room = std::sqrt(targetLoad / std::max(used, minLoad));
         m_throttle = std::min(maxThrottle, m_throttle * std::min(room, maxIncrease));
     }
     if (now - m_closedAt < learningDelay) {
         return;
     }
-    m_cost = std::min(m_meter.secondsPerRequest(now), targetLoad / minRate);
+    m_cost = std::min(m_meter.secondsPerRequest(now, now - m_roundBeganAt), targetLoad / minRate);
     m_throttle = std::min(m_throttle, 1.0);
 }
 
@@ -112,8 +122,17 @@
     if (m_budget >= m_cost) {
         return true;
     }
-    return m_budget > -maxBudget && m_meter.recent(now).highest() < lowLoad
-        && m_meter.recentLateness(now) <= maxLateness;
+    return m_budget > -maxBudget && load(now) < lowLoad && lateness(now) <= maxLateness;
+}
+
+double ConnectionGate::load(TimePoint now) const
+{
+    return m_meter.recent(now, now - m_roundBeganAt).highest();
+}
+
+Duration ConnectionGate::lateness(TimePoint now) const
+{
+    return std::max(m_meter.recentLateness(now), now - m_roundBeganAt);
 }
 
 bool ConnectionGate::isOverdue(TimePoint now) const
--- a/src/bergamottide/overload/connectiongate.h
+++ b/src/bergamottide/overload/connectiongate.h
@@ -69,11 +69,16 @@
     void recordRequest(TimePoint now);
 
 private:
+    void followRound(TimePoint now);
     void refill(TimePoint now);
     void adjust(TimePoint now);
     void take(double cost);
     [[nodiscard]] bool hasRoom(TimePoint now) const;
     [[nodiscard]] bool isOverdue(TimePoint now) const;
+    /*! @brief Returns the load, with the present round of the event loop. */
+    [[nodiscard]] double load(TimePoint now) const;
+    /*! @brief Returns how long events wait, with the present round of the event loop. */
+    [[nodiscard]] Duration lateness(TimePoint now) const;
 
     const LoadMeter &m_meter;
     /*! @brief Capacity that new requests may take, in seconds of the scarcer of processor and link. */
@@ -89,6 +94,9 @@
     std::size_t m_unread{};
     TimePoint m_refilledAt{};
     TimePoint m_adjustedAt{};
+    TimePoint m_recordedUntil{};
+    /*! @brief First call since the event loop has been measured. */
+    TimePoint m_roundBeganAt{};
 };
 
 } // namespace overload
--- a/src/bergamottide/overload/loadmeter.cpp
+++ b/src/bergamottide/overload/loadmeter.cpp
@@ -38,6 +38,7 @@
 void LoadMeter::recordBusy(Duration busy, TimePoint now)
 {
     addBackwards(&Bucket::busy, busy, busy, now);
+    m_recordedUntil = now;
 }
 
 void LoadMeter::recordLateness(Duration lateness, TimePoint now)
@@ -80,11 +81,18 @@
     ++bucketOf(intervalOf(now)).requests;
 }
 
-LoadShares LoadMeter::recent(TimePoint now) const
+LoadShares LoadMeter::recent(TimePoint now, Duration unrecorded) const
 {
     const std::int64_t current = intervalOf(now);
     const Duration span = (now - startOf(current)) + bucketLength * recentBuckets;
-    return shares(sum(current, recentBuckets + 1), seconds(span));
+    Bucket sums = sum(current, recentBuckets + 1);
+    sums.busy += std::min(unrecorded, span);
+    return shares(sums, seconds(span));
+}
+
+TimePoint LoadMeter::recordedUntil() const noexcept
+{
+    return m_recordedUntil;
 }
 
 Duration LoadMeter::recentLateness(TimePoint now) const
@@ -93,9 +101,10 @@
     return sums.timers == 0 ? Duration::zero() : sums.lateness / sums.timers;
 }
 
-double LoadMeter::secondsPerRequest(TimePoint now) const
+double LoadMeter::secondsPerRequest(TimePoint now, Duration unrecorded) const
 {
-    const Bucket sums = sum(intervalOf(now), bucketCount);
+    Bucket sums = sum(intervalOf(now), bucketCount);
+    sums.busy += std::min(unrecorded, bucketLength * bucketCount);
     return sums.requests == 0 ? 0.0 : shares(sums, 1.0).highest() / static_cast<double>(sums.requests);
 }
 
--- a/src/bergamottide/overload/loadmeter.h
+++ b/src/bergamottide/overload/loadmeter.h
@@ -68,17 +68,26 @@
     /*! @brief Records that a caller's request has been read. */
     void recordRequest(TimePoint now);
 
-    /*! @brief Returns the used shares over the last 200 to 300 ms. */
-    [[nodiscard]] LoadShares recent(TimePoint now) const;
+    /**
+     * @brief Returns the used shares over the last 200 to 300 ms.
+     * @param now Current time.
+     * @param unrecorded Time, until now, in which the event loop did not wait and which has not been recorded.
+     */
+    [[nodiscard]] LoadShares recent(TimePoint now, Duration unrecorded = {}) const;
+
+    /*! @brief Returns the end of the last time that was recorded as busy. */
+    [[nodiscard]] TimePoint recordedUntil() const noexcept;
 
     /*! @brief Returns the mean lateness of timers over the last 200 to 300 ms. */
     [[nodiscard]] Duration recentLateness(TimePoint now) const;
 
     /**
      * @brief Returns the capacity that a request takes, with its part of all other work.
+     * @param now Current time.
+     * @param unrecorded Time, until now, in which the event loop did not wait and which has not been recorded.
      * @return Seconds of the scarcer of processor and link, over the last second; zero if no request has been read.
      */
-    [[nodiscard]] double secondsPerRequest(TimePoint now) const;
+    [[nodiscard]] double secondsPerRequest(TimePoint now, Duration unrecorded = {}) const;
 
 private:
     struct Bucket
@@ -107,6 +116,7 @@
     double m_linkBytesPerSecond;
     Duration m_processorTime{};
     TimePoint m_processorTimeAt{};
+    TimePoint m_recordedUntil{};
     std::array<Bucket, bucketCount> m_buckets{};
 };
 
--- a/test/bergamottide/overload/connectiongate.cpp
+++ b/test/bergamottide/overload/connectiongate.cpp
@@ -149,6 +149,7 @@
         for (int connection = 0; connection < count; ++connection) {
             m_now += time / count;
             if (m_gate.decide({}, m_now) != ConnectionDecision::Serve) {
+                m_meter.recordBusy(Duration::zero(), m_now);
                 continue;
             }
             ++served;
--- a/test/bergamottide/overload/loadmeter.cpp
+++ b/test/bergamottide/overload/loadmeter.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(busierDirectionOfTheLinkCounts);
     CPPUNIT_TEST(costOfARequestIsThatOfTheScarcerResource);
     CPPUNIT_TEST(latenessIsForgotten);
+    CPPUNIT_TEST(unrecordedTimeCounts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,6 +70,18 @@
         CPPUNIT_ASSERT(meter.recentLateness(m_now + std::chrono::milliseconds{400}) == Duration::zero());
     }
 
+    void unrecordedTimeCounts()
+    {
+        LoadMeter meter{1.0, 0.0};
+        meter.recordBusy(std::chrono::milliseconds{20}, m_now);
+        CPPUNIT_ASSERT(meter.recordedUntil() == m_now);
+        meter.recordRequest(m_now);
+        const TimePoint later = m_now + std::chrono::milliseconds{400};
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, meter.recent(later, std::chrono::milliseconds{100}).processor, tolerance);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, meter.recent(later, std::chrono::milliseconds{400}).processor, tolerance);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.42, meter.secondsPerRequest(later, std::chrono::milliseconds{400}), tolerance);
+    }
+
 private:
     static constexpr double tolerance = 1e-3;
 
--- a/test/processes/limits.h
+++ b/test/processes/limits.h
@@ -11,6 +11,9 @@
 
 namespace bergamottide::test {
 
+/*! @brief Returns the processor time of a process since its start; zero if there is none. */
+[[nodiscard]] std::chrono::nanoseconds processorTimeOf(pid_t process);
+
 /*! @brief Gives a child process an allowance of processor time in each period, and stops it for the rest. */
 class ProcessorLimit
 {
