Suspend verdicts on endpoints while the process is late

Cause: a run without a response and a stage call are judged by the clock of the process, which has not read what arrived while it was late. Change: a tick tells how late it is. The timeouts of stage calls move by that, and it does not count in the age of a run without a response. Callers' deadlines run on. Conclusion: the verdict waits, bounded by the lateness.

--- a/src/bergamottide/app/reducerrunner.h
+++ b/src/bergamottide/app/reducerrunner.h
@@ -24,7 +24,8 @@
  * @tparam Reducer Type with `apply(event, now)` and `nextWakeup()`.
  * @tparam Event Variant of its events.
  * @tparam Effect Variant of its effects.
- * @tparam TickEvent Event sent at each wakeup, an alternative of `Event`.
+ * @tparam TickEvent Event sent at each wakeup, an alternative of `Event`; if it has a `lateness`, it is told how late
+ * it is.
  */
 template <typename Reducer, typename Event, typename Effect, typename TickEvent>
 class ReducerRunner
@@ -89,10 +90,19 @@
         m_due = due;
         m_timer = m_loop.at(due, [this] {
             m_timer = {};
-            submit(TickEvent{});
+            submit(tick());
         });
     }
 
+    [[nodiscard]] TickEvent tick() const
+    {
+        TickEvent event;
+        if constexpr (requires { event.lateness; }) {
+            event.lateness = std::max(m_loop.now() - m_due, Duration::zero());
+        }
+        return event;
+    }
+
     Loop &m_loop;
     Reducer &m_reducer;
     EffectHandler m_handleEffect;
--- a/src/bergamottide/events/events.h
+++ b/src/bergamottide/events/events.h
@@ -356,6 +356,8 @@
 /*! @brief Event: a timer has fired; expired timeouts and due work are handled. */
 struct Tick
 {
+    /*! @brief How late it is; responses that arrived within this time may not have been read. */
+    Duration lateness{};
 };
 
 using Event =
--- a/src/bergamottide/serving/request.h
+++ b/src/bergamottide/serving/request.h
@@ -84,6 +84,8 @@
     /*! @brief Set while the run is delayed. */
     std::optional<TimePoint> runAt;
     TimePoint runStartedAt{};
+    /*! @brief Time since then in which this process may not have read the response. */
+    Duration runUnobserved{};
     /*! @brief Estimated time at which the engine of the current run has fetched all inputs. */
     std::optional<TimePoint> inputsFetchedAt;
     /*! @brief The current run has been detected as stalled. */
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -168,8 +168,9 @@
         LogLine{Severity::Info, Part::Entry, "Process is draining.", {{"requests", absl::StrCat(m_requests.size())}}});
 }
 
-void ServingReducer::on(const Tick &)
+void ServingReducer::on(const Tick &event)
 {
+    suspendVerdicts(event.lateness);
     expireRequests();
     startDelayedStages();
     startDelayedRuns();
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -234,6 +234,7 @@
     [[nodiscard]] bool takeRetry(const Request &request);
     void abortStream(Request &request, const std::string &reason);
     void checkStalledRuns();
+    void suspendVerdicts(Duration lateness);
     [[nodiscard]] bool isStalled(const Request &request) const;
     void endRun(Request &request, std::optional<EndpointOutcome> sign);
     void failRun(Request &request, const std::string &reason);
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -19,6 +19,8 @@
  * before `minStallTime`. */
 constexpr int stallFactor = 6;
 constexpr Duration minStallTime = std::chrono::milliseconds{1000};
+/*! @brief Lateness of a tick from which it counts; timers of a process with room are late by less. */
+constexpr Duration minLateness = std::chrono::milliseconds{20};
 
 engines::GenerationNumber generationOf(RunNumber run)
 {
@@ -163,6 +165,7 @@
     start.request = request.callerRequest;
     request.run = start.run;
     request.runStartedAt = m_now;
+    request.runUnobserved = Duration::zero();
     request.isStallDetected = false;
     request.endpoint = start.instance;
     request.endpointIncarnation = endpoint->record.incarnation;
@@ -459,7 +462,22 @@
 bool ServingReducer::isStalled(const Request &request) const
 {
     const Duration longest = std::max(m_firstEventTimes.average(request.pool) * stallFactor, minStallTime);
-    return request.run && !request.head && m_now - request.runStartedAt > longest;
+    return request.run && !request.head && m_now - request.runStartedAt - request.runUnobserved > longest;
+}
+
+/*! @brief Does not hold a time in which this process was late against the endpoints that it waits for. */
+void ServingReducer::suspendVerdicts(Duration lateness)
+{
+    if (lateness < minLateness) {
+        return;
+    }
+    m_stageScheduler.extendTimeouts(lateness, m_now);
+    for (auto &[call, request] : m_requests) {
+        if (!request.run || request.head) {
+            continue;
+        }
+        request.runUnobserved += std::min(lateness, m_now - request.runStartedAt - request.runUnobserved);
+    }
 }
 
 /*
--- a/src/bergamottide/stages/stagescheduler.cpp
+++ b/src/bergamottide/stages/stagescheduler.cpp
@@ -822,6 +822,15 @@
     }
 }
 
+void StageScheduler::extendTimeouts(Duration lateness, TimePoint now)
+{
+    m_callTimeouts.clear();
+    for (auto &[number, call] : m_calls) {
+        call.timeoutAt += std::min(lateness, now - call.startedAt);
+        m_callTimeouts.emplace(call.timeoutAt, number);
+    }
+}
+
 std::vector<StageOutcome> StageScheduler::takeOutcomes()
 {
     return std::exchange(m_outcomes, {});
--- a/src/bergamottide/stages/stagescheduler.h
+++ b/src/bergamottide/stages/stagescheduler.h
@@ -107,6 +107,13 @@
      */
     void handleTimeouts(TimePoint now, Effects &effects);
 
+    /**
+     * @brief Extends the timeouts of calls by a time in which this process may not have read their responses.
+     * @param lateness Length of the time, which has just ended.
+     * @param now Current time.
+     */
+    void extendTimeouts(Duration lateness, TimePoint now);
+
     /*! @brief Returns and clears the results and failures collected since the previous invocation. */
     [[nodiscard]] std::vector<StageOutcome> takeOutcomes();
 
