Forget served connections that bring no request within a second

Cause: connections that are served and never used were counted without a bound, and each left a later request on another connection unpaid. Change: a served connection pays for a request that comes within a second. Test: ConnectionGateTest::unusedConnectionsDoNotPayForOthers; before, 9 of 250 new connections served in five seconds beside twice the capacity on open ones, where one a second is the target; now 5, as many as without the unused connections. Conclusion: the state is bounded by what is served in a second.

--- a/src/bergamottide/overload/connectiongate.cpp
+++ b/src/bergamottide/overload/connectiongate.cpp
@@ -31,6 +31,8 @@
 constexpr Duration learningDelay = std::chrono::seconds{1};
 /*! @brief Time after which a connection is served whatever open connections take. */
 constexpr Duration maxPause = std::chrono::seconds{1};
+/*! @brief Time in which a served connection is expected to bring its first request. */
+constexpr Duration firstRequestTime = std::chrono::seconds{1};
 /*! @brief Longest wait of a connection; well below the patience of callers with short deadlines. */
 constexpr Duration maxWait = std::chrono::milliseconds{150};
 
@@ -53,7 +55,8 @@
     if (connection.ahead == 0 && (hasRoom(now) || isOverdue(now))) {
         take(m_cost);
         m_servedAt = now;
-        ++m_unread;
+        forgetUnused(now);
+        m_unread.push_back(now);
         return ConnectionDecision::Serve;
     }
     const double missing = m_cost * static_cast<double>(connection.ahead + 1) - m_budget;
@@ -68,13 +71,23 @@
 void ConnectionGate::recordRequest(TimePoint now)
 {
     refill(now);
-    if (m_unread > 0) {
-        --m_unread;
+    forgetUnused(now);
+    if (!m_unread.empty()) {
+        m_unread.pop_front();
         return;
     }
     take(m_cost);
 }
 
+/*! @brief What a connection has paid is spent if it brings no request soon, so that it pays for no other connection's.
+ */
+void ConnectionGate::forgetUnused(TimePoint now)
+{
+    while (!m_unread.empty() && now - m_unread.front() > firstRequestTime) {
+        m_unread.pop_front();
+    }
+}
+
 /*! @brief Notes when a round of the event loop began; nothing is recorded of it before its end. */
 void ConnectionGate::followRound(TimePoint now)
 {
--- a/src/bergamottide/overload/connectiongate.h
+++ b/src/bergamottide/overload/connectiongate.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <string_view>
 
 namespace bergamottide {
@@ -73,6 +74,7 @@
     void refill(TimePoint now);
     void adjust(TimePoint now);
     void take(double cost);
+    void forgetUnused(TimePoint now);
     [[nodiscard]] bool hasRoom(TimePoint now) const;
     [[nodiscard]] bool isOverdue(TimePoint now) const;
     /*! @brief Returns the load, with the present round of the event loop. */
@@ -90,8 +92,8 @@
     double m_throttle{1.0};
     TimePoint m_closedAt{};
     TimePoint m_servedAt{};
-    /*! @brief Served connections whose first request has not been read. */
-    std::size_t m_unread{};
+    /*! @brief When connections were served whose first request has not been read, within the last second. */
+    std::deque<TimePoint> m_unread;
     TimePoint m_refilledAt{};
     TimePoint m_adjustedAt{};
     TimePoint m_recordedUntil{};
--- a/test/bergamottide/overload/connectiongate.cpp
+++ b/test/bergamottide/overload/connectiongate.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(someConnectionsAreServedWhateverTheLoad);
     CPPUNIT_TEST(unusedConnectionsDoNotCloseTheGate);
     CPPUNIT_TEST(requestsOnOpenConnectionsLeaveRoomForNewOnes);
+    CPPUNIT_TEST(unusedConnectionsDoNotPayForOthers);
     CPPUNIT_TEST(connectionsTakenInLongRoundsAreServedInTime);
     CPPUNIT_TEST_SUITE_END();
 
@@ -79,20 +80,27 @@
     void requestsOnOpenConnectionsLeaveRoomForNewOnes()
     {
         offer(1000, std::chrono::seconds{2}, requestTime);
-        std::size_t served = 0;
-        for (int round = 0; round < 250; ++round) {
-            m_now += std::chrono::milliseconds{20};
-            readRequest(requestTime);
-            if (m_gate.decide({}, m_now) != ConnectionDecision::Serve) {
-                continue;
-            }
-            ++served;
-            readRequest(requestTime);
-        }
+        const std::size_t served = offerBesideOpenConnections();
         CPPUNIT_ASSERT(served >= 4);
         CPPUNIT_ASSERT(served <= 25);
     }
 
+    /*! @brief Guards against requests on open connections that connections without a request have paid for. */
+    void unusedConnectionsDoNotPayForOthers()
+    {
+        for (int connection = 0; connection < 5000; ++connection) {
+            m_now += std::chrono::milliseconds{1};
+            CPPUNIT_ASSERT(m_gate.decide({}, m_now) == ConnectionDecision::Serve);
+            m_meter.recordBusy(Duration::zero(), m_now);
+        }
+        m_now += std::chrono::seconds{2};
+        offer(1000, std::chrono::seconds{2}, requestTime);
+        const std::size_t served = offerBesideOpenConnections();
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(served), served >= 4);
+        // One new connection a second, while open ones use up the capacity.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(served), served <= 6);
+    }
+
     /*! @brief Nothing is measured while a round of the event loop lasts. */
     void connectionsTakenInLongRoundsAreServedInTime()
     {
@@ -141,6 +149,23 @@
         return served;
     }
 
+    /*! @brief Offers a connection each 20 ms for five seconds, while open connections bring twice as many requests as
+     * the processor can do; returns the number that is served. */
+    std::size_t offerBesideOpenConnections()
+    {
+        std::size_t served = 0;
+        for (int round = 0; round < 250; ++round) {
+            m_now += std::chrono::milliseconds{20};
+            readRequest(requestTime);
+            if (m_gate.decide({}, m_now) != ConnectionDecision::Serve) {
+                continue;
+            }
+            ++served;
+            readRequest(requestTime);
+        }
+        return served;
+    }
+
     /*! @brief Offers connections evenly over a time, each with a request that takes processor time at once; returns the
      * number that is served. */
     std::size_t offer(int count, Duration time, Duration processorTime)
