--- a/test/bergamottide/net/headcheck.cpp
+++ b/test/bergamottide/net/headcheck.cpp
@@ -1,6 +1,7 @@
 #include "bergamottide/net/headcheck.h"
 #include "bergamottide/net/httpclient.h"
 #include "bergamottide/net/socketaddress.h"
+#include "support/drawnanswers.h"
 #include "support/rununtil.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -114,33 +115,9 @@
     /*! @brief Heads drawn by a grammar, through the check and the client: each ends in an answer or a failure. */
     void clientSurvivesDrawnHeads()
     {
-        const std::vector<std::string> parts{"HTTP/1.1 200 OK\r\n",
-                                             "HTTP/1.1 100 Continue\r\n",
-                                             "Content-Length: 2\r\n",
-                                             "Content-Length: ",
-                                             "content-length: 0x2\r\n",
-                                             "Transfer-Encoding: ",
-                                             "transfer-encoding:chunked\r\n",
-                                             "Chunked",
-                                             "identity",
-                                             "minus",
-                                             "\r\n",
-                                             "\n",
-                                             "\r",
-                                             " ",
-                                             "\t",
-                                             "X: y\r\n",
-                                             ":",
-                                             "2\r\n{}\r\n0\r\n\r\n",
-                                             "{}",
-                                             std::string(1, '\0')};
         std::mt19937 random{1};
         for (int count = 0; count < 300; ++count) {
-            std::string bytes = count % 4 == 0 ? "" : "HTTP/1.1 200 OK\r\n";
-            for (std::size_t left = 1 + random() % 9; left > 0; --left) {
-                bytes += parts[random() % parts.size()];
-            }
-            static_cast<void>(exchange(bytes));
+            static_cast<void>(exchange(test::drawAnswer(random, count % 4 != 0)));
         }
     }
 
--- a/test/support/rawserver.cpp
+++ b/test/support/rawserver.cpp
@@ -31,7 +31,14 @@
 } // namespace
 
 RawServer::RawServer(RawScript script)
-    : m_script{std::move(script)}
+    : RawServer{[script = std::move(script)] {
+        return script;
+    }}
+{
+}
+
+RawServer::RawServer(std::function<RawScript()> nextScript)
+    : m_nextScript{std::move(nextScript)}
     , m_listener{socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)}
 {
     sockaddr_in address{};
@@ -74,21 +81,21 @@
         }
         const int connection = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
         if (connection >= 0) {
-            serveOne(connection);
+            serveOne(connection, m_nextScript());
             close(connection);
         }
     }
 }
 
-void RawServer::serveOne(int connection)
+void RawServer::serveOne(int connection, const RawScript &script)
 {
     // The request is read in part only; the answer does not depend on it.
     std::array<char, 4096> request{};
     static_cast<void>(recv(connection, request.data(), request.size(), 0));
-    bool open = sendAll(connection, m_script.head);
-    for (std::size_t time = 0; open && time < m_script.times && !m_stopped; ++time) {
-        open = sendAll(connection, m_script.repeated);
-        m_sent += m_script.repeated.size();
+    bool open = sendAll(connection, script.head);
+    for (std::size_t time = 0; open && time < script.times && !m_stopped; ++time) {
+        open = sendAll(connection, script.repeated);
+        m_sent += script.repeated.size();
     }
     shutdown(connection, SHUT_RDWR);
 }
--- a/test/support/rawserver.h
+++ b/test/support/rawserver.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <functional>
 #include <string>
 #include <thread>
 
@@ -26,6 +27,12 @@
      * @param script What to send.
      */
     explicit RawServer(RawScript script);
+
+    /**
+     * @brief Listens on the loopback address, and answers each connection with a script of its own.
+     * @param nextScript Returns what to send on the next connection; called on the server's thread.
+     */
+    explicit RawServer(std::function<RawScript()> nextScript);
     RawServer(const RawServer &) = delete;
     RawServer &operator=(const RawServer &) = delete;
     ~RawServer();
@@ -38,9 +45,9 @@
 
 private:
     void serve();
-    void serveOne(int connection);
+    void serveOne(int connection, const RawScript &script);
 
-    RawScript m_script;
+    std::function<RawScript()> m_nextScript;
     int m_listener{-1};
     std::atomic<bool> m_stopped{};
     std::atomic<std::size_t> m_sent{};
