--- a/test/bergamottide/endpoint/endpointadapter.cpp
+++ b/test/bergamottide/endpoint/endpointadapter.cpp
@@ -189,7 +189,7 @@
     {
         std::string address;
         {
-            const RawServer closedServer{{}};
+            const RawServer closedServer{RawScript{}};
             address = closedServer.address();
         }
         for (const PoolKind kind : {PoolKind::Encoder, PoolKind::Engine}) {
