--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -19,7 +19,7 @@
  * before `minStallTime`. */
 constexpr int stallFactor = 6;
 constexpr Duration minStallTime = std::chrono::milliseconds{1000};
-/*! @brief Lateness of a tick from which it counts; timers of a process with room are late by less. */
+/*! @brief Lateness of a tick from which it counts. */
 constexpr Duration minLateness = std::chrono::milliseconds{20};
 
 engines::GenerationNumber generationOf(RunNumber run)
