Resume streams without a record only from a list that is confirmed after they began

What callers saw: a stream that had begun at a version that a process has not heard of was resumed there, answered 200, and went on at another version.

Cause: the only version of a list was taken for the version of a stream if the list had been known for long enough. How recently it had been confirmed was not asked. Relays answered peers by the same rule, and engines were searched from the same list. Class: absence of news taken for knowledge.

Change: an only version counts if the list covers the whole time in which the stream can have begun, up to the arrival of its resumption; prompts are looked for after the same confirmation. The reducer asks for it, the watch asks the store at once, a follower its reader. Without a confirmation the resumption is rejected: after 0.5 s, or at once while the store is known to be unavailable. Records of streams are used as before.

Why it works: an engine of another version is in the list before any process can send it a stream, so that a list as of a later time contains it.

--- a/src/bergamottide/app/peerport.h
+++ b/src/bergamottide/app/peerport.h
@@ -34,6 +34,8 @@
     std::function<HttpResponse(const std::string &query)> snapshot;
     /*! @brief Answers a query for changes, possibly later (long poll). */
     std::function<void(const std::string &query, const std::shared_ptr<HttpResponder> &responder)> changes;
+    /*! @brief Requests a confirmation of the data; `ServingApp::confirmEndpoints` or `leaveUnconfirmed` is called. */
+    std::function<void()> confirm;
 };
 
 /*! @brief Path at which peers ask for changes of the store's data. */
--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -261,6 +261,11 @@
     m_runner.submit(EndpointsConfirmed{asOf});
 }
 
+void ServingApp::leaveUnconfirmed()
+{
+    m_runner.submit(EndpointsUnconfirmed{});
+}
+
 void ServingApp::log(const LogLine &line)
 {
     if (const auto summary = m_logGate.summary(m_loop.now())) {
@@ -299,6 +304,7 @@
 
 void ServingApp::setStoreHandlers(StoreHandlers handlers)
 {
+    m_confirmStore = handlers.confirm;
     m_peers.setStoreHandlers(std::move(handlers));
 }
 
@@ -661,6 +667,15 @@
     m_peers.carryOut(effect);
 }
 
+void ServingApp::carryOut(const ConfirmEndpoints &)
+{
+    if (!m_confirmStore) {
+        leaveUnconfirmed();
+        return;
+    }
+    m_confirmStore();
+}
+
 void ServingApp::carryOut(const AnswerStreamQuery &effect)
 {
     m_peers.carryOut(effect);
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -106,6 +106,10 @@
      */
     void confirmEndpoints(TimePoint asOf);
 
+    /*! @brief Tells the reducer that the list could not be confirmed when the handler `StoreHandlers::confirm` was
+     * called. */
+    void leaveUnconfirmed();
+
     /*! @brief Writes a line to the log. */
     void log(const LogLine &line);
 
@@ -168,6 +172,7 @@
     void carryOut(const serving::LookUpStream &effect);
     void carryOut(const serving::AnswerStreamQuery &effect);
     void carryOut(const serving::ListCachedPrompts &effect);
+    void carryOut(const serving::ConfirmEndpoints &effect);
     void carryOut(const serving::SendHeartbeat &effect);
     void carryOut(const serving::Drained &effect);
     void carryOut(const LogLine &effect);
@@ -204,6 +209,7 @@
     HttpServer m_callersServer;
     HttpServer m_readyServer;
     std::optional<HttpServer> m_metricsServer;
+    std::function<void()> m_confirmStore;
     std::map<CallId, Caller> m_callers;
     std::map<serving::RunNumber, Run> m_runs;
     std::map<serving::StageCallNumber, HttpCallId> m_stageCalls;
--- a/src/bergamottide/events/events.h
+++ b/src/bergamottide/events/events.h
@@ -264,6 +264,11 @@
     TimePoint asOf{};
 };
 
+/*! @brief Event: the list of endpoints could not be confirmed when `ConfirmEndpoints` asked for it. */
+struct EndpointsUnconfirmed
+{
+};
+
 /*! @brief Identifies a task that a peer has submitted; unique within this process. */
 enum class PeerTaskNumber : std::uint64_t
 {
@@ -380,11 +385,11 @@
     Duration lateness{};
 };
 
-using Event =
-    std::variant<RequestArrived, CallerDisconnected, EndpointResponded, RunHeadReceived, RunBodyReceived, RunCompleted,
-                 RunFailed, EndpointChecked, StageCallEnded, CatalogChanged, EndpointsChanged, EndpointsConfirmed,
-                 PeerTaskArrived, PeerTaskCancelled, DelegatedTaskEnded, HeartbeatReceived, PeerReleasedResults,
-                 StreamQueryArrived, CachedPromptsListed, StreamLookupEnded, SettingsChanged, DrainRequested, Tick>;
+using Event = std::variant<RequestArrived, CallerDisconnected, EndpointResponded, RunHeadReceived, RunBodyReceived,
+                           RunCompleted, RunFailed, EndpointChecked, StageCallEnded, CatalogChanged, EndpointsChanged,
+                           EndpointsConfirmed, EndpointsUnconfirmed, PeerTaskArrived, PeerTaskCancelled,
+                           DelegatedTaskEnded, HeartbeatReceived, PeerReleasedResults, StreamQueryArrived,
+                           CachedPromptsListed, StreamLookupEnded, SettingsChanged, DrainRequested, Tick>;
 
 /*! @brief Kind of an error response that this process sends instead of an endpoint. */
 enum class ErrorKind : std::uint8_t
@@ -570,6 +575,14 @@
     Duration timeout{};
 };
 
+/*!
+ * @brief Effect: asks for a confirmation of the list of endpoints as of now or later; `EndpointsConfirmed` or
+ * `EndpointsUnconfirmed` follows.
+ */
+struct ConfirmEndpoints
+{
+};
+
 /*! @brief Effect: sends a heartbeat to an address. */
 struct SendHeartbeat
 {
@@ -581,10 +594,11 @@
 {
 };
 
-using Effect = std::variant<SendErrorResponse, SendResponse, BeginStream, SendStreamEvents, FinishStream, AbortStream,
-                            StartRun, CancelRun, CheckEndpoint, StartStageCall, CancelStageCall, ReleaseResults,
-                            DelegateTask, CancelDelegatedTask, CompletePeerTask, NotifyReleasedResults, LookUpStream,
-                            AnswerStreamQuery, ListCachedPrompts, SendHeartbeat, Drained, LogLine, Observe>;
+using Effect =
+    std::variant<SendErrorResponse, SendResponse, BeginStream, SendStreamEvents, FinishStream, AbortStream, StartRun,
+                 CancelRun, CheckEndpoint, StartStageCall, CancelStageCall, ReleaseResults, DelegateTask,
+                 CancelDelegatedTask, CompletePeerTask, NotifyReleasedResults, LookUpStream, AnswerStreamQuery,
+                 ListCachedPrompts, ConfirmEndpoints, SendHeartbeat, Drained, LogLine, Observe>;
 using Effects = std::vector<Effect>;
 
 } // namespace bergamottide::serving
--- a/src/bergamottide/pools/endpointlistage.cpp
+++ b/src/bergamottide/pools/endpointlistage.cpp
@@ -13,9 +13,14 @@
     m_confirmedAt = asOf;
 }
 
+bool EndpointListAge::isConfirmedSince(TimePoint time) const noexcept
+{
+    return m_confirmedAt && *m_confirmedAt >= time;
+}
+
 bool EndpointListAge::covers(TimePoint from, TimePoint until) const noexcept
 {
-    return m_confirmedAt && m_knownSince <= from && *m_confirmedAt >= until;
+    return isConfirmedSince(until) && m_knownSince <= from;
 }
 
 std::optional<Duration> EndpointListAge::age(TimePoint now) const noexcept
--- a/src/bergamottide/pools/endpointlistage.h
+++ b/src/bergamottide/pools/endpointlistage.h
@@ -28,6 +28,9 @@
      */
     void confirm(TimePoint asOf) noexcept;
 
+    /*! @brief Returns whether all changes of the list up to a time are known. */
+    [[nodiscard]] bool isConfirmedSince(TimePoint time) const noexcept;
+
     /*! @brief Returns whether all endpoints that were listed at any time of a period are known. */
     [[nodiscard]] bool covers(TimePoint from, TimePoint until) const noexcept;
 
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -65,7 +65,7 @@
     , m_incarnation{options.incarnation}
     , m_gossipClock{options.incarnation}
     , m_notices{m_gossipClock, m_endpoints}
-    , m_streamVersions{m_gossipClock}
+    , m_streamVersions{m_gossipClock, m_listAge}
     , m_quarantine{m_gossipClock}
     , m_crashDetector{m_endpoints}
 {
@@ -114,6 +114,10 @@
     if (const auto due = m_promptSearch.nextWakeup()) {
         next = next ? std::min(*next, *due) : due;
     }
+    if (!m_unconfirmedQuestions.empty()) {
+        const TimePoint due = m_unconfirmedQuestions.front().askedAt + confirmationTimeout;
+        next = next ? std::min(*next, due) : due;
+    }
     if (!m_deferredTasks.empty() || !m_deferredLookups.empty()) {
         const TimePoint check = m_now + deferredTaskPeriod;
         next = next ? std::min(*next, check) : check;
@@ -161,6 +165,13 @@
 void ServingReducer::on(const EndpointsConfirmed &event)
 {
     m_listAge.confirm(event.asOf);
+    answerConfirmedQuestions();
+}
+
+void ServingReducer::on(const EndpointsUnconfirmed &)
+{
+    m_confirmationRequestedAt.reset();
+    rejectQuestions(m_now);
 }
 
 void ServingReducer::on(const DrainRequested &)
@@ -184,6 +195,7 @@
     checkStalledRuns();
     m_stageScheduler.handleTimeouts(m_now, m_effects);
     startDeferredLookups();
+    rejectQuestions(m_now - confirmationTimeout);
     m_promptSearch.handleTimeouts(m_now);
     deliverSearchAnswers();
     submitDeferredTasks();
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -35,6 +35,7 @@
 #include <string>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 namespace bergamottide::serving {
 
@@ -139,6 +140,7 @@
     void on(const CatalogChanged &event);
     void on(const EndpointsChanged &event);
     void on(const EndpointsConfirmed &event);
+    void on(const EndpointsUnconfirmed &event);
     void on(const PeerTaskArrived &event);
     void on(const PeerTaskCancelled &event);
     void on(const DelegatedTaskEnded &event);
@@ -217,6 +219,12 @@
     [[nodiscard]] bool searchesPrompts(const StreamQuery &query) const;
     void lookUpVersion(Request &request);
     void startDeferredLookups();
+    void proveVersion(const PromptSearch::Asker &asker, const StreamQuery &query);
+    void requestConfirmation();
+    void answerConfirmedQuestions();
+    void rejectQuestions(TimePoint askedUntil);
+    void deliverVersion(const PromptSearch::Asker &asker, const std::optional<SoftwareVersion> &version,
+                        VersionSource source);
     void deliverSearchAnswers();
     void endLookup(CallId call, const std::optional<SoftwareVersion> &version, VersionSource source);
     void recordResumption(const Request &request, VersionSource source);
@@ -277,6 +285,17 @@
         std::vector<StageOutcome> outcomes;
     };
 
+    /*! @brief Question about a stream without a record. */
+    struct UnconfirmedQuestion
+    {
+        PromptSearch::Asker asker;
+        StreamQuery query;
+        TimePoint askedAt{};
+    };
+
+    /*! @brief Longest wait for a confirmation of the list; shorter than the timeout of a peer's question. */
+    static constexpr Duration confirmationTimeout = std::chrono::milliseconds{500};
+
     TimePoint m_now;
     Effects m_effects;
     std::shared_ptr<const Catalog> m_catalog;
@@ -303,6 +322,10 @@
     PromptSearch m_promptSearch;
     /*! @brief Resumptions of unknown streams that arrived before the fleet was known. */
     std::set<CallId> m_deferredLookups;
+    /*! @brief Questions that wait until the list of endpoints is confirmed, oldest first. */
+    std::vector<UnconfirmedQuestion> m_unconfirmedQuestions;
+    /*! @brief When a confirmation was requested that has not come yet. */
+    std::optional<TimePoint> m_confirmationRequestedAt;
     /*! @brief Fair shares in the pools whose endpoints are all bounded. */
     std::map<PoolName, FairAdmission> m_fairAdmissions;
     Quarantine m_quarantine;
--- a/src/bergamottide/serving/servingstreams.cpp
+++ b/src/bergamottide/serving/servingstreams.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-/*! @brief Sets the software version of a stream that its caller resumes, as far as this process knows it. */
+/*! @brief Sets the software version of a stream that its caller resumes, if there is a record of it here. */
 void ServingReducer::resolveVersion(Request &request)
 {
     if (request.route->kind != RouteKind::Streaming || !request.callerRequest->resumesStream()) {
@@ -33,11 +33,6 @@
     request.streamVersion = m_streamVersions.find(keyOf(request));
     if (request.streamVersion) {
         recordResumption(request, VersionSource::Record);
-        return;
-    }
-    request.streamVersion = m_streamVersions.onlyVersion(request.pool, lifetimeOf(request), m_now);
-    if (request.streamVersion) {
-        recordResumption(request, VersionSource::OnlyVersion);
     }
 }
 
@@ -79,15 +74,19 @@
 StreamQuery ServingReducer::queryOf(const Request &request) const
 {
     const auto &prompt = request.callerRequest->prompt;
+    const Duration lifetime = lifetimeOf(request);
     // A peer whose list of endpoints is older must not take the version that it has seen for the only one.
-    const Duration lifetime = m_streamVersions.hasSingleVersion(request.pool) ? lifetimeOf(request) : Duration::zero();
-    return {keyOf(request), request.pool, prompt.empty() ? engines::PromptPart{} : prompt.back(), lifetime};
+    const bool isSingle = m_streamVersions.hasSingleVersion(request.pool, lifetime, m_now);
+    return {keyOf(request), request.pool, prompt.empty() ? engines::PromptPart{} : prompt.back(),
+            isSingle ? lifetime : Duration::zero()};
 }
 
 /*! @brief Returns whether anything could know the software version of the request's stream. */
 bool ServingReducer::canLookUp(const Request &request) const
 {
-    return !m_peers.isDiscoveryFinished(m_now) || !m_peers.relays(m_now).empty() || searchesPrompts(queryOf(request));
+    const StreamQuery query = queryOf(request);
+    return !m_peers.isDiscoveryFinished(m_now) || !m_peers.relays(m_now).empty() || query.lifetime > Duration::zero()
+        || searchesPrompts(query);
 }
 
 /*
@@ -118,12 +117,69 @@
         ++request.pendingLookups;
         m_effects.emplace_back(LookUpStream{call, query, relay.address});
     }
-    if (searchesPrompts(query)) {
-        ++request.pendingLookups;
-        m_promptSearch.ask(call, query.pool, query.lastPart, m_now, m_effects);
+    proveVersion(call, query);
+}
+
+/*!
+ * @brief Looks for a proof of the version of a stream without a record: the only version that there was, or the version
+ * whose engines have the prompt.
+ *
+ * Both need the list as of the question at least. An older one may lack the endpoint that began the stream, however
+ * long it has been known.
+ */
+void ServingReducer::proveVersion(const PromptSearch::Asker &asker, const StreamQuery &query)
+{
+    if (query.lifetime == Duration::zero() && !searchesPrompts(query)) {
+        deliverVersion(asker, std::nullopt, VersionSource::OnlyVersion);
+        return;
+    }
+    m_unconfirmedQuestions.push_back({asker, query, m_now});
+    requestConfirmation();
+}
+
+void ServingReducer::requestConfirmation()
+{
+    if (m_unconfirmedQuestions.empty() || m_confirmationRequestedAt) {
+        return;
+    }
+    m_confirmationRequestedAt = m_now;
+    m_effects.emplace_back(ConfirmEndpoints{});
+}
+
+void ServingReducer::answerConfirmedQuestions()
+{
+    if (m_confirmationRequestedAt && m_listAge.isConfirmedSince(*m_confirmationRequestedAt)) {
+        m_confirmationRequestedAt.reset();
+    }
+    for (UnconfirmedQuestion &question : std::exchange(m_unconfirmedQuestions, {})) {
+        if (!m_listAge.isConfirmedSince(question.askedAt)) {
+            m_unconfirmedQuestions.push_back(std::move(question));
+            continue;
+        }
+        const StreamQuery &query = question.query;
+        const auto only = query.lifetime > Duration::zero()
+            ? m_streamVersions.onlyVersion(query.pool, query.lifetime, question.askedAt)
+            : std::nullopt;
+        if (!only && searchesPrompts(query)) {
+            m_promptSearch.ask(question.asker, query.pool, query.lastPart, m_now, m_effects);
+            continue;
+        }
+        deliverVersion(question.asker, only, VersionSource::OnlyVersion);
     }
-    endLookup(call, std::nullopt, VersionSource::Peer);
     deliverSearchAnswers();
+    requestConfirmation();
+}
+
+/*! @brief Answers the questions up to a time without a version, since the list has not been confirmed. */
+void ServingReducer::rejectQuestions(TimePoint askedUntil)
+{
+    for (UnconfirmedQuestion &question : std::exchange(m_unconfirmedQuestions, {})) {
+        if (question.askedAt > askedUntil) {
+            m_unconfirmedQuestions.push_back(std::move(question));
+            continue;
+        }
+        deliverVersion(question.asker, std::nullopt, VersionSource::OnlyVersion);
+    }
 }
 
 void ServingReducer::startDeferredLookups()
@@ -143,17 +199,11 @@
 void ServingReducer::on(const StreamQueryArrived &event)
 {
     const StreamQuery &query = event.query;
-    auto version = m_streamVersions.find(query.stream);
-    if (!version && query.lifetime > Duration::zero()) {
-        version = m_streamVersions.onlyVersion(query.pool, query.lifetime, m_now);
-        logProvenVersion(version, VersionSource::OnlyVersion);
-    }
-    if (version || !searchesPrompts(query)) {
+    if (const auto version = m_streamVersions.find(query.stream)) {
         m_effects.emplace_back(AnswerStreamQuery{event.number, version});
         return;
     }
-    m_promptSearch.ask(event.number, query.pool, query.lastPart, m_now, m_effects);
-    deliverSearchAnswers();
+    proveVersion(event.number, query);
 }
 
 void ServingReducer::on(const CachedPromptsListed &event)
@@ -165,13 +215,20 @@
 void ServingReducer::deliverSearchAnswers()
 {
     for (const PromptSearch::Answer &answer : m_promptSearch.takeAnswers()) {
-        logProvenVersion(answer.version, VersionSource::CachedPrompt);
-        if (const auto *call = std::get_if<CallId>(&answer.asker)) {
-            endLookup(*call, answer.version, VersionSource::CachedPrompt);
-            continue;
-        }
-        m_effects.emplace_back(AnswerStreamQuery{std::get<StreamQueryNumber>(answer.asker), answer.version});
+        deliverVersion(answer.asker, answer.version, VersionSource::CachedPrompt);
+    }
+}
+
+/*! @brief Answers a question about a stream without a record, of this process or of a peer. */
+void ServingReducer::deliverVersion(const PromptSearch::Asker &asker, const std::optional<SoftwareVersion> &version,
+                                    VersionSource source)
+{
+    logProvenVersion(version, source);
+    if (const auto *call = std::get_if<CallId>(&asker)) {
+        endLookup(*call, version, source);
+        return;
     }
+    m_effects.emplace_back(AnswerStreamQuery{std::get<StreamQueryNumber>(asker), version});
 }
 
 void ServingReducer::on(const StreamLookupEnded &event)
--- a/src/bergamottide/streams/streamversions.cpp
+++ b/src/bergamottide/streams/streamversions.cpp
@@ -14,8 +14,9 @@
 
 } // namespace
 
-StreamVersions::StreamVersions(GossipClock &clock)
+StreamVersions::StreamVersions(GossipClock &clock, const EndpointListAge &listAge)
     : m_own{clock}
+    , m_listAge{listAge}
 {
 }
 
@@ -27,7 +28,6 @@
 
 void StreamVersions::updateEndpoints(const EndpointList &endpoints, TimePoint now)
 {
-    m_knownSince = m_knownSince.value_or(now);
     for (auto &[pool, versions] : m_pools) {
         std::erase_if(versions,
                       [now](const auto &entry) { return entry.second && now - *entry.second >= maxLifetime; });
@@ -66,16 +66,28 @@
     return reported == m_reported.end() ? std::nullopt : std::optional{reported->second.version};
 }
 
-std::optional<SoftwareVersion> StreamVersions::onlyVersion(const PoolName &pool, Duration lifetime, TimePoint now) const
+std::optional<SoftwareVersion> StreamVersions::onlyVersion(const PoolName &pool, Duration lifetime,
+                                                           TimePoint resumedAt) const
+{
+    const TimePoint earliestBegin = resumedAt - std::min(lifetime, maxLifetime);
+    return m_listAge.covers(earliestBegin, resumedAt) ? singleVersion(pool, earliestBegin) : std::nullopt;
+}
+
+bool StreamVersions::hasSingleVersion(const PoolName &pool, Duration lifetime, TimePoint now) const
+{
+    return singleVersion(pool, now - std::min(lifetime, maxLifetime)).has_value();
+}
+
+/*! @brief Returns the only version of a pool that this process has seen since a time. */
+std::optional<SoftwareVersion> StreamVersions::singleVersion(const PoolName &pool, TimePoint since) const
 {
-    lifetime = std::min(lifetime, maxLifetime);
     const auto versions = m_pools.find(pool);
-    if (versions == m_pools.end() || !m_knownSince || now - *m_knownSince < lifetime) {
+    if (versions == m_pools.end()) {
         return std::nullopt;
     }
     const SoftwareVersion *only = nullptr;
     for (const auto &[version, goneAt] : versions->second) {
-        if (goneAt && now - *goneAt >= lifetime) {
+        if (goneAt && *goneAt <= since) {
             continue;
         }
         if (only != nullptr) {
@@ -86,12 +98,6 @@
     return only == nullptr ? std::nullopt : std::optional{*only};
 }
 
-bool StreamVersions::hasSingleVersion(const PoolName &pool) const
-{
-    const auto versions = m_pools.find(pool);
-    return versions != m_pools.end() && versions->second.size() == 1;
-}
-
 void StreamVersions::merge(const std::vector<StreamReport> &reports, TimePoint now)
 {
     for (const StreamReport &report : reports) {
--- a/src/bergamottide/streams/streamversions.h
+++ b/src/bergamottide/streams/streamversions.h
@@ -5,6 +5,7 @@
 #include "bergamottide/events/events.h"
 #include "bergamottide/events/heartbeat.h"
 #include "bergamottide/gossip/gossiptable.h"
+#include "bergamottide/pools/endpointlistage.h"
 
 #include <cstdint>
 #include <map>
@@ -20,7 +21,7 @@
  * What endpoints of two versions write does not fit together, and endpoints do not check it: a stream that breaks off
  * may continue only at the version that began it. Its caller may resume it at any process, so each process tells the
  * relays which version it has chosen, already when it sends a request. Where nothing is known of a stream, the only
- * version of its pool is taken if this process has known the endpoints since before the stream began.
+ * version of its pool is taken if this process has known the endpoints for as long as the stream can have lasted.
  */
 class StreamVersions
 {
@@ -31,8 +32,9 @@
     /**
      * @brief Creates an empty table.
      * @param clock Numbers the changes; must outlive the table.
+     * @param listAge Tells for which period the endpoints are known; must outlive the table.
      */
-    explicit StreamVersions(GossipClock &clock);
+    StreamVersions(GossipClock &clock, const EndpointListAge &listAge);
 
     /**
      * @brief Returns the key of a stream.
@@ -58,17 +60,18 @@
     [[nodiscard]] std::optional<SoftwareVersion> find(StreamKey stream) const;
 
     /**
-     * @brief Returns the only version that a pool's endpoints have had for some time.
+     * @brief Returns the only version that a pool's endpoints can have had while a stream lasted.
      * @param pool Pool.
-     * @param lifetime Length of that time; at most ten minutes count.
-     * @param now Current time.
-     * @return Version; nothing if there were several, or the endpoints have not been known for so long.
+     * @param lifetime Longest time for which the stream can have lasted; at most ten minutes count.
+     * @param resumedAt When its resumption has arrived, and thus the latest time at which it can have begun.
+     * @return Version; nothing if there were several, or not all endpoints of that time are known.
      */
     [[nodiscard]] std::optional<SoftwareVersion> onlyVersion(const PoolName &pool, Duration lifetime,
-                                                             TimePoint now) const;
+                                                             TimePoint resumedAt) const;
 
-    /*! @brief Returns whether a pool has had a single version for as long as this process knows the endpoints. */
-    [[nodiscard]] bool hasSingleVersion(const PoolName &pool) const;
+    /*! @brief Returns whether this process has seen a single version of a pool within a time; others may have served.
+     */
+    [[nodiscard]] bool hasSingleVersion(const PoolName &pool, Duration lifetime, TimePoint now) const;
 
     /*! @brief Adds the streams of a peer. */
     void merge(const std::vector<StreamReport> &reports, TimePoint now);
@@ -93,12 +96,13 @@
     /*! @brief Versions of a pool, each with the time at which its last endpoint was removed; none while it has one. */
     using PoolVersions = std::map<SoftwareVersion, std::optional<TimePoint>>;
 
+    [[nodiscard]] std::optional<SoftwareVersion> singleVersion(const PoolName &pool, TimePoint since) const;
+
     GossipTable<StreamKey, Stream> m_own;
     /*! @brief Streams of peers. */
     std::map<StreamKey, Stream> m_reported;
     std::map<PoolName, PoolVersions> m_pools;
-    /*! @brief When the endpoints were first known. */
-    std::optional<TimePoint> m_knownSince;
+    const EndpointListAge &m_listAge;
 };
 
 } // namespace bergamottide::serving
--- a/test/bergamottide/serving/servingfixture.h
+++ b/test/bergamottide/serving/servingfixture.h
@@ -2,6 +2,7 @@
 
 #include "bergamottide/serving/servingreducer.h"
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <utility>
@@ -19,6 +20,7 @@
     {
         apply(serving::CatalogChanged{catalog()});
         apply(serving::EndpointsChanged{std::move(list)});
+        apply(serving::EndpointsConfirmed{m_now});
     }
 
     [[nodiscard]] static std::shared_ptr<const serving::Catalog> catalog()
@@ -87,19 +89,26 @@
     void apply(const serving::Event &event)
     {
         m_effects.clear();
-        for (serving::Effect &effect : m_reducer.apply(event, m_now)) {
-            if (!std::holds_alternative<LogLine>(effect) && !std::holds_alternative<Observe>(effect)
-                && !std::holds_alternative<serving::SendHeartbeat>(effect)) {
-                m_effects.push_back(std::move(effect));
-            }
-        }
+        collectEffects(event);
+    }
+
+    /*! @brief Sets whether the platform confirms the list of endpoints, regularly and on request. */
+    void setListConfirmed(bool isListConfirmed)
+    {
+        m_isListConfirmed = isListConfirmed;
     }
 
     /*! @brief Advances the clock and applies a tick, which is late by a time. */
     void advanceClock(Duration time, Duration lateness = {})
     {
-        m_now += time;
-        apply(serving::Tick{lateness});
+        m_effects.clear();
+        for (const TimePoint end = m_now + time; m_now < end;) {
+            m_now = std::min(m_now + confirmationPeriod, end);
+            if (m_isListConfirmed) {
+                collectEffects(serving::EndpointsConfirmed{m_now});
+            }
+        }
+        collectEffects(serving::Tick{lateness});
     }
 
     /*! @brief Returns the first effect of a type that the last event caused, or null. */
@@ -138,6 +147,22 @@
     }
 
 private:
+    static constexpr Duration confirmationPeriod = std::chrono::seconds{1};
+
+    void collectEffects(const serving::Event &event)
+    {
+        for (serving::Effect &effect : m_reducer.apply(event, m_now)) {
+            if (m_isListConfirmed && std::holds_alternative<serving::ConfirmEndpoints>(effect)) {
+                collectEffects(serving::EndpointsConfirmed{m_now});
+                continue;
+            }
+            if (!std::holds_alternative<LogLine>(effect) && !std::holds_alternative<Observe>(effect)
+                && !std::holds_alternative<serving::SendHeartbeat>(effect)) {
+                m_effects.push_back(std::move(effect));
+            }
+        }
+    }
+
     [[nodiscard]] static serving::Route route(const std::string &name, const std::string &prefix,
                                               serving::RouteKind kind, const std::string &pool)
     {
@@ -163,6 +188,7 @@
     TimePoint m_now{std::chrono::seconds{100}};
     serving::ServingReducer m_reducer;
     serving::Effects m_effects;
+    bool m_isListConfirmed{true};
 };
 
 } // namespace bergamottide::test
--- a/test/bergamottide/serving/streamversions.cpp
+++ b/test/bergamottide/serving/streamversions.cpp
@@ -38,6 +38,13 @@
     CPPUNIT_TEST(streamWithoutTimeLimitIsNotGuessedEarlier);
     CPPUNIT_TEST(changedVersionIsToldToPeersAtOnce);
     CPPUNIT_TEST(unknownStreamIsRejectedWhileAFormerVersionIsRemembered);
+    CPPUNIT_TEST(unknownStreamIsRejectedWhileTheListIsNotConfirmed);
+    CPPUNIT_TEST(confirmationBeforeTheResumptionProvesNothing);
+    CPPUNIT_TEST(confirmationThatNeverComesEndsTheWait);
+    CPPUNIT_TEST(listThatWasNotConfirmedForSomeTimeProvesNothing);
+    CPPUNIT_TEST(peerIsAnsweredOnlyFromAConfirmedList);
+    CPPUNIT_TEST(enginesOfAnOldListProveNothing);
+    CPPUNIT_TEST(oneConfirmationServesManyStreams);
     CPPUNIT_TEST(streamsOfOtherWorkspacesAreUnknown);
     CPPUNIT_TEST(streamsAreForgottenWhateverTheDeadline);
     CPPUNIT_TEST(numberOfStreamsIsBounded);
@@ -301,6 +308,98 @@
         CPPUNIT_ASSERT(fixture.effect<StartRun>() != nullptr);
     }
 
+    /*! @brief Guards against a stream of two versions: the only version of an old list did not begin it. */
+    void unknownStreamIsRejectedWhileTheListIsNotConfirmed()
+    {
+        ServingFixture fixture{without("v2")};
+        fixture.advanceClock(std::chrono::seconds{20});
+        fixture.setListConfirmed(false);
+        fixture.apply(resumption(fixture, 2, 1));
+        CPPUNIT_ASSERT(fixture.effect<StartRun>() == nullptr);
+        CPPUNIT_ASSERT(fixture.effect<ConfirmEndpoints>() != nullptr);
+        fixture.apply(EndpointsUnconfirmed{});
+        checkRejected(fixture);
+    }
+
+    void confirmationBeforeTheResumptionProvesNothing()
+    {
+        ServingFixture fixture{without("v2")};
+        fixture.advanceClock(std::chrono::seconds{20});
+        fixture.setListConfirmed(false);
+        fixture.advanceClock(std::chrono::milliseconds{10});
+        fixture.apply(resumption(fixture, 2, 1));
+        fixture.apply(EndpointsConfirmed{fixture.now() - std::chrono::milliseconds{1}});
+        CPPUNIT_ASSERT(fixture.effects().empty());
+        fixture.apply(EndpointsConfirmed{fixture.now()});
+        CPPUNIT_ASSERT(fixture.effect<StartRun>() != nullptr);
+    }
+
+    /*! @brief Guards against a wait for knowledge without a bound. */
+    void confirmationThatNeverComesEndsTheWait()
+    {
+        ServingFixture fixture{without("v2")};
+        fixture.advanceClock(std::chrono::seconds{20});
+        fixture.setListConfirmed(false);
+        fixture.apply(resumption(fixture, 2, 1));
+        fixture.advanceClock(std::chrono::milliseconds{500});
+        checkRejected(fixture);
+    }
+
+    /*! @brief Guards against a version whose endpoints have joined and left while nothing was heard of the list. */
+    void listThatWasNotConfirmedForSomeTimeProvesNothing()
+    {
+        ServingFixture fixture{without("v2")};
+        fixture.advanceClock(std::chrono::seconds{20});
+        fixture.setListConfirmed(false);
+        fixture.advanceClock(std::chrono::seconds{8});
+        fixture.setListConfirmed(true);
+        checkRejected(fixture, resumption(fixture, 2, 1));
+        fixture.advanceClock(std::chrono::seconds{10});
+        fixture.apply(resumption(fixture, 3, 1));
+        CPPUNIT_ASSERT(fixture.effect<StartRun>() != nullptr);
+    }
+
+    /*! @brief Guards against a relay that answers for others from an old list. */
+    void peerIsAnsweredOnlyFromAConfirmedList()
+    {
+        const StreamQuery query{StreamKey{7}, PoolName{"engines"}, {}, std::chrono::seconds{6}};
+        ServingFixture fixture{without("v1")};
+        fixture.advanceClock(std::chrono::seconds{20});
+        fixture.setListConfirmed(false);
+        fixture.apply(StreamQueryArrived{StreamQueryNumber{1}, query});
+        CPPUNIT_ASSERT(fixture.effect<AnswerStreamQuery>() == nullptr);
+        fixture.apply(EndpointsUnconfirmed{});
+        CPPUNIT_ASSERT(fixture.effect<AnswerStreamQuery>() != nullptr);
+        CPPUNIT_ASSERT(!fixture.effect<AnswerStreamQuery>()->version);
+    }
+
+    /*! @brief Guards against a prompt that only the engines of an old list are asked for. */
+    void enginesOfAnOldListProveNothing()
+    {
+        ServingFixture fixture{without("v2")};
+        fixture.setListConfirmed(false);
+        fixture.apply(resumptionWithPrompt(fixture, 2));
+        CPPUNIT_ASSERT(fixture.effect<ListCachedPrompts>() == nullptr);
+        fixture.apply(EndpointsUnconfirmed{});
+        checkRejected(fixture);
+    }
+
+    /*! @brief Guards against a request to the platform for each of many streams that are resumed at once. */
+    void oneConfirmationServesManyStreams()
+    {
+        ServingFixture fixture{without("v2")};
+        fixture.advanceClock(std::chrono::seconds{20});
+        fixture.setListConfirmed(false);
+        std::size_t confirmations = 0;
+        for (std::uint64_t call = 2; call < 12; ++call) {
+            fixture.apply(resumption(fixture, call, 1));
+            confirmations += count<ConfirmEndpoints>(fixture.effects());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, confirmations);
+        fixture.apply(EndpointsConfirmed{fixture.now()});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{10}, count<StartRun>(fixture.effects()));
+    }
+
     void streamsOfOtherWorkspacesAreUnknown()
     {
         const StreamKey north = StreamVersions::keyOf(WorkspaceName{"north"}, "attempt");
@@ -311,7 +410,8 @@
     void streamsAreForgottenWhateverTheDeadline()
     {
         GossipClock clock{1};
-        StreamVersions versions{clock};
+        const EndpointListAge age;
+        StreamVersions versions{clock, age};
         const TimePoint now{std::chrono::seconds{100}};
         CPPUNIT_ASSERT(!versions.record(StreamKey{1}, SoftwareVersion{"v1"}, now + std::chrono::hours{200}, now));
         versions.merge({{StreamKey{2}, SoftwareVersion{"v1"}, std::chrono::hours{200}}}, now);
@@ -323,7 +423,8 @@
     void numberOfStreamsIsBounded()
     {
         GossipClock clock{1};
-        StreamVersions versions{clock};
+        const EndpointListAge age;
+        StreamVersions versions{clock, age};
         const TimePoint now{std::chrono::seconds{100}};
         for (std::uint64_t stream = 0; stream < 100'001; ++stream) {
             CPPUNIT_ASSERT(
--- a/test/platform/storewatch.cpp
+++ b/test/platform/storewatch.cpp
@@ -72,6 +72,23 @@
         return m_watch.isUnavailable();
     }
 
+    void requestConfirmation()
+    {
+        m_watch.requestConfirmation();
+    }
+
+    /*! @brief Returns the time up to which all changes are known. */
+    [[nodiscard]] TimePoint confirmedAt() const noexcept
+    {
+        return m_confirmedAt;
+    }
+
+    /*! @brief Returns the number of requested confirmations that have failed. */
+    [[nodiscard]] std::size_t unconfirmedCount() const noexcept
+    {
+        return m_unconfirmedCount;
+    }
+
     /*! @brief Returns the number of items that were reported. */
     [[nodiscard]] std::size_t changeCount() const noexcept
     {
@@ -100,7 +117,12 @@
         };
         out.available = [] {
         };
-        out.confirmed = [](TimePoint) {
+        out.confirmed = [this](TimePoint asOf) {
+            m_confirmedAt = asOf;
+            m_relay.notifyFollowers();
+        };
+        out.unconfirmed = [this] {
+            ++m_unconfirmedCount;
         };
         out.caughtUp = [](std::uint64_t, const StorePage &) {
         };
@@ -137,6 +159,8 @@
     bool m_isFleetKnown{true};
     std::size_t m_followerRequestCount{};
     std::size_t m_changeCount{};
+    TimePoint m_confirmedAt{};
+    std::size_t m_unconfirmedCount{};
     HttpClient m_client;
     StoreWatch m_watch;
     StoreRelay m_relay;
@@ -166,6 +190,10 @@
     CPPUNIT_TEST(followersStayWithAReaderWhoseWatchIsCut);
     CPPUNIT_TEST(newestValueIsReadThoughTheHistoryIsTooLarge);
     CPPUNIT_TEST(onlyTheNewestVersionOfAValueIsReported);
+    CPPUNIT_TEST(itemsAreConfirmedOnRequest);
+    CPPUNIT_TEST(silentStoreConfirmsNothing);
+    CPPUNIT_TEST(followerIsConfirmedThroughItsRelay);
+    CPPUNIT_TEST(followerIsNotConfirmedBeforeItsRelay);
     CPPUNIT_TEST(logReturnsEachChangeOnce);
     CPPUNIT_TEST(logRecordsDifferencesToANewList);
     CPPUNIT_TEST(logReportsDiscardedHistory);
@@ -276,6 +304,56 @@
         CPPUNIT_ASSERT(m_store.requestCount() <= requestCount + 2);
     }
 
+    void itemsAreConfirmedOnRequest()
+    {
+        m_relayProcess.start();
+        runUntil([this] { return m_relayProcess.confirmedAt() != TimePoint{}; });
+        m_store.publish("servers/a", "1");
+        const TimePoint asked = m_loop.now();
+        m_relayProcess.requestConfirmation();
+        runUntil([this, asked] { return m_relayProcess.confirmedAt() >= asked; });
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, m_relayProcess.value("servers/a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_relayProcess.unconfirmedCount());
+    }
+
+    /*! @brief Guards against an old list that counts as current since nothing contradicts it. */
+    void silentStoreConfirmsNothing()
+    {
+        m_relayProcess.start();
+        runUntil([this] { return m_relayProcess.confirmedAt() != TimePoint{}; });
+        m_store.setSilent(true);
+        const TimePoint asked = m_loop.now();
+        m_relayProcess.requestConfirmation();
+        runUntil([this] { return m_relayProcess.unconfirmedCount() > 0; });
+        CPPUNIT_ASSERT(m_relayProcess.confirmedAt() < asked);
+    }
+
+    void followerIsConfirmedThroughItsRelay()
+    {
+        startRelayAndFollower();
+        runUntil([this] { return m_followerProcess.confirmedAt() != TimePoint{}; });
+        const std::size_t relayed = m_relayProcess.followerRequestCount();
+        m_store.publish("servers/a", "1");
+        const TimePoint asked = m_loop.now();
+        m_followerProcess.requestConfirmation();
+        runUntil([this, asked] { return m_followerProcess.confirmedAt() >= asked; });
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, m_followerProcess.value("servers/a"));
+        CPPUNIT_ASSERT(m_relayProcess.followerRequestCount() > relayed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_followerProcess.unconfirmedCount());
+    }
+
+    /*! @brief Guards against a relay whose answers make an old list look current. */
+    void followerIsNotConfirmedBeforeItsRelay()
+    {
+        startRelayAndFollower();
+        runUntil([this] { return m_followerProcess.confirmedAt() != TimePoint{}; });
+        m_store.setSilent(true);
+        const TimePoint asked = m_loop.now();
+        m_followerProcess.requestConfirmation();
+        runUntil([this] { return m_followerProcess.unconfirmedCount() > 0; });
+        CPPUNIT_ASSERT(m_followerProcess.confirmedAt() < asked);
+    }
+
     void smallChangeOfLargeValueIsSmall()
     {
         constexpr std::size_t maxDifferenceBytes = 200;
--- a/test/support/servingfleet.cpp
+++ b/test/support/servingfleet.cpp
@@ -416,6 +416,8 @@
         answerStreamQuery(*answer);
     } else if (const auto *list = std::get_if<ListCachedPrompts>(&effect)) {
         listCachedPrompts(process, *list);
+    } else if (std::holds_alternative<ConfirmEndpoints>(effect)) {
+        confirmList(process);
     } else if (const auto *heartbeat = std::get_if<SendHeartbeat>(&effect)) {
         exchangeHeartbeats(process, heartbeat->address);
     } else if (const auto *error = std::get_if<SendErrorResponse>(&effect)) {
@@ -676,6 +678,18 @@
     }
 }
 
+/*! @brief Carries out a process's request for a confirmation of the list. */
+void ServingFleet::confirmList(std::size_t process)
+{
+    schedule(networkDelay * 2, [this, process, incarnation = m_processes[process].incarnation, asOf = m_now] {
+        if (m_processes[process].isCutFromStore) {
+            applyTo(process, incarnation, EndpointsUnconfirmed{});
+            return;
+        }
+        applyTo(process, incarnation, EndpointsConfirmed{asOf});
+    });
+}
+
 void ServingFleet::setCutFromStore(std::size_t process, bool isCut)
 {
     m_processes[process].isCutFromStore = isCut;
--- a/test/support/servingfleet.h
+++ b/test/support/servingfleet.h
@@ -285,6 +285,7 @@
     void recordEvents(CallId call);
     void resumeStream(std::size_t stream, std::optional<std::size_t> chosen = {});
     void deliverList(std::size_t process);
+    void confirmList(std::size_t process);
     void confirmLists();
     [[nodiscard]] bool reachesPeer(std::size_t from, std::size_t to) const;
     void connect(std::size_t process, std::size_t stream, std::size_t attempt);
