--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -256,6 +256,16 @@
     }
 }
 
+void ServingApp::confirmEndpoints(TimePoint asOf)
+{
+    m_runner.submit(EndpointsConfirmed{asOf});
+}
+
+void ServingApp::leaveUnconfirmed()
+{
+    m_runner.submit(EndpointsUnconfirmed{});
+}
+
 void ServingApp::log(const LogLine &line)
 {
     if (const auto summary = m_logGate.summary(m_loop.now())) {
@@ -294,13 +304,14 @@
 
 void ServingApp::setStoreHandlers(StoreHandlers handlers)
 {
+    m_confirmStore = handlers.confirm;
     m_peers.setStoreHandlers(std::move(handlers));
 }
 
 void ServingApp::requestStoreSnapshot(const PeerInfo &peer, const std::string &query,
-                                      std::function<void(const std::string &body)> onBody)
+                                      std::function<void(const HttpResponse &answer)> onAnswer)
 {
-    m_peers.requestStoreSnapshot(peer, query, std::move(onBody));
+    m_peers.requestStoreSnapshot(peer, query, std::move(onAnswer));
 }
 
 void ServingApp::pollDirectory()
@@ -656,6 +667,15 @@
     m_peers.carryOut(effect);
 }
 
+void ServingApp::carryOut(const ConfirmEndpoints &)
+{
+    if (!m_confirmStore) {
+        leaveUnconfirmed();
+        return;
+    }
+    m_confirmStore();
+}
+
 void ServingApp::carryOut(const AnswerStreamQuery &effect)
 {
     m_peers.carryOut(effect);
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -100,6 +100,16 @@
     /*! @brief Passes changes of the endpoint directory to the reducer. */
     void applyEndpointChanges();
 
+    /*!
+     * @brief Tells the reducer that the directory contains all changes of the list up to a time; call
+     * `applyEndpointChanges` before.
+     */
+    void confirmEndpoints(TimePoint asOf);
+
+    /*! @brief Tells the reducer that the list could not be confirmed when the handler `StoreHandlers::confirm` was
+     * called. */
+    void leaveUnconfirmed();
+
     /*! @brief Writes a line to the log. */
     void log(const LogLine &line);
 
@@ -122,10 +132,10 @@
      * @brief Requests the data of the platform's store from a peer.
      * @param peer Peer to ask.
      * @param query Query string for the peer's handlers.
-     * @param onBody Called with the body; not called if the peer returns none.
+     * @param onAnswer Called with the response; not called without one.
      */
     void requestStoreSnapshot(const serving::PeerInfo &peer, const std::string &query,
-                              std::function<void(const std::string &body)> onBody);
+                              std::function<void(const HttpResponse &answer)> onAnswer);
 
 private:
     /*! @brief A caller whose response is not complete. */
@@ -162,6 +172,7 @@
     void carryOut(const serving::LookUpStream &effect);
     void carryOut(const serving::AnswerStreamQuery &effect);
     void carryOut(const serving::ListCachedPrompts &effect);
+    void carryOut(const serving::ConfirmEndpoints &effect);
     void carryOut(const serving::SendHeartbeat &effect);
     void carryOut(const serving::Drained &effect);
     void carryOut(const LogLine &effect);
@@ -198,6 +209,7 @@
     HttpServer m_callersServer;
     HttpServer m_readyServer;
     std::optional<HttpServer> m_metricsServer;
+    std::function<void()> m_confirmStore;
     std::map<CallId, Caller> m_callers;
     std::map<serving::RunNumber, Run> m_runs;
     std::map<serving::StageCallNumber, HttpCallId> m_stageCalls;
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -13,6 +13,7 @@
 #include "bergamottide/limits/quarantine.h"
 #include "bergamottide/limits/ratelimiter.h"
 #include "bergamottide/pools/crashdetector.h"
+#include "bergamottide/pools/endpointlistage.h"
 #include "bergamottide/pools/endpointnotices.h"
 #include "bergamottide/pools/endpointregistry.h"
 #include "bergamottide/pools/firsteventtimes.h"
@@ -34,6 +35,7 @@
 #include <string>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 namespace bergamottide::serving {
 
@@ -137,6 +139,8 @@
     void on(const StageCallEnded &event);
     void on(const CatalogChanged &event);
     void on(const EndpointsChanged &event);
+    void on(const EndpointsConfirmed &event);
+    void on(const EndpointsUnconfirmed &event);
     void on(const PeerTaskArrived &event);
     void on(const PeerTaskCancelled &event);
     void on(const DelegatedTaskEnded &event);
@@ -215,8 +219,17 @@
     [[nodiscard]] bool searchesPrompts(const StreamQuery &query) const;
     void lookUpVersion(Request &request);
     void startDeferredLookups();
+    void proveVersion(const PromptSearch::Asker &asker, const StreamQuery &query);
+    void requestConfirmation();
+    void answerConfirmedQuestions();
+    void rejectQuestions(TimePoint askedUntil);
+    void deliverVersion(const PromptSearch::Asker &asker, const std::optional<SoftwareVersion> &version,
+                        VersionSource source);
     void deliverSearchAnswers();
-    void endLookup(CallId call, const std::optional<SoftwareVersion> &version);
+    void endLookup(CallId call, const std::optional<SoftwareVersion> &version, VersionSource source);
+    void recordResumption(const Request &request, VersionSource source);
+    void logProvenVersion(const std::optional<SoftwareVersion> &version, VersionSource source);
+    [[nodiscard]] std::string listAge() const;
     void recordVersion(const Request &request, const SoftwareVersion &version);
 
     // Runs.
@@ -272,6 +285,17 @@
         std::vector<StageOutcome> outcomes;
     };
 
+    /*! @brief Question about a stream without a record. */
+    struct UnconfirmedQuestion
+    {
+        PromptSearch::Asker asker;
+        StreamQuery query;
+        TimePoint askedAt{};
+    };
+
+    /*! @brief Longest wait for a confirmation of the list; shorter than the timeout of a peer's question. */
+    static constexpr Duration confirmationTimeout = std::chrono::milliseconds{500};
+
     TimePoint m_now;
     Effects m_effects;
     std::shared_ptr<const Catalog> m_catalog;
@@ -293,10 +317,15 @@
     std::map<RunNumber, CallId> m_runs;
     GossipClock m_gossipClock;
     EndpointNotices m_notices;
+    EndpointListAge m_listAge;
     StreamVersions m_streamVersions;
     PromptSearch m_promptSearch;
     /*! @brief Resumptions of unknown streams that arrived before the fleet was known. */
     std::set<CallId> m_deferredLookups;
+    /*! @brief Questions that wait until the list of endpoints is confirmed, oldest first. */
+    std::vector<UnconfirmedQuestion> m_unconfirmedQuestions;
+    /*! @brief When a confirmation was requested that has not come yet. */
+    std::optional<TimePoint> m_confirmationRequestedAt;
     /*! @brief Fair shares in the pools whose endpoints are all bounded. */
     std::map<PoolName, FairAdmission> m_fairAdmissions;
     Quarantine m_quarantine;
