Refuse an answer with both a length and chunks

Cause: h2o 2.2.5 keeps the length and the state of the chunk decoder in one union. An answer with Content-Length beside Transfer-Encoding: chunked, in either order, starts the decoder with the length as the first digits of the first chunk's size. Callers got frames of chunks as part of a body framed as whole, or waited for the I/O timeout.

Ruled out: answers with one of the two, and a length in an interim head, are read as sent.

Change: the check of the head takes such a head for malformed, as RFC 9112, section 6.3, advises.

--- a/src/bergamottide/net/headcheck.cpp
+++ b/src/bergamottide/net/headcheck.cpp
@@ -17,6 +17,7 @@
 /*! @brief Position of the status in a status line such as `HTTP/1.1 200 OK`. */
 constexpr std::size_t statusAt = 9;
 constexpr absl::string_view switchingProtocols = "101";
+constexpr absl::string_view chunkedCoding = "chunked";
 
 /*! @brief Headers of one head that say how its body ends. */
 struct Framing
@@ -70,11 +71,17 @@
     }
     if (absl::EqualsIgnoreCase(name, "transfer-encoding")) {
         rewrite(place, value);
-        return (value == "chunked" || value == "identity") && keep(framing.encoding, value);
+        return (value == chunkedCoding || value == "identity") && keep(framing.encoding, value);
     }
     return true;
 }
 
+/*! @brief Returns whether a head tells its body's end both by length and by chunks, of which h2o confuses the sizes. */
+bool isAmbiguous(const Framing &framing)
+{
+    return !framing.length.empty() && framing.encoding == chunkedCoding;
+}
+
 /*! @brief Returns whether another head follows this status line. */
 bool isInterim(absl::string_view statusLine)
 {
@@ -113,7 +120,7 @@
         }
         if (line.empty()) {
             if (isLastHead) {
-                return HeadState::Sound;
+                return isAmbiguous(framing) ? HeadState::Malformed : HeadState::Sound;
             }
             isAtStatus = true;
             continue;
--- a/src/bergamottide/net/headcheck.h
+++ b/src/bergamottide/net/headcheck.h
@@ -24,7 +24,8 @@
  * takes for equal to these (RFC 9112, sections 5.1 and 7) are rewritten in place to what h2o compares with.
  *
  * @param input Bytes that h2o has not taken, from a status line on; lines after the final head are not looked at.
- * @return State of the head; malformed also for lines that readers take differently, and for lengths that differ.
+ * @return State of the head; malformed also for lines that readers take differently, for lengths that differ, and for a
+ * length beside chunks (RFC 9112, section 6.3).
  */
 [[nodiscard]] HeadState checkHead(std::span<char> input);
 
--- a/test/bergamottide/net/headcheck.cpp
+++ b/test/bergamottide/net/headcheck.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(clientReadsCodingsHoweverTheyAreSpelled);
     CPPUNIT_TEST(clientSurvivesFramingBehindAnInterimAnswer);
     CPPUNIT_TEST(clientSurvivesLinesThatReadersTakeDifferently);
+    CPPUNIT_TEST(clientTakesNoLengthForPartOfAChunk);
     CPPUNIT_TEST(clientEndsHeadsWithoutEnd);
     CPPUNIT_TEST(clientSurvivesDrawnHeads);
     CPPUNIT_TEST_SUITE_END();
@@ -101,6 +102,26 @@
         CPPUNIT_ASSERT(failureOf("HTTP/1.1 101 Switching Protocols\r\n\r\n") == HttpFailure::Malformed);
     }
 
+    /*! @brief Guards against a chunk read with the digits of a length before its own, whose body takes in its framing.
+     */
+    void clientTakesNoLengthForPartOfAChunk()
+    {
+        const std::string length = "Content-Length: 1\r\n";
+        const std::string chunks = "Transfer-Encoding: chunked\r\n";
+        // The first chunk read as one of 0x11 bytes ends within the second.
+        const std::string body = "\r\n1\r\na\r\nc\r\nbbbbbbbbbbb\r\r\n0\r\n\r\n";
+        for (const std::string &fields : {length + chunks, chunks + length}) {
+            const Result result = exchange(absl::StrCat("HTTP/1.1 200 OK\r\n", fields, body));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(fields, std::string{}, result.body);
+            CPPUNIT_ASSERT_MESSAGE(fields, result.failure == HttpFailure::Malformed);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string{"abbbbbbbbbbb\r"}, bodyOf(absl::StrCat("HTTP/1.1 200 OK\r\n", chunks, body)));
+        // An interim head says nothing of the framing of the final one.
+        const std::string interim = absl::StrCat("HTTP/1.1 103 Early Hints\r\n", length, "\r\n");
+        CPPUNIT_ASSERT_EQUAL(std::string{"abbbbbbbbbbb\r"},
+                             bodyOf(absl::StrCat(interim, "HTTP/1.1 200 OK\r\n", chunks, body)));
+    }
+
     void clientEndsHeadsWithoutEnd()
     {
         const std::string many(200'000, 'x');
