Cut drawn sound answers after each of their bytes

Cause: the users report a 200 with a short or empty body after an engine's cut head; our tests cut no drawn answers, and none on kept connections or with a reset.

Ruled out: with this test, by 80 drawn answers, each cut after every byte in an orderly way and by a reset, after interim heads too, on a fresh connection and on one kept after another drawn answer (a 204, a length, chunks with trailers).

Change: a grammar of sound answers; RawServer may answer a first request on a connection, and may reset it.

Conclusion: the client itself reads cut heads and bodies as broken. An answer that ends with its connection is whole after an orderly end behind its head only.

--- /dev/null
+++ b/test/bergamottide/net/cutanswers.cpp
@@ -0,0 +1,123 @@
+#include "bergamottide/net/httpclient.h"
+#include "support/drawnanswers.h"
+#include "support/rawserver.h"
+#include "support/rununtil.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+
+using namespace bergamottide;
+using namespace bergamottide::test;
+
+/*! @brief Answers whose connection ends after each of their bytes. */
+class CutAnswersTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CutAnswersTest);
+    CPPUNIT_TEST(onlyWholeAnswersAreDone);
+    CPPUNIT_TEST(onlyWholeAnswersAreDoneOnKeptConnections);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /*! @brief Guards against a cut answer that is passed on as a whole one with a short or empty body. */
+    void onlyWholeAnswersAreDone()
+    {
+        cutDrawnAnswers(Connection::Fresh);
+    }
+
+    /*! @brief The same after another answer on the connection, of which nothing may be left. */
+    void onlyWholeAnswersAreDoneOnKeptConnections()
+    {
+        cutDrawnAnswers(Connection::Pooled);
+    }
+
+private:
+    static constexpr int answers = 40;
+
+    struct Outcome
+    {
+        std::optional<HttpResponse> answer;
+        std::optional<HttpFailure> failure;
+    };
+
+    void cutDrawnAnswers(Connection connection)
+    {
+        std::mt19937 random{1};
+        for (int count = 0; count < answers; ++count) {
+            const std::optional<SoundAnswer> first =
+                connection == Connection::Pooled ? std::optional{drawKeptAnswer(random)} : std::nullopt;
+            const SoundAnswer answer = drawSoundAnswer(random);
+            for (std::size_t size = 0; size <= answer.bytes.size(); ++size) {
+                cut(first, answer, size, ConnectionEnd::Orderly);
+                cut(first, answer, size, ConnectionEnd::Reset);
+            }
+        }
+    }
+
+    void cut(const std::optional<SoundAnswer> &first, const SoundAnswer &answer, std::size_t size, ConnectionEnd end)
+    {
+        const std::string sent = answer.bytes.substr(0, size);
+        const std::string draw = absl::StrCat(first ? first->bytes : "", "|", sent, "|", end == ConnectionEnd::Reset);
+        {
+            const std::lock_guard lock{m_mutex};
+            m_script = RawScript{sent, {}, 0, first ? first->bytes : "", end};
+        }
+        // A client of its own keeps no connection of an earlier draw.
+        HttpClient client{m_loop, {}};
+        if (first) {
+            checkWhole(draw, *first, call(client, Connection::Pooled));
+        }
+        const Outcome outcome = call(client, first ? Connection::Pooled : Connection::Fresh);
+        if (answer.endsWithConnection) {
+            // Only an orderly end after a whole head ends such an answer.
+            const bool isWhole = size >= answer.headBytes && end == ConnectionEnd::Orderly;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(draw, isWhole, outcome.answer.has_value());
+            CPPUNIT_ASSERT_MESSAGE(draw, !isWhole || outcome.answer->body == sent.substr(answer.headBytes));
+        } else if (size < answer.bytes.size()) {
+            CPPUNIT_ASSERT_MESSAGE(draw, !outcome.answer);
+        } else if (end == ConnectionEnd::Orderly || outcome.answer) {
+            checkWhole(draw, answer, outcome);
+        }
+        CPPUNIT_ASSERT_MESSAGE(draw, outcome.answer || outcome.failure == HttpFailure::Broken);
+    }
+
+    static void checkWhole(const std::string &draw, const SoundAnswer &answer, const Outcome &outcome)
+    {
+        CPPUNIT_ASSERT_MESSAGE(draw, outcome.answer.has_value());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(draw, answer.status, outcome.answer->status);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(draw, answer.body, outcome.answer->body);
+    }
+
+    Outcome call(HttpClient &client, Connection connection)
+    {
+        Outcome outcome;
+        HttpCallHooks hooks;
+        hooks.done = [&outcome](HttpResponse answer) {
+            outcome.answer = std::move(answer);
+        };
+        hooks.failed = [&outcome](HttpFailure failure) {
+            outcome.failure = failure;
+        };
+        const HttpCallId id = client.call(m_server.address(), {"GET", "/", "", {}, ""}, std::move(hooks), connection);
+        runUntil(m_loop, [&outcome] { return outcome.answer || outcome.failure; });
+        client.cancel(id);
+        return outcome;
+    }
+
+    std::mutex m_mutex;
+    RawScript m_script;
+    RawServer m_server{[this] {
+        const std::lock_guard lock{m_mutex};
+        return m_script;
+    }};
+    SystemClock m_clock;
+    Loop m_loop{m_clock};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CutAnswersTest);
--- a/test/support/drawnanswers.cpp
+++ b/test/support/drawnanswers.cpp
@@ -1,6 +1,9 @@
 #include "support/drawnanswers.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <sstream>
+#include <string_view>
 #include <vector>
 
 namespace bergamottide::test {
@@ -16,6 +19,74 @@
     return choices[random() % choices.size()];
 }
 
+/*! @brief How a sound answer tells the end of its body. */
+enum class Framing : std::uint8_t
+{
+    Length,
+    Chunks,
+    NoBody,
+    ConnectionEnd
+};
+
+std::string chunked(std::mt19937 &random, std::string_view body)
+{
+    static const std::vector<std::string> extensions{"", "", ";a=b"};
+    static const std::vector<std::string> trailers{"", "", "X-Sum: 1\r\n"};
+    std::string out;
+    while (!body.empty()) {
+        const std::string_view piece = body.substr(0, 1 + random() % body.size());
+        body.remove_prefix(piece.size());
+        std::ostringstream size;
+        size << std::hex << piece.size();
+        out += size.str() + drawOne(random, extensions) + "\r\n" + std::string{piece} + "\r\n";
+    }
+    return out + "0\r\n" + drawOne(random, trailers) + "\r\n";
+}
+
+SoundAnswer drawFramed(std::mt19937 &random, Framing framing)
+{
+    static const std::vector<std::string> interims{"", "", "HTTP/1.1 100 Continue\r\n\r\n",
+                                                   "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"};
+    static const std::vector<std::string> others{"", "Content-Type: application/json\r\n", "X-Empty:\r\n"};
+    static const std::vector<std::string> bodies{"",
+                                                 "{}",
+                                                 "{\"items\":[1,2,3]}",
+                                                 "data: a\n\ndata: b\n\n",
+                                                 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                                                 "0\r\n\r\n"};
+    SoundAnswer answer;
+    const std::string interim = drawOne(random, interims) + drawOne(random, interims);
+    const std::string other = drawOne(random, others);
+    answer.body = framing == Framing::NoBody ? "" : drawOne(random, bodies);
+    const std::string length = "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
+    const std::string chunks = "Transfer-Encoding: chunked\r\n";
+    const auto head = [&](std::string_view status, const std::string &fields) {
+        return interim + "HTTP/1.1 " + std::string{status} + "\r\n" + other + fields + "\r\n";
+    };
+    answer.status = 200;
+    std::string payload = answer.body;
+    switch (framing) {
+    case Framing::Length:
+        answer.bytes = head("200 OK", length);
+        break;
+    case Framing::Chunks:
+        answer.bytes = head("200 OK", chunks);
+        payload = chunked(random, answer.body);
+        break;
+    case Framing::NoBody:
+        answer.status = 204;
+        answer.bytes = head("204 No Content", "");
+        break;
+    case Framing::ConnectionEnd:
+        answer.endsWithConnection = true;
+        answer.bytes = head("200 OK", random() % 2 == 0 ? "" : "Connection: close\r\n");
+        break;
+    }
+    answer.headBytes = answer.bytes.size();
+    answer.bytes += payload;
+    return answer;
+}
+
 } // namespace
 
 std::string drawAnswer(std::mt19937 &random, bool hasStatusLine)
@@ -60,4 +131,14 @@
     return script;
 }
 
+SoundAnswer drawSoundAnswer(std::mt19937 &random)
+{
+    return drawFramed(random, static_cast<Framing>(random() % 4));
+}
+
+SoundAnswer drawKeptAnswer(std::mt19937 &random)
+{
+    return drawFramed(random, static_cast<Framing>(random() % 3));
+}
+
 } // namespace bergamottide::test
--- a/test/support/rawserver.cpp
+++ b/test/support/rawserver.cpp
@@ -28,6 +28,14 @@
     return true;
 }
 
+/*! @brief Reads a request and sends an answer; the request is read in part only, since the answer is independent of it.
+ */
+bool answer(int connection, std::string_view bytes)
+{
+    std::array<char, 4096> request{};
+    return recv(connection, request.data(), request.size(), 0) > 0 && sendAll(connection, bytes);
+}
+
 } // namespace
 
 RawServer::RawServer(RawScript script)
@@ -89,14 +97,18 @@
 
 void RawServer::serveOne(int connection, const RawScript &script)
 {
-    // The request is read in part only; the answer does not depend on it.
-    std::array<char, 4096> request{};
-    static_cast<void>(recv(connection, request.data(), request.size(), 0));
-    bool open = sendAll(connection, script.head);
+    bool open = script.first.empty() || answer(connection, script.first);
+    open = open && answer(connection, script.head);
     for (std::size_t time = 0; open && time < script.times && !m_stopped; ++time) {
         open = sendAll(connection, script.repeated);
         m_sent += script.repeated.size();
     }
+    if (script.end == ConnectionEnd::Reset) {
+        // A close without linger time resets the connection.
+        const linger none{1, 0};
+        static_cast<void>(setsockopt(connection, SOL_SOCKET, SO_LINGER, &none, sizeof(none)));
+        return;
+    }
     shutdown(connection, SHUT_RDWR);
 }
 
--- a/test/support/rawserver.h
+++ b/test/support/rawserver.h
@@ -2,12 +2,20 @@
 
 #include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <thread>
 
 namespace bergamottide::test {
 
+/*! @brief How a server ends a connection. */
+enum class ConnectionEnd : std::uint8_t
+{
+    Orderly,
+    Reset
+};
+
 /*! @brief What a hostile server sends, whatever it was asked. */
 struct RawScript
 {
@@ -16,6 +24,9 @@
     /*! @brief Sent again and again until the other end closes or the count is reached. */
     std::string repeated;
     std::size_t times{};
+    /*! @brief Sent in answer to a first request on the connection, before all else; nothing if empty. */
+    std::string first{};
+    ConnectionEnd end{ConnectionEnd::Orderly};
 };
 
 /*! @brief TCP server that answers each connection with the bytes of a script and closes it. */
