--- a/test/bergamottide/app/peerport.cpp
+++ b/test/bergamottide/app/peerport.cpp
@@ -1,8 +1,13 @@
 #include "bergamottide/app/peerport.h"
+#include "support/drawnanswers.h"
+#include "support/rawserver.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <mutex>
 #include <optional>
+#include <random>
+#include <string>
 #include <vector>
 
 using namespace bergamottide;
@@ -14,9 +19,41 @@
     CPPUNIT_TEST_SUITE(PeerPortTest);
     CPPUNIT_TEST(looksUpTheVersionOfAStream);
     CPPUNIT_TEST(lookupAtAPeerThatIsGoneEndsWithoutAVersion);
+    CPPUNIT_TEST(cutAnswersOfAPeerNameNoVersion);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /*! @brief Guards against a stream that resumes at the version of a shortened name. */
+    void cutAnswersOfAPeerNameNoVersion()
+    {
+        constexpr int answers = 30;
+        std::mt19937 random{1};
+        std::mutex mutex;
+        test::RawScript script;
+        test::RawServer peer{[&mutex, &script] {
+            const std::lock_guard lock{mutex};
+            return script;
+        }};
+        for (int count = 0; count < answers; ++count) {
+            const std::string version = "v1.23";
+            const test::SoundAnswer answer = test::drawAnswerOf(random, version);
+            // Peers never frame an answer by the connection's end.
+            for (std::size_t size = 0; !answer.endsWithConnection && size <= answer.bytes.size(); ++size) {
+                const auto end = random() % 2 == 0 ? test::ConnectionEnd::Orderly : test::ConnectionEnd::Reset;
+                {
+                    const std::lock_guard lock{mutex};
+                    script = {answer.bytes.substr(0, size), {}, 0, {}, end};
+                }
+                const auto found = lookUp(known, peer.address());
+                if (size < answer.bytes.size()) {
+                    CPPUNIT_ASSERT_MESSAGE(script.head, !found);
+                } else if (end == test::ConnectionEnd::Orderly) {
+                    CPPUNIT_ASSERT_MESSAGE(script.head, found == std::optional{SoftwareVersion{version}});
+                }
+            }
+        }
+    }
+
     void looksUpTheVersionOfAStream()
     {
         CPPUNIT_ASSERT(m_asked.listen().ok());
