--- a/test/platform/cutstore.cpp
+++ b/test/platform/cutstore.cpp
@@ -10,8 +10,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <cstddef>
-#include <mutex>
-#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -79,20 +77,6 @@
         return encodePage(page);
     }
 
-    RawScript nextScript()
-    {
-        const std::lock_guard lock{m_mutex};
-        const SoundAnswer answer = drawAnswerOf(m_random, page());
-        const bool isWhole = m_random() % wholeAnswerPeriod == 0;
-        m_cutCount += isWhole ? 0 : 1;
-        const std::size_t size = isWhole ? answer.bytes.size() : m_random() % answer.bytes.size();
-        return {answer.bytes.substr(0, size),
-                {},
-                0,
-                {},
-                m_random() % 2 == 0 ? ConnectionEnd::Orderly : ConnectionEnd::Reset};
-    }
-
     void watchCutAnswers(const std::vector<std::string> &relays)
     {
         std::size_t reports = 0;
@@ -125,7 +109,7 @@
             m_loop, client, {m_server.address(), "servers/", std::chrono::seconds{2}, {}, "/changes"}, hooks};
         watch.start();
         CPPUNIT_ASSERT(runUntil(
-            m_loop, [this] { return cutCount() >= cuts; }, longest));
+            m_loop, [this] { return m_answers.cutCount() >= cuts; }, longest));
         const std::size_t reportsBefore = reports;
         CPPUNIT_ASSERT(runUntil(
             m_loop, [&reports, reportsBefore] { return reports > reportsBefore; }, longest));
@@ -133,23 +117,12 @@
         CPPUNIT_ASSERT_EQUAL(itemCount, watch.snapshot().items.size());
     }
 
-    [[nodiscard]] std::size_t cutCount()
-    {
-        const std::lock_guard lock{m_mutex};
-        return m_cutCount;
-    }
-
     /*! @brief Longest wait of the test on its clock. */
     static constexpr Duration longest = patience * 20;
     static constexpr std::uint64_t revision = 10;
-    /*! @brief Answers for each whole one, on average. */
-    static constexpr unsigned wholeAnswerPeriod = 4;
-
-    std::mutex m_mutex;
-    std::mt19937 m_random{1};
-    std::size_t m_cutCount{};
+    CutAnswers m_answers;
     RawServer m_server{[this] {
-        return nextScript();
+        return m_answers.next(page());
     }};
     FastClock m_clock;
     Loop m_loop{m_clock};
--- a/test/support/drawnanswers.cpp
+++ b/test/support/drawnanswers.cpp
@@ -168,4 +168,22 @@
     return frame(random, drawOne(random, framings), {}, body);
 }
 
+RawScript CutAnswers::next(const std::string &body)
+{
+    const std::lock_guard lock{m_mutex};
+    const SoundAnswer answer = drawAnswerOf(m_random, body);
+    if (m_random() % 4 == 0) {
+        return {answer.bytes, {}, 0};
+    }
+    ++m_cutCount;
+    const auto end = m_random() % 2 == 0 ? ConnectionEnd::Orderly : ConnectionEnd::Reset;
+    return {answer.bytes.substr(0, m_random() % answer.bytes.size()), {}, 0, {}, end};
+}
+
+std::size_t CutAnswers::cutCount() const
+{
+    const std::lock_guard lock{m_mutex};
+    return m_cutCount;
+}
+
 } // namespace bergamottide::test
--- a/test/support/drawnanswers.h
+++ b/test/support/drawnanswers.h
@@ -3,6 +3,7 @@
 #include "support/rawserver.h"
 
 #include <cstddef>
+#include <mutex>
 #include <optional>
 #include <random>
 #include <string>
@@ -51,4 +52,20 @@
 /*! @brief Draws a sound answer with a body. */
 [[nodiscard]] SoundAnswer drawAnswerOf(std::mt19937 &random, const std::string &body);
 
+/*! @brief Draws answers with a body, most of them cut off; safe to use from several threads. */
+class CutAnswers
+{
+public:
+    /*! @brief Returns the next answer; a quarter of them are whole. */
+    [[nodiscard]] RawScript next(const std::string &body);
+
+    /*! @brief Returns the number of answers that were cut off. */
+    [[nodiscard]] std::size_t cutCount() const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::mt19937 m_random{1};
+    std::size_t m_cutCount{};
+};
+
 } // namespace bergamottide::test
