--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/*! @brief Depth of a document that overflows the stack of a recursive function. */
+constexpr std::size_t extremeDepth = 200'000;
+
 HttpRequest callerRequest()
 {
     HttpRequest request;
@@ -58,6 +61,7 @@
     CPPUNIT_TEST(decodesPausesOfEndpoints);
     CPPUNIT_TEST(decodesCachedPrompts);
     CPPUNIT_TEST(rejectsMalformedListsOfCachedPrompts);
+    CPPUNIT_TEST(deeplyNestedCachedPromptsAreMalformed);
     CPPUNIT_TEST(leadingZerosOfPromptPartsDoNotCount);
     CPPUNIT_TEST_SUITE_END();
 
@@ -179,6 +183,13 @@
         CPPUNIT_ASSERT(!platform::decodeCachedPrompts({421, {}, R"({"held":[]})"}));
     }
 
+    /*! @brief Guards against an engine whose answer ends the process, by recursion as deep as the answer. */
+    void deeplyNestedCachedPromptsAreMalformed()
+    {
+        const std::string nested = std::string(extremeDepth, '[') + std::string(extremeDepth, ']');
+        CPPUNIT_ASSERT(!platform::decodeCachedPrompts({200, {}, R"({"held":[["","7a",)" + nested + R"(,"m"]]})"}));
+    }
+
     void leadingZerosOfPromptPartsDoNotCount()
     {
         HttpRequest request = callerRequest();
