--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -5,6 +5,7 @@
 #include "storecodec.h"
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace bergamottide;
@@ -45,6 +46,7 @@
     CPPUNIT_TEST(encodesAndDecodesStageCalls);
     CPPUNIT_TEST(stageResponseWithWrongItemCountIsBroken);
     CPPUNIT_TEST(decodesConfiguration);
+    CPPUNIT_TEST(deeplyNestedConfigurationIsDecoded);
     CPPUNIT_TEST(wrongJsonTypesAreErrors);
     CPPUNIT_TEST(rejectsInvalidEndpointEntries);
     CPPUNIT_TEST(compactEndpointEntriesRoundTrip);
@@ -365,6 +367,17 @@
         CPPUNIT_ASSERT_EQUAL(11.0, catalog->findPool(PoolName{"e"})->warmup->requestsPerSecond);
     }
 
+    /*! @brief Guards against a configuration that ends the process, by recursion as deep as a field of it. */
+    void deeplyNestedConfigurationIsDecoded()
+    {
+        const std::string nested = std::string(extremeDepth, '[') + std::string(extremeDepth, ']');
+        for (const char *field : {"routes", "services"}) {
+            const auto catalog =
+                platform::decodeCatalog(absl::StrCat(R"({"version":1,")", field, R"(":[{"note":)", nested, "}]}"));
+            CPPUNIT_ASSERT_MESSAGE(field, catalog.ok());
+        }
+    }
+
     void wrongJsonTypesAreErrors()
     {
         CPPUNIT_ASSERT(!platform::decodeCatalog("{}").ok());
