Don't copy the lists of a heartbeat

Cause: decodeHeartbeat copied the lists that may be missing (engines, crashes, notices, streams, workspaces above their share). Copies of a JSON value are recursive: a heartbeat that is nested deeply enough ends its receiver. Ruled out: tasks, outcomes and handles, whose fields are read in place. Change: these lists are read in place.

--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -33,6 +33,14 @@
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+/*! @brief Returns a field, or null if it is missing; copies of a deeply nested value overflow the stack. */
+const json &fieldOrNull(const json &object, const char *name)
+{
+    static const json null;
+    const auto found = object.find(name);
+    return found == object.end() ? null : *found;
+}
+
 json toJson(const PeerInfo &peer)
 {
     return {{"instance", peer.instance.text()},
@@ -170,8 +178,8 @@
             fingerprintsFromJson(value.at("suspects")),
             fingerprintsFromJson(value.at("cleared")),
             value.value("incarnation", std::uint64_t{}),
-            fingerprintsFromJson(value.value("suspectParts", json::array())),
-            fingerprintsFromJson(value.value("clearedParts", json::array()))};
+            fingerprintsFromJson(fieldOrNull(value, "suspectParts")),
+            fingerprintsFromJson(fieldOrNull(value, "clearedParts"))};
 }
 
 json toJson(const std::vector<NoticeReport> &reports)
@@ -314,7 +322,7 @@
                                        wait.at("items").get<double>(), wait.at("roomTaken").get<double>()});
             // Absent in heartbeats of earlier releases, and while no workspace is above its share.
             PoolWait &added = heartbeat.waits.back();
-            for (const json &workspace : wait.value("above", json::array())) {
+            for (const json &workspace : fieldOrNull(wait, "above")) {
                 if (added.aboveShare.size() < sharing::FairShares::maxPublished) {
                     added.aboveShare.emplace_back(workspace.get<std::string>());
                 }
@@ -325,20 +333,20 @@
             heartbeat.upcoming.push_back({PoolName{work.at("pool").get<std::string>()}, work.at("rank").get<int>(),
                                           work.at("pieces").get<std::uint64_t>()});
         }
-        for (const json &report : value.value("engines", json::array())) {
+        for (const json &report : fieldOrNull(value, "engines")) {
             heartbeat.engines.push_back(engineReportFromJson(report));
         }
         // Absent in heartbeats of earlier releases.
         heartbeat.gossipVersion = value.value("gossipVersion", std::uint64_t{});
         heartbeat.gossipSince = value.value("gossipSince", std::uint64_t{});
         heartbeat.acknowledgedGossip = value.value("knownGossip", std::uint64_t{});
-        for (const json &report : value.value("crashes", json::array())) {
+        for (const json &report : fieldOrNull(value, "crashes")) {
             heartbeat.crashes.push_back(crashReportFromJson(report));
         }
-        for (const json &report : value.value("notices", json::array())) {
+        for (const json &report : fieldOrNull(value, "notices")) {
             heartbeat.notices.push_back(noticeReportFromJson(report));
         }
-        heartbeat.streams = streamReportsFromJson(value.value("streams", json::object()));
+        heartbeat.streams = streamReportsFromJson(fieldOrNull(value, "streams"));
         return heartbeat;
     });
 }
--- a/test/bergamottide/app/peerwire.cpp
+++ b/test/bergamottide/app/peerwire.cpp
@@ -1,5 +1,6 @@
 #include "bergamottide/app/peerwire.h"
 
+#include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
@@ -19,6 +20,7 @@
     CPPUNIT_TEST(heartbeatRoundTripsStreams);
     CPPUNIT_TEST(heartbeatOfAnEarlierReleaseHasNoCrashReports);
     CPPUNIT_TEST(heartbeatWithWrongFieldTypeIsRejected);
+    CPPUNIT_TEST(deeplyNestedHeartbeatIsRejected);
     CPPUNIT_TEST(heartbeatRoundTripsWorkspacesAboveTheirShare);
     CPPUNIT_TEST(heartbeatOfAnEarlierReleaseHasNoShares);
     CPPUNIT_TEST(taskRoundTripsItsWorkspace);
@@ -144,6 +146,19 @@
         CPPUNIT_ASSERT(!peerwire::decodeHeartbeat(text).ok());
     }
 
+    /*! @brief Guards against a heartbeat that ends the process, by recursion as deep as a field of it. */
+    void deeplyNestedHeartbeatIsRejected()
+    {
+        constexpr std::size_t depth = 200'000;
+        const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+        for (const char *field : {"engines", "crashes", "notices", "streams"}) {
+            std::string text = peerwire::encode(Heartbeat{});
+            // The last of several fields with one name counts.
+            text.insert(text.size() - 1, absl::StrCat(",\"", field, "\":[", nested, "]"));
+            CPPUNIT_ASSERT_MESSAGE(field, !peerwire::decodeHeartbeat(text).ok());
+        }
+    }
+
     void heartbeatRoundTripsWorkspacesAboveTheirShare()
     {
         Heartbeat heartbeat;
