--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(decodesLimitsOfEndpoints);
     CPPUNIT_TEST(decodesDrainOfEndpoints);
     CPPUNIT_TEST(decodesWarmupAndLoadOfEndpoints);
+    CPPUNIT_TEST(warmupBeyondADayIsMalformed);
     CPPUNIT_TEST(decodesPaceOfEndpoints);
     CPPUNIT_TEST(decodesPausesOfEndpoints);
     CPPUNIT_TEST(decodesCachedPrompts);
@@ -118,6 +119,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, malformed->malformedHeaders.size());
     }
 
+    /*! @brief Guards against an engine that counts as cold for ever, and against a point in time that overflows. */
+    void warmupBeyondADayIsMalformed()
+    {
+        CPPUNIT_ASSERT(platform::decodeNotice({}, 200, {{"cold-ms", "86400000"}})->remainingWarmup
+                       == std::chrono::hours{24});
+        for (const std::string text : {"86400001", "1e15", "1e300"}) {
+            const auto notice = platform::decodeNotice({}, 200, {{"cold-ms", text}});
+            CPPUNIT_ASSERT_MESSAGE(text, notice->remainingWarmup == Duration::zero());
+            CPPUNIT_ASSERT_MESSAGE(text, notice->malformedHeaders == std::vector<std::string>{"cold-ms"});
+        }
+    }
+
     /*! @brief A load with a value that was unknown before was ignored as a whole, in every response. */
     void decodesPaceOfEndpoints()
     {
