Accept only addresses of digits and points or colons

Cause: the number of the port was read with blanks and a sign around it, and the system's functions ignore what follows a zero byte, so "10.0.0.1:80\r\n" and "10.0.0.1\0\r\nhold: 1:80" in an endpoint's entry were addresses. The address of an engine is a header of requests to others (the engine to fetch a prompt from), where a line break ends the header. Ruled out: ports above 65535 and without digits, which were rejected before; names of instances, which are checked. Conclusion: such an entry is malformed and hides no other. Not shown with a running engine.

--- a/src/bergamottide/net/socketaddress.cpp
+++ b/src/bergamottide/net/socketaddress.cpp
@@ -2,6 +2,7 @@
 
 #include "bergamottide/core/error.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 
 #include <arpa/inet.h>
@@ -9,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cstring>
 
@@ -25,6 +27,10 @@
 
 bool fillHost(SocketAddress &address)
 {
+    // The system's functions ignore what follows a zero byte.
+    if (address.host.find('\0') != std::string::npos) {
+        return false;
+    }
     auto *four = reinterpret_cast<sockaddr_in *>(&address.storage);
     if (inet_pton(AF_INET, address.host.c_str(), &four->sin_addr) == 1) {
         four->sin_family = AF_INET;
@@ -55,8 +61,10 @@
     if (address.host.front() == '[' && address.host.back() == ']') {
         address.host = address.host.substr(1, address.host.size() - 2);
     }
+    const std::string portText = text.substr(colon + 1);
     std::uint32_t port = 0;
-    if (!absl::SimpleAtoi(text.substr(colon + 1), &port) || port > UINT16_MAX) {
+    if (!std::ranges::all_of(portText, absl::ascii_isdigit) || !absl::SimpleAtoi(portText, &port)
+        || port > UINT16_MAX) {
         return malformed();
     }
     address.port = static_cast<std::uint16_t>(port);
--- a/test/platform/endpointentries.cpp
+++ b/test/platform/endpointentries.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(entryInTheFormBetweenProcessesIsNoEntryOfTheStore);
     CPPUNIT_TEST(unreadableBytesCanBeSentToOtherProcesses);
     CPPUNIT_TEST(numberBeyondItsRangeIsMalformed);
+    CPPUNIT_TEST(addressWithOtherCharactersIsMalformed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -183,6 +184,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_logged.size());
     }
 
+    /*!
+     * @brief Guards against line breaks in requests to other engines: they name the address of the engine to fetch
+     * from.
+     */
+    void addressWithOtherCharactersIsMalformed()
+    {
+        using namespace std::string_literals;
+        std::vector<json> items{item("servers/good", entry().dump())};
+        for (const std::string &address :
+             {"10.0.0.1:80\r\n"s, "10.0.0.1: 80"s, "10.0.0.1:+80"s, "10.0.0.1\0\r\nhold: 1:80"s, "10.0.0.1:80\0"s,
+              "10.0.0.1:0"s, "10.0.0.1:65536"s, "10.0.0.1:"s}) {
+            json wrong = entry();
+            wrong["address"] = address;
+            items.push_back(item("servers/bad-" + std::to_string(items.size()), wrong.dump()));
+        }
+        m_entries.replace(decode("items", items), m_now);
+        CPPUNIT_ASSERT((listed() == std::set<std::string>{"good"}));
+        CPPUNIT_ASSERT_EQUAL(items.size() - 1, m_logged.size());
+    }
+
 private:
     [[nodiscard]] static json entry()
     {
