Check the entries that other processes pass on

Cause: an endpoint's entry in the compact form was decoded without a check of its fields, on the grounds that its sender had checked them. A negative warm-up far below zero (-1e300) in the store's own form has no Duration. Ruled out: arrays in the store itself, which are no entries since they were found to be taken for the compact form.

--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -50,6 +50,8 @@
     CPPUNIT_TEST(wrongJsonTypesAreErrors);
     CPPUNIT_TEST(rejectsInvalidEndpointEntries);
     CPPUNIT_TEST(compactEndpointEntriesRoundTrip);
+    CPPUNIT_TEST(compactEntryWithInvalidFieldsIsMalformed);
+    CPPUNIT_TEST(negativeColdTimeIsWarm);
     CPPUNIT_TEST(decreasedColdTimeIsNoChange);
     CPPUNIT_TEST(malformedItemDoesNotAffectOthers);
     CPPUNIT_TEST(detectsMissingInputs);
@@ -466,6 +468,38 @@
         CPPUNIT_ASSERT(!platform::decodeEndpoint("i-1", R"(["s",7,"a",4,true,0,0])").ok());
     }
 
+    /*! @brief Guards against an entry that a relay of an earlier release has passed on without checking it. */
+    void compactEntryWithInvalidFieldsIsMalformed()
+    {
+        CPPUNIT_ASSERT(platform::decodeEndpoint("i", R"(["s","10.0.0.1:80","a",4,true,5,"v1",1500])").ok());
+        CPPUNIT_ASSERT_EQUAL(1U, platform::decodeEndpoint("i", R"(["s","10.0.0.1:80","a",0,true,5,"v1",1500])")->slots);
+        for (const char *bad :
+             {R"(["","10.0.0.1:80","a",4,true,5,"v1",0])", R"(["s","nowhere","a",4,true,5,"v1",0])",
+              R"(["s","10.0.0.1:0","a",4,true,5,"v1",0])", R"(["s","10.0.0.1:80","",4,true,5,"v1",0])",
+              R"(["s","10.0.0.1:80","a",4294967297,true,5,"v1",0])", R"(["s","10.0.0.1:80","a",-1,true,5,"v1",0])",
+              R"(["s","10.0.0.1:80","a",1e300,true,5,"v1",0])", R"(["s","10.0.0.1:80","a",4,true,-5,"v1",0])",
+              R"(["s","10.0.0.1:80","a",4,true,1e300,"v1",0])", R"(["s","10.0.0.1:80","a",4,true,5,"v1",1e300])",
+              R"(["s","10.0.0.1:80","a",4,true,5,"v1",9223372036854775807])",
+              R"(["s","10.0.0.1:80","a",4,true,5,9223372036854775])"}) {
+            CPPUNIT_ASSERT_MESSAGE(bad, !platform::decodeEndpoint("i", bad).ok());
+        }
+    }
+
+    /*! @brief Guards against durations that overflow: a number far below zero has no duration. */
+    void negativeColdTimeIsWarm()
+    {
+        for (const char *coldTime : {"-1", "-1e300"}) {
+            const auto record = platform::decodeEndpoint(
+                "i",
+                absl::StrCat(R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready",)",
+                             R"("coldLeftMs":)", coldTime, "}"));
+            CPPUNIT_ASSERT_MESSAGE(coldTime, record.ok() && record->remainingWarmup == Duration::zero());
+        }
+        CPPUNIT_ASSERT(platform::decodeEndpoint("i", R"(["s","10.0.0.1:80","a",4,true,5,"v1",-9223372036854775808])")
+                           ->remainingWarmup
+                       == Duration::zero());
+    }
+
     void decreasedColdTimeIsNoChange()
     {
         const std::string before = R"(["s","10.0.0.1:80","a",4,false,0,1500])";
