Announce that an endpoint's zone or version has changed

Cause: EndpointDirectory announced a changed entry only for another incarnation, drain, address, pool or number of slots. An entry with another version or zone, written over by another program or by mistake and put right, stayed as it was first announced: requests of streams were matched with the wrong version (ORDER), and zones with the wrong one, until something else in the list changed. Ruled out: decoding and passing on of the entry, which brought the corrected fields (the directory had them). Change: both fields count as a change. After: EndpointEntriesTest 9 passed, 0 failed. Conclusion: what is announced is what the directory holds. Not shown with processes, and not that it explains a report.

--- a/src/bergamottide/pools/endpointdirectory.cpp
+++ b/src/bergamottide/pools/endpointdirectory.cpp
@@ -53,7 +53,8 @@
         record.remainingWarmup > Duration::zero() ? now + record.remainingWarmup : TimePoint{};
     const bool isColder = warmupEndsAt > known.warmupEndsAt + warmupEndTolerance;
     if (isNewIncarnation || known.draining != draining || known.address != record.address || known.pool != record.pool
-        || known.slots != record.slots || isColder) {
+        || known.zone != record.zone || known.softwareVersion != record.softwareVersion || known.slots != record.slots
+        || isColder) {
         m_changed = true;
     }
     const TimePoint knownWarmupEnd = known.warmupEndsAt;
--- a/test/platform/endpointentries.cpp
+++ b/test/platform/endpointentries.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(unreadableBytesCanBeSentToOtherProcesses);
     CPPUNIT_TEST(numberBeyondItsRangeIsMalformed);
     CPPUNIT_TEST(addressWithOtherCharactersIsMalformed);
+    CPPUNIT_TEST(correctedZoneAndVersionAreListed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -204,6 +205,24 @@
         CPPUNIT_ASSERT_EQUAL(items.size() - 1, m_logged.size());
     }
 
+    /*! @brief Guards against streams that go on at the version that an entry had named by mistake. */
+    void correctedZoneAndVersionAreListed()
+    {
+        for (const std::string field : {"zone", "version"}) {
+            json sound = entry();
+            sound["version"] = "v1";
+            json wrong = sound;
+            wrong[field] = "x";
+            m_entries.apply(decode("events", {item("servers/a", wrong.dump())}), m_now);
+            CPPUNIT_ASSERT(m_directory.takeChangedList(m_now));
+            m_entries.apply(decode("events", {item("servers/a", sound.dump())}), m_now);
+            const auto list = m_directory.takeChangedList(m_now);
+            CPPUNIT_ASSERT_MESSAGE(field, list);
+            CPPUNIT_ASSERT_EQUAL(std::string{"v1"}, list->front().softwareVersion.text());
+            CPPUNIT_ASSERT_EQUAL(std::string{"a"}, list->front().zone.text());
+        }
+    }
+
 private:
     [[nodiscard]] static json entry()
     {
