--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -5,12 +5,16 @@
 #include "storecodec.h"
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace bergamottide;
 
 namespace {
 
+/*! @brief Depth of a document that overflows the stack of a recursive function. */
+constexpr std::size_t extremeDepth = 200'000;
+
 HttpRequest callerRequest()
 {
     HttpRequest request;
@@ -42,9 +46,12 @@
     CPPUNIT_TEST(encodesAndDecodesStageCalls);
     CPPUNIT_TEST(stageResponseWithWrongItemCountIsBroken);
     CPPUNIT_TEST(decodesConfiguration);
+    CPPUNIT_TEST(deeplyNestedConfigurationIsDecoded);
     CPPUNIT_TEST(wrongJsonTypesAreErrors);
     CPPUNIT_TEST(rejectsInvalidEndpointEntries);
     CPPUNIT_TEST(compactEndpointEntriesRoundTrip);
+    CPPUNIT_TEST(compactEntryWithInvalidFieldsIsMalformed);
+    CPPUNIT_TEST(negativeColdTimeIsWarm);
     CPPUNIT_TEST(decreasedColdTimeIsNoChange);
     CPPUNIT_TEST(malformedItemDoesNotAffectOthers);
     CPPUNIT_TEST(detectsMissingInputs);
@@ -54,10 +61,12 @@
     CPPUNIT_TEST(decodesLimitsOfEndpoints);
     CPPUNIT_TEST(decodesDrainOfEndpoints);
     CPPUNIT_TEST(decodesWarmupAndLoadOfEndpoints);
+    CPPUNIT_TEST(warmupBeyondADayIsMalformed);
     CPPUNIT_TEST(decodesPaceOfEndpoints);
     CPPUNIT_TEST(decodesPausesOfEndpoints);
     CPPUNIT_TEST(decodesCachedPrompts);
     CPPUNIT_TEST(rejectsMalformedListsOfCachedPrompts);
+    CPPUNIT_TEST(deeplyNestedCachedPromptsAreMalformed);
     CPPUNIT_TEST(leadingZerosOfPromptPartsDoNotCount);
     CPPUNIT_TEST_SUITE_END();
 
@@ -112,6 +121,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, malformed->malformedHeaders.size());
     }
 
+    /*! @brief Guards against an engine that counts as cold for ever, and against a point in time that overflows. */
+    void warmupBeyondADayIsMalformed()
+    {
+        CPPUNIT_ASSERT(platform::decodeNotice({}, 200, {{"cold-ms", "86400000"}})->remainingWarmup
+                       == std::chrono::hours{24});
+        for (const std::string text : {"86400001", "1e15", "1e300"}) {
+            const auto notice = platform::decodeNotice({}, 200, {{"cold-ms", text}});
+            CPPUNIT_ASSERT_MESSAGE(text, notice->remainingWarmup == Duration::zero());
+            CPPUNIT_ASSERT_MESSAGE(text, notice->malformedHeaders == std::vector<std::string>{"cold-ms"});
+        }
+    }
+
     /*! @brief A load with a value that was unknown before was ignored as a whole, in every response. */
     void decodesPaceOfEndpoints()
     {
@@ -179,6 +200,13 @@
         CPPUNIT_ASSERT(!platform::decodeCachedPrompts({421, {}, R"({"held":[]})"}));
     }
 
+    /*! @brief Guards against an engine whose answer ends the process, by recursion as deep as the answer. */
+    void deeplyNestedCachedPromptsAreMalformed()
+    {
+        const std::string nested = std::string(extremeDepth, '[') + std::string(extremeDepth, ']');
+        CPPUNIT_ASSERT(!platform::decodeCachedPrompts({200, {}, R"({"held":[["","7a",)" + nested + R"(,"m"]]})"}));
+    }
+
     void leadingZerosOfPromptPartsDoNotCount()
     {
         HttpRequest request = callerRequest();
@@ -354,6 +382,17 @@
         CPPUNIT_ASSERT_EQUAL(11.0, catalog->findPool(PoolName{"e"})->warmup->requestsPerSecond);
     }
 
+    /*! @brief Guards against a configuration that ends the process, by recursion as deep as a field of it. */
+    void deeplyNestedConfigurationIsDecoded()
+    {
+        const std::string nested = std::string(extremeDepth, '[') + std::string(extremeDepth, ']');
+        for (const char *field : {"routes", "services"}) {
+            const auto catalog =
+                platform::decodeCatalog(absl::StrCat(R"({"version":1,")", field, R"(":[{"note":)", nested, "}]}"));
+            CPPUNIT_ASSERT_MESSAGE(field, catalog.ok());
+        }
+    }
+
     void wrongJsonTypesAreErrors()
     {
         CPPUNIT_ASSERT(!platform::decodeCatalog("{}").ok());
@@ -429,6 +468,38 @@
         CPPUNIT_ASSERT(!platform::decodeEndpoint("i-1", R"(["s",7,"a",4,true,0,0])").ok());
     }
 
+    /*! @brief Guards against an entry that a relay of an earlier release has passed on without checking it. */
+    void compactEntryWithInvalidFieldsIsMalformed()
+    {
+        CPPUNIT_ASSERT(platform::decodeEndpoint("i", R"(["s","10.0.0.1:80","a",4,true,5,"v1",1500])").ok());
+        CPPUNIT_ASSERT_EQUAL(1U, platform::decodeEndpoint("i", R"(["s","10.0.0.1:80","a",0,true,5,"v1",1500])")->slots);
+        for (const char *bad :
+             {R"(["","10.0.0.1:80","a",4,true,5,"v1",0])", R"(["s","nowhere","a",4,true,5,"v1",0])",
+              R"(["s","10.0.0.1:0","a",4,true,5,"v1",0])", R"(["s","10.0.0.1:80","",4,true,5,"v1",0])",
+              R"(["s","10.0.0.1:80","a",4294967297,true,5,"v1",0])", R"(["s","10.0.0.1:80","a",-1,true,5,"v1",0])",
+              R"(["s","10.0.0.1:80","a",1e300,true,5,"v1",0])", R"(["s","10.0.0.1:80","a",4,true,-5,"v1",0])",
+              R"(["s","10.0.0.1:80","a",4,true,1e300,"v1",0])", R"(["s","10.0.0.1:80","a",4,true,5,"v1",1e300])",
+              R"(["s","10.0.0.1:80","a",4,true,5,"v1",9223372036854775807])",
+              R"(["s","10.0.0.1:80","a",4,true,5,9223372036854775])"}) {
+            CPPUNIT_ASSERT_MESSAGE(bad, !platform::decodeEndpoint("i", bad).ok());
+        }
+    }
+
+    /*! @brief Guards against durations that overflow: a number far below zero has no duration. */
+    void negativeColdTimeIsWarm()
+    {
+        for (const char *coldTime : {"-1", "-1e300"}) {
+            const auto record = platform::decodeEndpoint(
+                "i",
+                absl::StrCat(R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready",)",
+                             R"("coldLeftMs":)", coldTime, "}"));
+            CPPUNIT_ASSERT_MESSAGE(coldTime, record.ok() && record->remainingWarmup == Duration::zero());
+        }
+        CPPUNIT_ASSERT(platform::decodeEndpoint("i", R"(["s","10.0.0.1:80","a",4,true,5,"v1",-9223372036854775808])")
+                           ->remainingWarmup
+                       == Duration::zero());
+    }
+
     void decreasedColdTimeIsNoChange()
     {
         const std::string before = R"(["s","10.0.0.1:80","a",4,false,0,1500])";
--- a/test/platform/endpointentries.cpp
+++ b/test/platform/endpointentries.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(entryInTheFormBetweenProcessesIsNoEntryOfTheStore);
     CPPUNIT_TEST(unreadableBytesCanBeSentToOtherProcesses);
     CPPUNIT_TEST(numberBeyondItsRangeIsMalformed);
+    CPPUNIT_TEST(addressWithOtherCharactersIsMalformed);
+    CPPUNIT_TEST(correctedZoneAndVersionAreListed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -183,6 +185,44 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_logged.size());
     }
 
+    /*!
+     * @brief Guards against line breaks in requests to other engines: they name the address of the engine to fetch
+     * from.
+     */
+    void addressWithOtherCharactersIsMalformed()
+    {
+        using namespace std::string_literals;
+        std::vector<json> items{item("servers/good", entry().dump())};
+        for (const std::string &address :
+             {"10.0.0.1:80\r\n"s, "10.0.0.1: 80"s, "10.0.0.1:+80"s, "10.0.0.1\0\r\nhold: 1:80"s, "10.0.0.1:80\0"s,
+              "10.0.0.1:0"s, "10.0.0.1:65536"s, "10.0.0.1:"s}) {
+            json wrong = entry();
+            wrong["address"] = address;
+            items.push_back(item("servers/bad-" + std::to_string(items.size()), wrong.dump()));
+        }
+        m_entries.replace(decode("items", items), m_now);
+        CPPUNIT_ASSERT((listed() == std::set<std::string>{"good"}));
+        CPPUNIT_ASSERT_EQUAL(items.size() - 1, m_logged.size());
+    }
+
+    /*! @brief Guards against streams that go on at the version that an entry had named by mistake. */
+    void correctedZoneAndVersionAreListed()
+    {
+        for (const std::string field : {"zone", "version"}) {
+            json sound = entry();
+            sound["version"] = "v1";
+            json wrong = sound;
+            wrong[field] = "x";
+            m_entries.apply(decode("events", {item("servers/a", wrong.dump())}), m_now);
+            CPPUNIT_ASSERT(m_directory.takeChangedList(m_now));
+            m_entries.apply(decode("events", {item("servers/a", sound.dump())}), m_now);
+            const auto list = m_directory.takeChangedList(m_now);
+            CPPUNIT_ASSERT_MESSAGE(field, list);
+            CPPUNIT_ASSERT_EQUAL(std::string{"v1"}, list->front().softwareVersion.text());
+            CPPUNIT_ASSERT_EQUAL(std::string{"a"}, list->front().zone.text());
+        }
+    }
+
 private:
     [[nodiscard]] static json entry()
     {
