Name the software version of a resumed stream in its log line

Cause: log lines of requests end with a field version, that of the configuration, which replaced the field of the same name. Change: the field is software, as in the line of a request that is sent.

--- a/src/bergamottide/serving/servingstreams.cpp
+++ b/src/bergamottide/serving/servingstreams.cpp
@@ -42,7 +42,7 @@
     m_effects.emplace_back(LogLine{Severity::Info,
                                    Part::Entry,
                                    "The software version of a stream without a record was looked for.",
-                                   {{"version", version ? version->text() : "unknown"},
+                                   {{"software", version ? version->text() : "unknown"},
                                     {"source", std::string{enumName(source)}},
                                     {"list_age_ms", listAge()}}});
 }
@@ -59,7 +59,7 @@
 {
     m_effects.emplace_back(Observe{Metric::ResumedStreamsTotal, {std::string{enumName(source)}}, 1.0});
     log(request, "The software version of a resumed stream is known.",
-        {{"version", request.streamVersion->text()},
+        {{"software", request.streamVersion->text()},
          {"source", std::string{enumName(source)}},
          {"list_age_ms", listAge()}});
 }
