--- a/test/support/servingfleet.cpp
+++ b/test/support/servingfleet.cpp
@@ -189,6 +189,9 @@
             confirmLists();
         }
         for (std::size_t process = 0; process < m_processes.size(); ++process) {
+            if (m_processes[process].isStopped) {
+                continue;
+            }
             work(process);
             reviewConnections(process);
             const ServingReducer *reducer = m_processes[process].reducer.get();
@@ -350,8 +353,10 @@
 
 void ServingFleet::apply(std::size_t process, const Event &event)
 {
-    if (m_options.eventTime > Duration::zero()) {
-        m_processes[process].events.emplace_back(m_now, event);
+    Process &receiver = m_processes[process];
+    if (m_options.eventTime > Duration::zero() || receiver.lateness > Duration::zero() || receiver.isStopped
+        || !receiver.events.empty()) {
+        receiver.events.emplace_back(m_now, event);
         return;
     }
     applyNow(process, event);
@@ -361,7 +366,8 @@
 void ServingFleet::work(std::size_t process)
 {
     Process &working = m_processes[process];
-    while (working.reducer && !working.events.empty() && working.freeAt <= m_now) {
+    while (working.reducer && !working.events.empty() && working.freeAt <= m_now
+           && working.events.front().first + working.lateness <= m_now) {
         const auto [arrivedAt, event] = std::move(working.events.front());
         working.events.pop_front();
         working.freeAt = std::max(working.freeAt, arrivedAt) + m_options.eventTime;
@@ -701,6 +707,27 @@
     m_processes[process].isCutFromPeers = isCut;
 }
 
+void ServingFleet::stop(std::size_t process)
+{
+    m_processes[process].isStopped = true;
+}
+
+void ServingFleet::continueProcess(std::size_t process, Backlog backlog)
+{
+    Process &continuing = m_processes[process];
+    continuing.isStopped = false;
+    if (backlog == Backlog::RequestsFirst) {
+        std::stable_partition(continuing.events.begin(), continuing.events.end(), [](const auto &waiting) {
+            return std::holds_alternative<RequestArrived>(waiting.second);
+        });
+    }
+}
+
+void ServingFleet::setLateness(std::size_t process, Duration lateness)
+{
+    m_processes[process].lateness = lateness;
+}
+
 bool ServingFleet::reachesPeer(std::size_t from, std::size_t to) const
 {
     return m_processes[to].reducer && !m_processes[to].isCutFromPeers && !m_processes[from].isCutFromPeers;
@@ -778,7 +805,8 @@
 
 void ServingFleet::deliverHeartbeat(std::size_t from, std::size_t to)
 {
-    if (!m_processes[from].reducer || !reachesPeer(from, to) || m_processes[to].isCutInbound) {
+    if (!m_processes[from].reducer || m_processes[from].isStopped || !reachesPeer(from, to)
+        || m_processes[to].isCutInbound) {
         return;
     }
     const Heartbeat heartbeat = m_processes[from].reducer->heartbeat(m_processes[to].self.address, m_now);
--- a/test/support/servingfleet.h
+++ b/test/support/servingfleet.h
@@ -155,6 +155,23 @@
     /*! @brief Sets whether a process is cut off from the others in both directions. */
     void setCutFromPeers(std::size_t process, bool isCut);
 
+    /*! @brief Stops a process; what arrives waits until it continues. */
+    void stop(std::size_t process);
+
+    /*! @brief Order in which a process applies what has arrived while it was stopped. */
+    enum class Backlog : std::uint8_t
+    {
+        AsArrived,
+        /*! @brief Requests of callers go before everything else. */
+        RequestsFirst
+    };
+
+    /*! @brief Lets a process that is stopped apply at once what has arrived, and go on. */
+    void continueProcess(std::size_t process, Backlog backlog);
+
+    /*! @brief Sets how long a process is behind: the time for which each event waits. */
+    void setLateness(std::size_t process, Duration lateness);
+
     /*! @brief Breaks all streams in progress at the other processes; their callers resume them at one process. */
     void moveStreams(std::size_t process);
 
@@ -217,6 +234,8 @@
         bool isCutInbound{};
         bool isCutFromStore{};
         bool isCutFromPeers{};
+        bool isStopped{};
+        Duration lateness{};
         /*! @brief Events that wait for the processor, with their arrival. */
         std::deque<std::pair<TimePoint, serving::Event>> events;
         TimePoint freeAt{};
