Bound the durations that peers tell each other

Cause: a duration in a peer's message was taken as it is; the deadline of a task is added to the clock, which overflows near the largest value.

--- a/src/bergamottide/app/peerwire.cpp
+++ b/src/bergamottide/app/peerwire.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <string_view>
 
 namespace bergamottide::peerwire {
@@ -33,6 +34,22 @@
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+/*! @brief Longest duration that peers tell each other; a longer one is an error, and would overflow in sums. */
+constexpr Duration maxDuration = std::chrono::hours{24};
+
+/*! @brief Returns a duration of at most a day; zero for a field that is missing. */
+Duration durationFromJson(const json &value)
+{
+    if (value.is_null()) {
+        return Duration::zero();
+    }
+    if (value.is_number_float()) {
+        constexpr auto limit = static_cast<double>(maxDuration.count());
+        return Duration{static_cast<Duration::rep>(std::clamp(value.get<double>(), -limit, limit))};
+    }
+    return std::clamp(Duration{value.get<Duration::rep>()}, -maxDuration, maxDuration);
+}
+
 /*! @brief Returns a field, or null if it is missing; copies of a deeply nested value overflow the stack. */
 const json &fieldOrNull(const json &object, const char *name)
 {
@@ -126,7 +143,7 @@
     for (const json &item : value.at("placed")) {
         engines::PlacedPrompt placed;
         placed.engine = InstanceName{item.at(0).get<std::string>()};
-        placed.timeUntilCached = Duration{item.at(1).get<std::int64_t>()};
+        placed.timeUntilCached = durationFromJson(item.at(1));
         for (const json &link : item.at(2)) {
             placed.chain.push_back({link.at(0).get<std::uint64_t>(), link.at(1).get<std::uint64_t>()});
         }
@@ -174,7 +191,7 @@
 CrashReport crashReportFromJson(const json &value)
 {
     return {InstanceName{value.at("endpoint").get<std::string>()},
-            Duration{value.at("age").get<std::int64_t>()},
+            durationFromJson(value.at("age")),
             fingerprintsFromJson(value.at("suspects")),
             fingerprintsFromJson(value.at("cleared")),
             value.value("incarnation", std::uint64_t{}),
@@ -204,7 +221,7 @@
     NoticeReport report{InstanceName{value.at("endpoint").get<std::string>()},
                         value.at("incarnation").get<std::uint64_t>(),
                         {},
-                        Duration{value.at("age").get<std::int64_t>()}};
+                        durationFromJson(value.at("age"))};
     if (const auto limit = value.find("perSecond"); limit != value.end()) {
         report.requestsPerSecond = limit->get<double>();
     }
@@ -228,7 +245,7 @@
     for (const auto &[version, streams] : value.items()) {
         for (const json &stream : streams) {
             out.push_back({StreamKey{stream.at(0).get<std::uint64_t>()}, SoftwareVersion{version},
-                           Duration{stream.at(1).get<std::int64_t>()}});
+                           durationFromJson(stream.at(1))});
         }
     }
     return out;
@@ -317,8 +334,7 @@
         }
         for (const json &wait : value.at("waits")) {
             heartbeat.waits.push_back({PoolName{wait.at("pool").get<std::string>()}, wait.at("rank").get<int>(),
-                                       Duration{wait.at("wait").get<std::int64_t>()},
-                                       Duration{wait.at("perPiece").get<std::int64_t>()},
+                                       durationFromJson(wait.at("wait")), durationFromJson(wait.at("perPiece")),
                                        wait.at("items").get<double>(), wait.at("roomTaken").get<double>()});
             // Absent in heartbeats of earlier releases, and while no workspace is above its share.
             PoolWait &added = heartbeat.waits.back();
@@ -327,7 +343,7 @@
                     added.aboveShare.emplace_back(workspace.get<std::string>());
                 }
             }
-            added.aboveShareWait = Duration{wait.value("aboveWait", std::int64_t{})};
+            added.aboveShareWait = durationFromJson(fieldOrNull(wait, "aboveWait"));
         }
         for (const json &work : value.at("upcoming")) {
             heartbeat.upcoming.push_back({PoolName{work.at("pool").get<std::string>()}, work.at("rank").get<int>(),
@@ -389,12 +405,12 @@
         task.requester = InstanceName{value.at("from").get<std::string>()};
         task.pool = PoolName{value.at("pool").get<std::string>()};
         task.rank = value.at("rank").get<int>();
-        task.deadline = now + Duration{value.at("deadline").get<std::int64_t>()};
-        task.latestStart = now + Duration{value.at("due").get<std::int64_t>()};
+        task.deadline = now + durationFromJson(value.at("deadline"));
+        task.latestStart = now + durationFromJson(value.at("due"));
         task.attempt = value.at("attempt").get<std::string>();
         // Absent in tasks of earlier releases.
         task.fingerprint = RequestFingerprint{value.value("fingerprint", std::string{})};
-        task.objective = Duration{value.value("objective", std::int64_t{})};
+        task.objective = durationFromJson(fieldOrNull(value, "objective"));
         task.workspace = WorkspaceName{value.value("workspace", std::string{})};
         task.stage = value.at("stage").get<std::uint32_t>();
         task.pieces = value.at("pieces").get<std::uint32_t>();
