--- a/test/platform/fakes.cpp
+++ b/test/platform/fakes.cpp
@@ -193,6 +193,15 @@
         .dump();
 }
 
+HttpRequest listRequest()
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/bergamottide/kv-range";
+    request.query = "pathPrefix=";
+    return request;
+}
+
 FakePlatformEndpoint::FakePlatformEndpoint(Loop &loop, std::string instance)
     : m_instance{std::move(instance)}
     , m_server{loop, serverOptions(),
--- a/test/platform/fakes.h
+++ b/test/platform/fakes.h
@@ -92,6 +92,9 @@
     std::vector<std::shared_ptr<HttpResponder>> m_unanswered;
 };
 
+/*! @brief Returns a request for the list of all items of a store. */
+[[nodiscard]] HttpRequest listRequest();
+
 /*! @brief How a fake endpoint answers its next requests. */
 enum class EndpointBehaviour
 {
--- a/test/processes/cutlists.cpp
+++ b/test/processes/cutlists.cpp
@@ -52,12 +52,8 @@
     /*! @brief Returns a page of the store's items, which serves as a list and as a change. */
     std::string readPage()
     {
-        HttpRequest request;
-        request.method = "GET";
-        request.path = "/bergamottide/kv-range";
-        request.query = "pathPrefix=";
         EndedCall ended;
-        m_client.call(m_origin.address(), std::move(request), recordingHooks(ended));
+        m_client.call(m_origin.address(), listRequest(), recordingHooks(ended));
         CPPUNIT_ASSERT(runUntil(m_loop, [&ended] { return ended.answer || ended.failure; }));
         CPPUNIT_ASSERT(ended.answer);
         return ended.answer->body;
