Tests of callers that misbehave, on real processes with little address space

Cause: callers saw a process end. Nothing bounds what a process holds for its callers: h2o reads all that the kernel has, and each body, response and HTTP/2 stream is bounded alone only; incomplete requests, unread responses and idle connections stay for as long as their callers like.

--- a/test/processes/fleet.cpp
+++ b/test/processes/fleet.cpp
@@ -116,11 +116,11 @@
     m_daemons[name].ports["endpoint"] = endpoint;
 }
 
-void Fleet::startEntry(const std::string &name)
+void Fleet::startEntry(const std::string &name, const ProcessLimits &limits)
 {
     const std::string key = (m_folder / "ticket-key").string();
     startDaemon(name, "bergamottide-entry",
-                absl::StrCat(settings(name), ",callersAddress=127.0.0.1:0,ticketKeyFiles=[", key, "]"));
+                absl::StrCat(settings(name), ",callersAddress=127.0.0.1:0,ticketKeyFiles=[", key, "]"), limits);
 }
 
 void Fleet::startOrdinary()
@@ -316,12 +316,13 @@
                         ",adminKeyDigest=", std::string{adminKeyDigest});
 }
 
-void Fleet::startDaemon(const std::string &name, const std::string &program, const std::string &settings)
+void Fleet::startDaemon(const std::string &name, const std::string &program, const std::string &settings,
+                        const ProcessLimits &limits)
 {
     Daemon &daemon = m_daemons[name];
     daemon.process.reset();
-    daemon.process =
-        std::make_unique<Process>(program, std::vector<std::string>{"--set=" + settings}, m_folder / (name + ".log"));
+    daemon.process = std::make_unique<Process>(program, std::vector<std::string>{"--set=" + settings},
+                                               m_folder / (name + ".log"), limits);
     const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(patience);
     daemon.ports = Json::parse(daemon.process->readLine(longest), nullptr, false);
     CPPUNIT_ASSERT_MESSAGE(name + " did not start", daemon.ports.is_object());
--- a/test/processes/fleet.h
+++ b/test/processes/fleet.h
@@ -94,8 +94,9 @@
     /**
      * @brief Starts an entry, or starts it anew.
      * @param name Name of the entry.
+     * @param limits Limits of its process.
      */
-    void startEntry(const std::string &name);
+    void startEntry(const std::string &name, const ProcessLimits &limits = {});
 
     /*!
      * @brief Starts one endpoint for each stage, two engines, two services and the entries `entry-0` and `entry-1`.
@@ -197,7 +198,8 @@
 
 private:
     [[nodiscard]] std::string settings(const std::string &name) const;
-    void startDaemon(const std::string &name, const std::string &program, const std::string &settings);
+    void startDaemon(const std::string &name, const std::string &program, const std::string &settings,
+                     const ProcessLimits &limits = {});
 
     SystemClock m_clock;
     std::filesystem::path m_folder;
--- a/test/processes/platformprocesses.cpp
+++ b/test/processes/platformprocesses.cpp
@@ -50,6 +50,11 @@
     m_entries[index].store = address;
 }
 
+void PlatformProcesses::setLimits(const ProcessLimits &limits)
+{
+    m_limits = limits;
+}
+
 void PlatformProcesses::start()
 {
     for (std::size_t index = 0; index < m_entries.size(); ++index) {
@@ -58,7 +63,7 @@
         }
         m_entries[index].process = std::make_unique<Process>(
             "bergamottide-platform", std::vector<std::string>{"--settings=" + writeSettings(index)},
-            m_folder / absl::StrCat("entry-", index, ".log"));
+            m_folder / absl::StrCat("entry-", index, ".log"), m_limits);
     }
     std::size_t ready = 0;
     const TimePoint giveUpAt = m_loop.now() + patience;
@@ -110,11 +115,21 @@
     return m_entries[index].callers;
 }
 
+const std::string &PlatformProcesses::ready(std::size_t index) const
+{
+    return m_entries[index].ready;
+}
+
 pid_t PlatformProcesses::pid(std::size_t index) const
 {
     return m_entries[index].process->pid();
 }
 
+const Process &PlatformProcesses::process(std::size_t index) const
+{
+    return *m_entries[index].process;
+}
+
 void PlatformProcesses::runUntil(const std::function<bool()> &condition)
 {
     const TimePoint giveUpAt = m_loop.now() + patience;
--- a/test/processes/platformprocesses.h
+++ b/test/processes/platformprocesses.h
@@ -44,6 +44,9 @@
     /*! @brief Sets the store of a process, from its next start on. */
     void setStore(std::size_t index, const std::string &address);
 
+    /*! @brief Sets the limits of the processes, from their next start on. */
+    void setLimits(const ProcessLimits &limits);
+
     /*! @brief Starts all processes that do not run, and waits until all are ready. */
     void start();
 
@@ -59,9 +62,15 @@
     /*! @brief Returns the address at which a process serves callers. */
     [[nodiscard]] const std::string &callers(std::size_t index) const;
 
+    /*! @brief Returns the address at which a process tells whether it is ready. */
+    [[nodiscard]] const std::string &ready(std::size_t index) const;
+
     /*! @brief Returns the process id. */
     [[nodiscard]] pid_t pid(std::size_t index) const;
 
+    /*! @brief Returns a process that has been started. */
+    [[nodiscard]] const Process &process(std::size_t index) const;
+
     /*! @brief Runs the loop until a condition holds; fails the test after a minute. */
     void runUntil(const std::function<bool()> &condition);
 
@@ -82,6 +91,7 @@
     Loop &m_loop;
     HttpClient m_client;
     nlohmann::json m_settings;
+    ProcessLimits m_limits;
     std::filesystem::path m_folder;
     FreeAddresses m_addresses;
     std::vector<Entry> m_entries;
--- a/test/processes/process.cpp
+++ b/test/processes/process.cpp
@@ -1,6 +1,8 @@
 #include "processes/process.h"
 
 #include <array>
+#include <fstream>
+#include <iterator>
 
 #include <csignal>
 #include <fcntl.h>
@@ -22,6 +24,22 @@
     posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
 }
 
+/*! @brief Returns the command line of a program with limits, which a shell sets and then becomes the program. */
+std::vector<std::string> limitedCommand(const std::string &program, const ProcessLimits &limits)
+{
+    if (limits.addressSpaceKiB == 0 && limits.descriptors == 0) {
+        return {program};
+    }
+    std::string script;
+    if (limits.addressSpaceKiB != 0) {
+        script += "ulimit -v " + std::to_string(limits.addressSpaceKiB) + " && ";
+    }
+    if (limits.descriptors != 0) {
+        script += "ulimit -n " + std::to_string(limits.descriptors) + " && ";
+    }
+    return {"/bin/sh", "-c", script + "exec \"$0\" \"$@\"", program};
+}
+
 } // namespace
 
 std::filesystem::path programFolder()
@@ -30,15 +48,15 @@
 }
 
 Process::Process(const std::string &program, const std::vector<std::string> &arguments,
-                 const std::filesystem::path &log)
+                 const std::filesystem::path &log, const ProcessLimits &limits)
 {
     std::array<int, 2> ends{-1, -1};
     if (pipe2(ends.data(), O_CLOEXEC) != 0) {
         return;
     }
     m_output = ends[0];
-    const std::string path = (programFolder() / program).string();
-    std::vector<std::string> texts{path};
+    std::vector<std::string> texts = limitedCommand((programFolder() / program).string(), limits);
+    const std::string path = texts.front();
     texts.insert(texts.end(), arguments.begin(), arguments.end());
     std::vector<char *> pointers;
     pointers.reserve(texts.size() + 1);
@@ -121,4 +139,22 @@
     return m_pid;
 }
 
+std::size_t Process::memoryKiB(const std::string &field) const
+{
+    std::ifstream status{"/proc/" + std::to_string(m_pid) + "/status"};
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(field + ":")) {
+            return std::stoul(line.substr(field.size() + 1));
+        }
+    }
+    return 0;
+}
+
+std::size_t Process::openDescriptors() const
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator entries{"/proc/" + std::to_string(m_pid) + "/fd", error};
+    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 } // namespace bergamottide::test
