Charge what callers send before it is kept

Cause: callers saw a process end. h2o reads all that the kernel has before it looks at any of it, and bounds a body alone only: 200 unfinished or complete bodies of 2 MiB are held at once, their buffers by doubled capacity, a body in chunks of one byte by six times its size, and each complete body three times.

Ruled out: lower limits of bodies (a single request at the limits has to be served); a bound on connections alone (too few for ordinary callers).

Change: overload::MemoryAccount bounds the sum by construction: a third is set aside in equal parts for the connections that there may be, the rest is shared, and a holder may grow beyond its part as long as no less stays free. ServerConnection reads a plain socket itself, in pieces that are charged before, and charges an announced body with the copy of it that the handler gets; without room the request is answered 503 with a time to come back, and its handler not called. The kernel's buffers are bounded. Ports for readiness and metrics take 16 KiB. Freed blocks return to the system.

In the tests the child of a shell gets MALLOC_ARENA_MAX=1: reserved arenas of 22 threads took 1.2 GB of address space of bergamottide-entry, so its limit of 520 MiB measured them.

--- a/src/bergamottide/app/entryapp.cpp
+++ b/src/bergamottide/app/entryapp.cpp
@@ -1,6 +1,7 @@
 #include "bergamottide/app/entryapp.h"
 
 #include "bergamottide/app/startup.h"
+#include "bergamottide/net/machinelimits.h"
 
 #include <nlohmann/json.hpp>
 
@@ -26,9 +27,18 @@
                          static_cast<std::uint64_t>(incarnation)};
 }
 
-HttpServerOptions callerOptions(const Settings &settings)
+HttpServerOptions callerOptions(const Settings &settings, std::shared_ptr<overload::MemoryAccount> memory)
 {
-    return HttpServerOptions{settings.callersAddress, callersTls(settings), maxBodyBytes};
+    HttpServerOptions options{settings.callersAddress, callersTls(settings), maxBodyBytes};
+    options.memory = std::move(memory);
+    return options;
+}
+
+HttpServerOptions adminOptions(const Settings &settings, std::shared_ptr<overload::MemoryAccount> memory)
+{
+    HttpServerOptions options{settings.adminAddress, {}, maxBodyBytes};
+    options.memory = std::move(memory);
+    return options;
 }
 
 PlatformFeedOptions feedOptions(const Settings &settings, Incarnation incarnation)
@@ -65,11 +75,12 @@
                     m_runner.submit(std::move(event));
                 }}
     , m_admin{settings.adminKeyDigest, adminHooks()}
-    , m_callerServer{loop, callerOptions(settings),
+    , m_memory{std::make_shared<overload::MemoryAccount>(defaultMemoryLimit(), defaultMaxConnections())}
+    , m_callerServer{loop, callerOptions(settings, m_memory),
                      [this](const HttpRequest &request, std::shared_ptr<HttpResponder> responder) {
                          m_callers.handle(request, std::move(responder));
                      }}
-    , m_adminServer{loop, HttpServerOptions{settings.adminAddress, {}, maxBodyBytes},
+    , m_adminServer{loop, adminOptions(settings, m_memory),
                     [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
                         m_admin.handle(request, *responder);
                     }}
--- a/src/bergamottide/app/entryapp.h
+++ b/src/bergamottide/app/entryapp.h
@@ -89,6 +89,8 @@
     ReducerRunner<EntryReducer, EntryEvent, EntryEffect, Tick> m_runner;
     CallerPort m_callers;
     AdminPort m_admin;
+    /*! @brief Charged for what callers and operators hold. */
+    std::shared_ptr<overload::MemoryAccount> m_memory;
     HttpServer m_callerServer;
     HttpServer m_adminServer;
     PeerTransport m_transport;
--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -1,5 +1,6 @@
 #include "bergamottide/app/servingapp.h"
 
+#include "bergamottide/net/machinelimits.h"
 #include "bergamottide/telemetry/outputappender.h"
 
 #include <absl/strings/str_cat.h>
@@ -20,6 +21,8 @@
 /*! @brief Limit of the body size until a configuration sets one. */
 constexpr std::size_t maxBodyBytes = 16U << 20U;
 constexpr int statusHeadTooLarge = 431;
+/*! @brief Limit of the body size on the ports for readiness and metrics, which take none. */
+constexpr std::size_t maxInternalBodyBytes = 16U << 10U;
 /*! @brief Path of the list of quarantined requests, on the metrics port. */
 constexpr std::string_view quarantinePath = "/quarantine";
 /*! @brief Longest idle time of a caller's connection; exceeds the limit documented for callers. */
@@ -46,14 +49,6 @@
 constexpr double bytesPerMegabit = 125'000.0;
 constexpr Duration processorTimePeriod = std::chrono::milliseconds{50};
 
-HttpServerOptions readyOptions(const ServingSettings &settings)
-{
-    HttpServerOptions options;
-    options.listen = settings.readyAddress;
-    options.closePollPeriod = std::chrono::seconds{10};
-    return options;
-}
-
 HttpClientOptions endpointOptions(TrafficHook onTraffic)
 {
     HttpClientOptions options;
@@ -141,6 +136,7 @@
     , m_log{LogOptions{LogFormat::Json, settings.logLevel, settings.instance}, clock,
             log4cplus::SharedAppenderPtr{new OutputAppender{STDOUT_FILENO}}}
     , m_loadMeter{settings.processorShare, settings.linkMbps * bytesPerMegabit}
+    , m_memory{std::make_shared<overload::MemoryAccount>(defaultMemoryLimit(), defaultMaxConnections())}
     , m_connectionGate{m_loadMeter}
     , m_reducer{servingOptions(settings, incarnation)}
     , m_runner{loop, m_reducer,
@@ -153,16 +149,15 @@
                       [this](HttpRequest request, const std::shared_ptr<HttpResponder> &responder) {
                           handle(std::move(request), responder);
                       }}
-    , m_readyServer{loop, readyOptions(settings),
+    , m_readyServer{loop, internalOptions(settings.readyAddress),
                     [this](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) {
                         responder->respond({m_reducer.canServe() ? 200 : 503, {}, {}});
                     }}
 {
     if (!settings.metricsAddress.empty()) {
-        HttpServerOptions options = readyOptions(settings);
-        options.listen = settings.metricsAddress;
         m_metricsServer.emplace(
-            loop, options, [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+            loop, internalOptions(settings.metricsAddress),
+            [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
                 if (request.path == quarantinePath) {
                     responder->respond({200,
                                         {{"content-type", "application/json"}},
@@ -332,6 +327,18 @@
     options.decideConnection = [this](const overload::WaitingConnection &connection) {
         return decideConnection(connection);
     };
+    options.memory = m_memory;
+    return options;
+}
+
+/*! @brief Returns the options of a port that takes short requests of the platform and of operators. */
+HttpServerOptions ServingApp::internalOptions(const std::string &address)
+{
+    HttpServerOptions options;
+    options.listen = address;
+    options.maxBodyBytes = maxInternalBodyBytes;
+    options.closePollPeriod = std::chrono::seconds{10};
+    options.memory = m_memory;
     return options;
 }
 
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -8,6 +8,7 @@
 #include "bergamottide/net/loop.h"
 #include "bergamottide/overload/connectiongate.h"
 #include "bergamottide/overload/loadmeter.h"
+#include "bergamottide/overload/memoryaccount.h"
 #include "bergamottide/pools/endpointdirectory.h"
 #include "bergamottide/serving/servingreducer.h"
 #include "bergamottide/serving/servingsettings.h"
@@ -189,6 +190,7 @@
     void countDroppedLines();
     [[nodiscard]] TrafficHook trafficHook();
     [[nodiscard]] HttpServerOptions callersOptions();
+    [[nodiscard]] HttpServerOptions internalOptions(const std::string &address);
     [[nodiscard]] overload::ConnectionDecision decideConnection(const overload::WaitingConnection &connection);
     void recordRound(const RoundFigures &figures);
     void reportLoad();
@@ -200,6 +202,7 @@
     LogGate m_logGate;
     MetricsRegistry m_metrics;
     overload::LoadMeter m_loadMeter;
+    std::shared_ptr<overload::MemoryAccount> m_memory;
     overload::ConnectionGate m_connectionGate;
     serving::EndpointDirectory m_directory;
     serving::ServingReducer m_reducer;
--- a/src/bergamottide/app/startup.cpp
+++ b/src/bergamottide/app/startup.cpp
@@ -10,6 +10,7 @@
 #include <iostream>
 #include <iterator>
 
+#include <malloc.h>
 #include <unistd.h>
 
 namespace bergamottide {
@@ -68,6 +69,13 @@
     return keys;
 }
 
+void returnFreedMemory()
+{
+    constexpr int ownMappingBytes = 256 << 10;
+    mallopt(M_MMAP_THRESHOLD, ownMappingBytes);
+    mallopt(M_TRIM_THRESHOLD, ownMappingBytes);
+}
+
 Incarnation randomIncarnation()
 {
     std::uint64_t number = 0;
--- a/src/bergamottide/app/startup.h
+++ b/src/bergamottide/app/startup.h
@@ -35,6 +35,13 @@
  */
 [[nodiscard]] absl::StatusOr<std::vector<TicketKey>> readTicketKeys(const std::vector<std::string> &files);
 
+/*!
+ * @brief Makes the allocator return large blocks to the system once they are freed, whatever was allocated before.
+ *
+ * By default it keeps them for later, and what a burst has left counts as memory of the process.
+ */
+void returnFreedMemory();
+
 /*! @brief Returns a random non-zero number that identifies this start of the process. */
 [[nodiscard]] Incarnation randomIncarnation();
 
--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -1,7 +1,9 @@
 #include "bergamottide/net/httpserver.h"
 
 #include "bergamottide/core/error.h"
+#include "bergamottide/net/machinelimits.h"
 #include "bergamottide/net/requestframing.h"
+#include "bergamottide/net/serverconnection.h"
 #include "bergamottide/net/socketaddress.h"
 #include "bergamottide/net/tlscontext.h"
 
@@ -11,7 +13,9 @@
 #include <deque>
 #include <list>
 #include <string>
+#include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include <sys/socket.h>
 
@@ -19,13 +23,20 @@
 
 namespace {
 
-constexpr std::uint64_t idleTimeoutMs = 60'000;
+/*! @brief Timeout of idle HTTP/2 connections, in milliseconds. */
+constexpr std::uint64_t http2IdleTimeoutMs = 60'000;
+/*! @brief Buffers of the kernel for each connection and direction, in bytes. */
+constexpr int socketBufferBytes = 64 << 10;
+/*! @brief What is charged for a body relative to its length: h2o doubles its buffer, and the handler gets a copy. */
+constexpr std::size_t chargedForEachBodyByte = 3;
 /*! @brief Maximum number of connections accepted in one round of the loop. */
 constexpr int maxAccepts = 64;
 /*! @brief Period of deciding again on connections that wait. */
 constexpr Duration reviewPeriod = std::chrono::milliseconds{20};
 
 constexpr int statusBadRequest = 400;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
 
 std::string textOf(const h2o_iovec_t &vector)
 {
@@ -42,16 +53,31 @@
     /**
      * @brief Creates a responder.
      * @param request Request to answer.
+     * @param connection Connection of the request.
      * @param closes Whether connections close after their answers; outlives the responder.
      * @param onTraffic Told of the bytes sent; may be empty, outlives the responder.
      */
-    Responder(h2o_req_t *request, const bool &closes, const TrafficHook &onTraffic)
+    Responder(h2o_req_t *request, std::weak_ptr<internal::ServerConnection> connection, const bool &closes,
+              const TrafficHook &onTraffic)
         : m_request{request}
+        , m_connection{std::move(connection)}
         , m_closes{closes}
         , m_onTraffic{onTraffic}
     {
     }
 
+    /*! @brief Charges the handler's copy of the body; returns whether there is room for it. */
+    [[nodiscard]] bool beginRequest()
+    {
+        const auto connection = m_connection.lock();
+        if (!connection || !connection->beginRequest(m_request->entity.len)) {
+            return false;
+        }
+        m_requestBytes = m_request->entity.len;
+        m_hasBegunRequest = true;
+        return true;
+    }
+
     void respond(HttpResponse answer) override
     {
         if (m_request == nullptr || m_begun) {
@@ -122,6 +148,9 @@
     void detach()
     {
         m_request = nullptr;
+        if (const auto connection = m_connection.lock(); connection && m_hasBegunRequest) {
+            connection->endRequest(m_requestBytes);
+        }
         auto hook = std::exchange(m_closed, nullptr);
         if (!m_whole && hook) {
             hook();
@@ -230,12 +259,15 @@
     }
 
     h2o_req_t *m_request;
+    std::weak_ptr<internal::ServerConnection> m_connection;
     const bool &m_closes;
     const TrafficHook &m_onTraffic;
     Generator m_generator{};
     std::function<void()> m_closed;
     std::string m_waiting;
     std::string m_sending;
+    std::size_t m_requestBytes{};
+    bool m_hasBegunRequest{};
     bool m_begun{};
     bool m_busy{};
     bool m_finishing{};
@@ -246,13 +278,15 @@
 struct Anchor
 {
     std::shared_ptr<Responder> responder;
+    std::function<void()> ended;
 
     static void dispose(void *memory)
     {
         auto *anchor = static_cast<Anchor *>(memory);
-        const auto responder = std::move(anchor->responder);
+        const Anchor kept = std::move(*anchor);
         anchor->~Anchor();
-        responder->detach();
+        kept.responder->detach();
+        kept.ended();
     }
 };
 
@@ -277,12 +311,16 @@
         : loop{eventLoop}
         , options{std::move(serverOptions)}
         , handler{std::move(requestHandler)}
+        , memory{options.memory
+                     ? options.memory
+                     : std::make_shared<overload::MemoryAccount>(defaultMemoryLimit(), defaultMaxConnections())}
+        , limits{options.maxHeadBytes, options.maxBodyBytes}
     {
         h2o_config_init(&config);
         config.http1.req_timeout = static_cast<std::uint64_t>(
             std::chrono::duration_cast<std::chrono::milliseconds>(options.idleTimeout).count());
-        config.http2.idle_timeout = idleTimeoutMs;
-        config.max_request_entity_size = options.maxBodyBytes;
+        config.http2.idle_timeout = http2IdleTimeoutMs;
+        setMaxBodyBytes(options.maxBodyBytes);
         config.server_name = h2o_iovec_init(H2O_STRLIT("bergamottide"));
         h2o_hostconf_t *host = h2o_config_register_host(&config, h2o_iovec_init(H2O_STRLIT("default")), UINT16_MAX);
         h2o_pathconf_t *path = h2o_config_register_path(host, "/", 0);
@@ -294,6 +332,13 @@
         accept.hosts = config.hosts;
     }
 
+    /*! @brief Sets the largest body; one that there can never be room for is too large, too. */
+    void setMaxBodyBytes(std::size_t bytes)
+    {
+        limits.maxBodyBytes = std::min(bytes, memory->mostForOne() / chargedForEachBodyByte);
+        config.max_request_entity_size = limits.maxBodyBytes;
+    }
+
     static int onRequest(h2o_handler_t *self, h2o_req_t *request)
     {
         reinterpret_cast<Dispatcher *>(self)->state->handle(request);
@@ -302,15 +347,24 @@
 
     void handle(h2o_req_t *request)
     {
-        auto responder = std::make_shared<Responder>(request, closes, options.onTraffic);
-        void *memory = h2o_mem_alloc_shared(&request->pool, sizeof(Anchor), &Anchor::dispose);
-        new (memory) Anchor{responder};
+        const h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
+        const auto connection = internal::ServerConnection::of(socket).shared_from_this();
+        auto responder = std::make_shared<Responder>(request, connection, closes, options.onTraffic);
+        void *cell = h2o_mem_alloc_shared(&request->pool, sizeof(Anchor), &Anchor::dispose);
+        new (cell) Anchor{responder, [this, connection] {
+                              unguarded.push_back(connection);
+                          }};
         responders.push_back(responder);
         if (!isFramingUnambiguous(request)) {
             request->http1_is_persistent = 0;
             responder->respond({statusBadRequest, {}, {}});
             return;
         }
+        if (!responder->beginRequest()) {
+            request->http1_is_persistent = 0;
+            responder->respond({statusUnavailable, {{"retry-after", "1"}}, {}});
+            return;
+        }
         HttpRequest received = read(request);
         if (options.onTraffic) {
             options.onTraffic(headerBytes(received.headers) + received.body.size(), 0);
@@ -318,6 +372,14 @@
         handler(std::move(received), responder);
     }
 
+    /*! @brief Puts the connections that h2o reads again under guard; runs after each round. */
+    void guardConnections()
+    {
+        for (const auto &connection : std::exchange(unguarded, {})) {
+            connection->guard();
+        }
+    }
+
     /*! @brief Checks the bytes that h2o has read the request from; HTTP/2 frames bodies in one way only. */
     static bool isFramingUnambiguous(h2o_req_t *request)
     {
@@ -416,8 +478,21 @@
 
     void serve(h2o_socket_t *socket)
     {
-        detectSilence(h2o_socket_get_fd(socket), options.unacknowledgedTimeout);
+        const int descriptor = h2o_socket_get_fd(socket);
+        detectSilence(descriptor, options.unacknowledgedTimeout);
+        boundBuffers(descriptor, socketBufferBytes);
+        const auto connection =
+            std::make_shared<internal::ServerConnection>(socket, accept.ssl_ctx != nullptr, connectionContext);
+        connections.emplace(socket, connection);
         h2o_accept(&accept, socket);
+        connection->guard();
+    }
+
+    void refused(CallerRefusal refusal) const
+    {
+        if (options.onRefused) {
+            options.onRefused(refusal);
+        }
     }
 
     /*! @brief Decides again on the connections that wait, then on new ones. */
@@ -475,6 +550,17 @@
     Loop &loop;
     HttpServerOptions options;
     Handler handler;
+    std::shared_ptr<overload::MemoryAccount> memory;
+    internal::ConnectionLimits limits;
+    internal::ConnectionContext connectionContext{loop, *memory, limits,
+                                                  [this](CallerRefusal refusal) { refused(refusal); },
+                                                  [this](h2o_socket_t *socket) {
+                                                      connections.erase(socket);
+                                                  }};
+    std::unordered_map<h2o_socket_t *, std::shared_ptr<internal::ServerConnection>> connections;
+    /*! @brief Connections that h2o may read again since a request of theirs has ended. */
+    std::vector<std::shared_ptr<internal::ServerConnection>> unguarded;
+    std::uint64_t roundHook{loop.addRoundHook([this] { guardConnections(); })};
     h2o_globalconf_t config{};
     h2o_context_t context{};
     h2o_accept_ctx_t accept{};
@@ -539,7 +625,12 @@
 
 void HttpServer::setMaxBodyBytes(std::size_t bytes)
 {
-    m_state->config.max_request_entity_size = bytes;
+    m_state->setMaxBodyBytes(bytes);
+}
+
+std::size_t HttpServer::maxBodyBytes() const
+{
+    return m_state->limits.maxBodyBytes;
 }
 
 void HttpServer::closeAfterAnswers()
--- a/src/bergamottide/net/httpserver.h
+++ b/src/bergamottide/net/httpserver.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "bergamottide/net/callerrefusal.h"
 #include "bergamottide/net/http.h"
 #include "bergamottide/net/loop.h"
 #include "bergamottide/overload/connectiongate.h"
+#include "bergamottide/overload/memoryaccount.h"
 
 #include <absl/status/status.h>
 
@@ -91,9 +93,15 @@
     TrafficHook onTraffic;
     /*! @brief Optional: decides on each new connection before anything is read; without it all are served. */
     std::function<overload::ConnectionDecision(const overload::WaitingConnection &connection)> decideConnection;
+    /*! @brief Largest head in bytes; a larger one is answered 431 without a call of the handler. */
+    std::size_t maxHeadBytes{64u << 10};
+    /*! @brief Charged for all that is held for callers; null for an account of the server's own. */
+    std::shared_ptr<overload::MemoryAccount> memory;
+    /*! @brief Optional: told of callers that are rejected or closed by the server itself. */
+    std::function<void(CallerRefusal refusal)> onRefused;
 };
 
-/*! @brief HTTP/1.1 and HTTP/2 server on h2o. */
+/*! @brief HTTP/1.1 and HTTP/2 server on h2o; bounds the memory that callers take with their requests. */
 class HttpServer
 {
 public:
@@ -116,9 +124,12 @@
     /*! @brief Returns the address listened on, with the port that the kernel chose. */
     [[nodiscard]] std::string address() const;
 
-    /*! @brief Sets the largest body, for requests whose body is yet to be read. */
+    /*! @brief Sets the largest body, for requests whose body is yet to be read; less if memory has no room for it. */
     void setMaxBodyBytes(std::size_t bytes);
 
+    /*! @brief Returns the largest body in effect, in bytes. */
+    [[nodiscard]] std::size_t maxBodyBytes() const;
+
     /*! @brief Closes each connection after its present or next answer, and says so in that; goes on accepting. */
     void closeAfterAnswers();
 
--- a/src/bergamottide/net/requestframing.cpp
+++ b/src/bergamottide/net/requestframing.cpp
@@ -2,10 +2,12 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/string_view.h>
 
 #include <algorithm>
 #include <cstddef>
+#include <optional>
 
 namespace bergamottide::internal {
 
@@ -55,9 +57,8 @@
     return true;
 }
 
-} // namespace
-
-bool isFramingUnambiguous(std::string_view input)
+/*! @brief Reads the lines of a head; returns nothing if one of them is malformed. */
+std::optional<Framing> readFraming(std::string_view input)
 {
     absl::string_view rest{input.data(), input.size()};
     // h2o skips empty lines before a request.
@@ -68,10 +69,52 @@
     Framing framing;
     for (absl::string_view line = takeLine(rest); !line.empty(); line = takeLine(rest)) {
         if (!readLine(line, framing)) {
-            return false;
+            return std::nullopt;
+        }
+    }
+    return framing;
+}
+
+/*! @brief Returns the number of bytes of empty lines, which h2o skips before a request. */
+std::size_t emptyLineBytes(std::string_view input)
+{
+    return std::min(input.find_first_not_of("\r\n"), input.size());
+}
+
+} // namespace
+
+bool isFramingUnambiguous(std::string_view input)
+{
+    const auto framing = readFraming(input);
+    return framing && (framing->length.empty() || framing->codings == 0);
+}
+
+std::size_t headEnd(std::string_view input, std::size_t from)
+{
+    constexpr std::size_t longestEnd = 4;
+    const std::size_t start = std::max(emptyLineBytes(input), from > longestEnd ? from - longestEnd : 0);
+    for (std::size_t line = input.find('\n', start); line != std::string_view::npos;
+         line = input.find('\n', line + 1)) {
+        const std::string_view next = input.substr(line + 1);
+        if (next.starts_with("\n") || next.starts_with("\r\n")) {
+            return line + 1 + (next.front() == '\n' ? 1 : 2);
         }
     }
-    return framing.length.empty() || framing.codings == 0;
+    return std::string_view::npos;
+}
+
+RequestBody announcedBody(std::string_view input)
+{
+    const auto framing = readFraming(input);
+    RequestBody body;
+    if (!framing) {
+        return body;
+    }
+    body.isChunked = framing->codings != 0;
+    if (!absl::SimpleAtoi(framing->length, &body.bytes)) {
+        body.bytes = 0;
+    }
+    return body;
 }
 
 } // namespace bergamottide::internal
--- a/src/bergamottide/net/requestframing.h
+++ b/src/bergamottide/net/requestframing.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string_view>
 
 namespace bergamottide::internal {
@@ -14,4 +15,27 @@
  */
 [[nodiscard]] bool isFramingUnambiguous(std::string_view input);
 
+/**
+ * @brief Finds the end of a head, with or without carriage returns.
+ * @param input Bytes of the request from its request line on.
+ * @param from Bytes in which the end has been looked for before.
+ * @return Position behind the head; `npos` if it is not complete.
+ */
+[[nodiscard]] std::size_t headEnd(std::string_view input, std::size_t from);
+
+/*! @brief What a head says of the body behind it. */
+struct RequestBody
+{
+    /*! @brief Announced length; zero if there is none. */
+    std::size_t bytes{};
+    /*! @brief The body comes in chunks, so that its length is not known. */
+    bool isChunked{};
+};
+
+/**
+ * @brief Reads what a complete head says of the body behind it.
+ * @param input Bytes of the request from its request line on.
+ */
+[[nodiscard]] RequestBody announcedBody(std::string_view input);
+
 } // namespace bergamottide::internal
--- /dev/null
+++ b/src/bergamottide/net/serverconnection.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "bergamottide/core/time.h"
+#include "bergamottide/net/callerrefusal.h"
+#include "bergamottide/net/loop.h"
+#include "bergamottide/overload/memoryaccount.h"
+
+#include <h2o.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace bergamottide::internal {
+
+/*! @brief What the connections of a server may hold and how long they may take. */
+struct ConnectionLimits
+{
+    std::size_t maxHeadBytes{};
+    std::size_t maxBodyBytes{};
+};
+
+/*! @brief What the connections of a server share; outlives them. */
+struct ConnectionContext
+{
+    Loop &loop;
+    overload::MemoryAccount &memory;
+    const ConnectionLimits &limits;
+    std::function<void(CallerRefusal refusal)> onRefused;
+    /*! @brief Called once the socket is closed. */
+    std::function<void(h2o_socket_t *socket)> onClosed;
+};
+
+/**
+ * @brief Accepted connection between its socket and h2o: charges what is held for it.
+ *
+ * h2o reads all that the kernel has before it looks at any of it, and bounds neither what it buffers over all
+ * connections. So the socket is read here, in pieces that are charged before, and h2o's
+ * reader is called with them. The socket of an encrypted connection is read by h2o; the kernel's buffer bounds a piece
+ * there, which is charged once it is read.
+ */
+class ServerConnection : public std::enable_shared_from_this<ServerConnection>
+{
+public:
+    /**
+     * @brief Creates the connection; call `guard` once h2o has accepted the socket.
+     * @param socket Socket.
+     * @param isEncrypted Whether h2o decrypts what is read.
+     * @param context What the connections share.
+     */
+    ServerConnection(h2o_socket_t *socket, bool isEncrypted, const ConnectionContext &context);
+    ServerConnection(const ServerConnection &) = delete;
+    ServerConnection &operator=(const ServerConnection &) = delete;
+
+    /*! @brief Returns the connection of a socket that has been guarded. */
+    [[nodiscard]] static ServerConnection &of(const h2o_socket_t *socket);
+
+    /*! @brief Puts itself between the socket and the reader that h2o has set last. */
+    void guard();
+
+    /**
+     * @brief Records that a complete request is handed on.
+     * @param bytes Bytes that the handler gets a copy of.
+     * @return Whether there is room for the copy.
+     */
+    [[nodiscard]] bool beginRequest(std::size_t bytes);
+
+    /*! @brief Records the end of a request for which `beginRequest` was called. */
+    void endRequest(std::size_t bytes);
+
+    /*! @brief Closes the connection; what is in progress is given up. */
+    void close();
+
+private:
+    enum class Phase : std::uint8_t
+    {
+        Idle,
+        Head,
+        Body,
+        /*! @brief A complete request awaits its response, or the caller awaits that of the last one. */
+        Processing,
+        /*! @brief Rejected by this class; what still comes is discarded until the caller closes. */
+        Refused
+    };
+
+    static void onReadable(h2o_socket_t *socket, const char *error);
+    static void onClosed(void *data);
+    void handleReadable(const char *error);
+    [[nodiscard]] const char *readPiece();
+    [[nodiscard]] bool admitPiece();
+    [[nodiscard]] bool admitHead();
+    void callReader(const char *error);
+    void settle();
+    void discard(const char *error);
+    void refuse(CallerRefusal refusal);
+    [[nodiscard]] bool chargeRequest(std::size_t inputCapacity);
+    [[nodiscard]] bool isHttp2() const;
+    void enter(Phase phase);
+
+    h2o_socket_t *m_socket;
+    bool m_isEncrypted;
+    /*! @brief The handshake is over, since there are bytes behind it. */
+    bool m_hasDecrypted{};
+    const ConnectionContext &m_context;
+    overload::MemoryAccount::Holder m_holder;
+    /*! @brief Reader of h2o; null before it has been set. */
+    h2o_socket_cb m_reader{};
+    Phase m_phase{Phase::Idle};
+    /*! @brief Bytes of the head that have been searched for its end. */
+    std::size_t m_searched{};
+    /*! @brief Copy that the handler will get of the body that is being received, as far as it is known. */
+    std::size_t m_expectedCopy{};
+    /*! @brief The copy grows with what is received, since no length has been announced. */
+    bool m_isChunked{};
+    /*! @brief Copies that handlers have. */
+    std::size_t m_copies{};
+    std::size_t m_discardedBytes{};
+};
+
+} // namespace bergamottide::internal
--- a/src/bergamottide/net/socketaddress.cpp
+++ b/src/bergamottide/net/socketaddress.cpp
@@ -115,4 +115,11 @@
     static_cast<void>(setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout)));
 }
 
+void boundBuffers(int descriptor, int bytes)
+{
+    // Best effort: without the options the kernel's own bounds remain.
+    static_cast<void>(setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes)));
+    static_cast<void>(setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes)));
+}
+
 } // namespace bergamottide
--- a/src/bergamottide/net/socketaddress.h
+++ b/src/bergamottide/net/socketaddress.h
@@ -58,4 +58,11 @@
  */
 void detectSilence(int descriptor, Duration longest);
 
+/**
+ * @brief Bounds the bytes that the kernel keeps for a connection in each direction.
+ * @param descriptor Socket.
+ * @param bytes Size of either buffer, in bytes; the kernel may double it for its own bookkeeping.
+ */
+void boundBuffers(int descriptor, int bytes);
+
 } // namespace bergamottide
--- a/src/daemons/bergamottide-entry.cpp
+++ b/src/daemons/bergamottide-entry.cpp
@@ -51,6 +51,7 @@
 int main(int argc, char **argv)
 {
     blockSignals();
+    returnFreedMemory();
     gflags::SetUsageMessage("accepts callers' requests and runs their stages on endpoints");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const auto settings = loadSettings(FLAGS_settings, FLAGS_set, Role::Entry);
--- a/src/daemons/bergamottide-side.cpp
+++ b/src/daemons/bergamottide-side.cpp
@@ -41,6 +41,7 @@
 int main(int argc, char **argv)
 {
     blockSignals();
+    returnFreedMemory();
     gflags::SetUsageMessage("runs beside one endpoint: queues its runs fairly and stores their results");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const auto settings = loadSettings(FLAGS_settings, FLAGS_set, Role::Sidecar);
--- a/test/bergamottide/net/requestframing.cpp
+++ b/test/bergamottide/net/requestframing.cpp
@@ -1,3 +1,4 @@
+#include "bergamottide/net/requestframing.h"
 #include "bergamottide/net/httpclient.h"
 #include "bergamottide/net/httpserver.h"
 #include "bergamottide/net/socketaddress.h"
@@ -25,6 +26,8 @@
     CPPUNIT_TEST(furtherRequestsOfTheConnectionAreChecked);
     CPPUNIT_TEST(absoluteTargetNamesTheHost);
     CPPUNIT_TEST(emptyQueryIsKept);
+    CPPUNIT_TEST(endOfAHeadIsFound);
+    CPPUNIT_TEST(announcedBodyIsRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -100,6 +103,29 @@
         }
     }
 
+    void endOfAHeadIsFound()
+    {
+        for (const std::string head : {"GET / HTTP/1.1\r\nhost: a\r\n\r\n", "\r\n\r\nGET / HTTP/1.1\nhost: a\n\n",
+                                       "GET / HTTP/1.1\nhost: a\n\r\n"}) {
+            for (std::size_t bytes = 0; bytes < head.size(); ++bytes) {
+                CPPUNIT_ASSERT_EQUAL(std::string_view::npos, internal::headEnd(head.substr(0, bytes), 0));
+                CPPUNIT_ASSERT_EQUAL(head.size(), internal::headEnd(head + "\r\n\r\n", bytes));
+            }
+        }
+    }
+
+    void announcedBodyIsRead()
+    {
+        const auto body = [](const std::string &lines) {
+            return internal::announcedBody("POST / HTTP/1.1\r\n" + lines + "\r\n\r\n{}");
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t{12}, body("a: b\r\nContent-Length: 12").bytes);
+        CPPUNIT_ASSERT(!body("Content-Length: 12").isChunked);
+        CPPUNIT_ASSERT(body("transfer-encoding: Chunked").isChunked);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, body("a: b").bytes);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, body("Content-Length: 99999999999999999999999999").bytes);
+    }
+
 private:
     /*! @brief What an exchange waits for. */
     enum class Ending : std::uint8_t
--- a/test/processes/process.cpp
+++ b/test/processes/process.cpp
@@ -30,7 +30,8 @@
     if (limits.addressSpaceKiB == 0 && limits.descriptors == 0) {
         return {program};
     }
-    std::string script;
+    // Reserved arenas of threads are address space, but no memory.
+    std::string script = "export MALLOC_ARENA_MAX=1 && ";
     if (limits.addressSpaceKiB != 0) {
         script += "ulimit -v " + std::to_string(limits.addressSpaceKiB) + " && ";
     }
