Share one copy of a request's body among its runs

Cause: each run took a copy of the body beside that of the request, which nothing charged, and the kernel's buffers of connections to endpoints grew by themselves.

Change: a client sends `sharedBody` in place of a body of its own; a run shares the body of its request. The buffers of a client's connection are bounded to 256 KiB in each direction.

--- a/src/bergamottide/net/http.h
+++ b/src/bergamottide/net/http.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -30,6 +31,8 @@
     /*! @brief The target ends with a question mark, which differs from one without a query (RFC 3986, section 6.2.3).
      */
     bool hasEmptyQuery{};
+    /*! @brief Sent by a client in place of `body` if set, so that attempts share one copy. */
+    std::shared_ptr<const std::string> sharedBody;
 };
 
 /*! @brief One whole HTTP answer. */
--- a/src/bergamottide/net/httpclient.cpp
+++ b/src/bergamottide/net/httpclient.cpp
@@ -32,16 +32,26 @@
 /*! @brief Bytes on the wire for each byte of a body, in chunks of a single byte. */
 constexpr std::size_t maxWireBytesPerByte = 6;
 
+/*! @brief Buffers of the kernel for each connection and direction, in bytes. */
+constexpr int socketBufferBytes = 256 << 10;
+
+std::shared_ptr<const std::string> takeBody(HttpRequest &request)
+{
+    return request.sharedBody ? std::move(request.sharedBody)
+                              : std::make_shared<const std::string>(std::move(request.body));
+}
+
 std::string writeHead(const std::string &address, const HttpRequest &request)
 {
+    const std::size_t bodyBytes = request.sharedBody ? request.sharedBody->size() : request.body.size();
     std::string head =
         absl::StrCat(request.method, " ", requestTarget(request),
                      " HTTP/1.1\r\nhost: ", request.authority.empty() ? address : request.authority, "\r\n");
     for (const auto &[name, value] : request.headers) {
         absl::StrAppend(&head, name, ": ", value, "\r\n");
     }
-    if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
-        absl::StrAppend(&head, "content-length: ", request.body.size(), "\r\n");
+    if (bodyBytes != 0 || request.method == "POST" || request.method == "PUT") {
+        absl::StrAppend(&head, "content-length: ", bodyBytes, "\r\n");
     }
     head += "\r\n";
     return head;
@@ -67,7 +77,7 @@
         /*! @brief Null once h2o has closed it, or closes it on the way out of the present callback. */
         h2o_http1client_t *client{};
         std::string head;
-        std::string body;
+        std::shared_ptr<const std::string> body;
         std::array<h2o_iovec_t, 2> buffers{};
         bool isHead{};
         bool cancelled{};
@@ -279,13 +289,15 @@
         call.connected = true;
         call.state->loop.cancel(call.connectTimer);
         call.connectTimer = {};
-        detectSilence(h2o_socket_get_fd(client->sock), call.state->options.unacknowledgedTimeout);
+        const int descriptor = h2o_socket_get_fd(client->sock);
+        detectSilence(descriptor, call.state->options.unacknowledgedTimeout);
+        boundBuffers(descriptor, socketBufferBytes);
         call.buffers = {h2o_iovec_init(call.head.data(), call.head.size()),
-                        h2o_iovec_init(call.body.data(), call.body.size())};
+                        h2o_iovec_init(call.body->data(), call.body->size())};
         *buffers = call.buffers.data();
-        *count = call.body.empty() ? 1 : 2;
+        *count = call.body->empty() ? 1 : 2;
         *isHead = call.isHead ? 1 : 0;
-        call.state->countTraffic(0, call.head.size() + call.body.size());
+        call.state->countTraffic(0, call.head.size() + call.body->size());
         call.activeAt = call.state->loop.now();
         call.state->unguarded.push_back(call.id);
         return &State::onHead;
@@ -497,7 +509,7 @@
     call->id = id;
     call->hooks = std::move(hooks);
     call->head = writeHead(address, request);
-    call->body = std::move(request.body);
+    call->body = takeBody(request);
     call->isHead = request.method == "HEAD";
     call->activeAt = m_state->loop.now();
     State::Call &kept = *m_state->calls.emplace(id, std::move(call)).first->second;
