Charge responses to the callers who have yet to take them

Cause: callers saw a process end.

Ruled out: reading slower from endpoints (a place at the endpoint is held).

Change: a response is moved, not copied, and handed to h2o in pieces of 16 KiB; streams wait in blocks that are freed one by one. Both are charged, a whole response from its announced length on. Without room it becomes 502, a stream is broken off. A response that is broken off ends an HTTP/2 stream with an error instead of as if it were whole. A caller that has closed its sending end gets its whole response, as before.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -3,6 +3,7 @@
 #include "bergamottide/net/machinelimits.h"
 #include "bergamottide/telemetry/outputappender.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
@@ -21,6 +22,7 @@
 /*! @brief Limit of the body size until a configuration sets one. */
 constexpr std::size_t maxBodyBytes = 16U << 20U;
 constexpr int statusHeadTooLarge = 431;
+constexpr int statusBadGateway = 502;
 /*! @brief Limit of the body size on the ports for readiness and metrics, which take none. */
 constexpr std::size_t maxInternalBodyBytes = 16U << 10U;
 /*! @brief Path of the list of quarantined requests, on the metrics port. */
@@ -455,7 +457,7 @@
 
 void ServingApp::carryOut(Effect effect)
 {
-    std::visit([this](const auto &value) { carryOut(value); }, effect);
+    std::visit([this](auto &value) { carryOut(std::move(value)); }, effect);
 }
 
 void ServingApp::carryOut(const SendErrorResponse &effect)
@@ -466,11 +468,11 @@
     }
 }
 
-void ServingApp::carryOut(const SendResponse &effect)
+void ServingApp::carryOut(SendResponse &&effect)
 {
     const Caller caller = extractCaller(effect.call);
     if (caller.responder) {
-        caller.responder->respond({effect.status, effect.headers, effect.body});
+        caller.responder->respond({effect.status, std::move(effect.headers), std::move(effect.body)});
     }
 }
 
@@ -518,17 +520,10 @@
     const RunNumber run = effect.run;
     HttpCallHooks hooks;
     hooks.head = [this, run, instance = effect.instance](int status, const HttpHeaders &headers) {
-        const auto found = m_runs.find(run);
-        if (found != m_runs.end()) {
-            const std::shared_ptr<const CallerRequest> request = found->second.request;
-            submitNotice(instance, request->attempt, status, headers);
-            m_runner.submit(RunHeadReceived{run, m_codec.decodeResponseHead(*request, status, headers)});
-        }
+        receiveHead(run, instance, status, headers);
     };
     hooks.piece = [this, run](std::string_view piece) {
-        if (m_runs.contains(run)) {
-            m_runner.submit(RunBodyReceived{run, std::string{piece}});
-        }
+        receivePiece(run, piece);
     };
     hooks.done = [this, run](const HttpResponse &) {
         if (m_runs.erase(run) != 0) {
@@ -542,6 +537,48 @@
     m_runs[run].call = m_endpointClient.call(effect.address, m_codec.encodeRun(effect), std::move(hooks));
 }
 
+void ServingApp::receiveHead(RunNumber run, const InstanceName &instance, int status, const HttpHeaders &headers)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end()) {
+        return;
+    }
+    const Run kept = found->second;
+    submitNotice(instance, kept.request->attempt, status, headers);
+    std::size_t announced = 0;
+    const std::string_view length = headerValue(headers, "content-length");
+    if (absl::SimpleAtoi(absl::string_view{length.data(), length.size()}, &announced)
+        && !reserveResponse(kept, announced)) {
+        return;
+    }
+    m_runner.submit(RunHeadReceived{run, m_codec.decodeResponseHead(*kept.request, status, headers)});
+}
+
+void ServingApp::receivePiece(RunNumber run, std::string_view piece)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end()) {
+        return;
+    }
+    found->second.bodyBytes += piece.size();
+    const Run kept = found->second;
+    if (reserveResponse(kept, kept.bodyBytes)) {
+        m_runner.submit(RunBodyReceived{run, std::string{piece}});
+    }
+}
+
+/*! @brief Charges a caller for a response that is being received; ends its request and returns false without room. */
+bool ServingApp::reserveResponse(const Run &run, std::size_t bytes)
+{
+    const auto caller = m_callers.find(run.request->call);
+    if (caller == m_callers.end() || caller->second.responder->reserve(bytes)) {
+        return true;
+    }
+    extractCaller(run.request->call).responder->respond({statusBadGateway, {}, {}});
+    m_runner.submit(CallerDisconnected{run.request->call});
+    return false;
+}
+
 /*! @brief Reports what an endpoint said of itself in a response, before the response itself is handled. */
 void ServingApp::submitNotice(const InstanceName &instance, const std::string &attempt, int status,
                               const HttpHeaders &headers)
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -150,12 +150,14 @@
     {
         HttpCallId call{};
         std::shared_ptr<const serving::CallerRequest> request;
+        /*! @brief Bytes of the response body so far. */
+        std::size_t bodyBytes{};
     };
 
     void handle(HttpRequest request, const std::shared_ptr<HttpResponder> &responder);
     void carryOut(serving::Effect effect);
     void carryOut(const serving::SendErrorResponse &effect);
-    void carryOut(const serving::SendResponse &effect);
+    void carryOut(serving::SendResponse &&effect);
     void carryOut(const serving::BeginStream &effect);
     void carryOut(const serving::SendStreamEvents &effect);
     void carryOut(const serving::FinishStream &effect);
@@ -184,6 +186,9 @@
     [[nodiscard]] std::function<void(int status, const HttpHeaders &headers)> noticeHook(const InstanceName &instance);
     void submitNotice(const InstanceName &instance, const std::string &attempt, int status, const HttpHeaders &headers);
     void failRun(serving::RunNumber run, HttpFailure failure);
+    void receiveHead(serving::RunNumber run, const InstanceName &instance, int status, const HttpHeaders &headers);
+    void receivePiece(serving::RunNumber run, std::string_view piece);
+    [[nodiscard]] bool reserveResponse(const Run &run, std::size_t bytes);
     void finishDrain();
     void pollDirectory();
     [[nodiscard]] bool checkHeadSize(const HttpRequest &request, HttpResponder &responder);
--- a/src/bergamottide/net/callerrefusal.h
+++ b/src/bergamottide/net/callerrefusal.h
@@ -13,13 +13,15 @@
 {
     /*! @brief No memory for the request; its response says that it was not run. */
     RequestMemory,
+    /*! @brief No memory for the response, which is broken off. */
+    ResponseMemory,
     HeadTooLarge
 };
 
 template <>
 struct EnumNames<CallerRefusal>
 {
-    static constexpr std::array<std::string_view, 2> names{"request_memory", "head_too_large"};
+    static constexpr std::array<std::string_view, 3> names{"request_memory", "response_memory", "head_too_large"};
 };
 
 } // namespace bergamottide
--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -25,6 +25,8 @@
 
 /*! @brief Timeout of idle HTTP/2 connections, in milliseconds. */
 constexpr std::uint64_t http2IdleTimeoutMs = 60'000;
+/*! @brief Largest piece of a response that is handed to h2o at a time, in bytes. */
+constexpr std::size_t maxPieceBytes = 16U << 10U;
 /*! @brief Buffers of the kernel for each connection and direction, in bytes. */
 constexpr int socketBufferBytes = 64 << 10;
 /*! @brief What is charged for a body relative to its length: h2o doubles its buffer, and the handler gets a copy. */
@@ -54,15 +56,17 @@
      * @brief Creates a responder.
      * @param request Request to answer.
      * @param connection Connection of the request.
+     * @param loop Event loop; outlives the responder.
      * @param closes Whether connections close after their answers; outlives the responder.
-     * @param onTraffic Told of the bytes sent; may be empty, outlives the responder.
+     * @param options Settings of the server; outlive the responder.
      */
-    Responder(h2o_req_t *request, std::weak_ptr<internal::ServerConnection> connection, const bool &closes,
-              const TrafficHook &onTraffic)
+    Responder(h2o_req_t *request, std::weak_ptr<internal::ServerConnection> connection, Loop &loop, const bool &closes,
+              const HttpServerOptions &options)
         : m_request{request}
         , m_connection{std::move(connection)}
+        , m_loop{loop}
         , m_closes{closes}
-        , m_onTraffic{onTraffic}
+        , m_options{options}
     {
     }
 
@@ -83,9 +87,19 @@
         if (m_request == nullptr || m_begun) {
             return;
         }
+        if (!charge(answer.body.size())) {
+            refuse();
+            answer = {statusBadGateway, {}, {}};
+            m_request->http1_is_persistent = 0;
+        }
         writeHead(answer.status, answer.headers);
         m_request->res.content_length = answer.body.size();
-        sendWhole(answer.body);
+        start();
+        if (!answer.body.empty()) {
+            append(std::move(answer.body));
+        }
+        m_finishing = true;
+        pump();
     }
 
     void begin(int status, const HttpHeaders &headers) override
@@ -104,10 +118,28 @@
         if (m_request == nullptr || m_finishing) {
             return;
         }
-        m_waiting.append(piece);
+        if (!charge(m_kept + piece.size())) {
+            refuse();
+            // The handler may be in the middle of an operation on the request.
+            m_loop.post([self = shared_from_this()] { self->reportHungUp(); });
+            return;
+        }
+        append(piece);
         pump();
     }
 
+    [[nodiscard]] bool reserve(std::size_t bytes) override
+    {
+        if (m_request == nullptr || m_begun) {
+            return true;
+        }
+        if (charge(std::max(bytes, m_charged))) {
+            return true;
+        }
+        refuse();
+        return false;
+    }
+
     void finish() override
     {
         if (m_request == nullptr || m_finishing) {
@@ -127,11 +159,13 @@
             ::shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
         }
         if (!m_begun) {
-            respond({502, {}, {}});
+            respond({statusBadGateway, {}, {}});
             return;
         }
-        m_waiting.clear();
-        finish();
+        dropWaiting();
+        m_isBroken = true;
+        m_finishing = true;
+        pump();
     }
 
     void onClosed(std::function<void()> hook) override
@@ -141,13 +175,18 @@
 
     [[nodiscard]] std::size_t unsent() const override
     {
-        return m_waiting.size() + m_sending.size();
+        return m_kept - m_taken;
     }
 
     /*! @brief The request's memory is going; whatever is not sent by now never will be. */
     void detach()
     {
         m_request = nullptr;
+        m_blocks.clear();
+        m_kept = 0;
+        m_taken = 0;
+        settle();
+        static_cast<void>(charge(0));
         if (const auto connection = m_connection.lock(); connection && m_hasBegunRequest) {
             connection->endRequest(m_requestBytes);
         }
@@ -160,7 +199,7 @@
     /*! @brief Tells if the caller has closed its end although the answer is not whole. */
     [[nodiscard]] bool hungUp() const
     {
-        if (m_request == nullptr || m_whole || m_request->version >= 0x200) {
+        if (m_request == nullptr || m_finishing || m_request->version >= 0x200) {
             return false;
         }
         h2o_socket_t *socket = m_request->conn->callbacks->get_socket(m_request->conn);
@@ -217,60 +256,132 @@
         h2o_start_response(m_request, &m_generator.base);
     }
 
-    void sendWhole(const std::string &body)
-    {
-        m_whole = true;
-        countSent(body.size());
-        start();
-        h2o_iovec_t kept = h2o_strdup(&m_request->pool, body.data(), body.size());
-        h2o_send(m_request, &kept, 1, H2O_SEND_STATE_FINAL);
-    }
-
     void countSent(std::size_t bytes) const
     {
-        if (m_onTraffic) {
-            m_onTraffic(0, bytes);
+        if (m_options.onTraffic) {
+            m_options.onTraffic(0, bytes);
         }
     }
 
+    /*! @brief The kernel has taken the last piece. */
     void proceed()
     {
         m_busy = false;
-        m_sending.clear();
+        m_taken += std::exchange(m_pieceBytes, 0);
+        if (!m_blocks.empty() && m_taken == m_blocks.front().size()) {
+            m_kept -= m_taken;
+            m_blocks.pop_front();
+            m_taken = 0;
+        }
+        settle();
         pump();
     }
 
     void pump()
     {
-        if (!m_begun || m_busy || m_whole || (m_waiting.empty() && !m_finishing)) {
+        if (!m_begun || m_busy || m_whole || (unsent() == 0 && !m_finishing)) {
             return;
         }
-        sendNow(m_finishing ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+        const bool isLast = m_finishing && m_blocks.size() <= 1 && unsent() <= maxPieceBytes;
+        const h2o_send_state_t last = m_isBroken ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL;
+        sendNow(isLast ? last : H2O_SEND_STATE_IN_PROGRESS);
     }
 
     void sendNow(h2o_send_state_t state)
     {
         m_busy = true;
-        m_whole = state == H2O_SEND_STATE_FINAL;
-        m_sending.swap(m_waiting);
-        countSent(m_sending.size());
-        h2o_iovec_t vector = h2o_iovec_init(m_sending.data(), m_sending.size());
-        h2o_send(m_request, &vector, m_sending.empty() ? 0 : 1, state);
+        m_whole = state != H2O_SEND_STATE_IN_PROGRESS;
+        m_pieceBytes = m_blocks.empty() ? 0 : std::min(m_blocks.front().size() - m_taken, maxPieceBytes);
+        countSent(m_pieceBytes);
+        settle();
+        h2o_iovec_t vector =
+            h2o_iovec_init(m_pieceBytes == 0 ? nullptr : m_blocks.front().data() + m_taken, m_pieceBytes);
+        h2o_send(m_request, &vector, m_pieceBytes == 0 ? 0 : 1, state);
+    }
+
+    /*! @brief Appends a block, or fills up the last one, which h2o must not be reading from. */
+    void append(std::string_view piece)
+    {
+        m_kept += piece.size();
+        while (!piece.empty()) {
+            if (m_blocks.size() < 2 || m_blocks.back().size() >= maxPieceBytes) {
+                m_blocks.emplace_back().reserve(std::min(piece.size(), maxPieceBytes));
+            }
+            const std::size_t bytes = std::min(piece.size(), maxPieceBytes - m_blocks.back().size());
+            m_blocks.back().append(piece.substr(0, bytes));
+            piece.remove_prefix(bytes);
+        }
+    }
+
+    void append(std::string &&body)
+    {
+        m_kept += body.size();
+        m_blocks.push_back(std::move(body));
+    }
+
+    /*! @brief Drops all blocks but the one that h2o may be reading from. */
+    void dropWaiting()
+    {
+        while (m_blocks.size() > 1) {
+            m_kept -= m_blocks.back().size();
+            m_blocks.pop_back();
+        }
+        if (!m_busy && !m_blocks.empty()) {
+            m_blocks.clear();
+            m_kept = 0;
+            m_taken = 0;
+        }
+    }
+
+    /*! @brief Changes what is charged for the response; returns whether there is room. */
+    [[nodiscard]] bool charge(std::size_t bytes)
+    {
+        const auto connection = m_connection.lock();
+        if (!connection || !connection->chargeResponse(m_charged, bytes)) {
+            return false;
+        }
+        m_charged = bytes;
+        return true;
+    }
+
+    /*! @brief Charges what is kept now, which is no more than before. */
+    void settle()
+    {
+        if (m_kept < m_charged && m_begun) {
+            static_cast<void>(charge(m_kept));
+        }
+    }
+
+    void refuse() const
+    {
+        if (m_options.onRefused) {
+            m_options.onRefused(CallerRefusal::ResponseMemory);
+        }
     }
 
     h2o_req_t *m_request;
     std::weak_ptr<internal::ServerConnection> m_connection;
+    Loop &m_loop;
     const bool &m_closes;
-    const TrafficHook &m_onTraffic;
+    const HttpServerOptions &m_options;
     Generator m_generator{};
     std::function<void()> m_closed;
-    std::string m_waiting;
-    std::string m_sending;
+    /*! @brief Bytes to send, in blocks that are freed one by one; h2o reads from the first only. */
+    std::deque<std::string> m_blocks;
+    /*! @brief Bytes of all blocks. */
+    std::size_t m_kept{};
+    /*! @brief Bytes of the first block that the kernel has taken. */
+    std::size_t m_taken{};
+    /*! @brief Bytes of the piece that h2o is sending. */
+    std::size_t m_pieceBytes{};
     std::size_t m_requestBytes{};
+    std::size_t m_charged{};
     bool m_hasBegunRequest{};
     bool m_begun{};
     bool m_busy{};
     bool m_finishing{};
+    /*! @brief The response ends before it is whole, which its caller has to see. */
+    bool m_isBroken{};
     bool m_whole{};
 };
 
@@ -349,7 +460,7 @@
     {
         const h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
         const auto connection = internal::ServerConnection::of(socket).shared_from_this();
-        auto responder = std::make_shared<Responder>(request, connection, closes, options.onTraffic);
+        auto responder = std::make_shared<Responder>(request, connection, loop, closes, options);
         void *cell = h2o_mem_alloc_shared(&request->pool, sizeof(Anchor), &Anchor::dispose);
         new (cell) Anchor{responder, [this, connection] {
                               unguarded.push_back(connection);
--- a/src/bergamottide/net/httpserver.h
+++ b/src/bergamottide/net/httpserver.h
@@ -40,10 +40,19 @@
 
     /**
      * @brief Sends a piece of the body; pieces wait in memory while the caller reads slowly.
+     *
+     * Without room for the piece, the connection is closed and its hook called.
      * @param piece Bytes to send.
      */
     virtual void send(std::string_view piece) = 0;
 
+    /**
+     * @brief Charges the caller for bytes of a response that is being collected elsewhere.
+     * @param bytes Bytes of the response so far.
+     * @return Whether there is room for them; if not, the response cannot be sent.
+     */
+    [[nodiscard]] virtual bool reserve(std::size_t bytes) = 0;
+
     /*! @brief Ends a body sent piece by piece. */
     virtual void finish() = 0;
 
@@ -101,7 +110,7 @@
     std::function<void(CallerRefusal refusal)> onRefused;
 };
 
-/*! @brief HTTP/1.1 and HTTP/2 server on h2o; bounds the memory that callers take with their requests. */
+/*! @brief HTTP/1.1 and HTTP/2 server on h2o; bounds the memory that callers take. */
 class HttpServer
 {
 public:
--- a/src/bergamottide/net/serverconnection.cpp
+++ b/src/bergamottide/net/serverconnection.cpp
@@ -53,6 +53,8 @@
         return "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
     case CallerRefusal::HeadTooLarge:
         return "HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    case CallerRefusal::ResponseMemory:
+        break;
     }
     return {};
 }
@@ -110,6 +112,12 @@
     }
 }
 
+bool ServerConnection::chargeResponse(std::size_t before, std::size_t after)
+{
+    const std::size_t others = m_holder.held(overload::HeldFor::Response) - before;
+    return m_holder.resize(overload::HeldFor::Response, others + after);
+}
+
 void ServerConnection::close()
 {
     if (m_socket == nullptr) {
--- a/src/bergamottide/net/serverconnection.h
+++ b/src/bergamottide/net/serverconnection.h
@@ -70,6 +70,14 @@
     /*! @brief Records the end of a request for which `beginRequest` was called. */
     void endRequest(std::size_t bytes);
 
+    /**
+     * @brief Changes what is held for a response.
+     * @param before Bytes held for it so far.
+     * @param after Bytes held for it from now on.
+     * @return Whether there is room; if not, nothing changes.
+     */
+    [[nodiscard]] bool chargeResponse(std::size_t before, std::size_t after);
+
     /*! @brief Closes the connection; what is in progress is given up. */
     void close();
 
--- a/src/bergamottide/streams/eventsplitter.cpp
+++ b/src/bergamottide/streams/eventsplitter.cpp
@@ -67,7 +67,10 @@
         appendEvent(all.substr(begin, end), out);
         begin += end;
     }
-    m_buffer.erase(0, begin);
+    if (begin != 0) {
+        // A copy, since the buffer would keep the room of all that it has held.
+        m_buffer = m_buffer.substr(begin);
+    }
     return out;
 }
 
--- a/test/bergamottide/app/callerport.cpp
+++ b/test/bergamottide/app/callerport.cpp
@@ -32,6 +32,11 @@
         sent += piece;
     }
 
+    [[nodiscard]] bool reserve(std::size_t) override
+    {
+        return true;
+    }
+
     void finish() override
     {
         finished = true;
