Bound HTTP/2, and speak it only where it is asked for

Cause: callers saw a process end over four connections. h2o keeps the bodies of all streams of an HTTP/2 connection, up to 256 of them, each up to the limit of one body, and takes such connections on every port, encrypted or not.

Ruled out: switching HTTP/2 off everywhere (bergamottide-entry documents and tests it); h2o's limit of requests, which bounds what is handled, not what is received.

Change: a server speaks HTTP/2 only if it is told to, as the callers' port of bergamottide-entry is. There, what a connection has received since all of its requests were complete is charged, which is no less than h2o keeps, and the connection is closed when there is no room; 16 requests are handled at a time.

--- a/src/bergamottide/app/entryapp.cpp
+++ b/src/bergamottide/app/entryapp.cpp
@@ -31,6 +31,7 @@
 {
     HttpServerOptions options{settings.callersAddress, callersTls(settings), maxBodyBytes};
     options.memory = std::move(memory);
+    options.speaksHttp2 = true;
     return options;
 }
 
--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -14,6 +14,7 @@
 #include <list>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -25,6 +26,8 @@
 
 /*! @brief Timeout of idle HTTP/2 connections, in milliseconds. */
 constexpr std::uint64_t http2IdleTimeoutMs = 60'000;
+/*! @brief HTTP/2 requests of one connection that are handled at a time. */
+constexpr std::size_t maxHttp2Requests = 16;
 /*! @brief Largest piece of a response that is handed to h2o at a time, in bytes. */
 constexpr std::size_t maxPieceBytes = 16U << 10U;
 /*! @brief Buffers of the kernel for each connection and direction, in bytes. */
@@ -430,7 +433,9 @@
         h2o_config_init(&config);
         config.http1.req_timeout = static_cast<std::uint64_t>(
             std::chrono::duration_cast<std::chrono::milliseconds>(options.idleTimeout).count());
+        config.http1.upgrade_to_http2 = options.speaksHttp2 ? 1 : 0;
         config.http2.idle_timeout = http2IdleTimeoutMs;
+        config.http2.max_concurrent_requests_per_connection = maxHttp2Requests;
         setMaxBodyBytes(options.maxBodyBytes);
         config.server_name = h2o_iovec_init(H2O_STRLIT("bergamottide"));
         h2o_hostconf_t *host = h2o_config_register_host(&config, h2o_iovec_init(H2O_STRLIT("default")), UINT16_MAX);
@@ -462,10 +467,11 @@
         const auto connection = internal::ServerConnection::of(socket).shared_from_this();
         auto responder = std::make_shared<Responder>(request, connection, loop, closes, options);
         void *cell = h2o_mem_alloc_shared(&request->pool, sizeof(Anchor), &Anchor::dispose);
-        new (cell) Anchor{responder, [this, connection] {
-                              unguarded.push_back(connection);
+        new (cell) Anchor{responder, [this, request, connection] {
+                              forget(request, connection);
                           }};
         responders.push_back(responder);
+        handled.insert(request);
         if (!isFramingUnambiguous(request)) {
             request->http1_is_persistent = 0;
             responder->respond({statusBadRequest, {}, {}});
@@ -483,6 +489,13 @@
         handler(std::move(received), responder);
     }
 
+    /*! @brief A request of h2o has ended; its connection may read the next one. */
+    void forget(const h2o_req_t *request, const std::shared_ptr<internal::ServerConnection> &connection)
+    {
+        handled.erase(request);
+        unguarded.push_back(connection);
+    }
+
     /*! @brief Puts the connections that h2o reads again under guard; runs after each round. */
     void guardConnections()
     {
@@ -491,6 +504,22 @@
         }
     }
 
+    /*! @brief Tells whether an HTTP/2 connection has a request that has not been handed on yet. */
+    [[nodiscard]] bool hasUnfinishedRequest(const h2o_conn_t *connection)
+    {
+        struct Search
+        {
+            const State *state;
+            const h2o_conn_t *connection;
+        };
+        Search search{this, connection};
+        const auto isUnfinished = [](h2o_req_t *request, void *data) {
+            const auto *wanted = static_cast<const Search *>(data);
+            return request->conn == wanted->connection && !wanted->state->handled.contains(request) ? 1 : 0;
+        };
+        return config.http2.callbacks.foreach_request(&context, isUnfinished, &search) != 0;
+    }
+
     /*! @brief Checks the bytes that h2o has read the request from; HTTP/2 frames bodies in one way only. */
     static bool isFramingUnambiguous(h2o_req_t *request)
     {
@@ -663,14 +692,19 @@
     Handler handler;
     std::shared_ptr<overload::MemoryAccount> memory;
     internal::ConnectionLimits limits;
-    internal::ConnectionContext connectionContext{loop, *memory, limits,
+    internal::ConnectionContext connectionContext{loop,
+                                                  *memory,
+                                                  limits,
                                                   [this](CallerRefusal refusal) { refused(refusal); },
-                                                  [this](h2o_socket_t *socket) {
-                                                      connections.erase(socket);
+                                                  [this](h2o_socket_t *socket) { connections.erase(socket); },
+                                                  [this](const h2o_conn_t *connection) {
+                                                      return hasUnfinishedRequest(connection);
                                                   }};
     std::unordered_map<h2o_socket_t *, std::shared_ptr<internal::ServerConnection>> connections;
     /*! @brief Connections that h2o may read again since a request of theirs has ended. */
     std::vector<std::shared_ptr<internal::ServerConnection>> unguarded;
+    /*! @brief Requests of h2o that have been handed on and have not ended. */
+    std::unordered_set<const h2o_req_t *> handled;
     std::uint64_t roundHook{loop.addRoundHook([this] { guardConnections(); })};
     h2o_globalconf_t config{};
     h2o_context_t context{};
@@ -764,7 +798,7 @@
     if (m_state->options.tls.empty()) {
         return absl::OkStatus();
     }
-    auto context = makeServerContext(m_state->options.tls);
+    auto context = makeServerContext(m_state->options.tls, m_state->options.speaksHttp2);
     if (!context.ok()) {
         return context.status();
     }
--- a/src/bergamottide/net/httpserver.h
+++ b/src/bergamottide/net/httpserver.h
@@ -106,11 +106,13 @@
     std::size_t maxHeadBytes{64u << 10};
     /*! @brief Charged for all that is held for callers; null for an account of the server's own. */
     std::shared_ptr<overload::MemoryAccount> memory;
+    /*! @brief HTTP/2 is spoken beside HTTP/1.1. */
+    bool speaksHttp2{};
     /*! @brief Optional: told of callers that are rejected or closed by the server itself. */
     std::function<void(CallerRefusal refusal)> onRefused;
 };
 
-/*! @brief HTTP/1.1 and HTTP/2 server on h2o; bounds the memory that callers take. */
+/*! @brief HTTP/1.1 server on h2o, HTTP/2 if set; bounds the memory that callers take. */
 class HttpServer
 {
 public:
--- a/src/bergamottide/net/serverconnection.cpp
+++ b/src/bergamottide/net/serverconnection.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t connectionBytes = 8U << 10U;
 /*! @brief Bytes discarded for a rejected caller, so that its response is not lost with a reset. */
 constexpr std::size_t maxDiscardedBytes = 1U << 20U;
+/*! @brief Growth of the unfinished requests of an HTTP/2 connection after which they are looked for again. */
+constexpr std::size_t http2CheckBytes = 64U << 10U;
+
 /*! @brief Returns the capacity of a buffer of h2o with room for more bytes; h2o doubles it. */
 std::size_t capacityWith(const h2o_buffer_t &buffer, std::size_t bytes)
 {
@@ -193,7 +196,7 @@
 bool ServerConnection::admitPiece()
 {
     if (isHttp2()) {
-        return true;
+        return admitHttp2();
     }
     if (m_socket->input->size == 0) {
         return true;
@@ -238,6 +241,22 @@
     return false;
 }
 
+bool ServerConnection::admitHttp2()
+{
+    m_unfinishedBytes += m_socket->bytes_read;
+    if (m_unfinishedBytes - m_checkedUnfinishedBytes > http2CheckBytes) {
+        const auto *connection = static_cast<const h2o_conn_t *>(m_socket->data);
+        m_unfinishedBytes = m_context.hasUnfinishedRequest(connection) ? m_unfinishedBytes : 0;
+        m_checkedUnfinishedBytes = m_unfinishedBytes;
+    }
+    if (chargeRequest(capacityOf(*m_socket->input))) {
+        return true;
+    }
+    m_context.onRefused(CallerRefusal::RequestMemory);
+    close();
+    return false;
+}
+
 void ServerConnection::callReader(const char *error)
 {
     m_reader(m_socket, error);
@@ -260,13 +279,14 @@
     }
     if (!chargeRequest(capacityOf(*m_socket->input))) {
         // Pipelined behind another request, so at most what one read has brought.
-        m_holder.record(overload::HeldFor::Request, capacityOf(*m_socket->input) + m_expectedCopy + m_copies);
+        m_holder.record(overload::HeldFor::Request,
+                        capacityOf(*m_socket->input) + m_expectedCopy + m_copies + m_unfinishedBytes);
     }
 }
 
 bool ServerConnection::chargeRequest(std::size_t inputCapacity)
 {
-    return m_holder.resize(overload::HeldFor::Request, inputCapacity + m_expectedCopy + m_copies);
+    return m_holder.resize(overload::HeldFor::Request, inputCapacity + m_expectedCopy + m_copies + m_unfinishedBytes);
 }
 
 /*! @brief Discards what a rejected caller still sends, and closes once it has closed or sent too much. */
--- a/src/bergamottide/net/serverconnection.h
+++ b/src/bergamottide/net/serverconnection.h
@@ -31,6 +31,8 @@
     std::function<void(CallerRefusal refusal)> onRefused;
     /*! @brief Called once the socket is closed. */
     std::function<void(h2o_socket_t *socket)> onClosed;
+    /*! @brief Tells whether an HTTP/2 connection has a request that is not complete. */
+    std::function<bool(const h2o_conn_t *connection)> hasUnfinishedRequest;
 };
 
 /**
@@ -99,6 +101,7 @@
     [[nodiscard]] const char *readPiece();
     [[nodiscard]] bool admitPiece();
     [[nodiscard]] bool admitHead();
+    [[nodiscard]] bool admitHttp2();
     void callReader(const char *error);
     void settle();
     void discard(const char *error);
@@ -124,6 +127,9 @@
     bool m_isChunked{};
     /*! @brief Copies that handlers have. */
     std::size_t m_copies{};
+    /*! @brief Bytes received by HTTP/2 since no request was incomplete. */
+    std::size_t m_unfinishedBytes{};
+    std::size_t m_checkedUnfinishedBytes{};
     std::size_t m_discardedBytes{};
 };
 
--- a/src/bergamottide/net/tlscontext.cpp
+++ b/src/bergamottide/net/tlscontext.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-absl::StatusOr<TlsContext> makeServerContext(const TlsFiles &files)
+absl::StatusOr<TlsContext> makeServerContext(const TlsFiles &files, bool offersHttp2)
 {
     TlsContext context = wrap(SSL_CTX_new(TLS_server_method()));
     if (SSL_CTX_use_certificate_chain_file(context.get(), files.certificate.c_str()) != 1) {
@@ -31,7 +31,9 @@
         || SSL_CTX_check_private_key(context.get()) != 1) {
         return unreadable("tls.key");
     }
-    h2o_ssl_register_alpn_protocols(context.get(), h2o_http2_alpn_protocols);
+    if (offersHttp2) {
+        h2o_ssl_register_alpn_protocols(context.get(), h2o_http2_alpn_protocols);
+    }
     return context;
 }
 
--- a/src/bergamottide/net/tlscontext.h
+++ b/src/bergamottide/net/tlscontext.h
@@ -13,11 +13,12 @@
 using TlsContext = std::shared_ptr<SSL_CTX>;
 
 /**
- * @brief Makes the context of a server that offers HTTP/2 and HTTP/1.1.
+ * @brief Makes the context of a server.
  * @param files Certificate and key, PEM.
+ * @param offersHttp2 Whether HTTP/2 is offered beside HTTP/1.1.
  * @return The context, or an error that names the file at fault, never its content.
  */
-[[nodiscard]] absl::StatusOr<TlsContext> makeServerContext(const TlsFiles &files);
+[[nodiscard]] absl::StatusOr<TlsContext> makeServerContext(const TlsFiles &files, bool offersHttp2);
 
 /**
  * @brief Makes the context of a client.
