Bound the connections of callers, and replace idle ones by new ones

Cause: with its descriptors used up by idle callers, a process accepted no ordinary caller while they stayed, and its loop spun, since the kernel told of the same waiting connections in each round.

A further one replaces the one that has been idle longest, then the one whose incomplete request is oldest; if all run requests, the new one is closed unread.

The pause after a failed accept has no test of its own: no crowd reaches it any more.

--- a/src/bergamottide/app/entryapp.cpp
+++ b/src/bergamottide/app/entryapp.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t maxBodyBytes = 64u << 20;
 /*! @brief Time for which the stream to a sidecar that left the instance list is kept: the longest allowed deadline. */
 constexpr Duration removedPeerRetention = std::chrono::seconds{60};
+constexpr std::size_t maxAdminConnections = 64;
 constexpr Duration peerExpiryPeriod = std::chrono::seconds{1};
 /*! @brief Time after which an entry is ready although pools have no endpoints. */
 constexpr Duration maxWaitForPools = std::chrono::seconds{10};
@@ -39,6 +40,7 @@
 {
     HttpServerOptions options{settings.adminAddress, {}, maxBodyBytes};
     options.memory = std::move(memory);
+    options.maxConnections = maxAdminConnections;
     return options;
 }
 
@@ -76,7 +78,8 @@
                     m_runner.submit(std::move(event));
                 }}
     , m_admin{settings.adminKeyDigest, adminHooks()}
-    , m_memory{std::make_shared<overload::MemoryAccount>(defaultMemoryLimit(), defaultMaxConnections())}
+    , m_memory{std::make_shared<overload::MemoryAccount>(defaultMemoryLimit(),
+                                                         defaultMaxConnections() + maxAdminConnections)}
     , m_callerServer{loop, callerOptions(settings, m_memory),
                      [this](const HttpRequest &request, std::shared_ptr<HttpResponder> responder) {
                          m_callers.handle(request, std::move(responder));
--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -25,6 +25,9 @@
 constexpr int statusBadGateway = 502;
 /*! @brief Limit of the body size on the ports for readiness and metrics, which take none. */
 constexpr std::size_t maxInternalBodyBytes = 16U << 10U;
+/*! @brief Connections of callers for each connection of these ports. */
+constexpr std::size_t callersPerInternalConnection = 8;
+constexpr std::size_t minInternalConnections = 4;
 /*! @brief Path of the list of quarantined requests, on the metrics port. */
 constexpr std::string_view quarantinePath = "/quarantine";
 /*! @brief Longest idle time of a caller's connection; exceeds the limit documented for callers. */
@@ -51,6 +54,11 @@
 constexpr double bytesPerMegabit = 125'000.0;
 constexpr Duration processorTimePeriod = std::chrono::milliseconds{50};
 
+std::size_t internalConnections()
+{
+    return std::max(minInternalConnections, defaultMaxConnections() / callersPerInternalConnection);
+}
+
 HttpClientOptions endpointOptions(TrafficHook onTraffic)
 {
     HttpClientOptions options;
@@ -138,7 +146,8 @@
     , m_log{LogOptions{LogFormat::Json, settings.logLevel, settings.instance}, clock,
             log4cplus::SharedAppenderPtr{new OutputAppender{STDOUT_FILENO}}}
     , m_loadMeter{settings.processorShare, settings.linkMbps * bytesPerMegabit}
-    , m_memory{std::make_shared<overload::MemoryAccount>(defaultMemoryLimit(), defaultMaxConnections())}
+    , m_memory{std::make_shared<overload::MemoryAccount>(defaultMemoryLimit(),
+                                                         defaultMaxConnections() + 2 * internalConnections())}
     , m_connectionGate{m_loadMeter}
     , m_reducer{servingOptions(settings, incarnation)}
     , m_runner{loop, m_reducer,
@@ -341,6 +350,7 @@
     options.maxBodyBytes = maxInternalBodyBytes;
     options.closePollPeriod = std::chrono::seconds{10};
     options.memory = m_memory;
+    options.maxConnections = internalConnections();
     return options;
 }
 
--- a/src/bergamottide/net/callerrefusal.h
+++ b/src/bergamottide/net/callerrefusal.h
@@ -15,13 +15,18 @@
     RequestMemory,
     /*! @brief No memory for the response, which is broken off. */
     ResponseMemory,
-    HeadTooLarge
+    HeadTooLarge,
+    /*! @brief Closed, idle or with an incomplete request, for a new connection. */
+    ConnectionReplaced,
+    /*! @brief A new connection, closed unread as all others have requests in progress. */
+    TooManyConnections
 };
 
 template <>
 struct EnumNames<CallerRefusal>
 {
-    static constexpr std::array<std::string_view, 3> names{"request_memory", "response_memory", "head_too_large"};
+    static constexpr std::array<std::string_view, 5> names{"request_memory", "response_memory", "head_too_large",
+                                                           "connection_replaced", "too_many_connections"};
 };
 
 } // namespace bergamottide
--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -425,9 +425,9 @@
         : loop{eventLoop}
         , options{std::move(serverOptions)}
         , handler{std::move(requestHandler)}
-        , memory{options.memory
-                     ? options.memory
-                     : std::make_shared<overload::MemoryAccount>(defaultMemoryLimit(), defaultMaxConnections())}
+        , maxConnections{options.maxConnections == 0 ? defaultMaxConnections() : options.maxConnections}
+        , memory{options.memory ? options.memory
+                                : std::make_shared<overload::MemoryAccount>(defaultMemoryLimit(), maxConnections)}
         , limits{options.maxHeadBytes, options.maxBodyBytes}
     {
         h2o_config_init(&config);
@@ -569,6 +569,7 @@
     static void onAccept(h2o_socket_t *listener, const char *error)
     {
         auto *state = static_cast<State *>(listener->data);
+        // Without descriptors left, the kernel would tell of the same connections at once.
         if (error == nullptr && !state->acceptAll()) {
             // Taken together at the next review: a wakeup for each would cost as much as serving some of them.
             h2o_socket_read_stop(listener);
@@ -582,9 +583,15 @@
         bool allServed = true;
         // One connection a round would keep the others waiting while the loop has much to do.
         for (int count = 0; count < maxAccepts; ++count) {
+            errno = 0;
             h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
             if (socket == nullptr) {
-                break;
+                return allServed && errno != EMFILE && errno != ENFILE && errno != ENOMEM && errno != ENOBUFS;
+            }
+            if (!makeRoom()) {
+                refused(CallerRefusal::TooManyConnections);
+                h2o_socket_close(socket);
+                continue;
             }
             allServed = admit(socket) && allServed;
         }
@@ -628,6 +635,35 @@
         connection->guard();
     }
 
+    /*! @brief Closes a connection for a new one if there are too many; returns whether there is room. */
+    bool makeRoom()
+    {
+        if (connections.size() + waiting.size() < maxConnections) {
+            return true;
+        }
+        std::shared_ptr<internal::ServerConnection> victim;
+        for (const auto &[socket, connection] : connections) {
+            if (!connection->isIdle() && !connection->isReceiving()) {
+                continue;
+            }
+            if (!victim || isReplacedBefore(*connection, *victim)) {
+                victim = connection;
+            }
+        }
+        if (!victim) {
+            return false;
+        }
+        refused(CallerRefusal::ConnectionReplaced);
+        victim->close();
+        return connections.size() + waiting.size() < maxConnections;
+    }
+
+    /*! @brief Orders connections by how little is lost with them: idle ones first, then by age. */
+    static bool isReplacedBefore(const internal::ServerConnection &one, const internal::ServerConnection &other)
+    {
+        return std::pair{!one.isIdle(), one.since()} < std::pair{!other.isIdle(), other.since()};
+    }
+
     void refused(CallerRefusal refusal) const
     {
         if (options.onRefused) {
@@ -690,6 +726,7 @@
     Loop &loop;
     HttpServerOptions options;
     Handler handler;
+    std::size_t maxConnections;
     std::shared_ptr<overload::MemoryAccount> memory;
     internal::ConnectionLimits limits;
     internal::ConnectionContext connectionContext{loop,
--- a/src/bergamottide/net/httpserver.h
+++ b/src/bergamottide/net/httpserver.h
@@ -104,6 +104,11 @@
     std::function<overload::ConnectionDecision(const overload::WaitingConnection &connection)> decideConnection;
     /*! @brief Largest head in bytes; a larger one is answered 431 without a call of the handler. */
     std::size_t maxHeadBytes{64u << 10};
+    /*!
+     * @brief Connections at a time; a further one replaces an idle one, or one whose request is not complete. Zero for
+     * the default of `defaultMaxConnections`.
+     */
+    std::size_t maxConnections{};
     /*! @brief Charged for all that is held for callers; null for an account of the server's own. */
     std::shared_ptr<overload::MemoryAccount> memory;
     /*! @brief HTTP/2 is spoken beside HTTP/1.1. */
@@ -112,7 +117,7 @@
     std::function<void(CallerRefusal refusal)> onRefused;
 };
 
-/*! @brief HTTP/1.1 server on h2o, HTTP/2 if set; bounds the memory that callers take. */
+/*! @brief HTTP/1.1 server on h2o, HTTP/2 if set; bounds the memory and connections that callers take. */
 class HttpServer
 {
 public:
--- a/src/bergamottide/net/serverconnection.cpp
+++ b/src/bergamottide/net/serverconnection.cpp
@@ -57,6 +57,8 @@
     case CallerRefusal::HeadTooLarge:
         return "HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
     case CallerRefusal::ResponseMemory:
+    case CallerRefusal::ConnectionReplaced:
+    case CallerRefusal::TooManyConnections:
         break;
     }
     return {};
@@ -69,6 +71,7 @@
     , m_isEncrypted{isEncrypted}
     , m_context{context}
     , m_holder{context.memory}
+    , m_since{context.loop.now()}
 {
     // The number of connections is bounded, so this needs no room.
     m_holder.record(overload::HeldFor::Connection, connectionBytes);
@@ -121,6 +124,21 @@
     return m_holder.resize(overload::HeldFor::Response, others + after);
 }
 
+bool ServerConnection::isIdle() const noexcept
+{
+    return m_phase == Phase::Idle && m_unfinishedBytes == 0 && m_copies == 0;
+}
+
+bool ServerConnection::isReceiving() const noexcept
+{
+    return m_phase == Phase::Head || m_phase == Phase::Body || m_phase == Phase::Refused;
+}
+
+TimePoint ServerConnection::since() const noexcept
+{
+    return m_since;
+}
+
 void ServerConnection::close()
 {
     if (m_socket == nullptr) {
@@ -345,6 +363,7 @@
 void ServerConnection::enter(Phase phase)
 {
     m_phase = phase;
+    m_since = m_context.loop.now();
 }
 
 } // namespace bergamottide::internal
--- a/src/bergamottide/net/serverconnection.h
+++ b/src/bergamottide/net/serverconnection.h
@@ -80,6 +80,15 @@
      */
     [[nodiscard]] bool chargeResponse(std::size_t before, std::size_t after);
 
+    /*! @brief Returns whether no request is in progress, complete or not. */
+    [[nodiscard]] bool isIdle() const noexcept;
+
+    /*! @brief Returns whether a request has begun to arrive and is not complete. */
+    [[nodiscard]] bool isReceiving() const noexcept;
+
+    /*! @brief Returns when the present state began: idle, or receiving. */
+    [[nodiscard]] TimePoint since() const noexcept;
+
     /*! @brief Closes the connection; what is in progress is given up. */
     void close();
 
@@ -119,6 +128,7 @@
     /*! @brief Reader of h2o; null before it has been set. */
     h2o_socket_cb m_reader{};
     Phase m_phase{Phase::Idle};
+    TimePoint m_since;
     /*! @brief Bytes of the head that have been searched for its end. */
     std::size_t m_searched{};
     /*! @brief Copy that the handler will get of the body that is being received, as far as it is known. */
