Bound the time of heads, bodies, idle connections and unread responses

Cause: callers that send or read a byte a second were kept for up to 60 s, or for ever while they read a response. `headerTimeoutMs` was not read, `idleTimeoutMs` was read and not used. h2o's own timeout counts head, body and idle time as one, by the time of day.

Change: a head has `headerTimeoutMs` from its first byte, an idle connection `idleTimeoutMs`. A body, and the reading of a response, have a lowest pace of 1 KiB/s in each of five periods of 2 s; a single period decides while more than half of the shared memory is held. An incomplete request is answered 408, which is true: its handler was not called. What the kernel still queues counts as not read.

The crowd of the process tests takes the end of a connection by its other side for a close also if it does not read; without that it never saw the 408.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -28,6 +28,8 @@
 /*! @brief Connections of callers for each connection of these ports. */
 constexpr std::size_t callersPerInternalConnection = 8;
 constexpr std::size_t minInternalConnections = 4;
+/*! @brief Smallest limit of heads at the socket, in bytes; the exact limit is checked once a head is read. */
+constexpr std::size_t minHeadBytes = 64U << 10U;
 /*! @brief Path of the list of quarantined requests, on the metrics port. */
 constexpr std::string_view quarantinePath = "/quarantine";
 /*! @brief Longest idle time of a caller's connection; exceeds the limit documented for callers. */
@@ -247,6 +249,8 @@
     m_catalogVersion = catalog->version;
     m_limits = catalog->limits;
     m_callersServer.setMaxBodyBytes(m_limits.maxBodyBytes);
+    m_callersServer.setHeadLimits(std::max(minHeadBytes, 2 * m_limits.maxHeadBytes), m_limits.headTimeout,
+                                  m_limits.idleTimeout);
     m_runner.submit(CatalogChanged{std::move(catalog)});
 }
 
--- a/src/bergamottide/catalog/catalog.h
+++ b/src/bergamottide/catalog/catalog.h
@@ -150,6 +150,9 @@
 {
     std::size_t maxHeadBytes{16U << 10U};
     std::size_t maxBodyBytes{4U << 20U};
+    /*! @brief Time from the first byte of a head to its last. */
+    Duration headTimeout{std::chrono::seconds{30}};
+    /*! @brief Time for which a connection may be idle between requests. */
     Duration idleTimeout{std::chrono::seconds{15}};
 };
 
--- a/src/bergamottide/net/callerrefusal.h
+++ b/src/bergamottide/net/callerrefusal.h
@@ -16,6 +16,10 @@
     /*! @brief No memory for the response, which is broken off. */
     ResponseMemory,
     HeadTooLarge,
+    HeadTooSlow,
+    BodyTooSlow,
+    /*! @brief The caller takes its response too slowly. */
+    ReaderTooSlow,
     /*! @brief Closed, idle or with an incomplete request, for a new connection. */
     ConnectionReplaced,
     /*! @brief A new connection, closed unread as all others have requests in progress. */
@@ -25,8 +29,9 @@
 template <>
 struct EnumNames<CallerRefusal>
 {
-    static constexpr std::array<std::string_view, 5> names{"request_memory", "response_memory", "head_too_large",
-                                                           "connection_replaced", "too_many_connections"};
+    static constexpr std::array<std::string_view, 8> names{
+        "request_memory", "response_memory", "head_too_large",      "head_too_slow",
+        "body_too_slow",  "reader_too_slow", "connection_replaced", "too_many_connections"};
 };
 
 } // namespace bergamottide
--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -28,12 +28,20 @@
 constexpr std::uint64_t http2IdleTimeoutMs = 60'000;
 /*! @brief HTTP/2 requests of one connection that are handled at a time. */
 constexpr std::size_t maxHttp2Requests = 16;
+/*!
+ * @brief Timeout of h2o's own for requests, in milliseconds: a year.
+ *
+ * h2o measures by the time of day, whose jumps would close connections; their time is measured here instead.
+ */
+constexpr std::uint64_t unusedTimeoutMs = 365ULL * 24 * 3600 * 1000;
 /*! @brief Largest piece of a response that is handed to h2o at a time, in bytes. */
 constexpr std::size_t maxPieceBytes = 16U << 10U;
 /*! @brief Buffers of the kernel for each connection and direction, in bytes. */
 constexpr int socketBufferBytes = 64 << 10;
 /*! @brief What is charged for a body relative to its length: h2o doubles its buffer, and the handler gets a copy. */
 constexpr std::size_t chargedForEachBodyByte = 3;
+/*! @brief Period in which the pace of the connections is looked at. */
+constexpr Duration connectionReviewPeriod = std::chrono::milliseconds{500};
 /*! @brief Maximum number of connections accepted in one round of the loop. */
 constexpr int maxAccepts = 64;
 /*! @brief Period of deciding again on connections that wait. */
@@ -269,6 +277,9 @@
     /*! @brief The kernel has taken the last piece. */
     void proceed()
     {
+        if (const auto connection = m_connection.lock()) {
+            connection->recordSent(m_pieceBytes);
+        }
         m_busy = false;
         m_taken += std::exchange(m_pieceBytes, 0);
         if (!m_blocks.empty() && m_taken == m_blocks.front().size()) {
@@ -353,6 +364,10 @@
         if (m_kept < m_charged && m_begun) {
             static_cast<void>(charge(m_kept));
         }
+        if (const auto connection = m_connection.lock()) {
+            connection->setUnsent(m_reportedUnsent, unsent());
+        }
+        m_reportedUnsent = unsent();
     }
 
     void refuse() const
@@ -379,6 +394,7 @@
     std::size_t m_pieceBytes{};
     std::size_t m_requestBytes{};
     std::size_t m_charged{};
+    std::size_t m_reportedUnsent{};
     bool m_hasBegunRequest{};
     bool m_begun{};
     bool m_busy{};
@@ -428,11 +444,11 @@
         , maxConnections{options.maxConnections == 0 ? defaultMaxConnections() : options.maxConnections}
         , memory{options.memory ? options.memory
                                 : std::make_shared<overload::MemoryAccount>(defaultMemoryLimit(), maxConnections)}
-        , limits{options.maxHeadBytes, options.maxBodyBytes}
+        , limits{options.maxHeadBytes, options.maxBodyBytes, options.idleTimeout, options.headTimeout,
+                 options.minBytesPerSecond}
     {
         h2o_config_init(&config);
-        config.http1.req_timeout = static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(options.idleTimeout).count());
+        config.http1.req_timeout = unusedTimeoutMs;
         config.http1.upgrade_to_http2 = options.speaksHttp2 ? 1 : 0;
         config.http2.idle_timeout = http2IdleTimeoutMs;
         config.http2.max_concurrent_requests_per_connection = maxHttp2Requests;
@@ -671,6 +687,21 @@
         }
     }
 
+    /*! @brief Closes the connections whose callers are too slow. */
+    void reviewConnections()
+    {
+        const TimePoint now = loop.now();
+        std::vector<std::shared_ptr<internal::ServerConnection>> present;
+        present.reserve(connections.size());
+        for (const auto &[socket, connection] : connections) {
+            present.push_back(connection);
+        }
+        for (const auto &connection : present) {
+            connection->review(now);
+        }
+        connectionTimer = loop.at(now + connectionReviewPeriod, [this] { reviewConnections(); });
+    }
+
     /*! @brief Decides again on the connections that wait, then on new ones. */
     void review()
     {
@@ -743,6 +774,7 @@
     /*! @brief Requests of h2o that have been handed on and have not ended. */
     std::unordered_set<const h2o_req_t *> handled;
     std::uint64_t roundHook{loop.addRoundHook([this] { guardConnections(); })};
+    TimerId connectionTimer{};
     h2o_globalconf_t config{};
     h2o_context_t context{};
     h2o_accept_ctx_t accept{};
@@ -766,6 +798,7 @@
 {
     // Connections may outlive the server inside h2o, so its context has to stay; what the handler holds need not.
     m_state->loop.cancel(m_state->timer);
+    m_state->loop.cancel(m_state->connectionTimer);
     m_state->closeWaiting();
     if (m_state->listener != nullptr) {
         h2o_socket_close(m_state->listener);
@@ -797,6 +830,7 @@
     m_state->listener->data = m_state.get();
     h2o_socket_read_start(m_state->listener, &State::onAccept);
     m_state->pollClosed();
+    m_state->reviewConnections();
     return absl::OkStatus();
 }
 
@@ -815,6 +849,13 @@
     return m_state->limits.maxBodyBytes;
 }
 
+void HttpServer::setHeadLimits(std::size_t maxHeadBytes, Duration headTimeout, Duration idleTimeout)
+{
+    m_state->limits.maxHeadBytes = maxHeadBytes;
+    m_state->limits.headTimeout = headTimeout;
+    m_state->limits.idleTimeout = idleTimeout;
+}
+
 void HttpServer::closeAfterAnswers()
 {
     m_state->closes = true;
--- a/src/bergamottide/net/httpserver.h
+++ b/src/bergamottide/net/httpserver.h
@@ -92,7 +92,7 @@
     TlsFiles tls;
     /*! @brief Largest body in bytes; a larger one is answered 413 without a call of the handler. */
     std::size_t maxBodyBytes{8u << 20};
-    /*! @brief Time for which a connection may be idle, or a request take to be read. */
+    /*! @brief Time for which a connection may be idle between requests. */
     Duration idleTimeout{std::chrono::seconds{30}};
     /*! @brief Period in which connections with an answer under way are looked at for a close by the caller. */
     Duration closePollPeriod{std::chrono::milliseconds{500}};
@@ -102,8 +102,12 @@
     TrafficHook onTraffic;
     /*! @brief Optional: decides on each new connection before anything is read; without it all are served. */
     std::function<overload::ConnectionDecision(const overload::WaitingConnection &connection)> decideConnection;
+    /*! @brief Time from the first byte of a head to its last. */
+    Duration headTimeout{std::chrono::seconds{30}};
     /*! @brief Largest head in bytes; a larger one is answered 431 without a call of the handler. */
     std::size_t maxHeadBytes{64u << 10};
+    /*! @brief Bytes a second below which a caller that sends a body or takes a response is too slow. */
+    std::size_t minBytesPerSecond{1024};
     /*!
      * @brief Connections at a time; a further one replaces an idle one, or one whose request is not complete. Zero for
      * the default of `defaultMaxConnections`.
@@ -117,7 +121,7 @@
     std::function<void(CallerRefusal refusal)> onRefused;
 };
 
-/*! @brief HTTP/1.1 server on h2o, HTTP/2 if set; bounds the memory and connections that callers take. */
+/*! @brief HTTP/1.1 server on h2o, HTTP/2 if set; bounds the memory, connections and time that callers take. */
 class HttpServer
 {
 public:
@@ -146,6 +150,14 @@
     /*! @brief Returns the largest body in effect, in bytes. */
     [[nodiscard]] std::size_t maxBodyBytes() const;
 
+    /**
+     * @brief Sets the limits of heads and of idle connections, for all connections.
+     * @param maxHeadBytes Largest head in bytes.
+     * @param headTimeout Time from the first byte of a head to its last.
+     * @param idleTimeout Time for which a connection may be idle between requests.
+     */
+    void setHeadLimits(std::size_t maxHeadBytes, Duration headTimeout, Duration idleTimeout);
+
     /*! @brief Closes each connection after its present or next answer, and says so in that; goes on accepting. */
     void closeAfterAnswers();
 
--- a/src/bergamottide/net/serverconnection.cpp
+++ b/src/bergamottide/net/serverconnection.cpp
@@ -8,9 +8,12 @@
 #include <string>
 #include <utility>
 
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <linux/sockios.h>
+
 namespace bergamottide::internal {
 
 namespace {
@@ -23,6 +26,11 @@
 constexpr std::size_t connectionBytes = 8U << 10U;
 /*! @brief Bytes discarded for a rejected caller, so that its response is not lost with a reset. */
 constexpr std::size_t maxDiscardedBytes = 1U << 20U;
+/*! @brief Longest time for which a rejected caller may go on sending. */
+constexpr Duration discardTime = std::chrono::seconds{1};
+constexpr Duration pacePeriod = std::chrono::seconds{2};
+/*! @brief Consecutive periods for which a caller may be too slow; a single one while memory is scarce. */
+constexpr int patientPeriods = 5;
 /*! @brief Growth of the unfinished requests of an HTTP/2 connection after which they are looked for again. */
 constexpr std::size_t http2CheckBytes = 64U << 10U;
 
@@ -56,7 +64,11 @@
         return "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
     case CallerRefusal::HeadTooLarge:
         return "HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    case CallerRefusal::HeadTooSlow:
+    case CallerRefusal::BodyTooSlow:
+        return "HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
     case CallerRefusal::ResponseMemory:
+    case CallerRefusal::ReaderTooSlow:
     case CallerRefusal::ConnectionReplaced:
     case CallerRefusal::TooManyConnections:
         break;
@@ -72,6 +84,7 @@
     , m_context{context}
     , m_holder{context.memory}
     , m_since{context.loop.now()}
+    , m_paceSince{context.loop.now()}
 {
     // The number of connections is bounded, so this needs no room.
     m_holder.record(overload::HeldFor::Connection, connectionBytes);
@@ -124,9 +137,20 @@
     return m_holder.resize(overload::HeldFor::Response, others + after);
 }
 
+void ServerConnection::setUnsent(std::size_t before, std::size_t after)
+{
+    m_unsentBytes += after;
+    m_unsentBytes -= before;
+}
+
+void ServerConnection::recordSent(std::size_t bytes)
+{
+    m_sentBytes += bytes;
+}
+
 bool ServerConnection::isIdle() const noexcept
 {
-    return m_phase == Phase::Idle && m_unfinishedBytes == 0 && m_copies == 0;
+    return m_phase == Phase::Idle && m_unfinishedBytes == 0 && m_copies == 0 && m_unsentBytes == 0;
 }
 
 bool ServerConnection::isReceiving() const noexcept
@@ -180,8 +204,11 @@
         }
     }
     m_hasDecrypted = m_hasDecrypted || m_socket->input->size != 0;
-    if (error == nullptr && !admitPiece()) {
-        return;
+    if (error == nullptr) {
+        m_receivedBytes += m_socket->bytes_read;
+        if (!admitPiece()) {
+            return;
+        }
     }
     callReader(error);
 }
@@ -346,6 +373,65 @@
     m_holder.record(overload::HeldFor::Request, m_copies);
 }
 
+void ServerConnection::review(TimePoint now)
+{
+    if (m_socket == nullptr) {
+        return;
+    }
+    const auto self = shared_from_this();
+    reviewPhase(now);
+    if (m_socket != nullptr && now - m_paceSince >= pacePeriod) {
+        reviewPace(now);
+    }
+}
+
+void ServerConnection::reviewPhase(TimePoint now)
+{
+    const Duration time = now - m_since;
+    const bool isIdleTooLong =
+        m_phase == Phase::Idle && !isHttp2() && m_unsentBytes == 0 && time >= m_context.limits.idleTimeout;
+    const bool isDiscardedTooLong = m_phase == Phase::Refused && time >= discardTime;
+    if (isIdleTooLong || isDiscardedTooLong) {
+        close();
+        return;
+    }
+    if (m_phase == Phase::Head && time >= m_context.limits.headTimeout) {
+        refuse(CallerRefusal::HeadTooSlow);
+    }
+}
+
+void ServerConnection::reviewPace(TimePoint now)
+{
+    const std::int64_t moved = movedBytes();
+    const double seconds = std::chrono::duration<double>(now - m_paceSince).count();
+    const bool isSlow = waitsForCaller()
+        && static_cast<double>(moved - m_movedBefore)
+            < seconds * static_cast<double>(m_context.limits.minBytesPerSecond);
+    m_slowReviews = isSlow ? m_slowReviews + 1 : 0;
+    m_movedBefore = moved;
+    m_paceSince = now;
+    if (m_slowReviews == 0 || (m_slowReviews < patientPeriods && !m_context.memory.isScarce())) {
+        return;
+    }
+    m_slowReviews = 0;
+    refuse(m_unsentBytes != 0 ? CallerRefusal::ReaderTooSlow : CallerRefusal::BodyTooSlow);
+}
+
+bool ServerConnection::waitsForCaller() const noexcept
+{
+    return m_phase == Phase::Body || m_unsentBytes != 0 || m_unfinishedBytes != 0;
+}
+
+/*! @brief Returns the bytes that the caller has sent and taken since the connection began. */
+std::int64_t ServerConnection::movedBytes() const
+{
+    int queued = 0;
+    if (m_unsentBytes == 0 || ioctl(h2o_socket_get_fd(m_socket), SIOCOUTQ, &queued) != 0) {
+        queued = 0;
+    }
+    return static_cast<std::int64_t>(m_receivedBytes + m_sentBytes) - queued;
+}
+
 bool ServerConnection::isHttp2() const
 {
     if (m_isEncrypted && !m_hasDecrypted) {
@@ -364,6 +450,11 @@
 {
     m_phase = phase;
     m_since = m_context.loop.now();
+    m_paceSince = m_since;
+    m_slowReviews = 0;
+    if (m_socket != nullptr) {
+        m_movedBefore = movedBytes();
+    }
 }
 
 } // namespace bergamottide::internal
--- a/src/bergamottide/net/serverconnection.h
+++ b/src/bergamottide/net/serverconnection.h
@@ -20,6 +20,12 @@
 {
     std::size_t maxHeadBytes{};
     std::size_t maxBodyBytes{};
+    /*! @brief Longest time between two requests, and before the first. */
+    Duration idleTimeout{};
+    /*! @brief Longest time from the first byte of a head to its last. */
+    Duration headTimeout{};
+    /*! @brief Bytes a second below which a body or the reading of a response is too slow. */
+    std::size_t minBytesPerSecond{};
 };
 
 /*! @brief What the connections of a server share; outlives them. */
@@ -36,10 +42,10 @@
 };
 
 /**
- * @brief Accepted connection between its socket and h2o: charges what is held for it.
+ * @brief Accepted connection between its socket and h2o: charges what is held for it and closes it if it is too slow.
  *
  * h2o reads all that the kernel has before it looks at any of it, and bounds neither what it buffers over all
- * connections. So the socket is read here, in pieces that are charged before, and h2o's
+ * connections nor how slowly that grows. So the socket is read here, in pieces that are charged before, and h2o's
  * reader is called with them. The socket of an encrypted connection is read by h2o; the kernel's buffer bounds a piece
  * there, which is charged once it is read.
  */
@@ -80,6 +86,18 @@
      */
     [[nodiscard]] bool chargeResponse(std::size_t before, std::size_t after);
 
+    /*! @brief Records how many bytes of responses wait for the caller in this process. */
+    void setUnsent(std::size_t before, std::size_t after);
+
+    /*! @brief Records bytes of responses that the kernel has taken. */
+    void recordSent(std::size_t bytes);
+
+    /**
+     * @brief Closes the connection if the caller is too slow or idle for too long; called twice a second or so.
+     * @param now Current time.
+     */
+    void review(TimePoint now);
+
     /*! @brief Returns whether no request is in progress, complete or not. */
     [[nodiscard]] bool isIdle() const noexcept;
 
@@ -115,8 +133,12 @@
     void settle();
     void discard(const char *error);
     void refuse(CallerRefusal refusal);
+    void reviewPace(TimePoint now);
+    void reviewPhase(TimePoint now);
     [[nodiscard]] bool chargeRequest(std::size_t inputCapacity);
     [[nodiscard]] bool isHttp2() const;
+    [[nodiscard]] bool waitsForCaller() const noexcept;
+    [[nodiscard]] std::int64_t movedBytes() const;
     void enter(Phase phase);
 
     h2o_socket_t *m_socket;
@@ -141,6 +163,13 @@
     std::size_t m_unfinishedBytes{};
     std::size_t m_checkedUnfinishedBytes{};
     std::size_t m_discardedBytes{};
+    std::size_t m_receivedBytes{};
+    std::size_t m_sentBytes{};
+    std::size_t m_unsentBytes{};
+    TimePoint m_paceSince;
+    std::int64_t m_movedBefore{};
+    /*! @brief Consecutive reviews of the pace that found it too low. */
+    int m_slowReviews{};
 };
 
 } // namespace bergamottide::internal
--- a/test/processes/callercrowd.cpp
+++ b/test/processes/callercrowd.cpp
@@ -91,12 +91,13 @@
     if (caller.socket < 0) {
         return;
     }
-    pollfd state{caller.socket, POLLIN | POLLOUT, 0};
+    pollfd state{caller.socket, POLLIN | POLLOUT | POLLRDHUP, 0};
     if (poll(&state, 1, 0) <= 0) {
         return;
     }
-    const bool isOpen = (state.revents & (POLLERR | POLLHUP)) == 0 && ((state.revents & POLLOUT) == 0 || send(caller))
-        && ((state.revents & POLLIN) == 0 || read(caller));
+    // A caller that does not read sees an end behind its response by the last of these alone.
+    const bool isOpen = (state.revents & (POLLERR | POLLHUP | POLLRDHUP)) == 0
+        && ((state.revents & POLLOUT) == 0 || send(caller)) && ((state.revents & POLLIN) == 0 || read(caller));
     if (!isOpen) {
         recordClose(caller);
         return;
