--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <malloc.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -56,6 +57,11 @@
 constexpr double bytesPerMegabit = 125'000.0;
 constexpr Duration processorTimePeriod = std::chrono::milliseconds{50};
 
+std::size_t callersConnections(const ServingSettings &settings)
+{
+    return settings.callersConnections == 0 ? defaultMaxConnections() : settings.callersConnections;
+}
+
 std::size_t internalConnections()
 {
     return std::max(minInternalConnections, defaultMaxConnections() / callersPerInternalConnection);
@@ -148,8 +154,9 @@
     , m_log{LogOptions{LogFormat::Json, settings.logLevel, settings.instance}, clock,
             log4cplus::SharedAppenderPtr{new OutputAppender{STDOUT_FILENO}}}
     , m_loadMeter{settings.processorShare, settings.linkMbps * bytesPerMegabit}
-    , m_memory{std::make_shared<overload::MemoryAccount>(defaultMemoryLimit(),
-                                                         defaultMaxConnections() + 2 * internalConnections())}
+    , m_memory{std::make_shared<overload::MemoryAccount>(settings.callersMemory == 0 ? defaultMemoryLimit()
+                                                                                     : settings.callersMemory,
+                                                         callersConnections(settings) + 2 * internalConnections())}
     , m_connectionGate{m_loadMeter}
     , m_reducer{servingOptions(settings, incarnation)}
     , m_runner{loop, m_reducer,
@@ -251,6 +258,12 @@
     m_callersServer.setMaxBodyBytes(m_limits.maxBodyBytes);
     m_callersServer.setHeadLimits(std::max(minHeadBytes, 2 * m_limits.maxHeadBytes), m_limits.headTimeout,
                                   m_limits.idleTimeout);
+    if (m_callersServer.maxBodyBytes() < m_limits.maxBodyBytes) {
+        log({Severity::Warning,
+             Part::Net,
+             "Memory for callers has no room for a request of the largest size.",
+             {{"largest", absl::StrCat(m_limits.maxBodyBytes)}, {"limit", absl::StrCat(m_memory->limit())}}});
+    }
     m_runner.submit(CatalogChanged{std::move(catalog)});
 }
 
@@ -343,6 +356,11 @@
         return decideConnection(connection);
     };
     options.memory = m_memory;
+    options.maxConnections = callersConnections(m_settings);
+    options.minBytesPerSecond = m_settings.callersMinRate;
+    options.onRefused = [this](CallerRefusal refusal) {
+        recordRefusal(refusal);
+    };
     return options;
 }
 
@@ -358,6 +376,34 @@
     return options;
 }
 
+void ServingApp::recordRefusal(CallerRefusal refusal)
+{
+    m_metrics.observe(Observe{Metric::CallerRefusalsTotal, {std::string{enumName(refusal)}}});
+    log({Severity::Info, Part::Net, "A caller was rejected or cut off.", {{"reason", std::string{enumName(refusal)}}}});
+}
+
+void ServingApp::reportMemory()
+{
+    using overload::HeldFor;
+    for (const HeldFor purpose : {HeldFor::Connection, HeldFor::Request, HeldFor::Response}) {
+        m_metrics.observe(
+            Observe{Metric::HeldBytes, {std::string{enumName(purpose)}}, static_cast<double>(m_memory->held(purpose))});
+    }
+    if (m_memory->isScarce() == m_isMemoryScarce) {
+        return;
+    }
+    m_isMemoryScarce = !m_isMemoryScarce;
+    m_log.write({m_isMemoryScarce ? Severity::Warning : Severity::Info,
+                 Part::Net,
+                 m_isMemoryScarce ? "Memory for callers is scarce; slow ones are closed."
+                                  : "Memory for callers is no longer scarce.",
+                 {{"held", absl::StrCat(m_memory->held())}, {"limit", absl::StrCat(m_memory->limit())}}});
+    if (!m_isMemoryScarce) {
+        // The allocator keeps what a crowd has left, which counts as memory of the process.
+        malloc_trim(0);
+    }
+}
+
 overload::ConnectionDecision ServingApp::decideConnection(const overload::WaitingConnection &connection)
 {
     const overload::ConnectionDecision decision = m_connectionGate.decide(connection, m_loop.now());
@@ -389,6 +435,7 @@
 
 void ServingApp::reportLoad()
 {
+    reportMemory();
     const overload::LoadShares load = m_loadMeter.recent(m_loop.now());
     m_metrics.observe(Observe{Metric::LoadShare, {"processor"}, load.processor});
     m_metrics.observe(Observe{Metric::LoadShare, {"link"}, load.link});
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -196,6 +196,8 @@
     [[nodiscard]] TrafficHook trafficHook();
     [[nodiscard]] HttpServerOptions callersOptions();
     [[nodiscard]] HttpServerOptions internalOptions(const std::string &address);
+    void recordRefusal(CallerRefusal refusal);
+    void reportMemory();
     [[nodiscard]] overload::ConnectionDecision decideConnection(const overload::WaitingConnection &connection);
     void recordRound(const RoundFigures &figures);
     void reportLoad();
@@ -228,6 +230,7 @@
     TimePoint m_drainStartedAt{};
     TimePoint m_processorTimeReadAt{};
     bool m_draining{};
+    bool m_isMemoryScarce{};
     bool m_isFinishingDrain{};
 };
 
--- a/src/bergamottide/serving/servingsettings.cpp
+++ b/src/bergamottide/serving/servingsettings.cpp
@@ -16,6 +16,11 @@
 constexpr double maxRetrySlack = 1e6;
 constexpr double maxProcessorShare = 1024.0;
 constexpr double maxLinkMbps = 1e6;
+/*! @brief A third of it has room for a body of 4 MiB with its copy. */
+constexpr std::uint32_t minCallersMemory = 32U << 20U;
+constexpr std::uint32_t maxCallersMemory = 3U << 30U;
+constexpr std::uint32_t maxCallersConnections = 100'000;
+constexpr std::uint32_t maxCallersMinRate = 1U << 20U;
 /*! @brief Bandwidth that one core of work needs: a queue owner sends some kilobytes for each millisecond of processor
  * time. */
 constexpr double linkMbpsPerCore = 200.0;
@@ -55,6 +60,12 @@
                     "Share of a core that the instance has, in cores."),
         scalarField("linkMbps", &S::linkMbps, numberType(0.0, maxLinkMbps), optional,
                     "Bandwidth of the instance's link, in Mbit/s."),
+        scalarField("callersMemory", &S::callersMemory, sizeType(minCallersMemory, maxCallersMemory), optional,
+                    "Memory held for callers at most."),
+        scalarField("callersConnections", &S::callersConnections, wholeType<std::uint32_t>(1, maxCallersConnections),
+                    optional, "Connections of callers at a time."),
+        scalarField("callersMinRate", &S::callersMinRate, sizeType(1, maxCallersMinRate), optional,
+                    "Bytes a second below which a caller that sends a body or takes a response is too slow."),
         scalarField("forecastMargin", &S::forecastMargin, flagType(), optional,
                     "Whether admission allows for the measured error of forecasts."),
         scalarField("shareStagePools", &S::shareStagePools, flagType(), optional,
--- a/src/bergamottide/serving/servingsettings.h
+++ b/src/bergamottide/serving/servingsettings.h
@@ -47,6 +47,12 @@
     double processorShare{1.0};
     /*! @brief Network bandwidth of the instance, in Mbit/s. */
     double linkMbps{1000.0};
+    /*! @brief Memory held for callers at most, in bytes; zero for the default of `defaultMemoryLimit`. */
+    std::uint32_t callersMemory{};
+    /*! @brief Connections of callers at a time; zero for the default of `defaultMaxConnections`. */
+    std::uint32_t callersConnections{};
+    /*! @brief Bytes a second below which a caller that sends a body or takes a response is too slow. */
+    std::uint32_t callersMinRate{1024};
     Severity logLevel{Severity::Info};
     /*! @brief Admission allows for the measured error of forecasts. */
     bool forecastMargin{};
--- a/src/bergamottide/telemetry/metric.h
+++ b/src/bergamottide/telemetry/metric.h
@@ -58,13 +58,15 @@
     LoadShare,
     ConnectionsTotal,
     EndpointListAgeSeconds,
-    ResumedStreamsTotal
+    ResumedStreamsTotal,
+    CallerRefusalsTotal,
+    HeldBytes
 };
 
 template <>
 struct EnumNames<Metric>
 {
-    static constexpr std::array<std::string_view, 40> names{"bergamottide_requests_total",
+    static constexpr std::array<std::string_view, 42> names{"bergamottide_requests_total",
                                                             "bergamottide_requests_on_time_total",
                                                             "bergamottide_request_seconds",
                                                             "bergamottide_refusals_total",
@@ -103,7 +105,9 @@
                                                             "bergamottide_load_share",
                                                             "bergamottide_connections_total",
                                                             "bergamottide_endpoint_list_age_seconds",
-                                                            "bergamottide_resumed_streams_total"};
+                                                            "bergamottide_resumed_streams_total",
+                                                            "bergamottide_caller_refusals_total",
+                                                            "bergamottide_held_bytes"};
 };
 
 /*! @brief Effect: a metric changes. */
--- a/src/bergamottide/telemetry/metricinfo.cpp
+++ b/src/bergamottide/telemetry/metricinfo.cpp
@@ -138,6 +138,12 @@
          "Resumed streams by what told the software version that began them.",
          {"source"},
          {}},
+        {Metric::CallerRefusalsTotal,
+         counter,
+         "Callers that were rejected or cut off, since memory was scarce or they kept to no limit.",
+         {"reason"},
+         {}},
+        {Metric::HeldBytes, gauge, "Memory charged for callers.", {"purpose"}, {}},
     };
     return table;
 }
