Do not take peers for silent over a pause of this process

Ruled out: the lateness of ticks (requests come before the first tick); any pause (a peer that has died would be kept for as long as the process stalls time after time; five tests of bounded pools and of published waits showed it).

Change: a pause between two events of 0.5 to 10 s is not held against peers that were heard before it, once until each is heard again.

The change of one peer's time costs a new view once a pause.

--- a/src/bergamottide/gossip/membershipview.h
+++ b/src/bergamottide/gossip/membershipview.h
@@ -25,6 +25,8 @@
     std::uint64_t incarnation{};
     /*! @brief Time of its last heartbeat; the epoch if it is known only from rosters. */
     TimePoint lastHeartbeatAt{};
+    /*! @brief That time has been moved over a pause of this process; only a heartbeat allows that again. */
+    bool isMovedOverPause{};
     /*! @brief When a roster first named it, or it was last alive; the epoch if neither has been. */
     TimePoint lastKnownAt{};
     bool draining{};
--- a/src/bergamottide/gossip/peers.cpp
+++ b/src/bergamottide/gossip/peers.cpp
@@ -96,6 +96,7 @@
     peer.info = heartbeat.from;
     peer.incarnation = heartbeat.incarnation;
     peer.lastHeartbeatAt = now;
+    peer.isMovedOverPause = false;
     peer.draining = heartbeat.draining;
     peer.canOwnQueues = heartbeat.canOwnQueues;
     peer.isRelay = heartbeat.isRelay;
@@ -217,6 +218,18 @@
     }
 }
 
+void Peers::recordPause(TimePoint from, TimePoint until)
+{
+    for (auto &[name, peer] : m_peers) {
+        if (!peer.hasRecentHeartbeat(from) || peer.isMovedOverPause) {
+            continue;
+        }
+        peer.lastHeartbeatAt += until - from;
+        peer.isMovedOverPause = true;
+    }
+    m_view.reset();
+}
+
 void Peers::expediteHeartbeats(TimePoint now)
 {
     for (const InstanceName &partner : view(now).partners()) {
--- a/src/bergamottide/gossip/peers.h
+++ b/src/bergamottide/gossip/peers.h
@@ -72,6 +72,13 @@
      */
     [[nodiscard]] std::vector<std::string> takeDueAddresses(TimePoint now);
 
+    /**
+     * @brief Records that this process stood still, so that its peers do not count as silent for that time.
+     * @param from Start of the pause.
+     * @param until End of the pause.
+     */
+    void recordPause(TimePoint from, TimePoint until);
+
     /*! @brief Makes heartbeats to the relays of this process due at once. */
     void expediteHeartbeats(TimePoint now);
 
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -29,6 +29,11 @@
  */
 constexpr Duration drainAcceptTime = std::chrono::milliseconds{2500};
 
+/*! @brief Time between two events from which the process counts as having stood still; ticks are twice as frequent. */
+constexpr Duration shortestPause = std::chrono::milliseconds{500};
+/*! @brief Time from which what was known of the peers before is too old. */
+constexpr Duration longestPause = std::chrono::seconds{10};
+
 /*! @brief Period at which deferred tasks are checked while the view of the peers has not settled. */
 constexpr Duration deferredTaskPeriod = std::chrono::milliseconds{20};
 
@@ -75,6 +80,10 @@
 
 Effects ServingReducer::apply(const Event &event, TimePoint now)
 {
+    // Ticks come more often, so the process has stood still, and the heartbeats of its peers may not have been read.
+    if (m_now != TimePoint{} && now - m_now >= shortestPause && now - m_now <= longestPause) {
+        m_peers.recordPause(m_now, now);
+    }
     m_now = now;
     std::visit([this](const auto &typedEvent) { on(typedEvent); }, event);
     enforceQuarantine();
