Count a version without endpoints for a minute longer

Cause: a process that is cut off from the list and from its peers begins streams at a version whose last entry has been removed meanwhile. After the limit of the route no process in step counts that version any more, and the only one left is taken for that of the stream.

Ruled out: no new streams while the list is not confirmed (an outage of the store would stop all of them); ten minutes (record-less streams after each rollout would be rejected for as long).

Change: former versions count for a minute beyond the lifetime of a stream. The period that the list has to cover is unchanged, so that nothing changes after a start of the fleet.

Conclusion: a process that is out of step for longer may still do so.

--- a/src/bergamottide/streams/streamversions.cpp
+++ b/src/bergamottide/streams/streamversions.cpp
@@ -29,8 +29,9 @@
 void StreamVersions::updateEndpoints(const EndpointList &endpoints, TimePoint now)
 {
     for (auto &[pool, versions] : m_pools) {
-        std::erase_if(versions,
-                      [now](const auto &entry) { return entry.second && now - *entry.second >= maxLifetime; });
+        std::erase_if(versions, [now](const auto &entry) {
+            return entry.second && now - *entry.second >= maxLifetime + outOfStepTime;
+        });
         for (auto &[version, goneAt] : versions) {
             goneAt = goneAt.value_or(now);
         }
@@ -78,7 +79,7 @@
     return singleVersion(pool, now - std::min(lifetime, maxLifetime)).has_value();
 }
 
-/*! @brief Returns the only version of a pool that this process has seen since a time. */
+/*! @brief Returns the only version of a pool at which any process can have begun a stream since a time. */
 std::optional<SoftwareVersion> StreamVersions::singleVersion(const PoolName &pool, TimePoint since) const
 {
     const auto versions = m_pools.find(pool);
@@ -87,7 +88,7 @@
     }
     const SoftwareVersion *only = nullptr;
     for (const auto &[version, goneAt] : versions->second) {
-        if (goneAt && *goneAt <= since) {
+        if (goneAt && *goneAt + outOfStepTime <= since) {
             continue;
         }
         if (only != nullptr) {
--- a/src/bergamottide/streams/streamversions.h
+++ b/src/bergamottide/streams/streamversions.h
@@ -29,6 +29,13 @@
     /*! @brief Longest time for which a stream is known; callers name their deadlines themselves. */
     static constexpr Duration maxLifetime = std::chrono::minutes{10};
 
+    /*!
+     * @brief Time for which a version without endpoints is counted beyond the longest that a stream can have lasted.
+     *
+     * A process that is cut off from the list and from its peers may still begin streams there.
+     */
+    static constexpr Duration outOfStepTime = std::chrono::minutes{1};
+
     /**
      * @brief Creates an empty table.
      * @param clock Numbers the changes; must outlive the table.
--- a/test/bergamottide/serving/outofstepfleet.cpp
+++ b/test/bergamottide/serving/outofstepfleet.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(streamsStayAtTheirVersionIn30Processes);
     CPPUNIT_TEST(streamsStayAtTheirVersionIn300Processes);
     CPPUNIT_TEST(streamsContinueAtAProcessThatReadsRequestsFirst);
+    CPPUNIT_TEST(streamsBegunAtAFormerVersionAreNotMixedIn5Processes);
+    CPPUNIT_TEST(streamsBegunAtAFormerVersionAreNotMixedIn30Processes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -95,6 +97,17 @@
         checkSeeds(seedsOfMediumFleet, fleetOf30, check);
     }
 
+    /*! @brief Guards against a process out of step that begins streams at a version which the others have forgotten. */
+    void streamsBegunAtAFormerVersionAreNotMixedIn5Processes()
+    {
+        checkSeeds(seedsOfSmallFleet, fleetOf5, checkBegunStreams);
+    }
+
+    void streamsBegunAtAFormerVersionAreNotMixedIn30Processes()
+    {
+        checkSeeds(seedsOfMediumFleet, fleetOf30, checkBegunStreams);
+    }
+
 private:
     /*! @brief How a process comes to be out of step. */
     enum class Kind : std::uint8_t
@@ -267,6 +280,32 @@
         return fleet.streams();
     }
 
+    /*! @brief All engines of a version are removed from the list; a process that has missed this begins streams there.
+     */
+    static void checkBegunStreams(Draw draw)
+    {
+        draw.kind = Kind::CutFromAll;
+        ServingFleet fleet{draw.options};
+        for (std::size_t engine = 0; engine < draw.options.engines; engine += 2) {
+            fleet.replaceEngine(engine, "v1");
+        }
+        fleet.run(startTime);
+        takeOutOfStep(fleet, draw);
+        fleet.run(milliseconds{200});
+        for (std::size_t engine = 1; engine < draw.options.engines; engine += 2) {
+            fleet.unlistEngine(engine);
+        }
+        fleet.run(startTime);
+        for (std::size_t sent = 0; sent < 60; ++sent) {
+            fleet.send(draw.process, "/summary/1", {"prompt-" + std::to_string(sent)});
+            fleet.run(milliseconds{10});
+        }
+        fleet.run(milliseconds{100});
+        fleet.moveStreams((draw.process + 1) % draw.options.processes);
+        fleet.run(seconds{6});
+        checkNotMixed(draw, fleet.streams());
+    }
+
     static void checkNotMixed(const Draw &draw, const StreamResults &results)
     {
         CPPUNIT_ASSERT_MESSAGE(describe(draw, results), results.resumed >= 12);
--- a/test/support/servingfleet.cpp
+++ b/test/support/servingfleet.cpp
@@ -599,6 +599,12 @@
     m_engines[engine].nextVersion = SoftwareVersion{softwareVersion};
 }
 
+void ServingFleet::unlistEngine(std::size_t engine)
+{
+    m_listed.erase(m_engines[engine].instance);
+    publishEndpoints();
+}
+
 void ServingFleet::crashEngine(std::size_t engine)
 {
     Engine &crashed = m_engines[engine];
--- a/test/support/servingfleet.h
+++ b/test/support/servingfleet.h
@@ -193,6 +193,9 @@
     /*! @brief Returns the name of the instance that runs at an engine's address. */
     [[nodiscard]] const InstanceName &engineInstance(std::size_t engine) const;
 
+    /*! @brief Removes an engine from the list although it runs on. */
+    void unlistEngine(std::size_t engine);
+
     /*! @brief Replaces an engine by one with another version of its software; its runs break off. */
     void replaceEngine(std::size_t engine, const std::string &softwareVersion);
 
