--- a/test/processes/misbehavingcallers.cpp
+++ b/test/processes/misbehavingcallers.cpp
@@ -26,11 +26,11 @@
 namespace {
 
 /*! @brief Address space of the process: that of a machine with 260 MB, less than these crowds once took. */
-constexpr std::size_t addressSpaceKiB = 260U * 1024U;
+constexpr std::size_t addressSpaceKiB = std::size_t{260} * 1024;
 /*! @brief Largest resident memory of the process at any time, in KiB. */
-constexpr std::size_t maxResidentKiB = 200U * 1024U;
+constexpr std::size_t maxResidentKiB = std::size_t{200} * 1024;
 /*! @brief Largest resident memory of the process once a crowd has left, in KiB. */
-constexpr std::size_t maxResidentAfterKiB = 100U * 1024U;
+constexpr std::size_t maxResidentAfterKiB = std::size_t{100} * 1024;
 constexpr std::size_t maxBodyBytes = 2U << 20U;
 constexpr std::size_t answerBytes = 2U << 20U;
 constexpr std::size_t eventBytes = 64U << 10U;
