Charge the copies of heads, and forget hooks with their server

Cause: found by reading the change again. A head is kept up to four times, and only the received one was charged; with heads of 16 KiB that is 48 KiB for each connection beside the account. A server that is destroyed while connections are open kept the hooks of its owner. An endpoint that announces more than the client reads was answered by the account instead of by the client.

Change: three copies of a head are charged with the body; the hooks of the owner are dropped; what an endpoint announces counts up to the client's limit.

Figures: ServerLimitsTest::copiesOfAHeadAreCharged fails without the change of the server and passes with it; ServerLimitsTest 20, HttpTest 12 passed.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -608,8 +608,9 @@
     submitNotice(instance, kept.request->attempt, status, headers);
     std::size_t announced = 0;
     const std::string_view length = headerValue(headers, "content-length");
+    // The client ends the call of a larger one.
     if (absl::SimpleAtoi(absl::string_view{length.data(), length.size()}, &announced)
-        && !reserveResponse(kept, announced)) {
+        && !reserveResponse(kept, std::min(announced, HttpClientOptions{}.maxBodyBytes))) {
         return;
     }
     m_runner.submit(RunHeadReceived{run, m_codec.decodeResponseHead(*kept.request, status, headers)});
--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -36,6 +36,8 @@
 constexpr std::uint64_t unusedTimeoutMs = 365ULL * 24 * 3600 * 1000;
 /*! @brief Largest piece of a response that is handed to h2o at a time, in bytes. */
 constexpr std::size_t maxPieceBytes = 16U << 10U;
+/*! @brief Copies of a head: as received, as decoded, and as sent to an endpoint. */
+constexpr std::size_t headCopies = 3;
 /*! @brief Buffers of the kernel for each connection and direction, in bytes. */
 constexpr int socketBufferBytes = 64 << 10;
 /*! @brief What is charged for a body relative to its length: h2o doubles its buffer, and the handler gets a copy. */
@@ -81,14 +83,15 @@
     {
     }
 
-    /*! @brief Charges the handler's copy of the body; returns whether there is room for it. */
+    /*! @brief Charges the copies of the request that its handler makes; returns whether there is room for them. */
     [[nodiscard]] bool beginRequest()
     {
         const auto connection = m_connection.lock();
-        if (!connection || !connection->beginRequest(m_request->entity.len)) {
+        const std::size_t bytes = m_request->entity.len + headCopies * headBytes();
+        if (!connection || !connection->beginRequest(bytes)) {
             return false;
         }
-        m_requestBytes = m_request->entity.len;
+        m_requestBytes = bytes;
         m_hasBegunRequest = true;
         return true;
     }
@@ -238,6 +241,16 @@
         Responder *owner;
     };
 
+    [[nodiscard]] std::size_t headBytes() const
+    {
+        std::size_t bytes = m_request->path.len;
+        for (std::size_t index = 0; index < m_request->headers.size; ++index) {
+            const h2o_header_t &header = m_request->headers.entries[index];
+            bytes += header.name->len + header.value.len;
+        }
+        return bytes;
+    }
+
     void writeHead(int status, const HttpHeaders &headers)
     {
         m_begun = true;
@@ -807,6 +820,8 @@
     m_state->handler = [](HttpRequest, const std::shared_ptr<HttpResponder> &responder) {
         responder->respond({503, {}, {}});
     };
+    m_state->options.onTraffic = {};
+    m_state->options.onRefused = {};
     static_cast<void>(m_state.release());
 }
 
--- a/test/bergamottide/net/serverlimits.cpp
+++ b/test/bergamottide/net/serverlimits.cpp
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(largeResponseIsWhole);
     CPPUNIT_TEST(pipelinedRequestsAreAnsweredInOrder);
     CPPUNIT_TEST(halfClosedCallerGetsItsWholeResponse);
+    CPPUNIT_TEST(copiesOfAHeadAreCharged);
     CPPUNIT_TEST(chargesEndWithTheirConnections);
     CPPUNIT_TEST(slowHeadIsRejected);
     CPPUNIT_TEST(slowBodyIsRejected);
@@ -238,6 +239,28 @@
         await([&] { return caller.received().ends_with("\r\n\r\n" + m_body); }, {&caller});
     }
 
+    void copiesOfAHeadAreCharged()
+    {
+        std::shared_ptr<HttpResponder> waiting;
+        m_handler = [&waiting](const std::shared_ptr<HttpResponder> &responder) {
+            waiting = responder;
+        };
+        startServer();
+        RawCaller caller{m_server->address()};
+        std::string head = "GET / HTTP/1.1\r\nhost: a\r\n";
+        for (int line = 0; line < 20; ++line) {
+            head += absl::StrCat("x-", line, ": ", std::string(1000, 'x'), "\r\n");
+        }
+        caller.send(head + "\r\n");
+        await([&] { return waiting != nullptr; }, {});
+        // The received head and three copies.
+        CPPUNIT_ASSERT(m_memory->held(overload::HeldFor::Request) >= 4 * 20'000);
+        waiting->respond({200, {}, "ok"});
+        await([&] { return caller.received().ends_with("ok"); }, {&caller});
+        runRounds();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_memory->held(overload::HeldFor::Request));
+    }
+
     void chargesEndWithTheirConnections()
     {
         m_body = std::string(200'000, 'x');
