Move the endpoint of the crowds to the tests that speak the platform's formats

Change: `CrowdEndpoint`, its routes and the heads of its callers stand in test/platform; crowd, limits and bounds are the same. A crowd over HTTP/2 names its deadline like the others.

--- a/test/processes/misbehavingcallers.cpp
+++ b/test/processes/misbehavingcallers.cpp
@@ -1,4 +1,4 @@
-#include "bergamottide/net/httpserver.h"
+#include "platform/crowdendpoint.h"
 #include "platform/fakes.h"
 #include "processes/callercrowd.h"
 #include "processes/fleet.h"
@@ -10,7 +10,6 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -21,7 +20,6 @@
 
 using namespace bergamottide;
 using namespace bergamottide::test;
-using nlohmann::json;
 
 namespace {
 
@@ -32,96 +30,12 @@
 /*! @brief Largest resident memory of the process once a crowd has left, in KiB. */
 constexpr std::size_t maxResidentAfterKiB = std::size_t{100} * 1024;
 constexpr std::size_t maxBodyBytes = 2U << 20U;
-constexpr std::size_t answerBytes = 2U << 20U;
-constexpr std::size_t eventBytes = 64U << 10U;
-constexpr std::size_t eventCount = 64;
 constexpr std::size_t crowdSize = 200;
 /*! @brief Distance of unfinished bodies from the limit, in bytes. */
 constexpr std::size_t missingBytes = 64U << 10U;
 constexpr std::size_t chunkBatchBytes = 16U << 10U;
-constexpr Duration lateAnswer = std::chrono::seconds{3};
 constexpr Duration attemptPeriod = std::chrono::seconds{5};
 
-HttpServerOptions serverOptions()
-{
-    HttpServerOptions options;
-    options.listen = "127.0.0.1:0";
-    return options;
-}
-
-/*! @brief Fake endpoint whose answers are small, large, late or streams, by the path. */
-class CrowdEndpoint
-{
-public:
-    explicit CrowdEndpoint(Loop &loop)
-        : m_loop{loop}
-        , m_server{loop, serverOptions(),
-                   [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
-                       handle(request, responder);
-                   }}
-    {
-        static_cast<void>(m_server.listen());
-    }
-
-    [[nodiscard]] std::string address() const
-    {
-        return m_server.address();
-    }
-
-private:
-    void handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
-    {
-        HttpHeaders headers{{"attempt-id", std::string{headerValue(request.headers, "attempt-id")}},
-                            {"response-seal", "seal"}};
-        if (request.path.starts_with("/events/")) {
-            headers.emplace_back("content-type", "text/event-stream");
-            responder->begin(200, headers);
-            for (std::size_t event = 0; event < eventCount; ++event) {
-                responder->send(absl::StrCat("id: ", event, "\ndata: ", std::string(eventBytes, 'x'), "\n\n"));
-            }
-            responder->finish();
-            return;
-        }
-        if (request.path == "/order/late") {
-            m_loop.at(m_loop.now() + lateAnswer, [responder, headers] { responder->respond({200, headers, "late"}); });
-            return;
-        }
-        responder->respond(
-            {200, headers, request.path == "/order/large" ? std::string(answerBytes, 'x') : std::string{"answer"}});
-    }
-
-    Loop &m_loop;
-    HttpServer m_server;
-};
-
-void publishRoutes(FakeStore &store, const std::string &endpoint)
-{
-    const auto route = [](const std::string &name, const std::string &kind) {
-        return json{{"name", name},    {"host", "shop"},     {"pathPrefix", "/" + name + "/"},
-                    {"kind", kind},    {"timeoutMs", 20000}, {"service", "desk"},
-                    {"maxAttempts", 1}};
-    };
-    const json configuration{{"version", 3},
-                             {"routes", {route("order", "safe"), route("events", "streaming")}},
-                             {"services", {{{"name", "desk"}}}},
-                             {"tenants", {{{"name", "north"}, {"apiKeys", {"key"}}}}},
-                             {"limits",
-                              {{"maxHeaderBytes", 16384},
-                               {"maxBodyBytes", maxBodyBytes},
-                               {"headerTimeoutMs", 3000},
-                               {"idleTimeoutMs", 15000}}}};
-    const json instance{{"service", "desk"}, {"address", endpoint}, {"zone", "a"}, {"slots", 1000}, {"state", "ready"}};
-    store.publish("op/config", configuration.dump());
-    store.publish("servers/desk-1", instance.dump());
-}
-
-std::string shopHead(const std::string &method, const std::string &path, std::size_t number,
-                     const std::string &fields = {})
-{
-    return absl::StrCat(method, " ", path, " HTTP/1.1\r\nHost: shop\r\nAttempt-Id: crowd-", number,
-                        "\r\nDeadline-Ms: 60000\r\nX-Api-Key: key\r\n", fields, "\r\n");
-}
-
 std::string chunk(std::size_t size)
 {
     return absl::StrFormat("%x\r\n%s\r\n", size, std::string(size, 'x'));
@@ -135,7 +49,7 @@
     for (std::size_t count = 0; count < chunks; ++count) {
         batch += chunk(chunkBytes);
     }
-    return {shopHead("POST", "/order/7", number, "Transfer-Encoding: chunked\r\n"), batch,
+    return {crowdHead("POST", "/order/7", number, "Transfer-Encoding: chunked\r\n"), batch,
             bodyBytes / (chunks * chunkBytes), 0};
 }
 
@@ -168,7 +82,7 @@
 public:
     void setUp() override
     {
-        publishRoutes(m_store, m_endpoint.address());
+        publishCrowdRoutes(m_store, m_endpoint.address(), maxBodyBytes);
     }
 
     void requestAtTheLimitsIsServedInCalm()
@@ -178,7 +92,7 @@
         request.path = "/order/large";
         request.headers[1].second = "20000";
         const HttpResponse answer = callUntilAnswered(request);
-        CPPUNIT_ASSERT_EQUAL(answerBytes, answer.body.size());
+        CPPUNIT_ASSERT_EQUAL(CrowdEndpoint::largeBytes, answer.body.size());
     }
 
     /*! @brief Guards against memory that grows with bodies which stop short of their end. */
@@ -201,7 +115,7 @@
     {
         boundMemory([](std::size_t number) {
             const std::string length = absl::StrCat("Content-Length: ", maxBodyBytes, "\r\n");
-            return CallerScript{shopHead("POST", "/order/7", number, length), std::string(16384, 'x'),
+            return CallerScript{crowdHead("POST", "/order/7", number, length), std::string(16384, 'x'),
                                 (maxBodyBytes - missingBytes) / 16384, 0};
         });
     }
@@ -211,7 +125,7 @@
     {
         boundMemory([](std::size_t number) {
             const std::string length = absl::StrCat("Content-Length: ", maxBodyBytes, "\r\n");
-            return CallerScript{shopHead("POST", "/order/late", number, length), std::string(16384, 'x'),
+            return CallerScript{crowdHead("POST", "/order/late", number, length), std::string(16384, 'x'),
                                 maxBodyBytes / 16384, 65536};
         });
     }
@@ -226,25 +140,27 @@
 
     void unreadResponsesAreBounded()
     {
-        boundMemory([](std::size_t number) { return CallerScript{shopHead("GET", "/order/large", number), {}, 0, 0}; });
+        boundMemory([](std::size_t number) {
+            return CallerScript{crowdHead("GET", "/order/large", number), {}, 0, 0};
+        });
     }
 
     void slowlyReadResponsesAreBounded()
     {
         boundMemory([](std::size_t number) {
-            return CallerScript{shopHead("GET", "/order/large", number), {}, 0, 128};
+            return CallerScript{crowdHead("GET", "/order/large", number), {}, 0, 128};
         });
     }
 
     void unreadEventsAreBounded()
     {
-        boundMemory([](std::size_t number) { return CallerScript{shopHead("GET", "/events/7", number), {}, 0, 0}; });
+        boundMemory([](std::size_t number) { return CallerScript{crowdHead("GET", "/events/7", number), {}, 0, 0}; });
     }
 
     void pipelinedRequestsAreBounded()
     {
         boundMemory([](std::size_t number) {
-            return CallerScript{shopHead("GET", "/order/large", number), shopHead("GET", "/order/large", number), 200,
+            return CallerScript{crowdHead("GET", "/order/large", number), crowdHead("GET", "/order/large", number), 200,
                                 0};
         });
     }
@@ -254,8 +170,7 @@
     {
         boundMemory(
             [](std::size_t number) {
-                const HttpHeaders fields{{"attempt-id", absl::StrCat("crowd-", number)}, {"x-api-key", "key"}};
-                return CallerScript{http2UnfinishedRequests("shop", "/order/7", fields, http2Streams),
+                return CallerScript{http2UnfinishedRequests("shop", "/order/7", crowdFields(number), http2Streams),
                                     http2DataFrames(http2Streams, 16384), (maxBodyBytes - missingBytes) / 16384, 0};
             },
             4);
