Tests of framing, pipelining and HTTP/2 at the limits of callers

Cause: found by reading the whole change once more: heads with ambiguous framing and pipelined ones are charged late, HTTP/2 callers are judged by bytes that belong to complete requests, and what h2o keeps for handled requests and for replies is not counted.

The bytes of HTTP/2 move to test/support, and know the end of a request and pings.

--- a/test/bergamottide/net/serverlimits.cpp
+++ b/test/bergamottide/net/serverlimits.cpp
@@ -1,10 +1,12 @@
 #include "bergamottide/net/httpserver.h"
 #include "bergamottide/net/socketaddress.h"
+#include "support/http2bytes.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <functional>
 #include <map>
@@ -46,6 +48,13 @@
                              ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL));
     }
 
+    /*! @brief Sends what the connection takes at once; returns the number of bytes. */
+    [[nodiscard]] std::size_t trySend(std::string_view bytes) const
+    {
+        const ssize_t sent = ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        return static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
+    }
+
     void endSending() const
     {
         shutdown(m_socket, SHUT_WR);
@@ -95,6 +104,9 @@
     CPPUNIT_TEST(announcedBodyWithoutRoomIsRejectedAtOnce);
     CPPUNIT_TEST(bodyThatNeverFitsIsTooLarge);
     CPPUNIT_TEST(chunkedBodyWithoutRoomIsRejected);
+    CPPUNIT_TEST(ambiguousFramingIsRejectedBeforeItsBody);
+    CPPUNIT_TEST(pipelinedBodyIsChargedBeforeItIsKept);
+    CPPUNIT_TEST(pipelinedRequestsBehindBodiesAreRead);
     CPPUNIT_TEST(headAboveTheLimitIsRejected);
     CPPUNIT_TEST(responseWithoutRoomIsNoSuccess);
     CPPUNIT_TEST(streamWithoutRoomIsBrokenOff);
@@ -112,6 +124,11 @@
     CPPUNIT_TEST(incompleteRequestIsReplacedBeforeARunningOne);
     CPPUNIT_TEST(connectionIsClosedIfAllOthersRun);
     CPPUNIT_TEST(http2IsNotSpokenUnlessSet);
+    CPPUNIT_TEST(waitingHttp2CallerIsNotSlow);
+    CPPUNIT_TEST(idleHttp2ConnectionIsReplaced);
+    CPPUNIT_TEST(slowHttp2BodyIsClosed);
+    CPPUNIT_TEST(handledHttp2BodiesAreCharged);
+    CPPUNIT_TEST(unreadHttp2RepliesAreBounded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -156,6 +173,48 @@
         CPPUNIT_ASSERT(m_memory->held() - other.held() < 100'000);
     }
 
+    void ambiguousFramingIsRejectedBeforeItsBody()
+    {
+        startServer();
+        RawCaller caller{m_server->address()};
+        caller.send("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 100000\r\n folded\r\n\r\n");
+        await([&] { return caller.isClosed(); }, {&caller});
+        CPPUNIT_ASSERT_MESSAGE(caller.received(), caller.received().starts_with("HTTP/1.1 400"));
+        CPPUNIT_ASSERT_EQUAL(0, m_handled);
+    }
+
+    void pipelinedBodyIsChargedBeforeItIsKept()
+    {
+        startServer();
+        overload::MemoryAccount::Holder other{*m_memory};
+        other.record(overload::HeldFor::Request, memoryLimit * 3 / 5);
+        RawCaller caller{m_server->address()};
+        caller.send(std::string{get} + post(150'000));
+        await([&] { return caller.received().find("HTTP/1.1 503") != std::string::npos; }, {&caller});
+        CPPUNIT_ASSERT(caller.received().starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT_EQUAL(1, m_handled);
+        CPPUNIT_ASSERT(m_memory->held() - other.held() < 100'000);
+    }
+
+    void pipelinedRequestsBehindBodiesAreRead()
+    {
+        startServer();
+        RawCaller caller{m_server->address()};
+        const std::string chunked =
+            "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+        const std::string requests =
+            chunked + std::string{get} + post(3) + "abc" + chunked + post(0) + std::string{get};
+        // Cut at each byte of the first two, so that a piece ends anywhere in a request.
+        for (std::size_t cut = 1; cut < chunked.size() + get.size(); cut += 7) {
+            const int before = m_handled;
+            caller.send(requests.substr(0, cut));
+            runRounds();
+            caller.send(requests.substr(cut));
+            await([&] { return m_handled == before + 6; }, {&caller});
+        }
+        CPPUNIT_ASSERT(!caller.isClosed());
+    }
+
     void headAboveTheLimitIsRejected()
     {
         startServer();
@@ -447,6 +506,103 @@
         CPPUNIT_ASSERT_EQUAL(0, m_handled);
     }
 
+    /*! @brief Guards against a pace that is asked of a caller whose request is complete. */
+    void waitingHttp2CallerIsNotSlow()
+    {
+        std::shared_ptr<HttpResponder> waiting;
+        m_handler = [&waiting](const std::shared_ptr<HttpResponder> &responder) {
+            waiting = responder;
+        };
+        m_speaksHttp2 = true;
+        startServer();
+        RawCaller caller{m_server->address()};
+        caller.send(test::http2UnfinishedRequests("a", "/", {}, 1));
+        runRounds();
+        caller.send(test::http2DataFrames(1, 10, test::Http2End::Ended));
+        await([&] { return waiting != nullptr; }, {&caller});
+        for (int second = 0; second < 50; ++second) {
+            advance(std::chrono::seconds{1});
+        }
+        caller.read();
+        CPPUNIT_ASSERT(!caller.isClosed());
+        CPPUNIT_ASSERT_EQUAL(0, m_refused[CallerRefusal::BodyTooSlow]);
+        waiting->respond({200, {}, "late answer"});
+        await([&] { return caller.received().find("late answer") != std::string::npos; }, {&caller});
+    }
+
+    void idleHttp2ConnectionIsReplaced()
+    {
+        m_speaksHttp2 = true;
+        startServer();
+        std::vector<std::unique_ptr<RawCaller>> callers;
+        for (int number = 0; number < maxConnections; ++number) {
+            callers.push_back(std::make_unique<RawCaller>(m_server->address()));
+            callers.back()->send(test::http2UnfinishedRequests("a", "/", {}, 1));
+            runRounds();
+            callers.back()->send(test::http2DataFrames(1, 10, test::Http2End::Ended));
+            await([&] { return m_handled == number + 1; }, {callers.back().get()});
+            runRounds();
+        }
+        RawCaller further{m_server->address()};
+        further.send(get);
+        await([&] { return further.received().starts_with("HTTP/1.1 200"); }, {&further});
+        CPPUNIT_ASSERT_EQUAL(1, m_refused[CallerRefusal::ConnectionReplaced]);
+    }
+
+    void slowHttp2BodyIsClosed()
+    {
+        m_speaksHttp2 = true;
+        startServer();
+        RawCaller caller{m_server->address()};
+        caller.send(test::http2UnfinishedRequests("a", "/", {}, 1));
+        runRounds();
+        for (int second = 0; second < 20; ++second) {
+            caller.send(test::http2DataFrames(1, 1));
+            runRounds();
+            advance(std::chrono::seconds{1});
+            caller.read();
+            if (caller.isClosed()) {
+                break;
+            }
+        }
+        CPPUNIT_ASSERT(caller.isClosed());
+        CPPUNIT_ASSERT_EQUAL(1, m_refused[CallerRefusal::BodyTooSlow]);
+    }
+
+    void handledHttp2BodiesAreCharged()
+    {
+        std::vector<std::shared_ptr<HttpResponder>> waiting;
+        m_handler = [&waiting](const std::shared_ptr<HttpResponder> &responder) {
+            waiting.push_back(responder);
+        };
+        m_speaksHttp2 = true;
+        startServer();
+        RawCaller caller{m_server->address()};
+        constexpr std::uint32_t streams = 3;
+        caller.send(test::http2UnfinishedRequests("a", "/", {}, streams)
+                    + test::http2DataFrames(streams, 16'000, test::Http2End::Ended));
+        await([&] { return waiting.size() == streams; }, {&caller});
+        // h2o's buffer and the copy of the handler.
+        CPPUNIT_ASSERT(m_memory->held(overload::HeldFor::Request) >= std::size_t{2} * streams * 16'000);
+    }
+
+    void unreadHttp2RepliesAreBounded()
+    {
+        m_speaksHttp2 = true;
+        startServer();
+        RawCaller caller{m_server->address()};
+        caller.send(test::http2UnfinishedRequests("a", "/", {}, 0));
+        runRounds();
+        const std::string pings = test::http2Pings(1000);
+        std::size_t sent = 0;
+        for (int round = 0; round < 20'000 && m_refused[CallerRefusal::RequestMemory] == 0; ++round) {
+            sent += caller.trySend(std::string_view{pings}.substr(sent % pings.size()));
+            m_loop.runOnce(Duration::zero());
+        }
+        CPPUNIT_ASSERT_EQUAL(1, m_refused[CallerRefusal::RequestMemory]);
+        await([this] { return m_memory->held() == 0; }, {});
+    }
+
 private:
     static constexpr std::size_t memoryLimit = 1'500'000;
     static constexpr int maxConnections = 8;
@@ -462,6 +618,7 @@
         options.idleTimeout = idleTimeout;
         options.maxConnections = maxConnections;
         options.memory = m_memory;
+        options.speaksHttp2 = m_speaksHttp2;
         options.onRefused = [this](CallerRefusal refusal) {
             ++m_refused[refusal];
         };
@@ -514,6 +671,7 @@
             responder->respond({200, {}, m_body});
         }};
     int m_handled{};
+    bool m_speaksHttp2{};
     std::map<CallerRefusal, int> m_refused;
     std::optional<HttpServer> m_server;
 };
--- a/test/processes/misbehavingcallers.cpp
+++ b/test/processes/misbehavingcallers.cpp
@@ -2,9 +2,9 @@
 #include "platform/fakes.h"
 #include "processes/callercrowd.h"
 #include "processes/fleet.h"
-#include "processes/http2bytes.h"
 #include "processes/platformprocesses.h"
 #include "support/endedcall.h"
+#include "support/http2bytes.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -65,6 +65,8 @@
     CPPUNIT_TEST(bodiesBeyondTheLimitAreBounded);
     CPPUNIT_TEST(announcedBodiesAreBounded);
     CPPUNIT_TEST(completeBodiesAreBounded);
+    CPPUNIT_TEST(ambiguousBodiesAreBounded);
+    CPPUNIT_TEST(pipelinedBodiesAreBounded);
     CPPUNIT_TEST(unfinishedHeadsAreBounded);
     CPPUNIT_TEST(unreadResponsesAreBounded);
     CPPUNIT_TEST(unreadEventsAreBounded);
@@ -77,6 +79,7 @@
     CPPUNIT_TEST(readyPortBoundsBodies);
     CPPUNIT_TEST(entryBoundsUnfinishedBodies);
     CPPUNIT_TEST(entryBoundsHttp2Bodies);
+    CPPUNIT_TEST(entryBoundsHttp2Replies);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -130,6 +133,26 @@
         });
     }
 
+    /*! @brief Guards against heads whose length is not seen before their bodies are kept. */
+    void ambiguousBodiesAreBounded()
+    {
+        boundMemory([](std::size_t number) {
+            const std::string lines = absl::StrCat("Content-Length: ", maxBodyBytes, "\r\n folded\r\n");
+            return CallerScript{crowdHead("POST", "/order/7", number, lines), std::string(16384, 'x'),
+                                (maxBodyBytes - missingBytes) / 16384, 0};
+        });
+    }
+
+    /*! @brief Guards against bodies that are announced behind another request, in the same bytes. */
+    void pipelinedBodiesAreBounded()
+    {
+        boundMemory([](std::size_t number) {
+            const std::string length = absl::StrCat("Content-Length: ", maxBodyBytes, "\r\n");
+            return CallerScript{crowdHead("GET", "/order/7", number) + crowdHead("POST", "/order/7", number, length),
+                                std::string(16384, 'x'), (maxBodyBytes - missingBytes) / 16384, 0};
+        });
+    }
+
     void unfinishedHeadsAreBounded()
     {
         boundMemory([](std::size_t number) {
@@ -237,6 +260,17 @@
             4);
     }
 
+    /*! @brief Guards against replies to frames that a caller sends without reading. */
+    void entryBoundsHttp2Replies()
+    {
+        boundMemoryOfEntry(
+            [](std::size_t) {
+                constexpr std::size_t pingsAtOnce = 1000;
+                return CallerScript{http2UnfinishedRequests("entry", "/", {}, 0), http2Pings(pingsAtOnce), 2500, 0};
+            },
+            20);
+    }
+
 private:
     static constexpr std::uint32_t http2Streams = 90;
     /*! @brief Descriptors of a process that callers are short of; it needs some for endpoints, peers and the store. */
--- a/test/processes/http2bytes.cpp
+++ b/test/support/http2bytes.cpp
@@ -1,4 +1,4 @@
-#include "processes/http2bytes.h"
+#include "support/http2bytes.h"
 
 #include <string_view>
 
@@ -10,6 +10,8 @@
 constexpr char dataFrame = 0;
 constexpr char headersFrame = 1;
 constexpr char settingsFrame = 4;
+constexpr char pingFrame = 6;
+constexpr char endStream = 1;
 constexpr char endHeaders = 4;
 /*! @brief Indexed fields of HPACK's static table (RFC 7541, appendix A): `:method: POST`, `:scheme: http`. */
 constexpr std::string_view postOverHttp = "\x83\x86";
@@ -58,11 +60,21 @@
     return out;
 }
 
-std::string http2DataFrames(std::uint32_t streams, std::size_t bytes)
+std::string http2DataFrames(std::uint32_t streams, std::size_t bytes, Http2End end)
 {
     std::string out;
     for (std::uint32_t number = 0; number < streams; ++number) {
-        out += frame(dataFrame, 0, streamId(number), std::string(bytes, 'x'));
+        out += frame(dataFrame, end == Http2End::Ended ? endStream : 0, streamId(number), std::string(bytes, 'x'));
+    }
+    return out;
+}
+
+std::string http2Pings(std::size_t count)
+{
+    constexpr std::size_t pingBytes = 8;
+    std::string out;
+    for (std::size_t ping = 0; ping < count; ++ping) {
+        out += frame(pingFrame, 0, 0, std::string(pingBytes, 'x'));
     }
     return out;
 }
