Reject a request of ambiguous framing at its head

Cause: the charge of an announced body took a head that it could not read for one without a body, and the request was answered 400 only when the body had come.

Change: such a head is answered 400 and counted as `framing_ambiguous`.

--- a/src/bergamottide/net/callerrefusal.h
+++ b/src/bergamottide/net/callerrefusal.h
@@ -16,6 +16,8 @@
     /*! @brief No memory for the response, which is broken off. */
     ResponseMemory,
     HeadTooLarge,
+    /*! @brief Readers may take the request to end at different bytes. */
+    FramingAmbiguous,
     HeadTooSlow,
     BodyTooSlow,
     /*! @brief The caller takes its response too slowly. */
@@ -29,8 +31,8 @@
 template <>
 struct EnumNames<CallerRefusal>
 {
-    static constexpr std::array<std::string_view, 8> names{
-        "request_memory", "response_memory", "head_too_large",      "head_too_slow",
+    static constexpr std::array<std::string_view, 9> names{
+        "request_memory", "response_memory", "head_too_large",      "framing_ambiguous",   "head_too_slow",
         "body_too_slow",  "reader_too_slow", "connection_replaced", "too_many_connections"};
 };
 
--- a/src/bergamottide/net/requestframing.cpp
+++ b/src/bergamottide/net/requestframing.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <limits>
 #include <optional>
 
 namespace bergamottide::internal {
@@ -85,8 +86,7 @@
 
 bool isFramingUnambiguous(std::string_view input)
 {
-    const auto framing = readFraming(input);
-    return framing && (framing->length.empty() || framing->codings == 0);
+    return announcedBody(input).has_value();
 }
 
 std::size_t headEnd(std::string_view input, std::size_t from)
@@ -103,16 +103,16 @@
     return std::string_view::npos;
 }
 
-RequestBody announcedBody(std::string_view input)
+std::optional<RequestBody> announcedBody(std::string_view input)
 {
     const auto framing = readFraming(input);
-    RequestBody body;
-    if (!framing) {
-        return body;
+    if (!framing || (!framing->length.empty() && framing->codings != 0)) {
+        return std::nullopt;
     }
+    RequestBody body;
     body.isChunked = framing->codings != 0;
-    if (!absl::SimpleAtoi(framing->length, &body.bytes)) {
-        body.bytes = 0;
+    if (!framing->length.empty() && !absl::SimpleAtoi(framing->length, &body.bytes)) {
+        body.bytes = std::numeric_limits<std::size_t>::max();
     }
     return body;
 }
--- a/src/bergamottide/net/requestframing.h
+++ b/src/bergamottide/net/requestframing.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <string_view>
 
 namespace bergamottide::internal {
@@ -26,7 +27,7 @@
 /*! @brief What a head says of the body behind it. */
 struct RequestBody
 {
-    /*! @brief Announced length; zero if there is none. */
+    /*! @brief Announced length; zero if there is none, the largest number if it is beyond all. */
     std::size_t bytes{};
     /*! @brief The body comes in chunks, so that its length is not known. */
     bool isChunked{};
@@ -35,7 +36,8 @@
 /**
  * @brief Reads what a complete head says of the body behind it.
  * @param input Bytes of the request from its request line on.
+ * @return The body; nothing if the framing is ambiguous.
  */
-[[nodiscard]] RequestBody announcedBody(std::string_view input);
+[[nodiscard]] std::optional<RequestBody> announcedBody(std::string_view input);
 
 } // namespace bergamottide::internal
--- a/src/bergamottide/net/serverconnection.cpp
+++ b/src/bergamottide/net/serverconnection.cpp
@@ -64,6 +64,8 @@
         return "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
     case CallerRefusal::HeadTooLarge:
         return "HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    case CallerRefusal::FramingAmbiguous:
+        return "HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
     case CallerRefusal::HeadTooSlow:
     case CallerRefusal::BodyTooSlow:
         return "HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -104,6 +106,7 @@
         return;
     }
     m_reader = std::exchange(m_socket->_cb.read, &ServerConnection::onReadable);
+    const auto self = shared_from_this();
     settle();
 }
 
@@ -274,11 +277,15 @@
     if (end == std::string_view::npos) {
         return true;
     }
-    const RequestBody body = announcedBody(input);
+    const auto body = announcedBody(input);
+    if (!body) {
+        refuse(CallerRefusal::FramingAmbiguous);
+        return false;
+    }
     enter(Phase::Body);
-    m_isChunked = body.isChunked;
+    m_isChunked = body->isChunked;
     // h2o rejects a larger body unread.
-    m_expectedCopy = body.bytes > m_context.limits.maxBodyBytes ? 0 : body.bytes;
+    m_expectedCopy = body->bytes > m_context.limits.maxBodyBytes ? 0 : body->bytes;
     if (chargeRequest(capacityWith(*m_socket->input, m_expectedCopy))) {
         return true;
     }
@@ -309,7 +316,9 @@
         return;
     }
     guard();
-    settle();
+    if (m_socket != nullptr && m_phase != Phase::Refused) {
+        settle();
+    }
 }
 
 /*! @brief Charges what h2o keeps now, and sees a request that h2o has begun to read by itself. */
