Charge a pipelined request with the head that is already there

Cause: what came behind another request in the same bytes was looked at with the next bytes only. A buffer that turned out to be larger than its charge was recorded without room.

Change: the head is admitted as soon as h2o reads the connection again, and a connection whose buffer has no room is rejected.

--- a/src/bergamottide/net/serverconnection.cpp
+++ b/src/bergamottide/net/serverconnection.cpp
@@ -330,11 +330,18 @@
     if (m_phase == Phase::Idle && !isHttp2() && m_socket->input->size != 0) {
         enter(Phase::Head);
         m_searched = 0;
+        if (!admitHead()) {
+            return;
+        }
+    }
+    if (chargeRequest(capacityOf(*m_socket->input))) {
+        return;
     }
-    if (!chargeRequest(capacityOf(*m_socket->input))) {
-        // Pipelined behind another request, so at most what one read has brought.
-        m_holder.record(overload::HeldFor::Request,
-                        capacityOf(*m_socket->input) + m_expectedCopy + m_copies + m_unfinishedBytes);
+    // At most what one read has brought.
+    m_holder.record(overload::HeldFor::Request,
+                    capacityOf(*m_socket->input) + m_expectedCopy + m_copies + m_unfinishedBytes);
+    if (m_phase == Phase::Head || m_phase == Phase::Body) {
+        refuse(CallerRefusal::RequestMemory);
     }
 }
 
