Judge an HTTP/2 connection by what h2o may still hold of it

Cause: what such a connection had received was forgotten only after further 64 KiB. So a caller whose request was complete, or an idle one, was closed as too slow after 10 s, 2 s while memory was scarce, and gave way to no new connection; and replies that wait for the write were not counted.

Change: received bytes are forgotten once no request is incomplete and no write waits; looked at with each review, at the begin of each request and after 64 KiB. The review walks once over all streams. A connection with none of its requests handled gives way to a new one.

--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -549,6 +549,29 @@
         return config.http2.callbacks.foreach_request(&context, isUnfinished, &search) != 0;
     }
 
+    /*! @brief Returns the HTTP/2 connections with a request that has not been handed on yet. */
+    [[nodiscard]] std::unordered_set<const h2o_conn_t *> unfinishedHttp2Connections()
+    {
+        struct Search
+        {
+            const State *state;
+            std::unordered_set<const h2o_conn_t *> found;
+        };
+        Search search{this, {}};
+        const auto visit = [](h2o_req_t *request, void *data) {
+            auto *present = static_cast<Search *>(data);
+            if (!present->state->handled.contains(request)) {
+                present->found.insert(request->conn);
+            }
+            return 0;
+        };
+        // Set by h2o once a connection speaks HTTP/2.
+        if (options.speaksHttp2 && config.http2.callbacks.foreach_request != nullptr) {
+            config.http2.callbacks.foreach_request(&context, visit, &search);
+        }
+        return std::move(search.found);
+    }
+
     /*! @brief Checks the bytes that h2o has read the request from; HTTP/2 frames bodies in one way only. */
     static bool isFramingUnambiguous(h2o_req_t *request)
     {
@@ -709,7 +732,10 @@
         for (const auto &[socket, connection] : connections) {
             present.push_back(connection);
         }
+        const auto unfinished = unfinishedHttp2Connections();
         for (const auto &connection : present) {
+            connection->forgetFinishedRequests(
+                [&unfinished](const h2o_conn_t *one) { return unfinished.contains(one); });
             connection->review(now);
         }
         connectionTimer = loop.at(now + connectionReviewPeriod, [this] { reviewConnections(); });
--- a/src/bergamottide/net/serverconnection.cpp
+++ b/src/bergamottide/net/serverconnection.cpp
@@ -114,7 +114,9 @@
 {
     m_expectedCopy = 0;
     m_isChunked = false;
-    if (!isHttp2()) {
+    if (isHttp2()) {
+        forgetFinishedRequests(m_context.hasUnfinishedRequest);
+    } else {
         enter(Phase::Processing);
     }
     m_copies += bytes;
@@ -158,7 +160,8 @@
 
 bool ServerConnection::isReceiving() const noexcept
 {
-    return m_phase == Phase::Head || m_phase == Phase::Body || m_phase == Phase::Refused;
+    const bool isHttp2Receiving = m_unfinishedBytes != 0 && m_copies == 0 && m_unsentBytes == 0;
+    return m_phase == Phase::Head || m_phase == Phase::Body || m_phase == Phase::Refused || isHttp2Receiving;
 }
 
 TimePoint ServerConnection::since() const noexcept
@@ -297,9 +300,7 @@
 {
     m_unfinishedBytes += m_socket->bytes_read;
     if (m_unfinishedBytes - m_checkedUnfinishedBytes > http2CheckBytes) {
-        const auto *connection = static_cast<const h2o_conn_t *>(m_socket->data);
-        m_unfinishedBytes = m_context.hasUnfinishedRequest(connection) ? m_unfinishedBytes : 0;
-        m_checkedUnfinishedBytes = m_unfinishedBytes;
+        forgetFinishedRequests(m_context.hasUnfinishedRequest);
     }
     if (chargeRequest(capacityOf(*m_socket->input))) {
         return true;
@@ -309,6 +310,18 @@
     return false;
 }
 
+void ServerConnection::forgetFinishedRequests(const std::function<bool(const h2o_conn_t *connection)> &hasUnfinished)
+{
+    if (m_socket == nullptr || m_unfinishedBytes == 0) {
+        return;
+    }
+    // Replies to frames wait for the write; they are no longer than the frames.
+    const bool isKept =
+        h2o_socket_is_writing(m_socket) != 0 || hasUnfinished(static_cast<const h2o_conn_t *>(m_socket->data));
+    m_unfinishedBytes = isKept ? m_unfinishedBytes : 0;
+    m_checkedUnfinishedBytes = m_unfinishedBytes;
+}
+
 void ServerConnection::callReader(const char *error)
 {
     m_reader(m_socket, error);
--- a/src/bergamottide/net/serverconnection.h
+++ b/src/bergamottide/net/serverconnection.h
@@ -92,6 +92,12 @@
     /*! @brief Records bytes of responses that the kernel has taken. */
     void recordSent(std::size_t bytes);
 
+    /**
+     * @brief Forgets what has been received by HTTP/2 if neither an incomplete request nor a write may hold it.
+     * @param hasUnfinished Tells whether a connection of h2o has a request that is not complete.
+     */
+    void forgetFinishedRequests(const std::function<bool(const h2o_conn_t *connection)> &hasUnfinished);
+
     /**
      * @brief Closes the connection if the caller is too slow or idle for too long; called twice a second or so.
      * @param now Current time.
@@ -159,7 +165,7 @@
     bool m_isChunked{};
     /*! @brief Copies that handlers have. */
     std::size_t m_copies{};
-    /*! @brief Bytes received by HTTP/2 since no request was incomplete. */
+    /*! @brief Bytes received by HTTP/2 since no request was incomplete and nothing waited to be written. */
     std::size_t m_unfinishedBytes{};
     std::size_t m_checkedUnfinishedBytes{};
     std::size_t m_discardedBytes{};
