Charge the body that h2o keeps for a handled HTTP/2 request

Cause: such a body lies in a buffer of the stream, which doubles, beside the copy of the handler; only the copy was charged.

--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -36,6 +36,8 @@
 constexpr std::uint64_t unusedTimeoutMs = 365ULL * 24 * 3600 * 1000;
 /*! @brief Largest piece of a response that is handed to h2o at a time, in bytes. */
 constexpr std::size_t maxPieceBytes = 16U << 10U;
+/*! @brief Copies of a body received by HTTP/2: h2o's own buffer, which doubles, and that of the handler. */
+constexpr std::size_t http2BodyCopies = 3;
 /*! @brief Copies of a head: as received, as decoded, and as sent to an endpoint. */
 constexpr std::size_t headCopies = 3;
 /*! @brief Buffers of the kernel for each connection and direction, in bytes. */
@@ -87,7 +89,8 @@
     [[nodiscard]] bool beginRequest()
     {
         const auto connection = m_connection.lock();
-        const std::size_t bytes = m_request->entity.len + headCopies * headBytes();
+        const std::size_t bodyCopies = m_request->version >= 0x200 ? http2BodyCopies : 1;
+        const std::size_t bytes = bodyCopies * m_request->entity.len + headCopies * headBytes();
         if (!connection || !connection->beginRequest(bytes)) {
             return false;
         }
