Close a connection that the account has no room for

Cause: the charge of a connection itself was recorded without room, so many connections in little memory exceeded the account; what OpenSSL keeps for an encrypted one was not counted.

Change: 8 KiB for a connection, 48 KiB for an encrypted one, are charged like everything; without room it is closed unread.

Figures: ServerLimitsTest::connectionWithoutMemoryIsClosed failed (the account held more than its limit) and passes.

--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -686,6 +686,11 @@
         const auto connection =
             std::make_shared<internal::ServerConnection>(socket, accept.ssl_ctx != nullptr, connectionContext);
         connections.emplace(socket, connection);
+        if (!connection->isCharged()) {
+            refused(CallerRefusal::TooManyConnections);
+            h2o_socket_close(socket);
+            return;
+        }
         h2o_accept(&accept, socket);
         connection->guard();
     }
--- a/src/bergamottide/net/serverconnection.cpp
+++ b/src/bergamottide/net/serverconnection.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t maxReadBytes = 64U << 10U;
 /*! @brief Bytes charged for a connection: what h2o, the kernel's bookkeeping and this class keep. */
 constexpr std::size_t connectionBytes = 8U << 10U;
+/*! @brief The same of an encrypted connection, with the records and keys of OpenSSL. */
+constexpr std::size_t encryptedBytes = 48U << 10U;
 /*! @brief Bytes discarded for a rejected caller, so that its response is not lost with a reset. */
 constexpr std::size_t maxDiscardedBytes = 1U << 20U;
 /*! @brief Longest time for which a rejected caller may go on sending. */
@@ -88,8 +90,7 @@
     , m_since{context.loop.now()}
     , m_paceSince{context.loop.now()}
 {
-    // The number of connections is bounded, so this needs no room.
-    m_holder.record(overload::HeldFor::Connection, connectionBytes);
+    m_isCharged = m_holder.resize(overload::HeldFor::Connection, isEncrypted ? encryptedBytes : connectionBytes);
     socket->on_close.cb = &ServerConnection::onClosed;
     socket->on_close.data = this;
     h2o_socket_dont_read(socket, isEncrypted ? 0 : 1);
@@ -100,6 +101,11 @@
     return *static_cast<ServerConnection *>(socket->on_close.data);
 }
 
+bool ServerConnection::isCharged() const noexcept
+{
+    return m_isCharged;
+}
+
 void ServerConnection::guard()
 {
     if (m_socket == nullptr || m_socket->_cb.read == nullptr || m_socket->_cb.read == &ServerConnection::onReadable) {
--- a/src/bergamottide/net/serverconnection.h
+++ b/src/bergamottide/net/serverconnection.h
@@ -65,6 +65,9 @@
     /*! @brief Returns the connection of a socket that has been guarded. */
     [[nodiscard]] static ServerConnection &of(const h2o_socket_t *socket);
 
+    /*! @brief Returns whether there was room for the connection itself; close the socket if not. */
+    [[nodiscard]] bool isCharged() const noexcept;
+
     /*! @brief Puts itself between the socket and the reader that h2o has set last. */
     void guard();
 
@@ -149,6 +152,7 @@
 
     h2o_socket_t *m_socket;
     bool m_isEncrypted;
+    bool m_isCharged{};
     /*! @brief The handshake is over, since there are bytes behind it. */
     bool m_hasDecrypted{};
     const ConnectionContext &m_context;
--- a/test/bergamottide/net/serverlimits.cpp
+++ b/test/bergamottide/net/serverlimits.cpp
@@ -123,6 +123,7 @@
     CPPUNIT_TEST(idlestConnectionIsReplaced);
     CPPUNIT_TEST(incompleteRequestIsReplacedBeforeARunningOne);
     CPPUNIT_TEST(connectionIsClosedIfAllOthersRun);
+    CPPUNIT_TEST(connectionWithoutMemoryIsClosed);
     CPPUNIT_TEST(http2IsNotSpokenUnlessSet);
     CPPUNIT_TEST(waitingHttp2CallerIsNotSlow);
     CPPUNIT_TEST(idleHttp2ConnectionIsReplaced);
@@ -496,6 +497,21 @@
         }
     }
 
+    void connectionWithoutMemoryIsClosed()
+    {
+        m_memory = std::make_shared<overload::MemoryAccount>(30'000, 1000);
+        startServer();
+        std::vector<std::unique_ptr<RawCaller>> callers;
+        for (int number = 0; number < 6; ++number) {
+            callers.push_back(std::make_unique<RawCaller>(m_server->address()));
+            runRounds();
+            CPPUNIT_ASSERT(m_memory->held() <= m_memory->limit());
+        }
+        callers.back()->read();
+        CPPUNIT_ASSERT(callers.back()->isClosed());
+        CPPUNIT_ASSERT(m_refused[CallerRefusal::TooManyConnections] != 0);
+    }
+
     void http2IsNotSpokenUnlessSet()
     {
         startServer();
