Refuse limits of callers without room for a request or for the connections

A change of these settings was not told to need a restart.

Change: 64 MiB at least; more connections than a third of `callersMemory` has 16 KiB for are refused with their line; without a number, no more than that are served.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -57,9 +57,17 @@
 constexpr double bytesPerMegabit = 125'000.0;
 constexpr Duration processorTimePeriod = std::chrono::milliseconds{50};
 
+std::size_t callersMemory(const ServingSettings &settings)
+{
+    return settings.callersMemory == 0 ? defaultMemoryLimit() : settings.callersMemory;
+}
+
 std::size_t callersConnections(const ServingSettings &settings)
 {
-    return settings.callersConnections == 0 ? defaultMaxConnections() : settings.callersConnections;
+    if (settings.callersConnections != 0) {
+        return settings.callersConnections;
+    }
+    return std::min(defaultMaxConnections(), overload::MemoryAccount::mostHolders(callersMemory(settings)));
 }
 
 std::size_t internalConnections()
@@ -237,7 +245,10 @@
     const bool needsRestart = settings.callersAddress != m_settings.callersAddress
         || settings.readyAddress != m_settings.readyAddress || settings.peersAddress != m_settings.peersAddress
         || settings.storeAddress != m_settings.storeAddress || settings.metricsAddress != m_settings.metricsAddress
-        || settings.instance != m_settings.instance || settings.logLevel != m_settings.logLevel;
+        || settings.instance != m_settings.instance || settings.logLevel != m_settings.logLevel
+        || settings.callersMemory != m_settings.callersMemory
+        || settings.callersConnections != m_settings.callersConnections
+        || settings.callersMinRate != m_settings.callersMinRate;
     log({needsRestart ? Severity::Warning : Severity::Info,
          Part::Entry,
          "The settings have changed.",
--- a/src/bergamottide/overload/memoryaccount.cpp
+++ b/src/bergamottide/overload/memoryaccount.cpp
@@ -8,6 +8,8 @@
 
 /*! @brief Part of the limit that is set aside for the holders. */
 constexpr std::size_t ownPartsDivisor = 3;
+/*! @brief What a connection and an ordinary request on it need, in bytes. */
+constexpr std::size_t ordinaryBytes = 16U << 10U;
 
 std::size_t indexOf(HeldFor purpose) noexcept
 {
@@ -79,6 +81,11 @@
 {
 }
 
+std::size_t MemoryAccount::mostHolders(std::size_t limit) noexcept
+{
+    return limit / ownPartsDivisor / ordinaryBytes;
+}
+
 std::size_t MemoryAccount::limit() const noexcept
 {
     return m_limit;
--- a/src/bergamottide/overload/memoryaccount.h
+++ b/src/bergamottide/overload/memoryaccount.h
@@ -88,6 +88,13 @@
     MemoryAccount(const MemoryAccount &) = delete;
     MemoryAccount &operator=(const MemoryAccount &) = delete;
 
+    /*!
+     * @brief Returns the largest number of holders whose parts each have room for a connection with an ordinary
+     * request.
+     * @param limit Largest sum of all charges, in bytes.
+     */
+    [[nodiscard]] static std::size_t mostHolders(std::size_t limit) noexcept;
+
     /*! @brief Returns the largest sum of all charges, in bytes. */
     [[nodiscard]] std::size_t limit() const noexcept;
 
--- a/src/bergamottide/serving/servingsettings.cpp
+++ b/src/bergamottide/serving/servingsettings.cpp
@@ -1,6 +1,9 @@
 #include "bergamottide/serving/servingsettings.h"
 
+#include "bergamottide/overload/memoryaccount.h"
+
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace bergamottide::serving {
@@ -16,8 +19,8 @@
 constexpr double maxRetrySlack = 1e6;
 constexpr double maxProcessorShare = 1024.0;
 constexpr double maxLinkMbps = 1e6;
-/*! @brief A third of it has room for a body of 4 MiB with its copy. */
-constexpr std::uint32_t minCallersMemory = 32U << 20U;
+/*! @brief Has room for one request with a body of 4 MiB and its response of 8 MiB. */
+constexpr std::uint32_t minCallersMemory = 64U << 20U;
 constexpr std::uint32_t maxCallersMemory = 3U << 30U;
 constexpr std::uint32_t maxCallersConnections = 100'000;
 constexpr std::uint32_t maxCallersMinRate = 1U << 20U;
@@ -25,6 +28,18 @@
  * time. */
 constexpr double linkMbpsPerCore = 200.0;
 
+/*! @brief Checks that the connections find room in the memory that is set aside for them. */
+void checkConnections(const ServingSettings &settings, const LineIndex &lines, IssueList &issues)
+{
+    constexpr std::string_view field = "callersConnections";
+    const std::size_t most = overload::MemoryAccount::mostHolders(settings.callersMemory);
+    if (settings.callersMemory == 0 || settings.callersConnections <= most) {
+        return;
+    }
+    issues.add(lineOf(lines, field), std::string{field}, IssueKind::Conflict,
+               "callersMemory has room for " + std::to_string(most) + " connections at most.");
+}
+
 } // namespace
 
 const FieldTable<ServingSettings> &servingSettingsFields()
@@ -90,6 +105,12 @@
     if (issues.empty()) {
         readRecord(root, {}, servingSettingsFields(), settings, issues);
     }
+    if (issues.empty()) {
+        LineIndex lines;
+        IssueList repeatedKeys;
+        indexYaml(root, lines, repeatedKeys);
+        checkConnections(settings, lines, issues);
+    }
     ServingSettingsResult result;
     result.issues = issues.take();
     if (result.issues.empty()) {
