Take room for an ordinary response before a request is handed on

Cause: a request was handed on with no room for its response. While others held all that is shared, its endpoint worked, and the caller got 502.

Change: 8 KiB are charged with the request, which is rejected as not run without them; a stream keeps them for its next event.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -162,8 +162,7 @@
     , m_log{LogOptions{LogFormat::Json, settings.logLevel, settings.instance}, clock,
             log4cplus::SharedAppenderPtr{new OutputAppender{STDOUT_FILENO}}}
     , m_loadMeter{settings.processorShare, settings.linkMbps * bytesPerMegabit}
-    , m_memory{std::make_shared<overload::MemoryAccount>(settings.callersMemory == 0 ? defaultMemoryLimit()
-                                                                                     : settings.callersMemory,
+    , m_memory{std::make_shared<overload::MemoryAccount>(callersMemory(settings),
                                                          callersConnections(settings) + 2 * internalConnections())}
     , m_connectionGate{m_loadMeter}
     , m_reducer{servingOptions(settings, incarnation)}
--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -36,6 +36,8 @@
 constexpr std::uint64_t unusedTimeoutMs = 365ULL * 24 * 3600 * 1000;
 /*! @brief Largest piece of a response that is handed to h2o at a time, in bytes. */
 constexpr std::size_t maxPieceBytes = 16U << 10U;
+/*! @brief Room for a response that a request has before it is handed on, in bytes. */
+constexpr std::size_t ordinaryResponseBytes = 8U << 10U;
 /*! @brief Copies of a body received by HTTP/2: h2o's own buffer, which doubles, and that of the handler. */
 constexpr std::size_t http2BodyCopies = 3;
 /*! @brief Copies of a head: as received, as decoded, and as sent to an endpoint. */
@@ -96,7 +98,11 @@
         }
         m_requestBytes = bytes;
         m_hasBegunRequest = true;
-        return true;
+        if (charge(ordinaryResponseBytes)) {
+            return true;
+        }
+        refuse(CallerRefusal::RequestMemory);
+        return false;
     }
 
     void respond(HttpResponse answer) override
@@ -105,7 +111,7 @@
             return;
         }
         if (!charge(answer.body.size())) {
-            refuse();
+            refuse(CallerRefusal::ResponseMemory);
             answer = {statusBadGateway, {}, {}};
             m_request->http1_is_persistent = 0;
         }
@@ -135,8 +141,8 @@
         if (m_request == nullptr || m_finishing) {
             return;
         }
-        if (!charge(m_kept + piece.size())) {
-            refuse();
+        if (!charge(std::max(m_kept + piece.size(), ordinaryResponseBytes))) {
+            refuse(CallerRefusal::ResponseMemory);
             // The handler may be in the middle of an operation on the request.
             m_loop.post([self = shared_from_this()] { self->reportHungUp(); });
             return;
@@ -153,7 +159,7 @@
         if (charge(std::max(bytes, m_charged))) {
             return true;
         }
-        refuse();
+        refuse(CallerRefusal::ResponseMemory);
         return false;
     }
 
@@ -377,8 +383,10 @@
     /*! @brief Charges what is kept now, which is no more than before. */
     void settle()
     {
-        if (m_kept < m_charged && m_begun) {
-            static_cast<void>(charge(m_kept));
+        // A stream keeps room for its next event.
+        const std::size_t kept = m_finishing ? m_kept : std::max(m_kept, ordinaryResponseBytes);
+        if (kept < m_charged && m_begun) {
+            static_cast<void>(charge(kept));
         }
         if (const auto connection = m_connection.lock()) {
             connection->setUnsent(m_reportedUnsent, unsent());
@@ -386,10 +394,10 @@
         m_reportedUnsent = unsent();
     }
 
-    void refuse() const
+    void refuse(CallerRefusal refusal) const
     {
         if (m_options.onRefused) {
-            m_options.onRefused(CallerRefusal::ResponseMemory);
+            m_options.onRefused(refusal);
         }
     }
 
--- a/test/bergamottide/net/serverlimits.cpp
+++ b/test/bergamottide/net/serverlimits.cpp
@@ -109,6 +109,9 @@
     CPPUNIT_TEST(pipelinedRequestsBehindBodiesAreRead);
     CPPUNIT_TEST(headAboveTheLimitIsRejected);
     CPPUNIT_TEST(responseWithoutRoomIsNoSuccess);
+    CPPUNIT_TEST(requestWithoutRoomForItsResponseIsRejected);
+    CPPUNIT_TEST(ordinaryResponseHasRoomOnceItsRequestIsHandedOn);
+    CPPUNIT_TEST(ordinaryEventHasRoomOnceItsStreamHasBegun);
     CPPUNIT_TEST(streamWithoutRoomIsBrokenOff);
     CPPUNIT_TEST(largeResponseIsWhole);
     CPPUNIT_TEST(pipelinedRequestsAreAnsweredInOrder);
@@ -236,6 +239,64 @@
         CPPUNIT_ASSERT_EQUAL(1, m_refused[CallerRefusal::ResponseMemory]);
     }
 
+    /*! @brief Guards against work of an endpoint whose result cannot be delivered. */
+    void requestWithoutRoomForItsResponseIsRejected()
+    {
+        useSmallParts();
+        startServer();
+        overload::MemoryAccount::Holder other{*m_memory};
+        RawCaller caller{m_server->address()};
+        runRounds();
+        // Leaves room for the request, but not for a response beside it.
+        other.record(overload::HeldFor::Response, m_memory->ownPart() + memoryLimit * 2 / 3 - 24'000);
+        caller.send(get);
+        await([&] { return caller.isClosed(); }, {&caller});
+        CPPUNIT_ASSERT_MESSAGE(caller.received(), caller.received().starts_with("HTTP/1.1 503"));
+        CPPUNIT_ASSERT_EQUAL(0, m_handled);
+    }
+
+    void ordinaryResponseHasRoomOnceItsRequestIsHandedOn()
+    {
+        std::shared_ptr<HttpResponder> waiting;
+        m_handler = [&waiting](const std::shared_ptr<HttpResponder> &responder) {
+            waiting = responder;
+        };
+        useSmallParts();
+        startServer();
+        RawCaller caller{m_server->address()};
+        caller.send(get);
+        await([&] { return waiting != nullptr; }, {});
+        overload::MemoryAccount::Holder other{*m_memory};
+        other.record(overload::HeldFor::Request, 10 * memoryLimit);
+        waiting->respond({200, {}, std::string(8'000, 'x')});
+        await([&] { return caller.received().ends_with(std::string(8'000, 'x')); }, {&caller});
+    }
+
+    void ordinaryEventHasRoomOnceItsStreamHasBegun()
+    {
+        std::shared_ptr<HttpResponder> waiting;
+        m_handler = [&waiting](const std::shared_ptr<HttpResponder> &responder) {
+            waiting = responder;
+            responder->begin(200, {});
+        };
+        useSmallParts();
+        startServer();
+        RawCaller caller{m_server->address()};
+        caller.send(get);
+        await([&] { return waiting != nullptr; }, {});
+        runRounds();
+        overload::MemoryAccount::Holder other{*m_memory};
+        other.record(overload::HeldFor::Request, 10 * memoryLimit);
+        const std::string eventBytes = "#$%&*";
+        for (std::size_t event = 0; event < eventBytes.size(); ++event) {
+            waiting->send(std::string(4'000, eventBytes[event]));
+            await([&] { return caller.received().find(eventBytes[event]) != std::string::npos; }, {&caller});
+            runRounds();
+        }
+        waiting->finish();
+        await([&] { return caller.received().ends_with("0\r\n\r\n"); }, {&caller});
+    }
+
     void streamWithoutRoomIsBrokenOff()
     {
         bool isClosed = false;
@@ -633,6 +694,13 @@
     static constexpr Duration headTimeout = std::chrono::seconds{3};
     static constexpr Duration idleTimeout = std::chrono::seconds{15};
 
+    /*! @brief Gives each connection a part that has room for little more than itself. */
+    void useSmallParts()
+    {
+        constexpr std::size_t holders = 60;
+        m_memory = std::make_shared<overload::MemoryAccount>(memoryLimit, holders);
+    }
+
     void startServer()
     {
         HttpServerOptions options;
