Count the kernel's buffers of a connection as the kernel does

Cause: the kernel doubles a buffer that is asked for, so the default number of connections had kernel buffers in half of the memory, not in a quarter, and the part of the account that each of them had was too small for an ordinary request with room for its response (16 KiB, where 24 are charged).

Change: 128 KiB are counted for each connection, which makes 520 by default on a machine of 260 MB, and 32 KiB of the account are set aside for each.

--- a/src/bergamottide/net/machinelimits.cpp
+++ b/src/bergamottide/net/machinelimits.cpp
@@ -16,8 +16,8 @@
 constexpr std::size_t maxDefaultMemoryLimit = 1U << 30U;
 constexpr std::size_t maxDefaultConnections = 2048;
 constexpr std::size_t memoryShares = 4;
-/*! @brief Kernel memory of a connection whose bytes are not read, in bytes. */
-constexpr std::size_t kernelBytesPerConnection = 64U << 10U;
+/*! @brief Kernel memory of a connection whose bytes are not read, in bytes: the buffer that is asked for, doubled. */
+constexpr std::size_t kernelBytesPerConnection = 128U << 10U;
 
 std::size_t machineMemory()
 {
--- a/src/bergamottide/overload/memoryaccount.cpp
+++ b/src/bergamottide/overload/memoryaccount.cpp
@@ -9,7 +9,7 @@
 /*! @brief Part of the limit that is set aside for the holders. */
 constexpr std::size_t ownPartsDivisor = 3;
 /*! @brief What a connection and an ordinary request on it need, in bytes. */
-constexpr std::size_t ordinaryBytes = 16U << 10U;
+constexpr std::size_t ordinaryBytes = 32U << 10U;
 
 std::size_t indexOf(HeldFor purpose) noexcept
 {
