Report callers that were cut off in every program, one line a report

Cause: bergamottide-entry and the ports for readiness and metrics told of no refusal and of nothing held; bergamottide-platform logged a line for each, which a crowd turns into 500 a second, and the gate then drops other lines.

Change: `CallerReport` counts each refusal, and logs them together, by reason, with each report; both programs use it for all ports of callers and operators.

--- a/src/bergamottide/app/entryapp.cpp
+++ b/src/bergamottide/app/entryapp.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t maxBodyBytes = 64u << 20;
 /*! @brief Time for which the stream to a sidecar that left the instance list is kept: the longest allowed deadline. */
 constexpr Duration removedPeerRetention = std::chrono::seconds{60};
+/*! @brief Connections of operators at a time. */
 constexpr std::size_t maxAdminConnections = 64;
 constexpr Duration peerExpiryPeriod = std::chrono::seconds{1};
 /*! @brief Time after which an entry is ready although pools have no endpoints. */
@@ -28,22 +29,6 @@
                          static_cast<std::uint64_t>(incarnation)};
 }
 
-HttpServerOptions callerOptions(const Settings &settings, std::shared_ptr<overload::MemoryAccount> memory)
-{
-    HttpServerOptions options{settings.callersAddress, callersTls(settings), maxBodyBytes};
-    options.memory = std::move(memory);
-    options.speaksHttp2 = true;
-    return options;
-}
-
-HttpServerOptions adminOptions(const Settings &settings, std::shared_ptr<overload::MemoryAccount> memory)
-{
-    HttpServerOptions options{settings.adminAddress, {}, maxBodyBytes};
-    options.memory = std::move(memory);
-    options.maxConnections = maxAdminConnections;
-    return options;
-}
-
 PlatformFeedOptions feedOptions(const Settings &settings, Incarnation incarnation)
 {
     return PlatformFeedOptions{
@@ -80,11 +65,12 @@
     , m_admin{settings.adminKeyDigest, adminHooks()}
     , m_memory{std::make_shared<overload::MemoryAccount>(defaultMemoryLimit(),
                                                          defaultMaxConnections() + maxAdminConnections)}
-    , m_callerServer{loop, callerOptions(settings, m_memory),
+    , m_callerReport{*m_memory, callerReportHooks()}
+    , m_callerServer{loop, callerOptions(),
                      [this](const HttpRequest &request, std::shared_ptr<HttpResponder> responder) {
                          m_callers.handle(request, std::move(responder));
                      }}
-    , m_adminServer{loop, adminOptions(settings, m_memory),
+    , m_adminServer{loop, adminOptions(),
                     [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
                         m_admin.handle(request, *responder);
                     }}
@@ -147,6 +133,7 @@
 void EntryApp::expirePeers()
 {
     m_peers.closeExpired(m_loop.now());
+    m_callerReport.report();
     m_loop.at(m_loop.now() + peerExpiryPeriod, [this] { expirePeers(); });
 }
 
@@ -249,6 +236,40 @@
     return hooks;
 }
 
+CallerReportHooks EntryApp::callerReportHooks()
+{
+    CallerReportHooks hooks;
+    hooks.observe = [this](const Observe &observation) {
+        carryOut(observation);
+    };
+    hooks.log = [this](const LogLine &line) {
+        carryOut(line);
+    };
+    return hooks;
+}
+
+HttpServerOptions EntryApp::callerOptions()
+{
+    HttpServerOptions options{m_settings.callersAddress, callersTls(m_settings), maxBodyBytes};
+    options.memory = m_memory;
+    options.speaksHttp2 = true;
+    options.onRefused = [this](CallerRefusal refusal) {
+        m_callerReport.recordRefusal(refusal);
+    };
+    return options;
+}
+
+HttpServerOptions EntryApp::adminOptions()
+{
+    HttpServerOptions options{m_settings.adminAddress, {}, maxBodyBytes};
+    options.memory = m_memory;
+    options.maxConnections = maxAdminConnections;
+    options.onRefused = [this](CallerRefusal refusal) {
+        m_callerReport.recordRefusal(refusal);
+    };
+    return options;
+}
+
 AdminHooks EntryApp::adminHooks()
 {
     AdminHooks hooks;
--- a/src/bergamottide/app/entryapp.h
+++ b/src/bergamottide/app/entryapp.h
@@ -2,6 +2,7 @@
 
 #include "bergamottide/app/adminport.h"
 #include "bergamottide/app/callerport.h"
+#include "bergamottide/app/callerreport.h"
 #include "bergamottide/app/peerset.h"
 #include "bergamottide/app/platformfeed.h"
 #include "bergamottide/app/reducerrunner.h"
@@ -76,6 +77,9 @@
     [[nodiscard]] PlatformFeedHooks feedHooks();
     [[nodiscard]] PeerHooks peerHooks();
     [[nodiscard]] AdminHooks adminHooks();
+    [[nodiscard]] CallerReportHooks callerReportHooks();
+    [[nodiscard]] HttpServerOptions callerOptions();
+    [[nodiscard]] HttpServerOptions adminOptions();
     /*! @brief Closes expired streams periodically. */
     void expirePeers();
     [[nodiscard]] bool ready() const;
@@ -91,6 +95,7 @@
     AdminPort m_admin;
     /*! @brief Charged for what callers and operators hold. */
     std::shared_ptr<overload::MemoryAccount> m_memory;
+    CallerReport m_callerReport;
     HttpServer m_callerServer;
     HttpServer m_adminServer;
     PeerTransport m_transport;
--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -10,7 +10,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <malloc.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -164,6 +163,7 @@
     , m_loadMeter{settings.processorShare, settings.linkMbps * bytesPerMegabit}
     , m_memory{std::make_shared<overload::MemoryAccount>(callersMemory(settings),
                                                          callersConnections(settings) + 2 * internalConnections())}
+    , m_callerReport{*m_memory, callerReportHooks()}
     , m_connectionGate{m_loadMeter}
     , m_reducer{servingOptions(settings, incarnation)}
     , m_runner{loop, m_reducer,
@@ -369,7 +369,7 @@
     options.maxConnections = callersConnections(m_settings);
     options.minBytesPerSecond = m_settings.callersMinRate;
     options.onRefused = [this](CallerRefusal refusal) {
-        recordRefusal(refusal);
+        m_callerReport.recordRefusal(refusal);
     };
     return options;
 }
@@ -383,35 +383,23 @@
     options.closePollPeriod = std::chrono::seconds{10};
     options.memory = m_memory;
     options.maxConnections = internalConnections();
+    options.onRefused = [this](CallerRefusal refusal) {
+        m_callerReport.recordRefusal(refusal);
+    };
     return options;
 }
 
-void ServingApp::recordRefusal(CallerRefusal refusal)
-{
-    m_metrics.observe(Observe{Metric::CallerRefusalsTotal, {std::string{enumName(refusal)}}});
-    log({Severity::Info, Part::Net, "A caller was rejected or cut off.", {{"reason", std::string{enumName(refusal)}}}});
-}
-
-void ServingApp::reportMemory()
+CallerReportHooks ServingApp::callerReportHooks()
 {
-    using overload::HeldFor;
-    for (const HeldFor purpose : {HeldFor::Connection, HeldFor::Request, HeldFor::Response}) {
-        m_metrics.observe(
-            Observe{Metric::HeldBytes, {std::string{enumName(purpose)}}, static_cast<double>(m_memory->held(purpose))});
-    }
-    if (m_memory->isScarce() == m_isMemoryScarce) {
-        return;
-    }
-    m_isMemoryScarce = !m_isMemoryScarce;
-    m_log.write({m_isMemoryScarce ? Severity::Warning : Severity::Info,
-                 Part::Net,
-                 m_isMemoryScarce ? "Memory for callers is scarce; slow ones are closed."
-                                  : "Memory for callers is no longer scarce.",
-                 {{"held", absl::StrCat(m_memory->held())}, {"limit", absl::StrCat(m_memory->limit())}}});
-    if (!m_isMemoryScarce) {
-        // The allocator keeps what a crowd has left, which counts as memory of the process.
-        malloc_trim(0);
-    }
+    CallerReportHooks hooks;
+    hooks.observe = [this](const Observe &observation) {
+        m_metrics.observe(observation);
+    };
+    // Past the bound on lines per second, which a crowd reaches.
+    hooks.log = [this](const LogLine &line) {
+        m_log.write(line);
+    };
+    return hooks;
 }
 
 overload::ConnectionDecision ServingApp::decideConnection(const overload::WaitingConnection &connection)
@@ -445,7 +433,7 @@
 
 void ServingApp::reportLoad()
 {
-    reportMemory();
+    m_callerReport.report();
     const overload::LoadShares load = m_loadMeter.recent(m_loop.now());
     m_metrics.observe(Observe{Metric::LoadShare, {"processor"}, load.processor});
     m_metrics.observe(Observe{Metric::LoadShare, {"link"}, load.link});
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bergamottide/app/callerreport.h"
 #include "bergamottide/app/peerport.h"
 #include "bergamottide/app/reducerrunner.h"
 #include "bergamottide/events/events.h"
@@ -196,8 +197,7 @@
     [[nodiscard]] TrafficHook trafficHook();
     [[nodiscard]] HttpServerOptions callersOptions();
     [[nodiscard]] HttpServerOptions internalOptions(const std::string &address);
-    void recordRefusal(CallerRefusal refusal);
-    void reportMemory();
+    [[nodiscard]] CallerReportHooks callerReportHooks();
     [[nodiscard]] overload::ConnectionDecision decideConnection(const overload::WaitingConnection &connection);
     void recordRound(const RoundFigures &figures);
     void reportLoad();
@@ -210,6 +210,7 @@
     MetricsRegistry m_metrics;
     overload::LoadMeter m_loadMeter;
     std::shared_ptr<overload::MemoryAccount> m_memory;
+    CallerReport m_callerReport;
     overload::ConnectionGate m_connectionGate;
     serving::EndpointDirectory m_directory;
     serving::ServingReducer m_reducer;
@@ -230,7 +231,6 @@
     TimePoint m_drainStartedAt{};
     TimePoint m_processorTimeReadAt{};
     bool m_draining{};
-    bool m_isMemoryScarce{};
     bool m_isFinishingDrain{};
 };
 
