--- a/src/bergamottide/net/httpserver.cpp
+++ b/src/bergamottide/net/httpserver.cpp
@@ -632,9 +632,9 @@
     static void onAccept(h2o_socket_t *listener, const char *error)
     {
         auto *state = static_cast<State *>(listener->data);
-        // Without descriptors left, the kernel would tell of the same connections at once.
         if (error == nullptr && !state->acceptAll()) {
-            // Taken together at the next review: a wakeup for each would cost as much as serving some of them.
+            // Taken together at the next review: a wakeup for each would cost as much as serving some of them, and
+            // without descriptors left there would be one in each round.
             h2o_socket_read_stop(listener);
             state->scheduleReview();
         }
