Encode the queries of requests in one place

Callers saw: no process became ready after a restart, and nothing was served, while an entry of another writer stood at the end of a page of the list.

Cause: the reader of the store wrote the last key of a page into the query as it stood. In `&`, `#`, `+`, `%`, a blank or a line break the store read another key, or no request at all, and the list began anew without an end.

Ruled out: the entry itself, which is skipped wherever it stands inside a page (`OddEntriesTest::processesServeWhileEntriesComeAndGo` passed before); h2o's own escaping, which leaves `&` and `+` as they are; a check of keys before they are sent, since each key has to be passed to read what follows.

Change: `encodeQuery` writes names and values of all queries that the programs build, and encodes all but the unreserved bytes of RFC 3986. `queryValue` decodes what it finds. Queries of callers are passed on as they came.

--- a/src/bergamottide/app/adminport.cpp
+++ b/src/bergamottide/app/adminport.cpp
@@ -98,7 +98,7 @@
     }
     if (get && request.path == "/audit") {
         std::uint64_t after = 0;
-        const std::string text{queryValue(request.query, "after")};
+        const std::string text = queryValue(request.query, "after");
         if (!text.empty() && !absl::SimpleAtoi(text, &after)) {
             sendJson(responder, statusBadRequest, R"({"reason":"malformed_header","field":"after"})");
             return;
--- a/src/bergamottide/app/callerrequest.cpp
+++ b/src/bergamottide/app/callerrequest.cpp
@@ -241,7 +241,7 @@
 
 absl::StatusOr<std::uint64_t> parseOffset(const HttpRequest &request)
 {
-    const std::string text{queryValue(request.query, "offset")};
+    const std::string text = queryValue(request.query, "offset");
     std::uint64_t offset = 0;
     if (!text.empty() && !absl::SimpleAtoi(text, &offset)) {
         return makeError(Reason::MalformedHeader, "offset", "The offset must be a number of bytes");
--- a/src/bergamottide/app/peerport.cpp
+++ b/src/bergamottide/app/peerport.cpp
@@ -121,13 +121,13 @@
     m_storeHandlers = std::move(handlers);
 }
 
-void PeerPort::requestStoreSnapshot(const PeerInfo &peer, const std::string &query,
+void PeerPort::requestStoreSnapshot(const PeerInfo &peer, const QueryParameters &query,
                                     std::function<void(const HttpResponse &answer)> onAnswer)
 {
     HttpRequest request;
     request.method = "GET";
     request.path = storeDataPath;
-    request.query = query;
+    request.query = encodeQuery(query);
     HttpCallHooks hooks;
     hooks.done = std::move(onAnswer);
     // The caller asks another peer next time.
--- a/src/bergamottide/app/peerport.h
+++ b/src/bergamottide/app/peerport.h
@@ -68,7 +68,7 @@
     void setStoreHandlers(StoreHandlers handlers);
 
     /*! @brief Requests the store's data from a peer; `onAnswer` is not called if it does not respond. */
-    void requestStoreSnapshot(const serving::PeerInfo &peer, const std::string &query,
+    void requestStoreSnapshot(const serving::PeerInfo &peer, const QueryParameters &query,
                               std::function<void(const HttpResponse &answer)> onAnswer);
 
     void carryOut(const serving::SendHeartbeat &effect);
--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -341,7 +341,7 @@
     m_peers.setStoreHandlers(std::move(handlers));
 }
 
-void ServingApp::requestStoreSnapshot(const PeerInfo &peer, const std::string &query,
+void ServingApp::requestStoreSnapshot(const PeerInfo &peer, const QueryParameters &query,
                                       std::function<void(const HttpResponse &answer)> onAnswer)
 {
     m_peers.requestStoreSnapshot(peer, query, std::move(onAnswer));
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -136,7 +136,7 @@
      * @param query Query string for the peer's handlers.
      * @param onAnswer Called with the response; not called without one.
      */
-    void requestStoreSnapshot(const serving::PeerInfo &peer, const std::string &query,
+    void requestStoreSnapshot(const serving::PeerInfo &peer, const QueryParameters &query,
                               std::function<void(const HttpResponse &answer)> onAnswer);
 
 private:
--- a/src/bergamottide/net/http.h
+++ b/src/bergamottide/net/http.h
@@ -22,7 +22,7 @@
     std::string method;
     /*! @brief Path without the query. */
     std::string path;
-    /*! @brief Query without the question mark; see `hasEmptyQuery`. */
+    /*! @brief Query without the question mark, as it stands in the request line; see `encodeQuery`, `hasEmptyQuery`. */
     std::string query;
     HttpHeaders headers;
     std::string body;
@@ -57,12 +57,24 @@
  */
 [[nodiscard]] std::string_view headerValue(const HttpHeaders &headers, std::string_view name);
 
+/*! @brief Names and values of a query, in order; any bytes. */
+using QueryParameters = std::vector<std::pair<std::string, std::string>>;
+
+/*!
+ * @brief Writes a query.
+ *
+ * All bytes but the unreserved ones (RFC 3986, section 2.3) are percent-encoded: servers differ in what else ends a
+ * value or the query, and in whether a plus is a blank.
+ */
+[[nodiscard]] std::string encodeQuery(const QueryParameters &parameters);
+
 /**
  * @brief Finds a parameter of a query.
  * @param query Query without the question mark.
- * @param name Name of the parameter.
- * @return Its value as it stands, or an empty text.
+ * @param name Name of the parameter, which the query has as it stands.
+ * @return Value of the first parameter of that name, without its percent-encoding, or an empty text. A percent sign
+ * that no two hexadecimal digits follow, and a plus, stay as they are.
  */
-[[nodiscard]] std::string_view queryValue(std::string_view query, std::string_view name);
+[[nodiscard]] std::string queryValue(std::string_view query, std::string_view name);
 
 } // namespace bergamottide
--- a/src/bergamottide/platform/configclient.cpp
+++ b/src/bergamottide/platform/configclient.cpp
@@ -49,7 +49,7 @@
     HttpRequest request;
     request.method = "GET";
     request.path = configPath;
-    request.query = absl::StrCat("after=", after, "&wait_ms=0");
+    request.query = encodeQuery({{"after", absl::StrCat(after)}, {"wait_ms", "0"}});
     HttpCallHooks hooks;
     hooks.done = [this](HttpResponse answer) {
         handleResponse(std::move(answer));
--- a/src/bergamottide/platform/longpoll.cpp
+++ b/src/bergamottide/platform/longpoll.cpp
@@ -79,7 +79,7 @@
     HttpRequest request;
     request.method = "GET";
     request.path = m_options.path;
-    request.query = absl::StrCat("after=", m_version, "&wait_ms=", wait.count());
+    request.query = encodeQuery({{"after", absl::StrCat(m_version)}, {"wait_ms", absl::StrCat(wait.count())}});
     HttpCallHooks hooks;
     hooks.done = [this](HttpResponse answer) {
         handleResponse(std::move(answer));
--- a/src/standin/watchedvalue.cpp
+++ b/src/standin/watchedvalue.cpp
@@ -17,7 +17,7 @@
 std::uint64_t numberOf(std::string_view query, std::string_view name)
 {
     std::uint64_t number = 0;
-    const std::string text{queryValue(query, name)};
+    const std::string text = queryValue(query, name);
     return absl::SimpleAtoi(text, &number) ? number : 0;
 }
 
--- a/test/bergamottide/net/http.cpp
+++ b/test/bergamottide/net/http.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(callsNoHookAfterCancel);
     CPPUNIT_TEST(reusesAConnection);
     CPPUNIT_TEST(findsHeadersAndQueryValues);
+    CPPUNIT_TEST(queriesHoldAnyBytes);
     CPPUNIT_TEST(speaksTlsAndTakesARenewedCertificate);
     CPPUNIT_TEST(clientRefusesAnUnknownAuthority);
     CPPUNIT_TEST(refusesACertificateThatCannotBeRead);
@@ -185,11 +186,27 @@
 
     void findsHeadersAndQueryValues()
     {
-        CPPUNIT_ASSERT_EQUAL(std::string{"2"}, std::string{queryValue("a=1&b=2&c", "b")});
+        CPPUNIT_ASSERT_EQUAL(std::string{"2"}, queryValue("a=1&b=2&c", "b"));
         CPPUNIT_ASSERT(queryValue("a=1&b=2&c", "c").empty());
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, queryValue("a=1&a=2", "a"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"+%zz% &%"}, queryValue("a=+%zz%%20%26%", "a"));
         CPPUNIT_ASSERT_EQUAL(std::string{"v"}, std::string{headerValue({{"Name", "v"}}, "name")});
     }
 
+    void queriesHoldAnyBytes()
+    {
+        std::string all;
+        for (int byte = 0; byte < 256; ++byte) {
+            all += static_cast<char>(byte);
+        }
+        const std::string query = encodeQuery({{"first", all}, {"second", "a b"}, {"none", ""}});
+        CPPUNIT_ASSERT(query.find_first_of(std::string{"+#? \r\n\0", 8}) == std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, std::ranges::count(query, '&'));
+        CPPUNIT_ASSERT_EQUAL(all, queryValue(query, "first"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"a b"}, queryValue(query, "second"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"k=a%2Fb%26%2B~"}, encodeQuery({{"k", "a/b&+~"}}));
+    }
+
     void speaksTlsAndTakesARenewedCertificate()
     {
         test::Certificates certificates;
--- a/test/platform/storewatch.cpp
+++ b/test/platform/storewatch.cpp
@@ -8,6 +8,7 @@
 #include "bergamottide/net/loop.h"
 #include "support/rununtil.h"
 
+#include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
@@ -376,7 +377,7 @@
         const std::string a = R"({"key":"a","value":"MQ==","revision":1})";
         const std::string b = R"({"key":"b","value":"MQ==","revision":1})";
         for (const std::string &items :
-             std::vector<std::string>{"", a, a + "," + b, b + "," + a, R"({"revision":1})"}) {
+             std::vector<std::string>{"", a, absl::StrCat(a, ",", b), absl::StrCat(b, ",", a), R"({"revision":1})"}) {
             FakeStore store{m_loop};
             store.setListReply([items](const std::string &) {
                 return R"({"items":[)" + items + R"(],"hasMore":true,"storeRevision":9})";
