--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(negativeColdTimeIsWarm);
     CPPUNIT_TEST(decreasedColdTimeIsNoChange);
     CPPUNIT_TEST(malformedItemDoesNotAffectOthers);
+    CPPUNIT_TEST(keyThatIsNoTextDoesNotAffectOtherItems);
     CPPUNIT_TEST(detectsMissingInputs);
     CPPUNIT_TEST(pagesRoundTrip);
     CPPUNIT_TEST(unchangedItemsAreEncodedWithoutValue);
@@ -531,6 +532,29 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"{}"}, page->items[2].value);
     }
 
+    void keyThatIsNoTextDoesNotAffectOtherItems()
+    {
+        const std::string replaced{"\xef\xbf\xbd"};
+        const std::vector<std::pair<std::string, std::string>> keys{{R"(i\udcff)", "i" + replaced},
+                                                                    {R"(i\ud800)", "i" + replaced},
+                                                                    {R"(i\ud800\u0041)", "i" + replaced + "A"},
+                                                                    {R"(i\ud83d\ude00)", "i\xf0\x9f\x98\x80"},
+                                                                    {R"(i\\udcff)", "i\\udcff"},
+                                                                    {"i\xff", "i" + replaced},
+                                                                    {"i\xed\xb3\xbfz", {}}};
+        for (const auto &[written, read] : keys) {
+            const auto page = platform::decodePage(R"({"items":[{"key":"a"},{"key":")" + written
+                                                   + R"("},{"key":"z"}],"storeRevision":7})");
+            CPPUNIT_ASSERT_MESSAGE(written, page.ok());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{3}, page->items.size());
+            CPPUNIT_ASSERT_EQUAL(std::string{"a"}, page->items.front().key);
+            CPPUNIT_ASSERT_EQUAL(std::string{"z"}, page->items.back().key);
+            if (!read.empty()) {
+                CPPUNIT_ASSERT_EQUAL(read, page->items[1].key);
+            }
+        }
+    }
+
     void detectsMissingInputs()
     {
         const serving::CallerRequest request = *platform::decodeRequest(CallId{1}, HttpRequest{});
