--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -310,6 +310,11 @@
     countDroppedLines();
 }
 
+void ServingApp::observe(const Observe &observation)
+{
+    m_metrics.observe(observation);
+}
+
 void ServingApp::countDroppedLines()
 {
     const std::uint64_t dropped = m_logGate.dropped();
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -115,6 +115,9 @@
     /*! @brief Writes a line to the log. */
     void log(const LogLine &line);
 
+    /*! @brief Updates a metric. */
+    void observe(const Observe &observation);
+
     /*! @brief Returns the peers whose heartbeats are recent. */
     [[nodiscard]] std::vector<serving::PeerInfo> livePeers() const;
 
--- a/src/bergamottide/telemetry/metric.h
+++ b/src/bergamottide/telemetry/metric.h
@@ -60,13 +60,16 @@
     EndpointListAgeSeconds,
     ResumedStreamsTotal,
     CallerRefusalsTotal,
-    HeldBytes
+    HeldBytes,
+    ListFailuresTotal,
+    MalformedEntriesTotal,
+    DrainRejectionsTotal
 };
 
 template <>
 struct EnumNames<Metric>
 {
-    static constexpr std::array<std::string_view, 42> names{"bergamottide_requests_total",
+    static constexpr std::array<std::string_view, 45> names{"bergamottide_requests_total",
                                                             "bergamottide_requests_on_time_total",
                                                             "bergamottide_request_seconds",
                                                             "bergamottide_refusals_total",
@@ -107,7 +110,10 @@
                                                             "bergamottide_endpoint_list_age_seconds",
                                                             "bergamottide_resumed_streams_total",
                                                             "bergamottide_caller_refusals_total",
-                                                            "bergamottide_held_bytes"};
+                                                            "bergamottide_held_bytes",
+                                                            "bergamottide_list_failures_total",
+                                                            "bergamottide_malformed_entries_total",
+                                                            "bergamottide_drain_rejections_total"};
 };
 
 /*! @brief Effect: a metric changes. */
--- a/src/bergamottide/telemetry/metricinfo.cpp
+++ b/src/bergamottide/telemetry/metricinfo.cpp
@@ -144,6 +144,21 @@
          {"reason"},
          {}},
         {Metric::HeldBytes, gauge, "Memory charged for callers.", {"purpose"}, {}},
+        {Metric::ListFailuresTotal,
+         counter,
+         "Lists of the platform's store that were given up though it replied.",
+         {"reason"},
+         {}},
+        {Metric::MalformedEntriesTotal,
+         counter,
+         "Entries of the platform's list that turned out to name no endpoint.",
+         {},
+         {}},
+        {Metric::DrainRejectionsTotal,
+         counter,
+         "Requests that a draining process rejected, not run, since they would outlast it.",
+         {},
+         {}},
     };
     return table;
 }
--- a/test/platform/storewatch.cpp
+++ b/test/platform/storewatch.cpp
@@ -117,6 +117,8 @@
         out.unavailable = [this](const std::string &) {
             m_relay.notifyFollowers();
         };
+        out.listFailed = [](ListFailure, const std::string &) {
+        };
         out.available = [] {
         };
         out.confirmed = [this](TimePoint asOf) {
