--- a/test/bergamottide/net/http.cpp
+++ b/test/bergamottide/net/http.cpp
@@ -200,7 +200,8 @@
             all += static_cast<char>(byte);
         }
         const std::string query = encodeQuery({{"first", all}, {"second", "a b"}, {"none", ""}});
-        CPPUNIT_ASSERT(query.find_first_of(std::string{"+#? \r\n\0", 8}) == std::string::npos);
+        CPPUNIT_ASSERT(query.find_first_of("+#? \r\n") == std::string::npos);
+        CPPUNIT_ASSERT(query.find('\0') == std::string::npos);
         CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, std::ranges::count(query, '&'));
         CPPUNIT_ASSERT_EQUAL(all, queryValue(query, "first"));
         CPPUNIT_ASSERT_EQUAL(std::string{"a b"}, queryValue(query, "second"));
--- a/test/processes/endpointanswers.cpp
+++ b/test/processes/endpointanswers.cpp
@@ -73,8 +73,25 @@
     /*! @brief Guards against an answer whose status is no number from 100 on, passed on as it is. */
     void malformedStatusesAreNoAnswers()
     {
-        const std::vector<std::string> statuses{"000", "001", "099", "0",   "00", "20", "2",   "-20",   "+20", " 20",
-                                                "2 0", "20x", "x20", "0x2", "",   "OK", "1e2", "\t200", "2\00"};
+        const std::vector<std::string> statuses{"000",
+                                                "001",
+                                                "099",
+                                                "0",
+                                                "00",
+                                                "20",
+                                                "2",
+                                                "-20",
+                                                "+20",
+                                                " 20",
+                                                "2 0",
+                                                "20x",
+                                                "x20",
+                                                "0x2",
+                                                "",
+                                                "OK",
+                                                "1e2",
+                                                "\t200",
+                                                std::string{"2"} + std::string(1, 0) + "0"};
         for (const std::string &status : statuses) {
             checkNoAnswer("HTTP/1.1 " + status + " OK\r\n" + rawShopFields(1) + "Content-Length: 2\r\n\r\nok");
         }
@@ -103,10 +120,8 @@
                                               "X Content-Length: 1",
                                               "Content Length: 1",
                                               "X: a\0b"s,
-                                              "X: a\x01"
-                                              "b",
-                                              "X: a\x7f"
-                                              "b"};
+                                              "X: a\001b",
+                                              "X: a\177b"};
         for (const std::string &field : fields) {
             for (const bool isFirst : {false, true}) {
                 const std::string line = field + "\r\n";
