Count entries that name no endpoint, and log their keys escaped

Cause: the one line that names an odd key held its bytes as they are, line breaks, control bytes and invisible characters too, and nothing counted such entries.

--- a/test/platform/drawndocuments.cpp
+++ b/test/platform/drawndocuments.cpp
@@ -313,7 +313,8 @@
         TimePoint m_now{std::chrono::seconds{100}};
         serving::EndpointDirectory m_directory;
         serving::EndpointList m_list;
-        platform::EndpointEntries m_entries{m_directory, [](const LogLine &) {
+        platform::EndpointEntries m_entries{m_directory, [](const LogLine &) {},
+                                            [](const Observe &) {
                                             }};
     };
 
--- a/test/platform/endpointentries.cpp
+++ b/test/platform/endpointentries.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(malformedEntryIsSkippedAndLoggedOnce);
     CPPUNIT_TEST(entryThatBecomesMalformedRemovesItsEndpoint);
     CPPUNIT_TEST(entryIsLoggedAgainAfterItWasValidOrRemoved);
+    CPPUNIT_TEST(namesThatNoEndpointHasAreLoggedOnceInEscapedForm);
     CPPUNIT_TEST(itemWithFieldsOfOtherTypesDoesNotDiscardItsPage);
     CPPUNIT_TEST(entryInTheFormBetweenProcessesIsNoEntryOfTheStore);
     CPPUNIT_TEST(unreadableBytesCanBeSentToOtherProcesses);
@@ -124,6 +125,29 @@
     }
 
     /*! @brief Guards against one item for which the whole store counts as unavailable. */
+    /*! @brief An operator finds the key by its line, whatever a terminal or another reader makes of its bytes. */
+    void namesThatNoEndpointHasAreLoggedOnceInEscapedForm()
+    {
+        const std::vector<std::pair<std::string, std::string>> keys{
+            {"servers/", "servers/"},
+            {"servers/a b", "servers/a b"},
+            {"servers/a\r\nb", "servers/a\\r\\nb"},
+            {"servers/a\x1b[0m", "servers/a\\x1b[0m"},
+            {"servers/caf\u00e9", "servers/caf\\xc3\\xa9"},
+            {"servers/" + std::string(192, ' '), "servers/" + std::string(192, ' ')}};
+        std::vector<std::string> expected;
+        for (const auto &[key, escaped] : keys) {
+            // The value is sound; the name cannot stand in a header.
+            m_entries.apply(decode("events", {item(key, entry().dump()), item("servers/s-1", entry().dump())}), m_now);
+            m_entries.apply(decode("events", {item(key, entry().dump())}), m_now);
+            expected.push_back(escaped);
+            CPPUNIT_ASSERT_EQUAL(expected.size(), m_logged.size());
+            CPPUNIT_ASSERT_EQUAL(escaped, m_logged.back());
+            CPPUNIT_ASSERT_EQUAL(expected.size(), m_counted);
+            CPPUNIT_ASSERT(listed() == std::set<std::string>{"s-1"});
+        }
+    }
+
     void itemWithFieldsOfOtherTypesDoesNotDiscardItsPage()
     {
         std::vector<json> items{item("servers/good", entry().dump())};
@@ -258,11 +282,16 @@
     serving::EndpointDirectory m_directory;
     std::vector<std::string> m_logged;
     std::set<std::string> m_listed;
-    EndpointEntries m_entries{m_directory, [this](const LogLine &line) {
+    std::size_t m_counted{};
+    EndpointEntries m_entries{m_directory,
+                              [this](const LogLine &line) {
                                   const auto key = std::ranges::find(line.fields, std::string{"key"},
                                                                      &std::pair<std::string, std::string>::first);
                                   CPPUNIT_ASSERT(key != line.fields.end());
                                   m_logged.push_back(key->second);
+                              },
+                              [this](const Observe &) {
+                                  ++m_counted;
                               }};
 };
 
