Make the end of the grace period a deadline for what a process holds

Callers saw: requests that were sent to an endpoint up to 6.8 s after the signal and cut at 7.5 s, unsafe ones too, and requests that were cut in a queue without an answer though nothing had run.

Cause: a draining process rejected new requests from 2.5 s on, and left the rest to their own deadlines; the end of the process was known to its timer alone.

Ruled out: rejecting all new requests at once, since the balancer sends callers for two more checks and short requests end in time; a shorter time of admission, since stages, queues, delayed runs and retries begin runs at any time after it; the average time to the first bytes as the length of a run, which is too short for streams and, with a queue at the endpoint, for half of the rest.

Change: the event of the drain names its end, 0.3 s before the exit. Deadlines of requests are at most that, and endpoints are told so. A request whose run has not started is rejected, on arrival, in a queue, after its stages or before a retry, as soon as its stages and a run of the expected length would not fit: 503 with Retry-After if it has not run, 502 if it may have. What still runs at the end is answered 504, or aborted if it is a stream. The expected length is the average and twice the deviation of runs of the pool from sending to the whole response; before the first one has ended, the age of the oldest in progress. Tasks at the owner of a queue are cancelled with their request.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -234,9 +234,10 @@
         return;
     }
     m_drainStartedAt = m_loop.now();
-    m_loop.at(m_drainStartedAt + m_settings.gracePeriod - exitMargin, [this] { m_loop.stop(); });
+    const TimePoint exitAt = m_drainStartedAt + m_settings.gracePeriod - exitMargin;
+    m_loop.at(exitAt, [this] { m_loop.stop(); });
     m_callersServer.closeAfterAnswers();
-    m_runner.submit(DrainRequested{});
+    m_runner.submit(DrainRequested{std::max(exitAt - flushDelay, m_drainStartedAt)});
 }
 
 void ServingApp::applySettings(const ServingSettings &settings)
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -183,9 +183,13 @@
     rejectQuestions(m_now);
 }
 
-void ServingReducer::on(const DrainRequested &)
+void ServingReducer::on(const DrainRequested &event)
 {
     m_draining = true;
+    m_drainEndsAt = event.endsAt;
+    for (auto &[call, request] : m_requests) {
+        limitToDrain(request);
+    }
     m_rejectingFrom = m_now + drainAcceptTime;
     m_peers.setCanOwnQueues(false);
     handOverQueues([this](const PoolName &pool) { return m_peers.queueOwner(pool, m_now).has_value(); });
@@ -197,6 +201,7 @@
 {
     suspendVerdicts(event.lateness);
     expireRequests();
+    rejectOutlastingRequests();
     startDelayedStages();
     startDelayedRuns();
     releaseFetchedInputs();
@@ -303,6 +308,9 @@
     if (route->timeout > Duration::zero()) {
         request.deadline = std::min(request.deadline, m_now + route->timeout);
     }
+    if (m_drainEndsAt) {
+        request.deadline = std::min(request.deadline, *m_drainEndsAt);
+    }
     request.objective = m_now + route->objective;
     request.expectedResponseAt = m_now;
     request.pool = selectPool(*route, request.streamAttempt());
@@ -319,6 +327,10 @@
     }
     request.level = route->maxLevel() + 1;
     request.expectedRunTime = expectedRunTime(request);
+    if (outlastsDrain(request)) {
+        m_effects.emplace_back(Observe{Metric::DrainRejectionsTotal, {}});
+        return ErrorKind::Unavailable;
+    }
     if (!route->stages.empty() && wouldBeTooLate(request)) {
         return ErrorKind::Unavailable;
     }
@@ -523,6 +535,10 @@
             finish(*request, "timed_out");
             continue;
         }
+        if (request->hasProvablyNotRun() && request->deadline == m_drainEndsAt) {
+            rejectForDrain(*request);
+            continue;
+        }
         recordMissedForecast(*request);
         reject(*request, request->hasProvablyNotRun() ? ErrorKind::Unavailable : ErrorKind::TimedOut,
                "deadline exceeded");
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -18,6 +18,7 @@
 #include "bergamottide/pools/endpointregistry.h"
 #include "bergamottide/pools/firsteventtimes.h"
 #include "bergamottide/pools/heldreleases.h"
+#include "bergamottide/pools/runtimes.h"
 #include "bergamottide/retries/retrybudget.h"
 #include "bergamottide/serving/request.h"
 #include "bergamottide/stages/fetchpaths.h"
@@ -170,6 +171,13 @@
     [[nodiscard]] std::optional<RateCapacity> poolCapacity(const Request &request, TimePoint at);
     [[nodiscard]] PoolName selectPool(const Route &route, const std::string &attempt) const;
 
+    // Drain of this process.
+    void limitToDrain(Request &request);
+    [[nodiscard]] Duration expectedRunLength(const Request &request) const;
+    [[nodiscard]] bool outlastsDrain(const Request &request) const;
+    void rejectForDrain(Request &request);
+    void rejectOutlastingRequests();
+
     // Queues owned by peers.
     void submitTask(StageTask task);
     [[nodiscard]] std::vector<ResultMemoryUsage> resultsOfOtherSchedulers(const PoolName &pool,
@@ -352,7 +360,10 @@
     TimePoint m_nextHeartbeatAt{};
     std::uint64_t m_nextRun{1};
     std::uint64_t m_nextTask{1};
+    RunTimes m_runTimes;
     bool m_draining{};
+    /*! @brief When a draining process has to have answered its requests; empty if it waits for them. */
+    std::optional<TimePoint> m_drainEndsAt;
     /*! @brief When a draining process begins to reject new requests. */
     TimePoint m_rejectingFrom{};
 };
--- a/src/bergamottide/serving/servingruns.cpp
+++ b/src/bergamottide/serving/servingruns.cpp
@@ -105,6 +105,10 @@
         request.awaitsVersion = true;
         return;
     }
+    if (outlastsDrain(request)) {
+        rejectForDrain(request);
+        return;
+    }
     const bool isGeneration = request.route->kind == RouteKind::Streaming;
     const auto choice = isGeneration ? chooseEngine(request) : std::nullopt;
     Endpoint *endpoint = nullptr;
@@ -340,6 +344,7 @@
     const int status = request->head->status;
     if (isSuccess(status)) {
         recordSuccess(*request);
+        m_runTimes.record(request->pool, m_now - request->runStartedAt);
     }
     if (status >= firstFailureStatus) {
         endRun(*request, EndpointOutcome::Failed);
