--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(encodesRetryAfterInFractionalSeconds);
     CPPUNIT_TEST(encodesAndDecodesStageCalls);
     CPPUNIT_TEST(stageResponseWithWrongItemCountIsBroken);
+    CPPUNIT_TEST(handlesThatNoHeaderCanHoldAreErrors);
     CPPUNIT_TEST(decodesConfiguration);
     CPPUNIT_TEST(deeplyNestedConfigurationIsDecoded);
     CPPUNIT_TEST(wrongJsonTypesAreErrors);
@@ -344,6 +345,22 @@
         CPPUNIT_ASSERT(ended.results[1].failure == serving::PieceFailure::InputMissing);
     }
 
+    /*! @brief Guards against a handle that adds lines to the head of the request that names it. */
+    void handlesThatNoHeaderCanHoldAreErrors()
+    {
+        for (const std::string &handle :
+             {std::string{"a\\r\\nX: y"}, std::string{"a\\n"}, std::string{"a b"}, std::string{"a,b"},
+              std::string{"a\\u0000"}, std::string{"caf\u00e9"}, std::string{}, std::string(1025, 'a')}) {
+            const HttpResponse answer{
+                200, {}, R"({"items":[{"handle":")" + handle + R"("},{"handle":"10.0.0.1:80/1;a=%zz"}]})"};
+            const auto ended = platform::decodeStageResponse(serving::StageCallNumber{1}, 2, answer);
+            CPPUNIT_ASSERT(ended.status == serving::StageCallStatus::Answered);
+            CPPUNIT_ASSERT_MESSAGE(handle, ended.results[0].handle.empty());
+            CPPUNIT_ASSERT(ended.results[0].failure == serving::PieceFailure::Error);
+            CPPUNIT_ASSERT_EQUAL(std::string{"10.0.0.1:80/1;a=%zz"}, ended.results[1].handle);
+        }
+    }
+
     void stageResponseWithWrongItemCountIsBroken()
     {
         const serving::StageCallNumber call{1};
