Bound the responses of endpoints that are collected, one by one and together

Callers saw: the process that had called a faulty endpoint ran out of memory, and their requests ended with it.

Cause: responses that are read as a whole, to stage calls, checks and lists of cached prompts, are collected up to 8 MiB for each call, with as many calls as there are slots. Responses for callers are charged to their account; these not.

Ruled out: charging the account of callers, since stage calls may serve peers.

Change: the client of endpoints collects 512 KiB of one response and 16 MiB of all in progress; a call beyond either fails like one with too large a response. A stage response takes 100 bytes for each of its items, 70 at most so far.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -42,6 +42,10 @@
 constexpr Duration connectTimeout = std::chrono::milliseconds{400};
 /*! @brief Time without data after which a call to an endpoint has failed; deadlines are normally shorter. */
 constexpr Duration endpointIoTimeout = std::chrono::seconds{20};
+/*! @brief Largest response of an endpoint that is read as a whole, such as that to a stage call, in bytes. */
+constexpr std::size_t maxCollectedBytes = 512U << 10U;
+/*! @brief Largest sum of such responses that are being received, in bytes. */
+constexpr std::size_t maxCollectedSum = 16U << 20U;
 /*! @brief Unsent bytes buffered for a slow caller; above this its connection is aborted. */
 constexpr std::size_t maxUnsentBytes = 1U << 20U;
 /*! @brief Time after the start of a drain in which the load balancer may still open connections. */
@@ -80,6 +84,8 @@
     options.ioTimeout = endpointIoTimeout;
     options.connectTimeout = connectTimeout;
     options.unacknowledgedTimeout = maxUnacknowledgedTime;
+    options.maxCollectedBytes = maxCollectedBytes;
+    options.maxCollectedSum = maxCollectedSum;
     options.onTraffic = std::move(onTraffic);
     return options;
 }
--- a/src/bergamottide/net/httpclient.cpp
+++ b/src/bergamottide/net/httpclient.cpp
@@ -91,6 +91,8 @@
         int status{};
         HttpHeaders headers;
         std::string received;
+        /*! @brief Bytes of the body that count toward the sum of all calls. */
+        std::size_t collectedBytes{};
         std::size_t receivedBytes{};
         /*! @brief Bytes read behind the head, frames of chunks included, of a body without length. */
         std::size_t framedBytes{};
@@ -160,6 +162,7 @@
     {
         call.client = nullptr;
         loop.cancel(call.connectTimer);
+        releaseCollected(call);
         auto node = calls.extract(call.id);
         if (call.cancelled) {
             graveyard(std::move(node.mapped()));
@@ -273,6 +276,7 @@
             return;
         }
         loop.cancel(node.mapped()->connectTimer);
+        releaseCollected(*node.mapped());
         if (node.mapped()->client != nullptr) {
             h2o_http1client_cancel(node.mapped()->client);
         }
@@ -438,7 +442,20 @@
         }
     }
 
-    bool takeBody(Call &call) const
+    /*! @brief Counts a piece of a body that is kept; returns false if there is no room for it. */
+    [[nodiscard]] bool collect(Call &call, std::size_t bytes)
+    {
+        call.collectedBytes += bytes;
+        collectedSum += bytes;
+        return call.collectedBytes <= options.maxCollectedBytes && collectedSum <= options.maxCollectedSum;
+    }
+
+    void releaseCollected(Call &call)
+    {
+        collectedSum -= std::exchange(call.collectedBytes, 0);
+    }
+
+    bool takeBody(Call &call)
     {
         h2o_buffer_t **input = &call.client->sock->input;
         const std::string piece{(*input)->bytes, (*input)->size};
@@ -452,6 +469,9 @@
         // The hook may cancel the call, which clears its hooks; the copy survives that.
         const auto hook = call.hooks.piece;
         if (!hook) {
+            if (!collect(call, piece.size())) {
+                return false;
+            }
             call.received += piece;
             return true;
         }
@@ -475,6 +495,8 @@
     /*! @brief Calls whose last hook waits for the next round. */
     std::map<HttpCallId, std::unique_ptr<Call>> ended;
     std::uint64_t nextCall{1};
+    /*! @brief Sum of `Call::collectedBytes`. */
+    std::size_t collectedSum{};
     TimerId silenceTimer{};
     /*! @brief Expires with the client, for tasks that come later. */
     std::shared_ptr<int> life{std::make_shared<int>()};
--- a/src/bergamottide/net/httpclient.h
+++ b/src/bergamottide/net/httpclient.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -30,6 +31,11 @@
     Duration unacknowledgedTimeout{};
     /*! @brief Largest body of an answer read, in bytes. */
     std::size_t maxBodyBytes{8u << 20};
+    /*! @brief Largest body of an answer that is collected for `HttpCallHooks::done`, in bytes, if below `maxBodyBytes`.
+     */
+    std::size_t maxCollectedBytes{std::numeric_limits<std::size_t>::max()};
+    /*! @brief Largest sum of what is collected for all calls in progress, in bytes; a call beyond it fails. */
+    std::size_t maxCollectedSum{std::numeric_limits<std::size_t>::max()};
     /*! @brief Largest sum of header bytes read. */
     std::size_t maxHeadBytes{32u << 10};
     /*! @brief Idle connections kept for each address. */
--- a/test/bergamottide/net/http.cpp
+++ b/test/bergamottide/net/http.cpp
@@ -3,6 +3,7 @@
 #include "bergamottide/net/httpserver.h"
 #include "bergamottide/net/socketaddress.h"
 #include "support/certificates.h"
+#include "support/endedcall.h"
 #include "support/rununtil.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -29,6 +30,7 @@
     CPPUNIT_TEST(reusesAConnection);
     CPPUNIT_TEST(findsHeadersAndQueryValues);
     CPPUNIT_TEST(queriesHoldAnyBytes);
+    CPPUNIT_TEST(collectedBodiesAreBoundedTogether);
     CPPUNIT_TEST(speaksTlsAndTakesARenewedCertificate);
     CPPUNIT_TEST(clientRefusesAnUnknownAuthority);
     CPPUNIT_TEST(refusesACertificateThatCannotBeRead);
@@ -193,6 +195,45 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"v"}, std::string{headerValue({{"Name", "v"}}, "name")});
     }
 
+    void collectedBodiesAreBoundedTogether()
+    {
+        constexpr std::size_t bytes = 1000;
+        HttpServer server{m_loop, {"127.0.0.1:0", {}, 1 << 20}, [this](HttpRequest request, auto responder) {
+                              responder->begin(200, {});
+                              responder->send(std::string(bytes, 'x'));
+                              if (request.path == "/slow") {
+                                  m_loop.at(m_loop.now() + std::chrono::milliseconds{200},
+                                            [responder] { responder->finish(); });
+                                  return;
+                              }
+                              responder->finish();
+                          }};
+        CPPUNIT_ASSERT(server.listen().ok());
+        HttpClientOptions options;
+        options.maxCollectedBytes = bytes;
+        options.maxCollectedSum = 2 * bytes;
+        HttpClient client{m_loop, options};
+        // What has ended or was cancelled no longer counts, so the second round finds as much room as the first.
+        for (int round = 0; round < 2; ++round) {
+            std::vector<test::EndedCall> calls(3);
+            for (test::EndedCall &call : calls) {
+                client.call(server.address(), {"GET", "/slow", "", {}, ""}, test::recordingHooks(call));
+            }
+            CPPUNIT_ASSERT(test::runUntil(m_loop, [&calls] {
+                return std::ranges::all_of(calls, [](const auto &call) { return call.answer || call.failure; });
+            }));
+            CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, std::ranges::count_if(calls, [](const auto &call) {
+                                     return call.answer.has_value();
+                                 }));
+            test::EndedCall cancelled;
+            const HttpCallId call =
+                client.call(server.address(), {"GET", "/slow", "", {}, ""}, test::recordingHooks(cancelled));
+            test::runFor(m_loop, std::chrono::milliseconds{100});
+            client.cancel(call);
+            test::runFor(m_loop, std::chrono::milliseconds{20});
+        }
+    }
+
     void queriesHoldAnyBytes()
     {
         std::string all;
