Move the slow endpoint to the tests that speak the platform's formats

Cause: the check of names refuses them outside of platform/ and its tests; it had not been run when the tests of a drain landed.

Change: `SlowEndpoint` stands in test/platform; the tests are the same.

--- a/test/processes/drainedprocess.cpp
+++ b/test/processes/drainedprocess.cpp
@@ -1,4 +1,5 @@
 #include "platform/fakes.h"
+#include "platform/slowendpoint.h"
 #include "processes/platformprocesses.h"
 #include "support/endedcall.h"
 #include "support/rununtil.h"
@@ -13,7 +14,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -22,70 +22,6 @@
 
 namespace {
 
-/*! @brief Endpoint that takes a time for each request, for some at once; others wait in their order. */
-class SlowEndpoint
-{
-public:
-    SlowEndpoint(Loop &loop, Duration work, std::size_t slots)
-        : m_loop{loop}
-        , m_work{work}
-        , m_slots{slots}
-        , m_server{loop, options(),
-                   [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
-                       m_lastArrivalAt = m_loop.now();
-                       m_waiting.push_back({std::string{headerValue(request.headers, "attempt-id")}, responder});
-                       startWaiting();
-                   }}
-    {
-        static_cast<void>(m_server.listen());
-    }
-
-    [[nodiscard]] std::string address() const
-    {
-        return m_server.address();
-    }
-
-    [[nodiscard]] TimePoint lastArrivalAt() const noexcept
-    {
-        return m_lastArrivalAt;
-    }
-
-private:
-    struct Work
-    {
-        std::string attempt;
-        std::shared_ptr<HttpResponder> responder;
-    };
-
-    static HttpServerOptions options()
-    {
-        HttpServerOptions out;
-        out.listen = "127.0.0.1:0";
-        return out;
-    }
-
-    void startWaiting()
-    {
-        while (m_running < m_slots && !m_waiting.empty()) {
-            ++m_running;
-            m_loop.at(m_loop.now() + m_work, [this, work = m_waiting.front()] {
-                --m_running;
-                work.responder->respond({200, {{"attempt-id", work.attempt}, {"response-seal", "seal"}}, "done"});
-                startWaiting();
-            });
-            m_waiting.pop_front();
-        }
-    }
-
-    Loop &m_loop;
-    Duration m_work;
-    std::size_t m_slots;
-    std::size_t m_running{};
-    std::deque<Work> m_waiting;
-    TimePoint m_lastArrivalAt{};
-    HttpServer m_server;
-};
-
 constexpr std::size_t enoughSlots = 1000;
 
 } // namespace
