Keep the timers of a fake store from a store that is gone

Cause: tests that have a store for each case destroy it while the loop goes on. The timer of a watch that still waited used it afterwards; one of two runs of half of the unit tests ended by a signal among the tests of the reader of the store.

Change: the timer does nothing once its store is gone.

--- a/test/platform/fakes.cpp
+++ b/test/platform/fakes.cpp
@@ -220,7 +220,11 @@
     }
     m_watches.push_back({responder, after});
     const std::chrono::milliseconds wait{std::stoll(std::string{queryValue(request.query, "waitMs")})};
-    m_loop.at(m_loop.now() + wait, [this, responder] { expireWatch(responder); });
+    m_loop.at(m_loop.now() + wait, [this, responder, alive = std::weak_ptr<int>{m_life}] {
+        if (!alive.expired()) {
+            expireWatch(responder);
+        }
+    });
 }
 
 std::string FakeStore::listReply(const HttpRequest &request) const
--- a/test/platform/fakes.h
+++ b/test/platform/fakes.h
@@ -110,6 +110,8 @@
     bool m_isSilent{};
     /*! @brief Requests that stay without an answer, so that their connections stay open. */
     std::vector<std::shared_ptr<HttpResponder>> m_unanswered;
+    /*! @brief Expires with the store, for timers that come later. */
+    std::shared_ptr<int> m_life{std::make_shared<int>()};
 };
 
 /*! @brief Returns a byte sequence that a FakeStore writes into a key as an escaped lone surrogate, which is no text. */
