--- a/test/platform/cutstore.cpp
+++ b/test/platform/cutstore.cpp
@@ -89,6 +89,8 @@
         hooks.changed = hooks.listed;
         hooks.unavailable = [](const std::string &) {
         };
+        hooks.listFailed = [](ListFailure, const std::string &) {
+        };
         hooks.available = [] {
         };
         hooks.confirmed = [](TimePoint) {
