--- a/review/standin2.py
+++ b/review/standin2.py
@@ -219,7 +219,7 @@
 class Fleet:
     """Processes of the system, started with the command and the template of the deploy file."""
 
-    def __init__(self, store_address, count=1, values=None, more=""):
+    def __init__(self, store_address, count=1, values=None, more="", stores=None):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="bergamottide-review-"))
         deploy = (ROOT / "deploy" / "system.toml").read_text()
         self.command = re.search(r'^run = "([^"]+)"', deploy, re.M).group(1).split()
@@ -234,7 +234,7 @@
                 "zones": {"hall-a": "bc-lower"}, "seeds": seeds,
                 "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}",
                            "control": f"127.0.0.1:{control}"},
-                "provider": {"address": store_address}, "limits": {"cpuShare": 0.19, "linkMbps": 1000.0},
+                "provider": {"address": (stores or {}).get(index, store_address)}, "limits": {"cpuShare": 0.19, "linkMbps": 1000.0},
                 "bounds": {"graceS": 8, "retryBudgetRatio": 0.2, "budgetSlack": 58, "budgetWindowS": 10},
                 **(values or {})}
             path = self.folder / f"node-{index}.yaml"
@@ -313,6 +313,76 @@
             print(self.folder)
 
 
+class Proxy:
+    """Passes connections on to an address; may reset all of them, or hold up what comes back."""
+
+    def __init__(self, target):
+        self.target = target
+        self.is_cut = False
+        self.delay = 0.0
+        self.writers = set()
+        self.on_request = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        return self
+
+    @staticmethod
+    def reset(writer):
+        sock = writer.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+        writer.transport.abort()
+
+    def cut(self):
+        self.is_cut = True
+        for writer in list(self.writers):
+            self.reset(writer)
+
+    def heal(self):
+        self.is_cut = False
+
+    async def serve(self, reader, writer):
+        if self.is_cut:
+            self.reset(writer)
+            return
+        host, port = self.target.rsplit(":", 1)
+        try:
+            back_reader, back_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            self.reset(writer)
+            return
+        self.writers.add(writer)
+
+        async def forward():
+            while data := await reader.read(65536):
+                if self.on_request:
+                    self.on_request(data)
+                back_writer.write(data)
+                await back_writer.drain()
+
+        async def back():
+            while data := await back_reader.read(65536):
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+                writer.write(data)
+                await writer.drain()
+        try:
+            tasks = [asyncio.ensure_future(forward()), asyncio.ensure_future(back())]
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        except asyncio.CancelledError:
+            pass
+        finally:
+            self.writers.discard(writer)
+            for one in (writer, back_writer):
+                one.close()
+
+
 class Answer:
     def __init__(self):
         self.status, self.headers, self.body = 0, Headers(), b""
