--- a/review/standin2.py
+++ b/review/standin2.py
@@ -126,6 +126,10 @@
         self.closes = False
         self.state = {}
 
+    def is_closed(self):
+        """Whether the caller has closed its end; what it sent may still have to be read."""
+        return self.reader.at_eof() or self.reader.exception() is not None or self.writer.is_closing()
+
     async def send(self, data):
         self.writer.write(data)
         await self.writer.drain()
