--- a/review/standin2.py
+++ b/review/standin2.py
@@ -193,8 +193,8 @@
         await asyncio.sleep(0.004)
         await connection.send(response(200, [("Content-Type", "application/json")], json.dumps(body).encode()))
 
-    def put_server(self, name, service, address, slots=64, zone="hall-a", state="ready"):
-        self.put(f"servers/{name}", {"service": service, "address": address, "zone": zone, "version": "v1",
+    def put_server(self, name, service, address, slots=64, zone="hall-a", state="ready", version="v1"):
+        self.put(f"servers/{name}", {"service": service, "address": address, "zone": zone, "version": version,
                                      "slots": slots, "state": state, "coldLeftMs": 0, "stage": "both",
                                      "models": [{"name": "m", "version": 1, "adapters": []}], "sequence": 1})
 
