--- a/src/bergamottide/app/peerport.h
+++ b/src/bergamottide/app/peerport.h
@@ -36,6 +36,8 @@
     std::function<void(const std::string &query, const std::shared_ptr<HttpResponder> &responder)> changes;
     /*! @brief Requests a confirmation of the data; `ServingApp::confirmEndpoints` or `leaveUnconfirmed` is called. */
     std::function<void()> confirm;
+    /*! @brief Reads the history of the list of endpoints; `ServingApp::setFormerEndpoints` is called. */
+    std::function<void()> readHistory;
 };
 
 /*! @brief Path at which peers ask for changes of the store's data. */
--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -306,6 +306,11 @@
     m_runner.submit(EndpointsUnconfirmed{});
 }
 
+void ServingApp::setFormerEndpoints(FormerEndpointsRead former)
+{
+    m_runner.submit(std::move(former));
+}
+
 void ServingApp::log(const LogLine &line)
 {
     if (const auto summary = m_logGate.summary(m_loop.now())) {
@@ -350,6 +355,7 @@
 void ServingApp::setStoreHandlers(StoreHandlers handlers)
 {
     m_confirmStore = handlers.confirm;
+    m_readStoreHistory = handlers.readHistory;
     m_peers.setStoreHandlers(std::move(handlers));
 }
 
@@ -792,6 +798,15 @@
     m_confirmStore();
 }
 
+void ServingApp::carryOut(const ReadFormerEndpoints &)
+{
+    if (!m_readStoreHistory) {
+        setFormerEndpoints({});
+        return;
+    }
+    m_readStoreHistory();
+}
+
 void ServingApp::carryOut(const AnswerStreamQuery &effect)
 {
     m_peers.carryOut(effect);
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -112,6 +112,10 @@
      * called. */
     void leaveUnconfirmed();
 
+    /*! @brief Tells the reducer which endpoints the list has lately had, after `StoreHandlers::readHistory` was called.
+     */
+    void setFormerEndpoints(serving::FormerEndpointsRead former);
+
     /*! @brief Writes a line to the log. */
     void log(const LogLine &line);
 
@@ -180,6 +184,7 @@
     void carryOut(const serving::AnswerStreamQuery &effect);
     void carryOut(const serving::ListCachedPrompts &effect);
     void carryOut(const serving::ConfirmEndpoints &effect);
+    void carryOut(const serving::ReadFormerEndpoints &effect);
     void carryOut(const serving::SendHeartbeat &effect);
     void carryOut(const serving::Drained &effect);
     void carryOut(const LogLine &effect);
@@ -224,6 +229,7 @@
     HttpServer m_readyServer;
     std::optional<HttpServer> m_metricsServer;
     std::function<void()> m_confirmStore;
+    std::function<void()> m_readStoreHistory;
     std::map<CallId, Caller> m_callers;
     std::map<serving::RunNumber, Run> m_runs;
     std::map<serving::StageCallNumber, HttpCallId> m_stageCalls;
--- a/src/bergamottide/events/events.h
+++ b/src/bergamottide/events/events.h
@@ -269,6 +269,16 @@
 {
 };
 
+/*! @brief Event: the history of the list of endpoints has been read, as `ReadFormerEndpoints` asked for. */
+struct FormerEndpointsRead
+{
+    /*! @brief Endpoints that the list has lately had, or had at another software version; nothing if it cannot be read.
+     */
+    std::optional<EndpointList> endpoints;
+    /*! @brief The history tells of some removed endpoints only that they were removed. */
+    bool hasUnknown{};
+};
+
 /*! @brief Identifies a task that a peer has submitted; unique within this process. */
 enum class PeerTaskNumber : std::uint64_t
 {
@@ -387,11 +397,12 @@
     Duration lateness{};
 };
 
-using Event = std::variant<RequestArrived, CallerDisconnected, EndpointResponded, RunHeadReceived, RunBodyReceived,
-                           RunCompleted, RunFailed, EndpointChecked, StageCallEnded, CatalogChanged, EndpointsChanged,
-                           EndpointsConfirmed, EndpointsUnconfirmed, PeerTaskArrived, PeerTaskCancelled,
-                           DelegatedTaskEnded, HeartbeatReceived, PeerReleasedResults, StreamQueryArrived,
-                           CachedPromptsListed, StreamLookupEnded, SettingsChanged, DrainRequested, Tick>;
+using Event =
+    std::variant<RequestArrived, CallerDisconnected, EndpointResponded, RunHeadReceived, RunBodyReceived, RunCompleted,
+                 RunFailed, EndpointChecked, StageCallEnded, CatalogChanged, EndpointsChanged, EndpointsConfirmed,
+                 EndpointsUnconfirmed, FormerEndpointsRead, PeerTaskArrived, PeerTaskCancelled, DelegatedTaskEnded,
+                 HeartbeatReceived, PeerReleasedResults, StreamQueryArrived, CachedPromptsListed, StreamLookupEnded,
+                 SettingsChanged, DrainRequested, Tick>;
 
 /*! @brief Kind of an error response that this process sends instead of an endpoint. */
 enum class ErrorKind : std::uint8_t
@@ -585,6 +596,14 @@
 {
 };
 
+/*!
+ * @brief Effect: asks for the endpoints that the list has lately had, as of now or later; `FormerEndpointsRead`
+ * follows.
+ */
+struct ReadFormerEndpoints
+{
+};
+
 /*! @brief Effect: sends a heartbeat to an address. */
 struct SendHeartbeat
 {
@@ -600,7 +619,7 @@
     std::variant<SendErrorResponse, SendResponse, BeginStream, SendStreamEvents, FinishStream, AbortStream, StartRun,
                  CancelRun, CheckEndpoint, StartStageCall, CancelStageCall, ReleaseResults, DelegateTask,
                  CancelDelegatedTask, CompletePeerTask, NotifyReleasedResults, LookUpStream, AnswerStreamQuery,
-                 ListCachedPrompts, ConfirmEndpoints, SendHeartbeat, Drained, LogLine, Observe>;
+                 ListCachedPrompts, ConfirmEndpoints, ReadFormerEndpoints, SendHeartbeat, Drained, LogLine, Observe>;
 using Effects = std::vector<Effect>;
 
 } // namespace bergamottide::serving
--- a/src/bergamottide/serving/servingengines.cpp
+++ b/src/bergamottide/serving/servingengines.cpp
@@ -28,13 +28,35 @@
 }
 
 std::optional<engines::EngineChoice> ServingReducer::chooseEngine(const Request &request)
+{
+    std::vector<Endpoint *> endpoints = candidateEndpoints(request);
+    const auto best = chooseEngineAmong(endpoints, request);
+    const StartingVersion starting = startingVersion(request);
+    if (!best || !starting.version) {
+        return best;
+    }
+    std::erase_if(endpoints, [&starting](const Endpoint *endpoint) {
+        return endpoint->record.softwareVersion != *starting.version;
+    });
+    const auto preferred = chooseEngineAmong(endpoints, request);
+    if (!preferred) {
+        return best;
+    }
+    const bool isInTime = m_now + preferred->expectedFirstEvent <= request.objective;
+    return starting.isBinding || isInTime || preferred->expectedFirstEvent <= best->expectedFirstEvent ? preferred
+                                                                                                       : best;
+}
+
+/*! @brief Chooses one of some engines for a request; nothing if it was sent to all of them before. */
+std::optional<engines::EngineChoice> ServingReducer::chooseEngineAmong(const std::vector<Endpoint *> &endpoints,
+                                                                       const Request &request)
 {
     std::vector<engines::EngineCandidate> candidates;
     const load::LoadTable &loads = m_endpoints.loads();
     const double meanPace = loads.meanPace(request.pool);
     // The pace may change before the first event; that in the middle counts.
     const TimePoint middle = m_now + m_firstEventTimes.average(request.pool) / 2;
-    for (const Endpoint *endpoint : candidateEndpoints(request)) {
+    for (const Endpoint *endpoint : endpoints) {
         const EndpointRecord &record = endpoint->record;
         const bool isTried = std::find(request.triedEndpoints.begin(), request.triedEndpoints.end(), record.instance)
             != request.triedEndpoints.end();
--- a/src/bergamottide/serving/servingreducer.cpp
+++ b/src/bergamottide/serving/servingreducer.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
 
 namespace bergamottide::serving {
 
@@ -123,8 +124,12 @@
     if (const auto due = m_promptSearch.nextWakeup()) {
         next = next ? std::min(*next, *due) : due;
     }
-    if (!m_unconfirmedQuestions.empty()) {
-        const TimePoint due = m_unconfirmedQuestions.front().askedAt + confirmationTimeout;
+    for (const std::vector<StreamQuestion> &questions :
+         {std::cref(m_unconfirmedQuestions), std::cref(m_historyQuestions)}) {
+        if (questions.empty()) {
+            continue;
+        }
+        const TimePoint due = questions.front().askedAt + confirmationTimeout;
         next = next ? std::min(*next, due) : due;
     }
     if (!m_deferredTasks.empty() || !m_deferredLookups.empty()) {
--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -129,6 +129,23 @@
     [[nodiscard]] bool canServe() const;
 
 private:
+    /*! @brief Question about a stream without a record. */
+    struct StreamQuestion
+    {
+        PromptSearch::Asker asker;
+        StreamQuery query;
+        TimePoint askedAt{};
+    };
+
+    /*! @brief Software version at which a new stream is to begin. */
+    struct StartingVersion
+    {
+        /*! @brief Nothing if any will do. */
+        std::optional<SoftwareVersion> version;
+        /*! @brief The stream begins there even if it begins sooner elsewhere. */
+        bool isBinding{};
+    };
+
     void on(const RequestArrived &event);
     void on(const CallerDisconnected &event);
     void on(const EndpointResponded &event);
@@ -142,6 +159,7 @@
     void on(const EndpointsChanged &event);
     void on(const EndpointsConfirmed &event);
     void on(const EndpointsUnconfirmed &event);
+    void on(const FormerEndpointsRead &event);
     void on(const PeerTaskArrived &event);
     void on(const PeerTaskCancelled &event);
     void on(const DelegatedTaskEnded &event);
@@ -218,6 +236,8 @@
     void scheduleInputRelease(Request &request, const engines::EngineChoice &choice);
     void releaseFetchedInputs();
     [[nodiscard]] std::optional<engines::EngineChoice> chooseEngine(const Request &request);
+    [[nodiscard]] std::optional<engines::EngineChoice> chooseEngineAmong(const std::vector<Endpoint *> &endpoints,
+                                                                         const Request &request);
 
     // Resumed streams.
     void resolveVersion(Request &request);
@@ -231,12 +251,17 @@
     void requestConfirmation();
     void answerConfirmedQuestions();
     void rejectQuestions(TimePoint askedUntil);
+    void readHistory();
+    [[nodiscard]] bool isHistoryKnown(TimePoint until) const;
+    void searchPrompts(const StreamQuestion &question);
+    [[nodiscard]] StartingVersion startingVersion(const Request &request) const;
+    [[nodiscard]] std::set<SoftwareVersion> versionsWithPrompt(const Request &request) const;
     void deliverVersion(const PromptSearch::Asker &asker, const std::optional<SoftwareVersion> &version,
-                        VersionSource source);
+                        VersionSource source, std::string_view detail);
     void deliverSearchAnswers();
     void endLookup(CallId call, const std::optional<SoftwareVersion> &version, VersionSource source);
     void recordResumption(const Request &request, VersionSource source);
-    void logProvenVersion(const std::optional<SoftwareVersion> &version, VersionSource source);
+    void logProvenVersion(const std::optional<SoftwareVersion> &version, VersionSource source, std::string_view detail);
     [[nodiscard]] std::string listAge() const;
     void recordVersion(const Request &request, const SoftwareVersion &version);
 
@@ -293,14 +318,6 @@
         std::vector<StageOutcome> outcomes;
     };
 
-    /*! @brief Question about a stream without a record. */
-    struct UnconfirmedQuestion
-    {
-        PromptSearch::Asker asker;
-        StreamQuery query;
-        TimePoint askedAt{};
-    };
-
     /*! @brief Longest wait for a confirmation of the list; shorter than the timeout of a peer's question. */
     static constexpr Duration confirmationTimeout = std::chrono::milliseconds{500};
 
@@ -331,7 +348,13 @@
     /*! @brief Resumptions of unknown streams that arrived before the fleet was known. */
     std::set<CallId> m_deferredLookups;
     /*! @brief Questions that wait until the list of endpoints is confirmed, oldest first. */
-    std::vector<UnconfirmedQuestion> m_unconfirmedQuestions;
+    std::vector<StreamQuestion> m_unconfirmedQuestions;
+    /*! @brief Questions that wait for the history of the list, oldest first. */
+    std::vector<StreamQuestion> m_historyQuestions;
+    /*! @brief When the history was requested that is being read. */
+    std::optional<TimePoint> m_historyRequestedAt;
+    /*! @brief When the history was requested that has been read last. */
+    std::optional<TimePoint> m_historyReadAsOf;
     /*! @brief When a confirmation was requested that has not come yet. */
     std::optional<TimePoint> m_confirmationRequestedAt;
     /*! @brief Fair shares in the pools whose endpoints are all bounded. */
--- a/src/bergamottide/serving/servingstreams.cpp
+++ b/src/bergamottide/serving/servingstreams.cpp
@@ -37,13 +37,15 @@
 }
 
 /*! @brief Logs what this process concludes of a stream without a record, for itself or for a peer. */
-void ServingReducer::logProvenVersion(const std::optional<SoftwareVersion> &version, VersionSource source)
+void ServingReducer::logProvenVersion(const std::optional<SoftwareVersion> &version, VersionSource source,
+                                      std::string_view detail)
 {
     m_effects.emplace_back(LogLine{Severity::Info,
                                    Part::Entry,
                                    "The software version of a stream without a record was looked for.",
                                    {{"software", version ? version->text() : "unknown"},
                                     {"source", std::string{enumName(source)}},
+                                    {"detail", std::string{detail}},
                                     {"list_age_ms", listAge()}}});
 }
 
@@ -77,8 +79,12 @@
     const Duration lifetime = lifetimeOf(request);
     // A peer whose list of endpoints is older must not take the version that it has seen for the only one.
     const bool isSingle = m_streamVersions.hasSingleVersion(request.pool, lifetime, m_now);
-    return {keyOf(request), request.pool, prompt.empty() ? engines::PromptPart{} : prompt.back(),
-            isSingle ? lifetime : Duration::zero()};
+    engines::PromptPart lastPart = prompt.empty() ? engines::PromptPart{} : prompt.back();
+    if (request.callerRequest->resumedAttempt.empty() && isSpreadOverVersions(lastPart)) {
+        // Without the name of the stream, the version that it is assigned to is unknown.
+        lastPart = {};
+    }
+    return {keyOf(request), request.pool, std::move(lastPart), isSingle ? lifetime : Duration::zero()};
 }
 
 /*! @brief Returns whether anything could know the software version of the request's stream. */
@@ -130,13 +136,72 @@
 void ServingReducer::proveVersion(const PromptSearch::Asker &asker, const StreamQuery &query)
 {
     if (query.lifetime == Duration::zero() && !searchesPrompts(query)) {
-        deliverVersion(asker, std::nullopt, VersionSource::OnlyVersion);
+        deliverVersion(asker, std::nullopt, VersionSource::OnlyVersion, "not_asked");
         return;
     }
     m_unconfirmedQuestions.push_back({asker, query, m_now});
     requestConfirmation();
 }
 
+/*! @brief Returns whether all endpoints are known that were listed between the start of the history and a time. */
+bool ServingReducer::isHistoryKnown(TimePoint until) const
+{
+    return m_historyReadAsOf && m_listAge.covers(*m_historyReadAsOf, until);
+}
+
+/*! @brief Reads which endpoints were listed before this process knew the list; once for many questions. */
+void ServingReducer::readHistory()
+{
+    if (m_historyRequestedAt) {
+        return;
+    }
+    m_historyRequestedAt = m_now;
+    m_effects.emplace_back(ReadFormerEndpoints{});
+}
+
+void ServingReducer::on(const FormerEndpointsRead &event)
+{
+    const TimePoint requestedAt = std::exchange(m_historyRequestedAt, std::nullopt).value_or(m_now);
+    if (event.endpoints) {
+        m_streamVersions.recordFormer(*event.endpoints, event.hasUnknown, m_now);
+        m_historyReadAsOf = requestedAt;
+        m_effects.emplace_back(
+            LogLine{Severity::Info,
+                    Part::Membership,
+                    "The history of the list of endpoints was read.",
+                    {{"former", absl::StrCat(event.endpoints->size())}, {"unknown", event.hasUnknown ? "yes" : "no"}}});
+    }
+    for (const StreamQuestion &question : std::exchange(m_historyQuestions, {})) {
+        if (event.endpoints) {
+            searchPrompts(question);
+            continue;
+        }
+        deliverVersion(question.asker, std::nullopt, VersionSource::CachedPrompt, "history_unknown");
+    }
+    deliverSearchAnswers();
+}
+
+/*! @brief Searches the caches of the engines for the prompt of a stream, as soon as it is known what limits them. */
+void ServingReducer::searchPrompts(const StreamQuestion &question)
+{
+    const StreamQuery &query = question.query;
+    if (!isSpreadOverVersions(query.lastPart)) {
+        m_promptSearch.ask(question.asker, query.pool, query.lastPart, std::nullopt, m_now, m_effects);
+        return;
+    }
+    if (!isHistoryKnown(question.askedAt)) {
+        m_historyQuestions.push_back(question);
+        readHistory();
+        return;
+    }
+    if (m_streamVersions.hasUnknownFormer(m_now)) {
+        deliverVersion(question.asker, std::nullopt, VersionSource::CachedPrompt, "former_version_unknown");
+        return;
+    }
+    const auto assigned = assignedVersion(query.stream, query.lastPart, m_streamVersions.knownVersions(query.pool));
+    m_promptSearch.ask(question.asker, query.pool, query.lastPart, assigned, m_now, m_effects);
+}
+
 void ServingReducer::requestConfirmation()
 {
     if (m_unconfirmedQuestions.empty() || m_confirmationRequestedAt) {
@@ -151,7 +216,7 @@
     if (m_confirmationRequestedAt && m_listAge.isConfirmedSince(*m_confirmationRequestedAt)) {
         m_confirmationRequestedAt.reset();
     }
-    for (UnconfirmedQuestion &question : std::exchange(m_unconfirmedQuestions, {})) {
+    for (StreamQuestion &question : std::exchange(m_unconfirmedQuestions, {})) {
         if (!m_listAge.isConfirmedSince(question.askedAt)) {
             m_unconfirmedQuestions.push_back(std::move(question));
             continue;
@@ -161,24 +226,31 @@
             ? m_streamVersions.onlyVersion(query.pool, query.lifetime, question.askedAt)
             : std::nullopt;
         if (!only && searchesPrompts(query)) {
-            m_promptSearch.ask(question.asker, query.pool, query.lastPart, m_now, m_effects);
+            searchPrompts(question);
             continue;
         }
-        deliverVersion(question.asker, only, VersionSource::OnlyVersion);
+        deliverVersion(question.asker, only, VersionSource::OnlyVersion, "confirmed");
     }
     deliverSearchAnswers();
     requestConfirmation();
 }
 
-/*! @brief Answers the questions up to a time without a version, since the list has not been confirmed. */
+/*! @brief Answers the questions up to a time without a version, since the list or its history is still unknown. */
 void ServingReducer::rejectQuestions(TimePoint askedUntil)
 {
-    for (UnconfirmedQuestion &question : std::exchange(m_unconfirmedQuestions, {})) {
+    for (StreamQuestion &question : std::exchange(m_unconfirmedQuestions, {})) {
         if (question.askedAt > askedUntil) {
             m_unconfirmedQuestions.push_back(std::move(question));
             continue;
         }
-        deliverVersion(question.asker, std::nullopt, VersionSource::OnlyVersion);
+        deliverVersion(question.asker, std::nullopt, VersionSource::OnlyVersion, "list_unconfirmed");
+    }
+    for (StreamQuestion &question : std::exchange(m_historyQuestions, {})) {
+        if (question.askedAt > askedUntil) {
+            m_historyQuestions.push_back(std::move(question));
+            continue;
+        }
+        deliverVersion(question.asker, std::nullopt, VersionSource::CachedPrompt, "history_unknown");
     }
 }
 
@@ -215,15 +287,15 @@
 void ServingReducer::deliverSearchAnswers()
 {
     for (const PromptSearch::Answer &answer : m_promptSearch.takeAnswers()) {
-        deliverVersion(answer.asker, answer.version, VersionSource::CachedPrompt);
+        deliverVersion(answer.asker, answer.version, VersionSource::CachedPrompt, enumName(answer.evidence));
     }
 }
 
 /*! @brief Answers a question about a stream without a record, of this process or of a peer. */
 void ServingReducer::deliverVersion(const PromptSearch::Asker &asker, const std::optional<SoftwareVersion> &version,
-                                    VersionSource source)
+                                    VersionSource source, std::string_view detail)
 {
-    logProvenVersion(version, source);
+    logProvenVersion(version, source, detail);
     if (const auto *call = std::get_if<CallId>(&asker)) {
         endLookup(*call, version, source);
         return;
@@ -263,6 +335,44 @@
     }
 }
 
+/*! @brief Returns the versions with an engine that should have the whole prompt of a request cached. */
+std::set<SoftwareVersion> ServingReducer::versionsWithPrompt(const Request &request) const
+{
+    std::set<SoftwareVersion> out;
+    for (const Endpoint *endpoint : allowedEndpoints(request)) {
+        const engines::EngineState *state = m_engineTable.find(endpoint->record.instance);
+        if (state != nullptr && state->prefixCache.cachedLinks(request.prompt) == request.prompt.size()) {
+            out.insert(endpoint->record.softwareVersion);
+        }
+    }
+    return out;
+}
+
+/*!
+ * @brief Returns the software version at which a new stream is to begin; nothing if it does not matter.
+ *
+ * A caller may resume the stream at a process that has no record of it, and only the prompt caches tell its version
+ * then. They do so if no request of a session begins where the caches name another version.
+ */
+ServingReducer::StartingVersion ServingReducer::startingVersion(const Request &request) const
+{
+    const auto &prompt = request.callerRequest->prompt;
+    const bool isResumable = request.route->kind == RouteKind::Streaming && request.route->isResumable;
+    if (!isResumable || request.streamVersion || prompt.empty()) {
+        return {};
+    }
+    const VersionCounts serving = m_streamVersions.servingVersions(request.pool);
+    if (serving.size() < 2) {
+        return {};
+    }
+    const auto assigned = assignedVersion(keyOf(request), prompt.back(), serving);
+    const std::set<SoftwareVersion> cached = versionsWithPrompt(request);
+    if (isSpreadOverVersions(prompt.back()) || cached.empty()) {
+        return {assigned, assigned && cached.contains(*assigned)};
+    }
+    return {assigned && cached.contains(*assigned) ? assigned : std::optional{*cached.begin()}, true};
+}
+
 /*! @brief Records the software version to which a stream is sent, so that its caller can resume it anywhere. */
 void ServingReducer::recordVersion(const Request &request, const SoftwareVersion &version)
 {
--- a/src/bergamottide/streams/promptsearch.cpp
+++ b/src/bergamottide/streams/promptsearch.cpp
@@ -30,18 +30,18 @@
     }
 }
 
-void PromptSearch::ask(const Asker &asker, const PoolName &pool, const engines::PromptPart &part, TimePoint now,
-                       Effects &effects)
+void PromptSearch::ask(const Asker &asker, const PoolName &pool, const engines::PromptPart &part,
+                       const std::optional<SoftwareVersion> &assigned, TimePoint now, Effects &effects)
 {
     Round &round = m_rounds[pool];
     if (round.endedAt && now - *round.endedAt < listLifetime) {
-        m_answers.push_back({asker, versionOf(round, part)});
+        m_answers.push_back(answer(round, {asker, part, assigned}));
         return;
     }
     if (round.endedAt || round.pending.empty()) {
         start(round, pool, now, effects);
     }
-    round.questions.push_back({asker, part});
+    round.questions.push_back({asker, part, assigned});
 }
 
 void PromptSearch::start(Round &round, const PoolName &pool, TimePoint now, Effects &effects) const
@@ -93,20 +93,30 @@
     }
     round.endedAt = now;
     for (const Question &question : std::exchange(round.questions, {})) {
-        m_answers.push_back({question.asker, versionOf(round, question.part)});
+        m_answers.push_back(answer(round, question));
     }
 }
 
-std::optional<SoftwareVersion> PromptSearch::versionOf(const Round &round, const engines::PromptPart &part)
+PromptSearch::Answer PromptSearch::answer(const Round &round, const Question &question)
 {
-    const auto found = round.tokens.find(part.id);
-    if (found == round.tokens.end() || found->second.size() != 1) {
-        return std::nullopt;
+    const auto found = round.tokens.find(question.part.id);
+    if (found == round.tokens.end()) {
+        return {question.asker, PromptEvidence::NotCached, {}};
+    }
+    if (found->second.size() != 1) {
+        return {question.asker, PromptEvidence::CachedAtSeveralVersions, {}};
     }
     const auto &[version, tokens] = *found->second.begin();
-    const bool isOtherSilent =
-        std::ranges::any_of(round.silent, [&version = version](const auto &silent) { return silent != version; });
-    return isOtherSilent || tokens + maxMissingTokens < part.tokens ? std::nullopt : std::optional{version};
+    if (tokens + maxMissingTokens < question.part.tokens) {
+        return {question.asker, PromptEvidence::CachedInPart, {}};
+    }
+    if (std::ranges::any_of(round.silent, [&version = version](const auto &silent) { return silent != version; })) {
+        return {question.asker, PromptEvidence::OtherVersionSilent, {}};
+    }
+    if (question.assigned && *question.assigned != version) {
+        return {question.asker, PromptEvidence::AssignedToOtherVersion, {}};
+    }
+    return {question.asker, PromptEvidence::Proof, version};
 }
 
 std::vector<PromptSearch::Answer> PromptSearch::takeAnswers()
--- a/src/bergamottide/streams/promptsearch.h
+++ b/src/bergamottide/streams/promptsearch.h
@@ -1,23 +1,41 @@
 #pragma once
 
+#include "bergamottide/core/enumnames.h"
 #include "bergamottide/core/ids.h"
 #include "bergamottide/core/time.h"
 #include "bergamottide/events/events.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <variant>
 #include <vector>
 
 namespace bergamottide::serving {
 
+/*! @brief What the prompt caches of a pool's engines tell of a stream. */
+enum class PromptEvidence : std::uint8_t
+{
+    /*! @brief They prove the version. */
+    Proof,
+    NotCached,
+    CachedInPart,
+    CachedAtSeveralVersions,
+    /*! @brief Another version, which has not responded, may have the prompt too. */
+    OtherVersionSilent,
+    /*! @brief The stream is assigned to another version, so the prompt is cached for another request of its session. */
+    AssignedToOtherVersion
+};
+
 /**
  * @brief Finds the software version that ran a request by the prompt that its engine still has cached.
  *
  * The last part of a prompt belongs to one request or session, and an engine keeps it for some time after the run. If
- * engines of a single version have it, that version began the stream. Engines that do not respond may have it too, so
+ * engines of a single version have it, that version began the stream: new streams begin where their prompt is cached,
+ * unless they are assigned to a version, which the caller then names. Engines that do not respond may have it too, so
  * that a search proves nothing while one of another version is silent.
  *
  * A search lists the caches of all engines of a pool. Questions that arrive while the lists are under way, or shortly
@@ -33,7 +51,8 @@
     struct Answer
     {
         Asker asker;
-        /*! @brief Nothing if the engines do not prove a version. */
+        PromptEvidence evidence{};
+        /*! @brief Set if `evidence` is a proof. */
         std::optional<SoftwareVersion> version;
     };
 
@@ -51,11 +70,12 @@
      * @param asker Who asks.
      * @param pool Pool; `canAsk` must hold.
      * @param part Last part of the prompt.
+     * @param assigned The only version that can have begun the stream; nothing if any can.
      * @param now Current time.
      * @param effects Receives the lists to request.
      */
-    void ask(const Asker &asker, const PoolName &pool, const engines::PromptPart &part, TimePoint now,
-             Effects &effects);
+    void ask(const Asker &asker, const PoolName &pool, const engines::PromptPart &part,
+             const std::optional<SoftwareVersion> &assigned, TimePoint now, Effects &effects);
 
     /*! @brief Adds the list of an engine. */
     void handleList(const CachedPromptsListed &event, TimePoint now);
@@ -80,6 +100,7 @@
     {
         Asker asker;
         engines::PromptPart part;
+        std::optional<SoftwareVersion> assigned;
     };
 
     /*! @brief Lists of the engines of one pool. */
@@ -96,7 +117,7 @@
 
     void start(Round &round, const PoolName &pool, TimePoint now, Effects &effects) const;
     void end(Round &round, TimePoint now);
-    [[nodiscard]] static std::optional<SoftwareVersion> versionOf(const Round &round, const engines::PromptPart &part);
+    [[nodiscard]] static Answer answer(const Round &round, const Question &question);
 
     std::map<PoolName, std::map<InstanceName, Engine>> m_engines;
     std::map<PoolName, Round> m_rounds;
@@ -104,3 +125,10 @@
 };
 
 } // namespace bergamottide::serving
+
+template <>
+struct bergamottide::EnumNames<bergamottide::serving::PromptEvidence>
+{
+    static constexpr std::array<std::string_view, 6> names{
+        "proof", "not_cached", "cached_in_part", "several_versions", "other_version_silent", "assigned_elsewhere"};
+};
--- a/src/bergamottide/streams/streamversions.cpp
+++ b/src/bergamottide/streams/streamversions.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace bergamottide::serving {
 
@@ -30,18 +31,76 @@
 {
     for (auto &[pool, versions] : m_pools) {
         std::erase_if(versions, [now](const auto &entry) {
-            return entry.second && now - *entry.second >= maxLifetime + outOfStepTime;
+            return entry.second.goneAt && now - *entry.second.goneAt >= maxLifetime + outOfStepTime;
         });
-        for (auto &[version, goneAt] : versions) {
-            goneAt = goneAt.value_or(now);
+        for (auto &[version, presence] : versions) {
+            presence.goneAt = presence.goneAt.value_or(now);
+            presence.listed = 0;
+            presence.serving = 0;
         }
     }
     std::erase_if(m_pools, [](const auto &entry) { return entry.second.empty(); });
     for (const EndpointRecord &record : endpoints) {
-        m_pools[record.pool][record.softwareVersion].reset();
+        Presence &presence = m_pools[record.pool][record.softwareVersion];
+        presence.goneAt.reset();
+        ++presence.listed;
+        presence.serving += record.acceptsWork() ? 1 : 0;
+        presence.mostListed = std::max(presence.mostListed, presence.listed);
     }
 }
 
+void StreamVersions::recordFormer(const EndpointList &endpoints, bool hasUnknown, TimePoint now)
+{
+    std::map<std::pair<PoolName, SoftwareVersion>, std::size_t> counts;
+    for (const EndpointRecord &record : endpoints) {
+        ++counts[{record.pool, record.softwareVersion}];
+    }
+    for (const auto &[key, count] : counts) {
+        Presence &presence = m_pools[key.first][key.second];
+        presence.mostListed = std::max(presence.mostListed, count);
+        if (presence.listed == 0) {
+            presence.goneAt = now;
+        }
+    }
+    if (hasUnknown) {
+        m_unknownFormerAt = now;
+    }
+}
+
+bool StreamVersions::hasUnknownFormer(TimePoint now) const noexcept
+{
+    return m_unknownFormerAt && now - *m_unknownFormerAt < maxLifetime;
+}
+
+VersionCounts StreamVersions::servingVersions(const PoolName &pool) const
+{
+    VersionCounts out;
+    const auto found = m_pools.find(pool);
+    if (found == m_pools.end()) {
+        return out;
+    }
+    for (const auto &[version, presence] : found->second) {
+        if (presence.serving == 0) {
+            continue;
+        }
+        out[version] = presence.serving;
+    }
+    return out;
+}
+
+VersionCounts StreamVersions::knownVersions(const PoolName &pool) const
+{
+    VersionCounts out;
+    const auto found = m_pools.find(pool);
+    if (found == m_pools.end()) {
+        return out;
+    }
+    for (const auto &[version, presence] : found->second) {
+        out[version] = presence.listed == 0 ? presence.mostListed : presence.listed;
+    }
+    return out;
+}
+
 bool StreamVersions::record(StreamKey stream, const SoftwareVersion &version, TimePoint expiresAt, TimePoint now)
 {
     expiresAt = std::min(expiresAt, now + maxLifetime);
@@ -87,8 +146,8 @@
         return std::nullopt;
     }
     const SoftwareVersion *only = nullptr;
-    for (const auto &[version, goneAt] : versions->second) {
-        if (goneAt && *goneAt + outOfStepTime <= since) {
+    for (const auto &[version, presence] : versions->second) {
+        if (presence.goneAt && *presence.goneAt + outOfStepTime <= since) {
             continue;
         }
         if (only != nullptr) {
--- a/src/bergamottide/streams/streamversions.h
+++ b/src/bergamottide/streams/streamversions.h
@@ -6,6 +6,7 @@
 #include "bergamottide/events/heartbeat.h"
 #include "bergamottide/gossip/gossiptable.h"
 #include "bergamottide/pools/endpointlistage.h"
+#include "bergamottide/streams/versionassignment.h"
 
 #include <cstdint>
 #include <map>
@@ -53,6 +54,27 @@
     /*! @brief Updates the versions of all pools. */
     void updateEndpoints(const EndpointList &endpoints, TimePoint now);
 
+    /**
+     * @brief Adds the versions of endpoints that are no longer listed, as the history of the list tells.
+     * @param endpoints Former endpoints.
+     * @param hasUnknown Whether there were others of which the version is unknown.
+     * @param now Current time, from which these count as gone.
+     */
+    void recordFormer(const EndpointList &endpoints, bool hasUnknown, TimePoint now);
+
+    /*! @brief Returns whether an endpoint of unknown version may have begun streams that callers still resume. */
+    [[nodiscard]] bool hasUnknownFormer(TimePoint now) const noexcept;
+
+    /*! @brief Returns the versions of a pool whose endpoints accept work, with the number of these. */
+    [[nodiscard]] VersionCounts servingVersions(const PoolName &pool) const;
+
+    /*!
+     * @brief Returns all versions of a pool that may have begun streams which callers still resume.
+     *
+     * Each comes with its number of listed endpoints; one that has none, with the largest number that it had.
+     */
+    [[nodiscard]] VersionCounts knownVersions(const PoolName &pool) const;
+
     /**
      * @brief Records the version of a stream; a later one replaces it until the first event is sent.
      * @param stream Stream.
@@ -100,8 +122,17 @@
         TimePoint expiresAt{};
     };
 
-    /*! @brief Versions of a pool, each with the time at which its last endpoint was removed; none while it has one. */
-    using PoolVersions = std::map<SoftwareVersion, std::optional<TimePoint>>;
+    /*! @brief Endpoints of a version. */
+    struct Presence
+    {
+        /*! @brief When the last one was removed; nothing while there is one. */
+        std::optional<TimePoint> goneAt;
+        std::size_t listed{};
+        std::size_t serving{};
+        std::size_t mostListed{};
+    };
+
+    using PoolVersions = std::map<SoftwareVersion, Presence>;
 
     [[nodiscard]] std::optional<SoftwareVersion> singleVersion(const PoolName &pool, TimePoint since) const;
 
@@ -109,6 +140,7 @@
     /*! @brief Streams of peers. */
     std::map<StreamKey, Stream> m_reported;
     std::map<PoolName, PoolVersions> m_pools;
+    std::optional<TimePoint> m_unknownFormerAt;
     const EndpointListAge &m_listAge;
 };
 
--- a/test/bergamottide/serving/servingfixture.h
+++ b/test/bergamottide/serving/servingfixture.h
@@ -98,6 +98,18 @@
         m_isListConfirmed = isListConfirmed;
     }
 
+    /*! @brief Sets what the history of the list tells. */
+    void setHistory(serving::FormerEndpointsRead history)
+    {
+        m_history = std::move(history);
+    }
+
+    /*! @brief Sets whether the history of the list is read as soon as it is asked for. */
+    void setHistoryRead(bool isHistoryRead)
+    {
+        m_isHistoryRead = isHistoryRead;
+    }
+
     /*! @brief Advances the clock and applies a tick, which is late by a time. */
     void advanceClock(Duration time, Duration lateness = {})
     {
@@ -162,6 +174,10 @@
                 collectEffects(serving::EndpointsConfirmed{m_now});
                 continue;
             }
+            if (m_isHistoryRead && std::holds_alternative<serving::ReadFormerEndpoints>(effect)) {
+                collectEffects(m_history);
+                continue;
+            }
             if (!std::holds_alternative<LogLine>(effect) && !std::holds_alternative<Observe>(effect)
                 && !std::holds_alternative<serving::SendHeartbeat>(effect)) {
                 m_effects.push_back(std::move(effect));
@@ -195,6 +211,8 @@
     serving::ServingReducer m_reducer;
     serving::Effects m_effects;
     bool m_isListConfirmed{true};
+    bool m_isHistoryRead{true};
+    serving::FormerEndpointsRead m_history{serving::EndpointList{}, false};
 };
 
 } // namespace bergamottide::test
--- a/test/bergamottide/serving/streamversions.cpp
+++ b/test/bergamottide/serving/streamversions.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,6 +33,13 @@
     CPPUNIT_TEST(promptCachedAtTwoVersionsProvesNothing);
     CPPUNIT_TEST(promptThatIsCachedInPartProvesNothing);
     CPPUNIT_TEST(promptProvesNothingWhileAnEngineOfAnotherVersionIsSilent);
+    CPPUNIT_TEST(streamsOfASessionBeginWhereItsPromptIsCached);
+    CPPUNIT_TEST(streamsOfSpreadPromptsBeginAtTheVersionTheyAreAssignedTo);
+    CPPUNIT_TEST(promptOfAStreamThatIsAssignedElsewhereProvesNothing);
+    CPPUNIT_TEST(spreadStreamMayBeAssignedToAFormerVersion);
+    CPPUNIT_TEST(spreadStreamIsRejectedWithoutTheHistoryOfTheList);
+    CPPUNIT_TEST(spreadStreamWithoutItsNameIsRejected);
+    CPPUNIT_TEST(historyIsReadOnceForManyStreams);
     CPPUNIT_TEST(searchEndsAlthoughNoEngineResponds);
     CPPUNIT_TEST(enginesAreListedOnceForManyStreams);
     CPPUNIT_TEST(onlyModelEnginesAreAskedForPrompts);
@@ -233,6 +241,105 @@
         }
     }
 
+    /*! @brief Guards against a part that is cached at a version where another request of its session ran (review/6). */
+    void streamsOfASessionBeginWhereItsPromptIsCached()
+    {
+        ServingFixture fixture{mixedEndpoints()};
+        std::set<std::string> versions;
+        for (std::uint64_t call = 1; call <= 60; ++call) {
+            versions.insert(versionOf(beginStream(fixture, call, stayingPart()).instance));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, versions.size());
+    }
+
+    void streamsOfSpreadPromptsBeginAtTheVersionTheyAreAssignedTo()
+    {
+        ServingFixture fixture{mixedEndpoints()};
+        std::set<std::string> versions;
+        for (std::uint64_t call = 1; call <= 60; ++call) {
+            const std::string version = versionOf(beginStream(fixture, call, spreadPart()).instance);
+            CPPUNIT_ASSERT_EQUAL(assignedTo(call), version);
+            versions.insert(version);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, versions.size());
+    }
+
+    /*! @brief Guards against an earlier request of the session that ran at another version (review/6). */
+    void promptOfAStreamThatIsAssignedElsewhereProvesNothing()
+    {
+        for (std::uint64_t resumed = 100; resumed < 120; ++resumed) {
+            ServingFixture fixture{mixedEndpoints()};
+            fixture.apply(resumptionWithPrompt(fixture, 2, spreadPart(), resumed));
+            listCaches(fixture, {{"engine-4", 250}}, {}, spreadPart());
+            CPPUNIT_ASSERT_EQUAL(assignedTo(resumed) == "v2", fixture.effect<StartRun>() != nullptr);
+            CPPUNIT_ASSERT_EQUAL(assignedTo(resumed) != "v2", fixture.effect<SendErrorResponse>() != nullptr);
+        }
+    }
+
+    /*! @brief Guards against the loss of all processes beside the end of a version, at which the stream began
+     * (review/6). */
+    void spreadStreamMayBeAssignedToAFormerVersion()
+    {
+        std::size_t continued = 0;
+        for (std::uint64_t resumed = 100; resumed < 120; ++resumed) {
+            ServingFixture fixture{without("v1")};
+            fixture.setHistory({*without("v2"), false});
+            fixture.apply(resumptionWithPrompt(fixture, 2, spreadPart(), resumed));
+            listCaches(fixture, {{"engine-4", 250}}, {}, spreadPart());
+            CPPUNIT_ASSERT_EQUAL(assignedTo(resumed) == "v2", fixture.effect<StartRun>() != nullptr);
+            continued += fixture.effect<StartRun>() != nullptr ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(continued > 0 && continued < 20);
+    }
+
+    void spreadStreamIsRejectedWithoutTheHistoryOfTheList()
+    {
+        for (const bool isUnreadable : {false, true}) {
+            ServingFixture fixture{without("v1")};
+            fixture.setHistory(isUnreadable ? FormerEndpointsRead{} : FormerEndpointsRead{EndpointList{}, true});
+            checkRejected(fixture, resumptionWithPrompt(fixture, 2, spreadPart()));
+            // A later one finds the history if it could not be read before.
+            fixture.setHistory({EndpointList{}, false});
+            fixture.apply(resumptionWithPrompt(fixture, 3, spreadPart()));
+            listCaches(fixture, {{"engine-4", 250}}, {}, spreadPart());
+            CPPUNIT_ASSERT_EQUAL(isUnreadable, fixture.effect<StartRun>() != nullptr);
+            ServingFixture other{without("v1")};
+            other.setHistory({});
+            other.apply(resumptionWithPrompt(other, 2, stayingPart()));
+            listCaches(other, {{"engine-4", 250}});
+            CPPUNIT_ASSERT(other.effect<StartRun>() != nullptr);
+        }
+    }
+
+    void spreadStreamWithoutItsNameIsRejected()
+    {
+        ServingFixture fixture{mixedEndpoints()};
+        RequestArrived arrival = resumptionWithPrompt(fixture, 2, spreadPart());
+        arrival.request.resumedAttempt.clear();
+        checkRejected(fixture, arrival);
+    }
+
+    /*! @brief Guards against reading the platform's store for each of many streams that are resumed at once. */
+    void historyIsReadOnceForManyStreams()
+    {
+        ServingFixture fixture{without("v1")};
+        fixture.setHistoryRead(false);
+        std::size_t reads = 0;
+        for (std::uint64_t call = 2; call < 12; ++call) {
+            fixture.apply(resumptionWithPrompt(fixture, call, spreadPart()));
+            reads += count<ReadFormerEndpoints>(fixture.effects());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reads);
+        fixture.apply(FormerEndpointsRead{EndpointList{}, false});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{10}, listCaches(fixture, {{"engine-4", 250}}, {}, spreadPart()));
+        // One that never comes ends the wait.
+        ServingFixture silent{without("v1")};
+        silent.setHistoryRead(false);
+        silent.apply(resumptionWithPrompt(silent, 2, spreadPart()));
+        silent.advanceClock(std::chrono::milliseconds{500});
+        checkRejected(silent);
+    }
+
     /*! @brief Guards against a wait for knowledge without a bound. */
     void searchEndsAlthoughNoEngineResponds()
     {
@@ -481,6 +588,45 @@
         return *start;
     }
 
+    [[nodiscard]] static StartRun beginStream(ServingFixture &fixture, std::uint64_t call, const std::string &lastPart)
+    {
+        RequestArrived arrival = fixture.arrival("/summary/1", call);
+        arrival.request.prompt = {{"shared", 800}, {lastPart, 250}};
+        fixture.apply(arrival);
+        const auto *start = fixture.effect<StartRun>();
+        CPPUNIT_ASSERT(start != nullptr);
+        return *start;
+    }
+
+    /*! @brief Returns the identity of a part by which prompts stay where they are cached, or are spread over versions.
+     */
+    [[nodiscard]] static std::string partThatIsSpread(bool isSpread)
+    {
+        int number = 0;
+        while (isSpreadOverVersions({std::to_string(number), 250}) != isSpread) {
+            ++number;
+        }
+        return std::to_string(number);
+    }
+
+    [[nodiscard]] static std::string stayingPart()
+    {
+        return partThatIsSpread(false);
+    }
+
+    [[nodiscard]] static std::string spreadPart()
+    {
+        return partThatIsSpread(true);
+    }
+
+    /*! @brief Returns the version to which the stream of a call with `spreadPart` is assigned. */
+    [[nodiscard]] static std::string assignedTo(std::uint64_t call)
+    {
+        const StreamKey stream = StreamVersions::keyOf(WorkspaceName{"north"}, "attempt-" + std::to_string(call));
+        return assignedVersion(stream, {spreadPart(), 250}, {{SoftwareVersion{"v1"}, 3}, {SoftwareVersion{"v2"}, 3}})
+            ->text();
+    }
+
     static void sendEvents(ServingFixture &fixture, RunNumber run)
     {
         fixture.apply(RunHeadReceived{run, ServingFixture::responseHead()});
@@ -498,10 +644,12 @@
     }
 
     /*! @brief Returns a resumption with a prompt whose last part has 250 tokens. */
-    [[nodiscard]] static RequestArrived resumptionWithPrompt(const ServingFixture &fixture, std::uint64_t call)
+    [[nodiscard]] static RequestArrived resumptionWithPrompt(const ServingFixture &fixture, std::uint64_t call,
+                                                             const std::string &lastPart = stayingPart(),
+                                                             std::uint64_t resumed = 1)
     {
-        RequestArrived arrival = resumption(fixture, call, 1);
-        arrival.request.prompt = {{"shared", 800}, {"own", 250}};
+        RequestArrived arrival = resumption(fixture, call, resumed);
+        arrival.request.prompt = {{"shared", 800}, {lastPart, 250}};
         return arrival;
     }
 
@@ -517,7 +665,7 @@
      * @return Number of runs that are started.
      */
     static std::size_t listCaches(ServingFixture &fixture, const std::map<std::string, std::uint64_t> &tokens,
-                                  const std::string &silent = {})
+                                  const std::string &silent = {}, const std::string &lastPart = stayingPart())
     {
         std::size_t started = 0;
         for (int engine = 1; engine <= 6; ++engine) {
@@ -527,7 +675,7 @@
                 list.parts = std::vector<engines::PromptPart>{{"shared", 800}};
             }
             if (const auto found = tokens.find(name); found != tokens.end()) {
-                list.parts->push_back({"own", found->second});
+                list.parts->push_back({lastPart, found->second});
             }
             fixture.apply(list);
             started += count<StartRun>(fixture.effects());
--- a/test/platform/fakes.cpp
+++ b/test/platform/fakes.cpp
@@ -103,6 +103,9 @@
 
 void FakeStore::remove(const std::string &key)
 {
+    if (m_keepsHistory && m_items.contains(key)) {
+        m_history.emplace_back(key, m_items[key]);
+    }
     m_items[key] = {{}, ++m_revision, true};
     answerWaitingWatches(200);
 }
@@ -271,14 +274,15 @@
 
 std::string FakeStore::page(const std::string &field, std::uint64_t after) const
 {
+    const bool isList = field == "items";
     json items = json::array();
     for (const auto &[key, item] : m_history) {
-        if (after > 0 && item.revision > after) {
+        if (!isList && item.revision > after) {
             items.push_back({{"key", key}, {"revision", item.revision}, {"value", absl::Base64Escape(item.value)}});
         }
     }
     for (const auto &[key, item] : m_items) {
-        if (item.revision <= after || (item.isRemoved && after == 0)) {
+        if (item.revision <= after || (item.isRemoved && isList)) {
             continue;
         }
         items.push_back({{"key", jsonKey(key)}, {"revision", item.revision}});
--- a/test/platform/streamengine.cpp
+++ b/test/platform/streamengine.cpp
@@ -41,6 +41,11 @@
         .dump();
 }
 
+void StreamEngine::setOtherRuns(std::size_t runs)
+{
+    m_otherRuns = runs;
+}
+
 void StreamEngine::handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
     if (request.path == "/bergamottide/kv-list") {
@@ -54,13 +59,18 @@
     const std::string prompt{headerValue(request.headers, "prompt-prefix")};
     const std::size_t last = prompt.rfind(',') + 1;
     m_parts.insert(prompt.substr(last, prompt.rfind(':') - last));
+    ++m_running;
     responder->begin(200,
                      {{"attempt-id", std::string{headerValue(request.headers, "attempt-id")}},
                       {"response-seal", "seal"},
+                      {"server-load", absl::StrCat(m_running + m_otherRuns, ",0,64")},
                       {"content-type", "text/event-stream"}});
     const std::string after{headerValue(request.headers, "last-event-id")};
     const auto isClosed = std::make_shared<bool>(false);
-    responder->onClosed([isClosed] { *isClosed = true; });
+    responder->onClosed([this, isClosed] {
+        *isClosed = true;
+        --m_running;
+    });
     sendEvent(responder, isClosed, after.empty() ? 0 : std::stoi(after) + 1);
 }
 
--- a/test/platform/streamengine.h
+++ b/test/platform/streamengine.h
@@ -24,6 +24,9 @@
      */
     [[nodiscard]] std::string entry(const std::string &state) const;
 
+    /*! @brief Sets the number of runs that it reports beside its own. */
+    void setOtherRuns(std::size_t runs);
+
 private:
     void handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
     void sendEvent(const std::shared_ptr<HttpResponder> &responder, const std::shared_ptr<bool> &isClosed, int number);
@@ -32,6 +35,8 @@
     std::string m_version;
     /*! @brief Last parts of the prompts that it has run. */
     std::set<std::string> m_parts;
+    std::size_t m_running{};
+    std::size_t m_otherRuns{};
     HttpServer m_server;
 };
 
--- a/test/processes/resumedstreams.cpp
+++ b/test/processes/resumedstreams.cpp
@@ -30,6 +30,8 @@
 struct Stream
 {
     std::string firstAttempt;
+    /*! @brief The attempt in progress, or the last one. */
+    std::string attempt;
     std::string prompt;
     std::size_t events{};
     /*! @brief Events before it is resumed. */
@@ -49,11 +51,13 @@
     CPPUNIT_TEST(streamsThatALivingProcessKnowsAreRejectedWithTheirVersion);
     CPPUNIT_TEST(streamsOfAVersionThatLeavesAreRejected);
     CPPUNIT_TEST(streamsOfTwoVersionsContinueAtTheirOwn);
+    CPPUNIT_TEST(streamsOfSessionsStayAtTheirVersion);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void setUp() override
     {
+        m_store.keepHistory();
         publish();
         m_processes.emplace(m_loop, m_store.address(), processCount);
         m_processes->start();
@@ -70,6 +74,7 @@
     /*! @brief Guards against streams of two versions: processes that start again see only one of them. */
     void streamsOfAVersionThatIsGoneAreRejected()
     {
+        beginStreamsOfTwoVersions();
         loseProcesses(processCount, [this] { removeFormerEngines(); });
         check(false);
     }
@@ -77,6 +82,7 @@
     /*! @brief Guards against a process that starts again and does not ask the one that knows the version (review/2). */
     void streamsThatALivingProcessKnowsAreRejectedWithTheirVersion()
     {
+        beginStreamsOfTwoVersions();
         loseProcesses(processCount - 1, [this] { removeFormerEngines(); });
         check(false);
     }
@@ -84,6 +90,7 @@
     /*! @brief Guards against streams of two versions while the engines of one are draining. */
     void streamsOfAVersionThatLeavesAreRejected()
     {
+        beginStreamsOfTwoVersions();
         loseProcesses(processCount, [this] { publishEngines("v1", "draining"); });
         check(false);
     }
@@ -91,10 +98,31 @@
     /*! @brief Guards against rejecting all streams that nobody but their engines knows. */
     void streamsOfTwoVersionsContinueAtTheirOwn()
     {
+        beginStreamsOfTwoVersions();
         loseProcesses(processCount, [] {});
         check(true);
     }
 
+    /*! @brief Guards against a stream that goes on where only an earlier request of its session ran (review/6). */
+    void streamsOfSessionsStayAtTheirVersion()
+    {
+        beginStreams(ownPrompts());
+        std::vector<std::string> prompts;
+        for (const Stream &stream : std::exchange(m_streams, {})) {
+            if (stream.versions.contains("v2")) {
+                prompts.push_back(stream.prompt);
+            }
+        }
+        for (const auto &engine : m_engines["v2"]) {
+            engine->setOtherRuns(60);
+        }
+        // The first of these requests tell the processes how busy the engines are.
+        beginStreams(prompts);
+        beginStreams(prompts);
+        loseProcesses(processCount, [this] { removeFormerEngines(); });
+        check(false);
+    }
+
 private:
     void publish()
     {
@@ -121,38 +149,59 @@
         }
     }
 
-    /*!
-     * @brief Begins all streams, kills processes, lets the endpoints change, and resumes the streams.
-     * @param count Number of processes to kill, the last ones.
-     * @param changeEndpoints Called while the processes are down.
-     */
-    void loseProcesses(std::size_t count, const std::function<void()> &changeEndpoints)
+    /*! @brief Returns prompts whose last parts belong to one request each. */
+    [[nodiscard]] static std::vector<std::string> ownPrompts()
     {
-        m_streams.resize(streamCount);
+        std::vector<std::string> prompts;
         for (std::size_t index = 0; index < streamCount; ++index) {
-            m_streams[index].prompt = absl::StrCat("5c1e:100,", absl::Hex(index + 1, absl::kZeroPad8), ":100");
+            prompts.push_back(absl::StrCat("5c1e:100,", absl::Hex(index + 1, absl::kZeroPad8), ":100"));
+        }
+        return prompts;
+    }
+
+    /*! @brief Begins a stream for each prompt, and waits until all have events. */
+    void beginStreams(const std::vector<std::string> &prompts)
+    {
+        m_streams.assign(prompts.size(), {});
+        for (std::size_t index = 0; index < prompts.size(); ++index) {
+            m_streams[index].prompt = prompts[index];
             attempt(index, index % processCount);
         }
         m_processes->runUntil(
             [this] { return std::ranges::all_of(m_streams, [](const Stream &stream) { return stream.events >= 2; }); });
+    }
+
+    void beginStreamsOfTwoVersions()
+    {
+        beginStreams(ownPrompts());
         std::set<std::string> versions;
         for (const Stream &stream : m_streams) {
             versions.insert(stream.versions.begin(), stream.versions.end());
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, versions.size());
+    }
+
+    /*!
+     * @brief Kills processes, lets the endpoints change, and resumes all streams.
+     * @param count Number of processes to kill, the last ones.
+     * @param changeEndpoints Called while the processes are down.
+     */
+    void loseProcesses(std::size_t count, const std::function<void()> &changeEndpoints)
+    {
         for (std::size_t process = processCount - count; process < processCount; ++process) {
             m_processes->kill(process);
         }
-        const auto isBroken = [](const Stream &stream) {
-            return stream.hasEnded;
-        };
-        m_processes->runUntil([this, count, &isBroken] {
-            return static_cast<std::size_t>(std::ranges::count_if(m_streams, isBroken))
-                == streamCount / processCount * count;
+        m_processes->runUntil([this, count] {
+            for (std::size_t index = 0; index < m_streams.size(); ++index) {
+                if (index % processCount >= processCount - count && !m_streams[index].hasEnded) {
+                    return false;
+                }
+            }
+            return true;
         });
         changeEndpoints();
         m_processes->start();
-        for (std::size_t index = 0; index < streamCount; ++index) {
+        for (std::size_t index = 0; index < m_streams.size(); ++index) {
             Stream &stream = m_streams[index];
             if (!stream.hasEnded) {
                 m_client.cancel(stream.call);
@@ -197,19 +246,35 @@
             resumeAfter(request, stream.firstAttempt, stream.events - 1);
         }
         HttpCallHooks hooks;
+        stream.attempt = name;
         hooks.piece = [this, index, name](std::string_view piece) {
-            addEvents(m_streams[index], name, piece);
+            if (Stream *current = findStream(index, name)) {
+                addEvents(*current, name, piece);
+            }
         };
-        hooks.done = [this, index](const HttpResponse &) {
-            m_streams[index].hasEnded = true;
+        hooks.done = [this, index, name](const HttpResponse &) {
+            endAttempt(index, name);
         };
-        hooks.failed = [this, index](HttpFailure) {
-            m_streams[index].hasEnded = true;
+        hooks.failed = [this, index, name](HttpFailure) {
+            endAttempt(index, name);
         };
         stream.call =
             m_client.call(m_processes->callers(process), std::move(request), std::move(hooks), Connection::Fresh);
     }
 
+    /*! @brief Returns a stream; null if an attempt is none of its own, as the stream was replaced. */
+    [[nodiscard]] Stream *findStream(std::size_t index, const std::string &attempt)
+    {
+        return index < m_streams.size() && m_streams[index].attempt == attempt ? &m_streams[index] : nullptr;
+    }
+
+    void endAttempt(std::size_t index, const std::string &attempt)
+    {
+        if (Stream *stream = findStream(index, attempt)) {
+            stream->hasEnded = true;
+        }
+    }
+
     /*! @brief Adds the events of a piece; each event arrives in a piece of its own. */
     static void addEvents(Stream &stream, const std::string &attempt, std::string_view piece)
     {
--- a/test/support/servingfleet.cpp
+++ b/test/support/servingfleet.cpp
@@ -12,6 +12,8 @@
 
 constexpr Duration step = std::chrono::milliseconds{10};
 constexpr Duration connectTimeout = std::chrono::milliseconds{400};
+/*! @brief Time for which the platform's store keeps its history. */
+constexpr Duration storeHistory = std::chrono::seconds{20};
 constexpr Duration networkDelay = std::chrono::milliseconds{1};
 constexpr Duration lookupTimeout = std::chrono::milliseconds{600};
 constexpr Duration shortestQueueTime = std::chrono::milliseconds{20};
@@ -424,6 +426,8 @@
         listCachedPrompts(process, *list);
     } else if (std::holds_alternative<ConfirmEndpoints>(effect)) {
         confirmList(process);
+    } else if (std::holds_alternative<ReadFormerEndpoints>(effect)) {
+        readFormerEndpoints(process);
     } else if (const auto *heartbeat = std::get_if<SendHeartbeat>(&effect)) {
         exchangeHeartbeats(process, heartbeat->address);
     } else if (const auto *error = std::get_if<SendErrorResponse>(&effect)) {
@@ -657,6 +661,11 @@
             list->back().softwareVersion = engine->softwareVersion;
         }
     }
+    for (const EndpointRecord &record : m_list ? *m_list : EndpointList{}) {
+        if (std::ranges::find(*list, record.instance, &EndpointRecord::instance) == list->end()) {
+            m_former.emplace_back(m_now, record);
+        }
+    }
     m_list = std::move(list);
     for (std::size_t process = 0; process < m_processes.size(); ++process) {
         deliverList(process);
@@ -797,6 +806,22 @@
     });
 }
 
+void ServingFleet::readFormerEndpoints(std::size_t process)
+{
+    FormerEndpointsRead event;
+    if (!m_processes[process].isCutFromStore) {
+        event.endpoints.emplace();
+        for (const auto &[leftAt, record] : m_former) {
+            if (m_now - leftAt <= storeHistory) {
+                event.endpoints->push_back(record);
+            }
+        }
+    }
+    schedule(networkDelay, [this, process, incarnation = m_processes[process].incarnation, event] {
+        applyTo(process, incarnation, event);
+    });
+}
+
 void ServingFleet::exchangeHeartbeats(std::size_t process, const std::string &address)
 {
     const auto peer = m_processByAddress.find(address);
--- a/test/support/servingfleet.h
+++ b/test/support/servingfleet.h
@@ -329,6 +329,7 @@
     void lookUpStream(std::size_t process, const serving::LookUpStream &lookup);
     void answerStreamQuery(const serving::AnswerStreamQuery &answer);
     void listCachedPrompts(std::size_t process, const serving::ListCachedPrompts &list);
+    void readFormerEndpoints(std::size_t process);
     void exchangeHeartbeats(std::size_t process, const std::string &address);
     void deliverHeartbeat(std::size_t from, std::size_t to);
     void recordEnd(CallId call, std::size_t CallerResults::*outcome);
@@ -348,6 +349,8 @@
     std::map<std::string, std::size_t> m_engineByAddress;
     std::set<InstanceName> m_listed;
     std::shared_ptr<const serving::EndpointList> m_list;
+    /*! @brief Endpoints that have left the list, or have got another version, and when. */
+    std::vector<std::pair<TimePoint, serving::EndpointRecord>> m_former;
     TimePoint m_confirmedAt{};
     /*! @brief Questions of processes about streams, with the process that asks and its request. */
     std::map<serving::StreamQueryNumber, std::pair<std::size_t, CallId>> m_streamQueries;
