Close the connection of a call that is cancelled at the end of its answer

Cause: a call that a hook cancels, such as one whose request was refused, ends its connection. If the answer has no body, the client library takes the connection back for reuse before the call is closed. A late second refusal then meets the next request on it, and one without an identity counts as the answer to that.

Ruled out: answers whose body is still to come, which closed the connection before as well.

Change: the connection is shut down, and the library does not use such a one again.

Figures: CutAnswersTest::connectionOfACancelledAnswerIsNotUsedAgain sees one connection for two calls before, two after.

--- a/src/bergamottide/net/httpclient.cpp
+++ b/src/bergamottide/net/httpclient.cpp
@@ -13,6 +13,8 @@
 #include <utility>
 #include <vector>
 
+#include <sys/socket.h>
+
 namespace bergamottide {
 
 namespace {
@@ -393,6 +395,7 @@
         }
         if (whole) {
             call.state->complete(call);
+            closeIfCancelled(call, client);
             return nullptr;
         }
         if (headerValue(call.headers, "content-length").empty()
@@ -423,6 +426,7 @@
         auto &call = *static_cast<Call *>(client->data);
         if (call.cancelled || (error != nullptr && error != h2o_http1client_error_is_eos)) {
             call.state->fail(call, HttpFailure::Broken);
+            closeIfCancelled(call, client);
             return -1;
         }
         if (!call.state->takeBody(call)) {
@@ -431,10 +435,23 @@
         }
         if (error != nullptr) {
             call.state->complete(call);
+            closeIfCancelled(call, client);
         }
         return 0;
     }
 
+    /*!
+     * @brief Closes the connection of a call that a hook has cancelled at the end of its answer.
+     *
+     * h2o takes it for one to keep, but it does not use one again that has been shut down.
+     */
+    static void closeIfCancelled(const Call &call, const h2o_http1client_t *client)
+    {
+        if (call.cancelled) {
+            static_cast<void>(::shutdown(h2o_socket_get_fd(client->sock), SHUT_RDWR));
+        }
+    }
+
     void countTraffic(std::size_t received, std::size_t sent) const
     {
         if (options.onTraffic) {
--- a/test/bergamottide/net/cutanswers.cpp
+++ b/test/bergamottide/net/cutanswers.cpp
@@ -2,6 +2,7 @@
 #include "support/drawnanswers.h"
 #include "support/endedcall.h"
 #include "support/rawserver.h"
+#include "support/repeatingserver.h"
 #include "support/rununtil.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -23,6 +24,7 @@
     CPPUNIT_TEST_SUITE(CutAnswersTest);
     CPPUNIT_TEST(onlyWholeAnswersAreDone);
     CPPUNIT_TEST(onlyWholeAnswersAreDoneOnKeptConnections);
+    CPPUNIT_TEST(connectionOfACancelledAnswerIsNotUsedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -38,6 +40,32 @@
         cutDrawnAnswers(Connection::Pooled);
     }
 
+    /*! @brief Guards against a late second refusal on a connection that was to be closed, but had no body to wait for.
+     */
+    void connectionOfACancelledAnswerIsNotUsedAgain()
+    {
+        for (const std::string body : {"", "x"}) {
+            RepeatingServer server{Repetition::Never, 1, "", [&body](const HttpRequest &) {
+                                       return HttpResponse{503, {}, body};
+                                   }};
+            HttpClient client{m_loop, HttpClientOptions{}};
+            bool isCancelled = false;
+            HttpCallId call{};
+            HttpCallHooks hooks;
+            hooks.head = [&](int, const HttpHeaders &) {
+                client.cancel(call);
+                isCancelled = true;
+            };
+            call = client.call(server.address(), HttpRequest{"GET", "/", "", {}, ""}, std::move(hooks));
+            runUntil(m_loop, [&] { return isCancelled; });
+            EndedCall second;
+            client.call(server.address(), HttpRequest{"GET", "/", "", {}, ""}, recordingHooks(second));
+            runUntil(m_loop, [&] { return second.answer || second.failure; });
+            CPPUNIT_ASSERT_MESSAGE(body, second.answer);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(body, std::size_t{2}, server.connections());
+        }
+    }
+
 private:
     static constexpr int answers = 40;
 
