Tell the answers to calls of the process apart from others on the connection

Cause, one for both: calls of the process carried no identity, shared kept connections with each other and with requests of callers, and took the next answer for theirs.

Ruled out: handles exchanged in the queue or between processes (no foreign input without repeated answers), a separate fault in the judgement of refusals (none untrue with a connection for each call).

Change: calls have identities. Endpoints that repeat them are called on kept connections, and any other answer breaks the call; the others get a new connection for each call. Releases have connections of their own. Foreign answers are counted and logged. A pause in a late answer to another request is not taken.

--- a/src/bergamottide/app/servingapp.cpp
+++ b/src/bergamottide/app/servingapp.cpp
@@ -177,6 +177,8 @@
                    carryOut(std::move(effect));
                }}
     , m_endpointClient{loop, endpointOptions(trafficHook())}
+    , m_releaseClient{loop, endpointOptions(trafficHook())}
+    , m_endpointCalls{m_endpointClient, incarnation, endpointCallsHooks()}
     , m_peers{loop, settings.peersAddress, peerHooks()}
     , m_callersServer{loop, callersOptions(),
                       [this](HttpRequest request, const std::shared_ptr<HttpResponder> &responder) {
@@ -407,6 +409,20 @@
     return options;
 }
 
+EndpointCallsHooks ServingApp::endpointCallsHooks()
+{
+    EndpointCallsHooks hooks;
+    hooks.addIdentity = m_codec.addIdentity;
+    hooks.checkIdentity = m_codec.checkIdentity;
+    hooks.log = [this](const LogLine &line) {
+        log(line);
+    };
+    hooks.observe = [this](const Observe &observation) {
+        observe(observation);
+    };
+    return hooks;
+}
+
 CallerReportHooks ServingApp::callerReportHooks()
 {
     CallerReportHooks hooks;
@@ -716,7 +732,7 @@
         m_runner.submit(CachedPromptsListed{instance, std::nullopt});
     };
     const HttpCallId call =
-        m_endpointClient.call(effect.address, m_codec.encodeListCachedPrompts(instance), std::move(hooks));
+        m_endpointCalls.call(instance, effect.address, m_codec.encodeListCachedPrompts(instance), std::move(hooks));
     // The reducer does not wait longer.
     m_loop.at(m_loop.now() + effect.timeout, [this, call] { m_endpointClient.cancel(call); });
 }
@@ -737,7 +753,8 @@
                 call, wasNothingSent(failure) ? StageCallStatus::ConnectFailed : StageCallStatus::Broken, {}});
         }
     };
-    m_stageCalls[call] = m_endpointClient.call(effect.address, m_codec.encodeStageCall(effect), std::move(hooks));
+    m_stageCalls[call] =
+        m_endpointCalls.call(effect.instance, effect.address, m_codec.encodeStageCall(effect), std::move(hooks));
 }
 
 void ServingApp::carryOut(const CancelStageCall &effect)
@@ -761,7 +778,7 @@
              "Results could not be released at their endpoint.",
              {{"address", address}, {"reason", std::string{enumName(failure)}}}});
     };
-    m_endpointClient.call(effect.address, m_codec.encodeRelease(effect.handles), std::move(hooks));
+    m_releaseClient.call(effect.address, m_codec.encodeRelease(effect.handles), std::move(hooks));
 }
 
 void ServingApp::carryOut(const DelegateTask &effect)
--- a/src/bergamottide/app/servingapp.h
+++ b/src/bergamottide/app/servingapp.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bergamottide/app/callerreport.h"
+#include "bergamottide/app/endpointcalls.h"
 #include "bergamottide/app/peerport.h"
 #include "bergamottide/app/reducerrunner.h"
 #include "bergamottide/events/events.h"
@@ -42,6 +43,8 @@
         decodeResponseHead;
     std::function<HttpResponse(const serving::SendErrorResponse &refusal, const std::string &attempt)>
         encodeErrorResponse;
+    std::function<void(HttpRequest &request, const std::string &identity)> addIdentity;
+    std::function<AnswerIdentity(const std::string &identity, const HttpHeaders &headers)> checkIdentity;
     std::function<HttpRequest(const serving::StartStageCall &call)> encodeStageCall;
     std::function<serving::StageCallEnded(serving::StageCallNumber call, std::size_t items, const HttpResponse &answer)>
         decodeStageResponse;
@@ -206,6 +209,7 @@
     [[nodiscard]] HttpServerOptions callersOptions();
     [[nodiscard]] HttpServerOptions internalOptions(const std::string &address);
     [[nodiscard]] CallerReportHooks callerReportHooks();
+    [[nodiscard]] EndpointCallsHooks endpointCallsHooks();
     [[nodiscard]] overload::ConnectionDecision decideConnection(const overload::WaitingConnection &connection);
     void recordRound(const RoundFigures &figures);
     void reportLoad();
@@ -224,6 +228,9 @@
     serving::ServingReducer m_reducer;
     ReducerRunner<serving::ServingReducer, serving::Event, serving::Effect, serving::Tick> m_runner;
     HttpClient m_endpointClient;
+    /*! @brief Client of calls whose answers are not needed; its connections carry nothing else. */
+    HttpClient m_releaseClient;
+    EndpointCalls m_endpointCalls;
     PeerPort m_peers;
     HttpServer m_callersServer;
     HttpServer m_readyServer;
--- a/src/bergamottide/telemetry/metric.h
+++ b/src/bergamottide/telemetry/metric.h
@@ -63,13 +63,14 @@
     HeldBytes,
     ListFailuresTotal,
     MalformedEntriesTotal,
-    DrainRejectionsTotal
+    DrainRejectionsTotal,
+    ForeignAnswersTotal
 };
 
 template <>
 struct EnumNames<Metric>
 {
-    static constexpr std::array<std::string_view, 45> names{"bergamottide_requests_total",
+    static constexpr std::array<std::string_view, 46> names{"bergamottide_requests_total",
                                                             "bergamottide_requests_on_time_total",
                                                             "bergamottide_request_seconds",
                                                             "bergamottide_refusals_total",
@@ -113,7 +114,8 @@
                                                             "bergamottide_held_bytes",
                                                             "bergamottide_list_failures_total",
                                                             "bergamottide_malformed_entries_total",
-                                                            "bergamottide_drain_rejections_total"};
+                                                            "bergamottide_drain_rejections_total",
+                                                            "bergamottide_foreign_answers_total"};
 };
 
 /*! @brief Effect: a metric changes. */
--- a/src/bergamottide/telemetry/metricinfo.cpp
+++ b/src/bergamottide/telemetry/metricinfo.cpp
@@ -159,6 +159,11 @@
          "Requests that a draining process rejected, not run, since they would outlast it.",
          {},
          {}},
+        {Metric::ForeignAnswersTotal,
+         counter,
+         "Answers of endpoints to calls that do not belong to them, by what their identity showed.",
+         {"identity"},
+         {}},
     };
     return table;
 }
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -89,7 +89,9 @@
         }
         const HttpHeaders limited{{"server-limit", "2"}, {"attempt-id", "a1"}};
         CPPUNIT_ASSERT(platform::decodeNotice("a1", 200, limited)->limit->requestsPerSecond == std::optional{2.0});
-        // A late response to another request.
+        // A late response to another request; a pause that it asks for has begun before.
+        CPPUNIT_ASSERT(platform::decodeNotice("a2", 503, {{"Attempt-Id", "a1"}, {"Retry-After", "2"}})->pause
+                       == Duration::zero());
         CPPUNIT_ASSERT(!platform::decodeNotice("a2", 200, limited)->limit);
         // Another instance answered.
         CPPUNIT_ASSERT(!platform::decodeNotice("a1", 421, limited));
