--- a/test/processes/endpointanswers.cpp
+++ b/test/processes/endpointanswers.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(malformedFieldsAreNoAnswers);
     CPPUNIT_TEST(answersBeforeTheUploadIsReadAreNoSuccess);
     CPPUNIT_TEST(successWhileTheUploadIsUnderWayIsNoSuccess);
+    CPPUNIT_TEST(oddAnswersOnRoutesThatMayRunTwiceAreNoSuccess);
     CPPUNIT_TEST(safeRoutePassesOnWholeAnswersOnly);
     CPPUNIT_TEST(unsafeRoutePassesOnWholeAnswersOnly);
     CPPUNIT_TEST(streamingRoutePassesOnWholeAnswersOnly);
@@ -153,6 +154,24 @@
         }
     }
 
+    /*! @brief Guards the same, and against a status of zero, where requests may be sent again and where they stream. */
+    void oddAnswersOnRoutesThatMayRunTwiceAreNoSuccess()
+    {
+        const std::string fields = rawShopFields(1);
+        for (const std::string kind : {"safe", "streaming"}) {
+            m_processes.reset();
+            m_scripted.reset();
+            m_kind = kind;
+            checkNoAnswer("HTTP/1.1 000 OK\r\n" + fields + "Content-Length: 2\r\n\r\nok");
+            for (const std::size_t size : {std::size_t{64} << 10U, uploadBytes}) {
+                checkNoSuccess({"HTTP/1.1 200 OK\r\n" + fields + "\r\npart", {}, 0, {}, ConnectionEnd::Reset}, size);
+                checkNoSuccess(
+                    {"HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 9\r\n\r\npart", {}, 0, {}, ConnectionEnd::Reset},
+                    size);
+            }
+        }
+    }
+
     /*! @brief Guards against a 200 framed as whole for an answer that was cut off. */
     void safeRoutePassesOnWholeAnswersOnly()
     {
@@ -239,7 +258,7 @@
                 const std::lock_guard lock{m_scriptMutex};
                 return m_script;
             });
-            publishShop(m_store, m_scripted->address(), "unsafe", 2 * uploadBytes);
+            publishShop(m_store, m_scripted->address(), m_kind, 2 * uploadBytes);
             m_processes = std::make_unique<PlatformProcesses>(m_loop, m_store.address(), 1);
             m_processes->start();
         }
@@ -287,6 +306,8 @@
     HttpClient m_client{m_loop, HttpClientOptions{}};
     std::mutex m_scriptMutex;
     RawScript m_script;
+    /*! @brief Kind of the route in the platform's words. */
+    std::string m_kind{"unsafe"};
     std::unique_ptr<RawServer> m_scripted;
     std::unique_ptr<PlatformProcesses> m_processes;
 };
