Check a pool again before its caches are searched after the history was read

Cause: a question about a spread stream waits for the history of the list. If the engines of its pool leave meanwhile, the search looked up a pool that it no longer knows, and the exception ended the process.

Change: the same check as when the list is confirmed comes before the search.

--- a/src/bergamottide/serving/servingstreams.cpp
+++ b/src/bergamottide/serving/servingstreams.cpp
@@ -172,7 +172,8 @@
                     {{"former", absl::StrCat(event.endpoints->size())}, {"unknown", event.hasUnknown ? "yes" : "no"}}});
     }
     for (const StreamQuestion &question : std::exchange(m_historyQuestions, {})) {
-        if (event.endpoints) {
+        // The engines may have left meanwhile, or the queue may have another owner.
+        if (event.endpoints && searchesPrompts(question.query)) {
             searchPrompts(question);
             continue;
         }
--- a/test/bergamottide/serving/streamversions.cpp
+++ b/test/bergamottide/serving/streamversions.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(spreadStreamIsRejectedWithoutTheHistoryOfTheList);
     CPPUNIT_TEST(spreadStreamWithoutItsNameIsRejected);
     CPPUNIT_TEST(historyIsReadOnceForManyStreams);
+    CPPUNIT_TEST(enginesMayLeaveWhileTheHistoryIsRead);
     CPPUNIT_TEST(searchEndsAlthoughNoEngineResponds);
     CPPUNIT_TEST(enginesAreListedOnceForManyStreams);
     CPPUNIT_TEST(onlyModelEnginesAreAskedForPrompts);
@@ -340,6 +341,19 @@
         checkRejected(silent);
     }
 
+    /*! @brief Guards against a process that ends since it searches a pool whose engines have all left. */
+    void enginesMayLeaveWhileTheHistoryIsRead()
+    {
+        ServingFixture fixture{without("v1")};
+        fixture.setHistoryRead(false);
+        fixture.apply(resumptionWithPrompt(fixture, 2, spreadPart()));
+        auto noEngines = std::make_shared<EndpointList>(*without("v1"));
+        std::erase_if(*noEngines, [](const EndpointRecord &record) { return record.pool == PoolName{"engines"}; });
+        fixture.apply(EndpointsChanged{noEngines});
+        fixture.apply(FormerEndpointsRead{EndpointList{}, false});
+        checkRejected(fixture);
+    }
+
     /*! @brief Guards against a wait for knowledge without a bound. */
     void searchEndsAlthoughNoEngineResponds()
     {
