--- a/test/platform/storehistory.cpp
+++ b/test/platform/storehistory.cpp
@@ -2,11 +2,13 @@
 
 #include "endpointentries.h"
 #include "fakes.h"
+#include "support/rununtil.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -22,6 +24,7 @@
     CPPUNIT_TEST(readsAllChanges);
     CPPUNIT_TEST(readsFromWhereTheHistoryBegins);
     CPPUNIT_TEST(storeWithoutHistoryTellsNoChanges);
+    CPPUNIT_TEST(anyRevisionIsReadInABoundedNumberOfRequests);
     CPPUNIT_TEST(storeThatFailsTellsNothing);
     CPPUNIT_TEST(storeThatIsSilentTellsNothing);
     CPPUNIT_TEST(removedEndpointsAreFormerOnes);
@@ -61,6 +64,13 @@
         CPPUNIT_ASSERT(changes && changes->empty());
     }
 
+    /*! @brief Guards against requests to the store without an end. */
+    void anyRevisionIsReadInABoundedNumberOfRequests()
+    {
+        CPPUNIT_ASSERT(read(m_store, std::numeric_limits<std::uint64_t>::max()));
+        CPPUNIT_ASSERT(m_store.requestCount() <= 64);
+    }
+
     void storeThatFailsTellsNothing()
     {
         m_store.setUnavailable(true);
@@ -146,9 +156,8 @@
             changes = std::move(read);
             isDone = true;
         });
-        while (!isDone) {
-            m_loop.runOnce(std::chrono::milliseconds{10});
-        }
+        CPPUNIT_ASSERT(bergamottide::test::runUntil(
+            m_loop, [&isDone] { return isDone; }, std::chrono::seconds{20}));
         return changes;
     }
 
