Wait before the history of the list is read again after a failure

Cause: each resumption of a spread stream read the history once the last read had failed. A store that rejects at once got as many requests as callers resumed streams.

Change: within half a second of a failure such streams are rejected without a request to the store.

--- a/src/bergamottide/serving/servingreducer.h
+++ b/src/bergamottide/serving/servingreducer.h
@@ -320,6 +320,10 @@
 
     /*! @brief Longest wait for a confirmation of the list; shorter than the timeout of a peer's question. */
     static constexpr Duration confirmationTimeout = std::chrono::milliseconds{500};
+    /*! @brief Time after a failure in which the history is not read again, because each request to the store is
+     * metered.
+     */
+    static constexpr Duration historyRetryPeriod = std::chrono::milliseconds{500};
 
     TimePoint m_now;
     Effects m_effects;
@@ -355,6 +359,8 @@
     std::optional<TimePoint> m_historyRequestedAt;
     /*! @brief When the history was requested that has been read last. */
     std::optional<TimePoint> m_historyReadAsOf;
+    /*! @brief When reading the history has failed last. */
+    std::optional<TimePoint> m_historyFailedAt;
     /*! @brief When a confirmation was requested that has not come yet. */
     std::optional<TimePoint> m_confirmationRequestedAt;
     /*! @brief Fair shares in the pools whose endpoints are all bounded. */
--- a/src/bergamottide/serving/servingstreams.cpp
+++ b/src/bergamottide/serving/servingstreams.cpp
@@ -162,6 +162,9 @@
 void ServingReducer::on(const FormerEndpointsRead &event)
 {
     const TimePoint requestedAt = std::exchange(m_historyRequestedAt, std::nullopt).value_or(m_now);
+    if (!event.endpoints) {
+        m_historyFailedAt = m_now;
+    }
     if (event.endpoints) {
         m_streamVersions.recordFormer(*event.endpoints, event.hasUnknown, m_now);
         m_historyReadAsOf = requestedAt;
@@ -190,6 +193,11 @@
         m_promptSearch.ask(question.asker, query.pool, query.lastPart, std::nullopt, m_now, m_effects);
         return;
     }
+    const bool hasJustFailed = m_historyFailedAt && m_now - *m_historyFailedAt < historyRetryPeriod;
+    if (!isHistoryKnown(question.askedAt) && hasJustFailed) {
+        deliverVersion(question.asker, std::nullopt, VersionSource::CachedPrompt, "history_unknown");
+        return;
+    }
     if (!isHistoryKnown(question.askedAt)) {
         m_historyQuestions.push_back(question);
         readHistory();
--- a/test/bergamottide/serving/streamversions.cpp
+++ b/test/bergamottide/serving/streamversions.cpp
@@ -299,8 +299,10 @@
             ServingFixture fixture{without("v1")};
             fixture.setHistory(isUnreadable ? FormerEndpointsRead{} : FormerEndpointsRead{EndpointList{}, true});
             checkRejected(fixture, resumptionWithPrompt(fixture, 2, spreadPart()));
-            // A later one finds the history if it could not be read before.
+            // The history is not read again at once; a later one finds it if it could not be read before.
             fixture.setHistory({EndpointList{}, false});
+            checkRejected(fixture, resumptionWithPrompt(fixture, 4, spreadPart()));
+            fixture.advanceClock(std::chrono::seconds{1});
             fixture.apply(resumptionWithPrompt(fixture, 3, spreadPart()));
             listCaches(fixture, {{"engine-4", 250}}, {}, spreadPart());
             CPPUNIT_ASSERT_EQUAL(isUnreadable, fixture.effect<StartRun>() != nullptr);
